--- /dev/null
+++ b/crates/claim/src/message.rs
@@ -0,0 +1,75 @@
+//! Messages between a claimant and a holder.
+
+use serde::{Deserialize, Serialize};
+use wisteriapoint_types::{Digest, MemberId, Nonce, RequestKey, ViewNumber};
+
+/// Asks a holder for the sole right to dispatch a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The view that the claimant derived the holder from.
+    pub view: ViewNumber,
+    /// The request's key.
+    pub key: RequestKey,
+    /// Fingerprint of the request.
+    pub digest: Digest,
+    /// The daemon that wants to dispatch.
+    pub claimant: MemberId,
+    /// Names this attempt.
+    pub nonce: Nonce,
+    /// Time for which the claim has to be remembered, in milliseconds.
+    pub horizon_ms: u64,
+}
+
+/// A holder's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The claimant has this holder's vote.
+    Granted,
+    /// Another attempt has it.
+    Held {
+        /// The daemon of that attempt.
+        claimant: MemberId,
+        /// The attempt.
+        nonce: Nonce,
+    },
+    /// The request has run; this is its recorded answer.
+    Settled(Settled),
+    /// The key was used for another request.
+    Mismatch,
+    /// The holder is not open in that view.
+    NotOpen {
+        /// The view that the holder knows.
+        view: ViewNumber,
+    },
+}
+
+/// What became of a claimed request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Settled {
+    /// It ran and gave this answer.
+    Ran(Recorded),
+    /// It was dispatched and its answer is lost.
+    MayHaveRun,
+}
+
+/// A recorded answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Recorded {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of `Content-Type`, empty if there was none.
+    pub content_type: Box<str>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Tells a holder what became of a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The request's key.
+    pub key: RequestKey,
+    /// The attempt that the report is about.
+    pub nonce: Nonce,
+    /// The outcome; none releases the key, since nothing was dispatched.
+    pub settled: Option<Settled>,
+}
--- /dev/null
+++ b/crates/gateway/src/engine.rs
@@ -0,0 +1,189 @@
+//! Requests to model engines.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eventsource_stream::{EventStream, Eventsource};
+use futures_util::{Stream, StreamExt};
+use reqwest::StatusCode;
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+use wisteriapoint_types::WeightVersion;
+use wisteriapoint_weights::Order;
+
+use crate::client::REQUEST_ID;
+use crate::failure::Kind;
+use crate::plain::{check_draining, check_identity};
+use crate::{Clients, Failure, Target};
+
+const END_OF_STREAM: &str = "[DONE]";
+const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A completion, as sent to an engine.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CompletionRequest {
+    /// Name of the model.
+    pub model: Box<str>,
+    /// The prompt.
+    pub prompt: Box<str>,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// Whether tokens are sent as they come.
+    pub stream: bool,
+    /// Lower goes first in the engine.
+    pub priority: i32,
+}
+
+/// Some tokens of a completion.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// The text.
+    pub text: Box<str>,
+    /// Number of tokens.
+    pub tokens: u32,
+    /// The version that produced them.
+    pub version: WeightVersion,
+}
+
+/// An engine's own report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineStatus {
+    /// The version that it serves.
+    pub version: WeightVersion,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Whether it takes no new work.
+    pub draining: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireChunk {
+    choices: Vec<WireChoice>,
+    weight_version: WeightVersion,
+    tokens: u32,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireChoice {
+    text: Box<str>,
+}
+
+/// A completion that is being generated.
+pub struct Generation<S> {
+    events: EventStream<Pin<Box<S>>>,
+    ended: bool,
+}
+
+impl<S> Generation<S>
+where
+    S: Stream<Item = reqwest::Result<Bytes>> + Send,
+{
+    /// The next tokens; none after the engine's explicit end.
+    ///
+    /// # Errors
+    ///
+    /// A stream that stops before its explicit end is a failure, never an end.
+    pub async fn next(&mut self) -> Result<Option<Chunk>, Failure> {
+        if self.ended {
+            return Ok(None);
+        }
+        let broken = |text: String| Failure::may_have_run(Kind::Broken(text.into()));
+        let event = match self.events.next().await {
+            Some(Ok(event)) => event,
+            Some(Err(error)) => return Err(broken(error.to_string())),
+            None => return Err(broken("the stream ended early".into())),
+        };
+        if event.data == END_OF_STREAM {
+            self.ended = true;
+            return Ok(None);
+        }
+        let chunk: WireChunk =
+            serde_json::from_str(&event.data).map_err(|error| broken(error.to_string()))?;
+        let text = chunk.choices.into_iter().next().map(|choice| choice.text);
+        Ok(Some(Chunk {
+            text: text.unwrap_or_default(),
+            tokens: chunk.tokens,
+            version: chunk.weight_version,
+        }))
+    }
+}
+
+impl Clients {
+    /// Starts a completion on an engine.
+    ///
+    /// # Errors
+    ///
+    /// The failure's verdict says whether the engine may have started.
+    pub async fn generate(
+        &self,
+        target: &Target,
+        request: &CompletionRequest,
+        limit: Duration,
+    ) -> Result<Generation<impl Stream<Item = reqwest::Result<Bytes>> + Send + use<>>, Failure>
+    {
+        let request_id = Uuid::new_v4().to_string();
+        let outgoing = self
+            .pooled
+            .post(format!("http://{}/v1/completions", target.address))
+            .header(REQUEST_ID, &request_id)
+            .json(request)
+            .timeout(limit);
+        let response = outgoing.send().await.map_err(Failure::of_send)?;
+        check_identity(target, &response, &request_id)?;
+        check_draining(&response)?;
+        match response.status() {
+            StatusCode::OK => {}
+            status => {
+                return Err(Failure::may_have_run(Kind::Broken(
+                    status.to_string().into(),
+                )));
+            }
+        }
+        Ok(Generation {
+            events: Box::pin(response.bytes_stream()).eventsource(),
+            ended: false,
+        })
+    }
+
+    /// Asks an engine for its status.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no answer comes or it is malformed.
+    pub async fn engine_status(&self, target: &Target) -> Result<EngineStatus, Failure> {
+        let outgoing = self
+            .pooled
+            .get(format!("http://{}/admin/status", target.address))
+            .timeout(STATUS_TIMEOUT);
+        let response = outgoing.send().await.map_err(Failure::of_send)?;
+        response.json().await.map_err(Failure::of_send)
+    }
+
+    /// Orders an engine to load a version; its status tells what became of it.
+    ///
+    /// # Errors
+    ///
+    /// A failure leaves open whether the order takes effect.
+    pub async fn order_weights(
+        &self,
+        target: &Target,
+        order: &Order,
+        limit: Duration,
+    ) -> Result<(), Failure> {
+        let outgoing = self
+            .single_use
+            .post(format!("http://{}/admin/weights", target.address))
+            .json(order)
+            .timeout(limit);
+        let response = outgoing.send().await.map_err(Failure::of_send)?;
+        match response.status() {
+            status if status.is_success() => Ok(()),
+            status => Err(Failure::may_have_run(Kind::Broken(
+                status.to_string().into(),
+            ))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/failure.rs
@@ -0,0 +1,73 @@
+//! Failures towards endpoints.
+
+use wisteriapoint_types::Verdict;
+
+/// Why an endpoint gave no whole answer, and whether the request may have run.
+#[derive(Debug, thiserror::Error)]
+#[error("{kind}")]
+pub struct Failure {
+    verdict: Verdict,
+    kind: Kind,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Kind {
+    #[error("setting up the HTTP client failed: {0}")]
+    Setup(reqwest::Error),
+    #[error("connecting to the endpoint failed: {0}")]
+    Connect(reqwest::Error),
+    #[error("the endpoint did not answer whole: {0}")]
+    Broken(Box<str>),
+    #[error("the endpoint did not answer in time")]
+    Timeout,
+    #[error("the endpoint takes no new work")]
+    Draining,
+    #[error("the endpoint answered another request")]
+    Crossed,
+    #[error("the answer exceeds {bound_bytes} bytes")]
+    TooLarge { bound_bytes: usize },
+}
+
+impl Failure {
+    pub(crate) fn not_run(kind: Kind) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            kind,
+        }
+    }
+
+    pub(crate) fn may_have_run(kind: Kind) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            kind,
+        }
+    }
+
+    pub(crate) fn of_send(error: reqwest::Error) -> Self {
+        match error {
+            error if error.is_connect() => Self::not_run(Kind::Connect(error)),
+            error if error.is_timeout() => Self::may_have_run(Kind::Timeout),
+            error => Self::may_have_run(Kind::Broken(error.to_string().into())),
+        }
+    }
+
+    /// Whether the request may have run.
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
+    /// Whether the endpoint said that it takes no new work.
+    pub fn is_draining(&self) -> bool {
+        matches!(self.kind, Kind::Draining)
+    }
+
+    /// Whether the deadline passed.
+    pub fn is_timeout(&self) -> bool {
+        matches!(self.kind, Kind::Timeout)
+    }
+
+    /// Whether the answer belonged to another request.
+    pub fn is_crossed(&self) -> bool {
+        matches!(self.kind, Kind::Crossed)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/router.rs
@@ -0,0 +1,312 @@
+//! The policy behind an asynchronous interface.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout_at};
+use wisteriapoint_route::{
+    Admission, Demand, EndpointKey, Load, Outcome, Pool, Reason, Refusal, Seat, TicketKey, Woken,
+};
+use wisteriapoint_settings::{Endpoint, ServiceDocument};
+use wisteriapoint_types::{EndpointName, FailureDomain, VmName};
+
+/// What is needed to reach an endpoint.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Name in the service document.
+    pub endpoint: EndpointName,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: FailureDomain,
+    /// Whether it echoes the request id.
+    pub echoes_request_id: bool,
+}
+
+impl From<&Endpoint> for Target {
+    fn from(endpoint: &Endpoint) -> Self {
+        Self {
+            endpoint: endpoint.endpoint.clone(),
+            address: endpoint.address,
+            failure_domain: endpoint.failure_domain.clone(),
+            echoes_request_id: endpoint.echoes_request_id,
+        }
+    }
+}
+
+/// Routes the requests of one service; only traffic threads use it.
+#[derive(Debug, Clone)]
+pub struct Router {
+    inner: Arc<Mutex<Inner>>,
+    epoch: Instant,
+}
+
+#[derive(Debug)]
+struct Inner {
+    pool: Pool,
+    targets: SecondaryMap<EndpointKey, Target>,
+    waiting: BTreeMap<TicketKey, oneshot::Sender<Result<EndpointKey, Refusal>>>,
+}
+
+/// The right to send one request to one endpoint.
+#[derive(Debug)]
+pub struct Permit {
+    router: Router,
+    key: EndpointKey,
+    target: Target,
+    outcome: Outcome,
+    begun: Instant,
+}
+
+/// A place in the queue; dropping it gives back whatever it was called for.
+struct Waiting<'a> {
+    router: &'a Router,
+    ticket: TicketKey,
+    called: oneshot::Receiver<Result<EndpointKey, Refusal>>,
+}
+
+const QUEUE_LENGTH: usize = 64;
+
+impl Router {
+    /// Makes a router without endpoints; `seed` drives its random choices.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            inner: Arc::new(Mutex::new(Inner {
+                pool: Pool::new(QUEUE_LENGTH, seed),
+                targets: SecondaryMap::new(),
+                waiting: BTreeMap::new(),
+            })),
+            epoch: Instant::now(),
+        }
+    }
+
+    /// Milliseconds of the router's clock.
+    pub fn now_ms(&self) -> u64 {
+        self.epoch.elapsed().as_millis() as u64
+    }
+
+    /// The deadline of a request that may take `limit` from now, for a [`Demand`].
+    pub fn deadline_ms(&self, limit: Duration) -> u64 {
+        self.now_ms() + limit.as_millis() as u64
+    }
+
+    /// Takes a service document in force and the VMs that are leaving.
+    pub fn update(&self, document: &ServiceDocument, leaving: &BTreeSet<VmName>) {
+        let mut inner = self.lock();
+        inner
+            .pool
+            .set_queue_length(document.limits.queue_length as usize);
+        inner.remove_absent(document);
+        for endpoint in &document.endpoints {
+            let key = inner.key(endpoint);
+            inner.targets.insert(key, endpoint.into());
+            if let Some(seat) = inner.pool.seat_mut(key) {
+                seat.max_concurrency = endpoint.max_concurrency;
+                seat.leaving = leaving.contains(&endpoint.vm);
+            }
+        }
+        let woken = inner.pool.wake(self.now_ms());
+        inner.deliver(self.now_ms(), woken);
+    }
+
+    /// Takes an engine's own report.
+    pub fn report(&self, endpoint: &EndpointName, running: u32, waiting: u32, draining: bool) {
+        let at_ms = self.now_ms();
+        let mut inner = self.lock();
+        let Some(key) = inner.find(endpoint) else {
+            return;
+        };
+        inner.pool.report(
+            key,
+            Load {
+                running,
+                waiting,
+                at_ms,
+            },
+        );
+        match inner.pool.seat_mut(key) {
+            Some(seat) if draining => seat.leaving = true,
+            _ => {}
+        }
+    }
+
+    /// Marks an endpoint as leaving.
+    pub fn set_leaving(&self, endpoint: &EndpointName) {
+        let mut inner = self.lock();
+        if let Some(key) = inner.find(endpoint)
+            && let Some(seat) = inner.pool.seat_mut(key)
+        {
+            seat.leaving = true;
+        }
+    }
+
+    /// Wakes requests whose time has come; to be called a few times a second.
+    pub fn tick(&self) {
+        let now_ms = self.now_ms();
+        let mut inner = self.lock();
+        let woken = inner.pool.wake(now_ms);
+        inner.deliver(now_ms, woken);
+    }
+
+    /// The endpoints.
+    pub fn targets(&self) -> Vec<Target> {
+        self.lock().targets.values().cloned().collect()
+    }
+
+    /// Waits for the right to dispatch.
+    ///
+    /// # Errors
+    ///
+    /// Refuses at once what can't be served; a refused request has not run.
+    pub async fn acquire(&self, demand: Demand) -> Result<Permit, Refusal> {
+        let deadline = self.epoch + Duration::from_millis(demand.deadline_ms);
+        let mut waiting = {
+            let mut inner = self.lock();
+            match inner.pool.admit(self.now_ms(), demand) {
+                Admission::Go(key) => return inner.permit(self, key),
+                Admission::Refuse(refusal) => return Err(refusal),
+                Admission::Wait(ticket) => inner.wait(self, ticket),
+            }
+        };
+        match timeout_at(deadline, &mut waiting.called).await {
+            Ok(Ok(Ok(key))) => self.lock().permit(self, key),
+            Ok(Ok(Err(refusal))) => Err(refusal),
+            Ok(Err(_)) | Err(_) => Err(Refusal {
+                reason: Reason::Deadline,
+                retry_after_ms: 1_000,
+            }),
+        }
+    }
+
+    fn finish(&self, key: EndpointKey, outcome: Outcome) {
+        let now_ms = self.now_ms();
+        let mut inner = self.lock();
+        let woken = inner.pool.finish(now_ms, key, outcome);
+        inner.deliver(now_ms, woken);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn find(&self, endpoint: &EndpointName) -> Option<EndpointKey> {
+        let mut seats = self.pool.seats();
+        seats
+            .find(|(_, seat)| seat.endpoint == *endpoint)
+            .map(|(key, _)| key)
+    }
+
+    fn key(&mut self, endpoint: &Endpoint) -> EndpointKey {
+        match self.find(&endpoint.endpoint) {
+            Some(key) => key,
+            None => self.pool.insert(Seat::new(
+                endpoint.endpoint.as_str(),
+                endpoint.failure_domain.as_str(),
+                endpoint.max_concurrency,
+            )),
+        }
+    }
+
+    fn remove_absent(&mut self, document: &ServiceDocument) {
+        let names: BTreeSet<&EndpointName> =
+            document.endpoints.iter().map(|e| &e.endpoint).collect();
+        let absent: Vec<EndpointKey> = self
+            .pool
+            .seats()
+            .filter(|(_, seat)| !names.contains(&seat.endpoint))
+            .map(|(key, _)| key)
+            .collect();
+        for key in absent {
+            self.pool.remove(key);
+            self.targets.remove(key);
+        }
+    }
+
+    fn wait<'a>(&mut self, router: &'a Router, ticket: TicketKey) -> Waiting<'a> {
+        let (sender, called) = oneshot::channel();
+        self.waiting.insert(ticket, sender);
+        Waiting {
+            router,
+            ticket,
+            called,
+        }
+    }
+
+    fn permit(&self, router: &Router, key: EndpointKey) -> Result<Permit, Refusal> {
+        let target = self.targets.get(key).cloned().ok_or(Refusal {
+            reason: Reason::NoEndpoint,
+            retry_after_ms: 1_000,
+        })?;
+        Ok(Permit {
+            router: router.clone(),
+            key,
+            target,
+            outcome: Outcome::Cancelled,
+            begun: Instant::now(),
+        })
+    }
+
+    fn deliver(&mut self, now_ms: u64, woken: Vec<Woken>) {
+        let mut calls = woken;
+        while let Some(call) = calls.pop() {
+            let sender = self.waiting.remove(&call.ticket);
+            let delivered = sender.map(|sender| sender.send(call.endpoint));
+            match (delivered, call.endpoint) {
+                (Some(Ok(())), _) | (_, Err(_)) => {}
+                (_, Ok(key)) => calls.extend(self.pool.finish(now_ms, key, Outcome::Cancelled)),
+            }
+        }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.router.lock();
+        inner.waiting.remove(&self.ticket);
+        inner.pool.withdraw(self.ticket);
+        drop(inner);
+        if let Ok(Ok(key)) = self.called.try_recv() {
+            self.router.finish(key, Outcome::Cancelled);
+        }
+    }
+}
+
+impl Permit {
+    /// The endpoint's key, for [`Demand::tried`].
+    pub fn key(&self) -> EndpointKey {
+        self.key
+    }
+
+    /// Where to send the request.
+    pub fn target(&self) -> &Target {
+        &self.target
+    }
+
+    /// Ends the request with a whole answer.
+    pub fn answered(mut self, tokens: u32) {
+        let elapsed_ms = self.begun.elapsed().as_millis() as u64;
+        self.outcome = Outcome::Answered { elapsed_ms, tokens };
+    }
+
+    /// Ends the request with a failure of the endpoint.
+    pub fn failed(mut self) {
+        self.outcome = Outcome::Failed;
+    }
+
+    /// Ends the request, which the endpoint refused to run.
+    pub fn refused(mut self) {
+        self.outcome = Outcome::Refused;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.router.finish(self.key, self.outcome);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,15 @@
+//! The view: which daemons are members, and what each is responsible for.
+//!
+//! ```
+//! use wisteriapoint_membership::View;
+//!
+//! let view = View::default();
+//! assert!(view.members.is_empty());
+//! assert!(view.coordinators(b"trainer-1").is_empty());
+//! ```
+
+pub mod duty;
+pub mod view;
+
+pub use duty::{HOLDERS, Holders};
+pub use view::{Member, View};
--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,90 @@
+//! Calls to other daemons.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::error::{Error, Kind};
+use crate::frame;
+
+const IDLE_PER_PEER: usize = 4;
+
+/// Calls other daemons over reused TCP connections.
+///
+/// A call whose reused connection turns out dead is sent again on a fresh one, so
+/// every message has to be idempotent at the peer.
+#[derive(Debug, Clone, Default)]
+pub struct Client {
+    idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<TcpStream>>>>,
+}
+
+impl Client {
+    /// Makes a client with no connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends a message and waits for the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be had, if the answer does not come within `limit`, or
+    /// if it breaks the protocol.
+    pub async fn call<Q, A>(
+        &self,
+        address: SocketAddr,
+        question: &Q,
+        limit: Duration,
+    ) -> Result<A, Error>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let frame = frame::encode(question)?;
+        timeout(limit, self.exchange(address, &frame))
+            .await
+            .map_err(|_| Kind::Timeout)?
+    }
+
+    async fn exchange<A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        frame: &[u8],
+    ) -> Result<A, Error> {
+        if let Some(mut stream) = self.take_idle(address)
+            && let Ok(answer) = ask(&mut stream, frame).await
+        {
+            self.keep_idle(address, stream);
+            return Ok(answer);
+        }
+        let mut stream = TcpStream::connect(address).await.map_err(Kind::Connect)?;
+        stream.set_nodelay(true)?;
+        let answer = ask(&mut stream, frame).await?;
+        self.keep_idle(address, stream);
+        Ok(answer)
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.get_mut(&address)?.pop()
+    }
+
+    fn keep_idle(&self, address: SocketAddr, stream: TcpStream) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let streams = idle.entry(address).or_default();
+        if streams.len() < IDLE_PER_PEER {
+            streams.push(stream);
+        }
+    }
+}
+
+async fn ask<A: DeserializeOwned>(stream: &mut TcpStream, frame: &[u8]) -> Result<A, Error> {
+    frame::write(stream, frame).await?;
+    frame::read(stream).await
+}
--- /dev/null
+++ b/crates/peer/src/datagram.rs
@@ -0,0 +1,58 @@
+//! Single datagrams between daemons.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::UdpSocket;
+
+use crate::error::{Error, Kind};
+use crate::frame::{MAX_DATAGRAM_BYTES, PROTOCOL_VERSION};
+
+/// A UDP socket that carries postcard messages.
+#[derive(Debug)]
+pub struct Datagrams {
+    socket: UdpSocket,
+}
+
+impl Datagrams {
+    /// Wraps a bound socket.
+    pub fn new(socket: UdpSocket) -> Self {
+        Self { socket }
+    }
+
+    /// Sends one message; nothing tells whether it arrives.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the message exceeds [`MAX_DATAGRAM_BYTES`] or the socket refuses it.
+    pub async fn send<T: Serialize>(&self, to: SocketAddr, message: &T) -> Result<usize, Error> {
+        let bytes =
+            postcard::to_extend(message, vec![PROTOCOL_VERSION]).map_err(Kind::Malformed)?;
+        let length_bytes = bytes.len();
+        if length_bytes > MAX_DATAGRAM_BYTES {
+            return Err(Kind::TooLong { length_bytes }.into());
+        }
+        self.socket.send_to(&bytes, to).await?;
+        Ok(length_bytes)
+    }
+
+    /// Waits for the next message.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a datagram that breaks the protocol; the socket stays usable.
+    pub async fn receive<T: DeserializeOwned>(&self) -> Result<(SocketAddr, T), Error> {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+        let (length_bytes, from) = self.socket.recv_from(&mut buffer).await?;
+        match buffer[..length_bytes] {
+            [PROTOCOL_VERSION, ref body @ ..] if length_bytes <= MAX_DATAGRAM_BYTES => {
+                let message = postcard::from_bytes(body).map_err(Kind::Malformed)?;
+                Ok((from, message))
+            }
+            [PROTOCOL_VERSION, ..] => Err(Kind::TooLong { length_bytes }.into()),
+            [version, ..] => Err(Kind::Version { version }.into()),
+            [] => Err(Kind::TooLong { length_bytes: 0 }.into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/frame.rs
@@ -0,0 +1,58 @@
+//! Frames on a TCP connection: version, length, postcard.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+use crate::error::{Error, Kind};
+
+/// Version of the protocol between daemons.
+pub const PROTOCOL_VERSION: u8 = 1;
+
+/// Largest frame, in bytes.
+pub const MAX_FRAME_BYTES: usize = 8 << 20;
+
+/// Largest datagram, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 1_200;
+
+const HEADER_BYTES: usize = 5;
+
+pub(crate) fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, Error> {
+    let mut bytes = vec![PROTOCOL_VERSION, 0, 0, 0, 0];
+    bytes = postcard::to_extend(message, bytes).map_err(Kind::Malformed)?;
+    let length_bytes = bytes.len() - HEADER_BYTES;
+    if length_bytes > MAX_FRAME_BYTES {
+        return Err(Kind::TooLong { length_bytes }.into());
+    }
+    bytes[1..HEADER_BYTES].copy_from_slice(&(length_bytes as u32).to_le_bytes());
+    Ok(bytes)
+}
+
+pub(crate) async fn write<W: AsyncWrite + Unpin>(
+    stream: &mut W,
+    frame: &[u8],
+) -> Result<(), Error> {
+    stream.write_all(frame).await?;
+    stream.flush().await?;
+    Ok(())
+}
+
+pub(crate) async fn read<R, T>(stream: &mut R) -> Result<T, Error>
+where
+    R: AsyncRead + Unpin,
+    T: DeserializeOwned,
+{
+    let mut header = [0; HEADER_BYTES];
+    stream.read_exact(&mut header).await?;
+    let [version, length @ ..] = header;
+    let length_bytes = u32::from_le_bytes(length) as usize;
+    match version {
+        PROTOCOL_VERSION if length_bytes <= MAX_FRAME_BYTES => {}
+        PROTOCOL_VERSION => return Err(Kind::TooLong { length_bytes }.into()),
+        _ => return Err(Kind::Version { version }.into()),
+    }
+    let mut body = Vec::new();
+    let mut limited = stream.take(length_bytes as u64);
+    limited.read_to_end(&mut body).await?;
+    Ok(postcard::from_bytes(&body).map_err(Kind::Malformed)?)
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,30 @@
+//! Transport between daemons: framed postcard over TCP, single datagrams over UDP.
+//!
+//! The crate knows no message of its own; both sides agree on the types.
+//!
+//! ```
+//! # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+//! use std::time::Duration;
+//! use wisteriapoint_peer::{Client, serve};
+//!
+//! let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+//! let address = listener.local_addr()?;
+//! tokio::spawn(serve(listener, |question: u32| async move { question + 1 }));
+//!
+//! let answer: u32 = Client::new().call(address, &41_u32, Duration::from_secs(1)).await?;
+//! assert_eq!(answer, 42);
+//! # Ok::<(), wisteriapoint_peer::Error>(())
+//! # }).unwrap();
+//! ```
+
+pub mod client;
+pub mod datagram;
+pub mod error;
+pub mod frame;
+pub mod server;
+
+pub use client::Client;
+pub use datagram::Datagrams;
+pub use error::Error;
+pub use frame::{MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION};
+pub use server::serve;
--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,25 @@
+//! Errors of the platform.
+
+/// Why a call to the platform gave no result.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The answer did not come; a write may have taken effect.
+    #[error("the platform did not answer: {0}")]
+    Unavailable(Box<str>),
+    /// The platform refused the call for its rate limit; nothing took effect.
+    #[error("the platform's rate limit is reached")]
+    RateLimited,
+    /// The answer could not be understood.
+    #[error("the platform's answer is malformed: {0}")]
+    Malformed(Box<str>),
+    /// The lease is unknown or has lapsed.
+    #[error("the lease has lapsed")]
+    LeaseLapsed,
+}
+
+impl Error {
+    /// Whether a write may have taken effect although it failed.
+    pub fn may_have_taken_effect(&self) -> bool {
+        matches!(self, Self::Unavailable(_) | Self::Malformed(_))
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/engine.rs
@@ -0,0 +1,254 @@
+//! A model engine: slots, tokens a second, streaming, weight orders.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use salvo::http::StatusCode;
+use salvo::http::body::BodySender;
+use salvo::{Request, Response, Router, handler};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+use wisteriapoint_types::{WeightVersion, hash64};
+use wisteriapoint_weights::{Fence, Order};
+
+/// How an engine behaves.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineSettings {
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Tokens a second of each request.
+    pub tokens_per_s: f64,
+    /// Time to load a version, in milliseconds.
+    pub load_ms: u64,
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fencing: bool,
+    /// A prompt that holds this text crashes the engine.
+    pub crash_mark: Option<String>,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            tokens_per_s: 1_000.0,
+            load_ms: 100,
+            checks_fencing: true,
+            crash_mark: None,
+        }
+    }
+}
+
+/// An engine; clones share its state.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    settings: Arc<EngineSettings>,
+    slots: Arc<Semaphore>,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    version: WeightVersion,
+    fence: Option<Fence>,
+    running: u32,
+    waiting: u32,
+    draining: bool,
+    crashed: bool,
+    started: u64,
+    orders: Vec<Order>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Completion {
+    prompt: String,
+    max_tokens: u32,
+}
+
+impl Engine {
+    /// Makes an idle engine at version 0.
+    pub fn new(settings: EngineSettings) -> Self {
+        Self {
+            slots: Arc::new(Semaphore::new(settings.slots)),
+            settings: Arc::new(settings),
+            state: Arc::default(),
+        }
+    }
+
+    /// The HTTP interface.
+    pub fn router(&self) -> Router {
+        Router::with_path("{**path}").goal(Api(self.clone()))
+    }
+
+    /// The version that it serves.
+    pub fn version(&self) -> WeightVersion {
+        self.lock().version
+    }
+
+    /// Whether a marked request has crashed it.
+    pub fn is_crashed(&self) -> bool {
+        self.lock().crashed
+    }
+
+    /// Restarts it after a crash.
+    pub fn restart(&self) {
+        self.lock().crashed = false;
+    }
+
+    /// Says whether it takes no new work.
+    pub fn set_draining(&self, draining: bool) {
+        self.lock().draining = draining;
+    }
+
+    /// Number of completions started.
+    pub fn started(&self) -> u64 {
+        self.lock().started
+    }
+
+    /// The orders received.
+    pub fn orders(&self) -> Vec<Order> {
+        self.lock().orders.clone()
+    }
+
+    /// The text that a prompt's completion has.
+    pub fn expected_text(prompt: &str, max_tokens: u32) -> String {
+        (0..max_tokens).map(|index| token(prompt, index)).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn generate(self, completion: Completion, mut sender: BodySender) {
+        self.lock().waiting += 1;
+        let slot = self.slots.acquire().await;
+        self.lock().waiting -= 1;
+        if slot.is_err() {
+            return;
+        }
+        self.lock().running += 1;
+        let pause = Duration::from_secs_f64(1.0 / self.settings.tokens_per_s);
+        for index in 0..completion.max_tokens {
+            sleep(pause).await;
+            let (version, crashed) = {
+                let state = self.lock();
+                (state.version, state.crashed)
+            };
+            let event = event(&token(&completion.prompt, index), version);
+            if crashed || sender.send_data(event).await.is_err() {
+                sender.send_error(std::io::Error::other("the engine crashed"));
+                self.lock().running -= 1;
+                return;
+            }
+        }
+        let _ = sender.send_data("data: [DONE]\n\n").await;
+        self.lock().running -= 1;
+    }
+
+    fn accept(&self, order: &Order) -> bool {
+        let mut state = self.lock();
+        state.orders.push(order.clone());
+        if self.settings.checks_fencing && Some(order.fence) < state.fence {
+            return false;
+        }
+        state.fence = Some(order.fence);
+        true
+    }
+}
+
+fn token(prompt: &str, index: u32) -> String {
+    format!("{:04x}.{index} ", hash64(0, prompt.as_bytes()) & 0xffff)
+}
+
+fn event(text: &str, version: WeightVersion) -> String {
+    let chunk = serde_json::json!({
+        "object": "text_completion",
+        "choices": [{ "index": 0, "text": text, "finish_reason": null }],
+        "weight_version": version,
+        "tokens": 1,
+    });
+    format!("data: {chunk}\n\n")
+}
+
+struct Api(Engine);
+
+#[handler]
+impl Api {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        if self.0.is_crashed() {
+            response.status_code(StatusCode::BAD_GATEWAY);
+            return;
+        }
+        match request.uri().path() {
+            "/v1/completions" => self.complete(request, response).await,
+            "/admin/status" => self.status(response),
+            "/admin/weights" => self.order(request, response).await,
+            _ => {
+                response.status_code(StatusCode::NOT_FOUND);
+            }
+        }
+    }
+}
+
+impl Api {
+    async fn complete(&self, request: &mut Request, response: &mut Response) {
+        if let Some(id) = request.headers().get("x-request-id") {
+            let id = id.clone();
+            response.headers_mut().insert("x-request-id", id);
+        }
+        if self.0.lock().draining {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            let _ = response.add_header("x-draining", "true", true);
+            return;
+        }
+        let parsed = request
+            .payload()
+            .await
+            .map(|body| serde_json::from_slice(body));
+        let Ok(Ok(completion)) = parsed else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let completion: Completion = completion;
+        let mark = self.0.settings.crash_mark.as_deref();
+        let crashes = mark.is_some_and(|mark| completion.prompt.contains(mark));
+        {
+            let mut state = self.0.lock();
+            state.started += 1;
+            state.crashed |= crashes;
+        }
+        let _ = response.add_header("content-type", "text/event-stream", true);
+        let sender = response.channel();
+        tokio::spawn(self.0.clone().generate(completion, sender));
+    }
+
+    fn status(&self, response: &mut Response) {
+        let state = self.0.lock();
+        let status = serde_json::json!({
+            "version": state.version,
+            "running": state.running,
+            "waiting": state.waiting,
+            "draining": state.draining,
+        });
+        response.body(status.to_string());
+    }
+
+    async fn order(&self, request: &mut Request, response: &mut Response) {
+        let parsed = request
+            .payload()
+            .await
+            .map(|body| serde_json::from_slice(body));
+        let Ok(Ok(order)) = parsed else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let order: Order = order;
+        if !self.0.accept(&order) {
+            response.status_code(StatusCode::CONFLICT);
+            return;
+        }
+        sleep(Duration::from_millis(self.0.settings.load_ms)).await;
+        self.0.lock().version = order.version;
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/lib.rs
@@ -0,0 +1,27 @@
+//! Stand-ins for what surrounds wisteriapoint: platform, engines, plain services, trainers.
+//!
+//! Each is a library type that runs inside a test, and a subcommand of the binary that
+//! runs it as a process.
+//!
+//! ```
+//! # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+//! use wisteriapoint_stand_in::{Platform, serve};
+//!
+//! let platform = Platform::new();
+//! let running = serve::on_loopback(platform.router()).await.unwrap();
+//! println!("the platform listens on {}", running.address);
+//! # })
+//! ```
+
+pub mod demo;
+pub mod engine;
+pub mod plain;
+pub mod platform;
+pub mod serve;
+pub mod trainer;
+
+pub use engine::{Engine, EngineSettings};
+pub use plain::PlainService;
+pub use platform::Platform;
+pub use serve::Running;
+pub use trainer::Trainer;
--- /dev/null
+++ b/crates/stand-in/src/plain.rs
@@ -0,0 +1,81 @@
+//! A plain service that counts how often it ran each request.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use salvo::{Request, Response, Router, handler};
+use tokio::time::sleep;
+
+/// A plain service; clones share its state.
+#[derive(Debug, Clone, Default)]
+pub struct PlainService {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    delay: Duration,
+    runs: BTreeMap<String, u32>,
+}
+
+impl PlainService {
+    /// Makes a service that has run nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the time that each request takes.
+    pub fn set_delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
+    /// How often each idempotency key ran.
+    pub fn runs(&self) -> BTreeMap<String, u32> {
+        self.lock().runs.clone()
+    }
+
+    /// The HTTP interface.
+    pub fn router(&self) -> Router {
+        Router::with_path("{**path}").goal(Api(self.clone()))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct Api(PlainService);
+
+#[handler]
+impl Api {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        if request.uri().path() == "/admin/runs" {
+            response.body(serde_json::to_vec(&self.0.runs()).unwrap_or_default());
+            return;
+        }
+        let headers = request.headers();
+        if let Some(id) = headers.get("x-request-id").cloned() {
+            response.headers_mut().insert("x-request-id", id);
+        }
+        let key = request.headers().get("idempotency-key");
+        let key = key.and_then(|key| key.to_str().ok()).map(str::to_owned);
+        let path = request.uri().path().to_owned();
+        let body = request.payload().await.cloned().unwrap_or_default();
+        let run = {
+            let mut state = self.0.lock();
+            let count = state.runs.entry(key.unwrap_or_default()).or_default();
+            *count += 1;
+            *count
+        };
+        let delay = self.0.lock().delay;
+        sleep(delay).await;
+        let answer = serde_json::json!({
+            "path": path,
+            "run": run,
+            "body": String::from_utf8_lossy(&body),
+        });
+        let _ = response.add_header("content-type", "application/json", true);
+        response.body(answer.to_string());
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/serve.rs
@@ -0,0 +1,46 @@
+//! HTTP servers on loopback.
+
+use std::io;
+use std::net::SocketAddr;
+
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::server::ServerHandle;
+use salvo::{Router, Server};
+use tokio::net::TcpListener;
+
+/// A server that stops when it is dropped.
+#[derive(Debug)]
+pub struct Running {
+    /// Where it listens.
+    pub address: SocketAddr,
+    handle: ServerHandle,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.handle.stop_forceful();
+    }
+}
+
+/// Serves a router on a free port of the loopback address.
+///
+/// # Errors
+///
+/// Fails if no port can be bound.
+pub async fn on_loopback(router: Router) -> io::Result<Running> {
+    on(SocketAddr::from(([127, 0, 0, 1], 0)), router).await
+}
+
+/// Serves a router on an address.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub async fn on(address: SocketAddr, router: Router) -> io::Result<Running> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let server = Server::new(TcpAcceptor::try_from(listener)?);
+    let handle = server.handle();
+    tokio::spawn(server.serve(router));
+    Ok(Running { address, handle })
+}
--- /dev/null
+++ b/crates/stand-in/src/trainer.rs
@@ -0,0 +1,124 @@
+//! A trainer: puts steps, pulls samples, keeps the cursor.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use wisteriapoint_rollout::{Cursor, Pulled, Sample, StepSpec};
+use wisteriapoint_types::WeightVersion;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const PULL_WAIT_MS: u64 = 2_000;
+
+/// A trainer that reaches the daemons by their service URLs, one after the other.
+#[derive(Debug)]
+pub struct Trainer {
+    client: reqwest::Client,
+    urls: Vec<String>,
+    name: String,
+    next_url: usize,
+    /// The version that it is at.
+    pub version: WeightVersion,
+    /// Calls that failed and were made again.
+    pub retries: u32,
+}
+
+/// What a trainer received for a step.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Received {
+    /// The samples in the order of arrival.
+    pub samples: Vec<Sample>,
+    /// The cursor.
+    pub cursor: Cursor,
+}
+
+impl Trainer {
+    /// Makes a trainer at version 0.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the HTTP client can't be set up.
+    pub fn new(name: &str, urls: Vec<String>) -> reqwest::Result<Self> {
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .timeout(CALL_TIMEOUT)
+            .build()?;
+        Ok(Self {
+            client,
+            urls,
+            name: name.to_owned(),
+            next_url: 0,
+            version: WeightVersion(0),
+            retries: 0,
+        })
+    }
+
+    /// Publishes a weight version and moves on to it.
+    pub async fn publish(&mut self, service: &str, version: WeightVersion) {
+        let body = serde_json::json!({ "version": version });
+        loop {
+            let url = format!("{}/v1/weights/{service}", self.url());
+            match self.client.put(url).json(&body).send().await {
+                Ok(answer) if answer.status().is_success() => break,
+                _ => self.pause().await,
+            }
+        }
+        self.version = version;
+    }
+
+    /// Puts a step and pulls until all its samples are here.
+    pub async fn run_step(&mut self, step: u64, spec: &StepSpec) -> Received {
+        let mut received = Received::default();
+        while received.samples.len() < spec.samples() as usize {
+            match self.pull(step, &received.cursor).await {
+                Some(pulled) if pulled.from == received.cursor => {
+                    received.samples.extend(pulled.samples);
+                    received.cursor = pulled.cursor;
+                }
+                Some(_) => {}
+                None => self.put(step, spec, &received.cursor).await,
+            }
+        }
+        received
+    }
+
+    /// Puts a step, once.
+    pub async fn put(&mut self, step: u64, spec: &StepSpec, cursor: &Cursor) {
+        let mut body = serde_json::to_value(spec).unwrap_or_default();
+        body["cursor"] = serde_json::json!(cursor);
+        let url = format!("{}/v1/steps/{}/{step}", self.url(), self.name);
+        match self.client.put(url).json(&body).send().await {
+            Ok(answer) if answer.status().is_success() => {}
+            _ => self.pause().await,
+        }
+    }
+
+    /// Pulls samples, once; none if the call failed.
+    pub async fn pull(&mut self, step: u64, cursor: &Cursor) -> Option<Pulled> {
+        let body = serde_json::json!({
+            "cursor": cursor,
+            "weight_version": self.version,
+            "wait_ms": PULL_WAIT_MS,
+        });
+        let url = format!("{}/v1/steps/{}/{step}/pull", self.url(), self.name);
+        let answer = self.client.post(url).json(&body).send().await;
+        match answer {
+            Ok(answer) if answer.status().is_success() => answer.json().await.ok(),
+            Ok(answer) if answer.status() == reqwest::StatusCode::NOT_FOUND => None,
+            _ => {
+                self.pause().await;
+                None
+            }
+        }
+    }
+
+    fn url(&self) -> &str {
+        &self.urls[self.next_url % self.urls.len()]
+    }
+
+    async fn pause(&mut self) {
+        self.retries += 1;
+        self.next_url += 1;
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/types/src/hash.rs
@@ -0,0 +1,26 @@
+//! Stable hashes, equal on every daemon and every version.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64_with_seed, xxh3_128};
+
+/// Hashes a byte string to 64 bits under a seed.
+pub fn hash64(seed: u64, bytes: &[u8]) -> u64 {
+    xxh3_64_with_seed(bytes, seed)
+}
+
+/// A 128-bit fingerprint of a request: method, path and body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Digest(pub u128);
+
+impl Digest {
+    /// Fingerprints the parts in order, each prefixed by its length.
+    pub fn new(parts: &[&[u8]]) -> Self {
+        let mut joined = Vec::new();
+        for part in parts {
+            joined.extend_from_slice(&(part.len() as u64).to_le_bytes());
+            joined.extend_from_slice(part);
+        }
+        Self(xxh3_128(&joined))
+    }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,22 @@
+//! Domain types that every crate of wisteriapoint shares.
+//!
+//! ```
+//! use wisteriapoint_types::{RequestKey, Verdict};
+//!
+//! let key = RequestKey::new("0192f0c1-7b2a-7c3d-8e4f-5a6b7c8d9e0f");
+//! assert!(key.issued_at_ms().is_some());
+//! assert!(Verdict::NotRun.may_repeat(false));
+//! assert!(!Verdict::MayHaveRun.may_repeat(false));
+//! ```
+
+pub mod hash;
+pub mod key;
+pub mod name;
+pub mod number;
+pub mod verdict;
+
+pub use hash::{Digest, hash64};
+pub use key::RequestKey;
+pub use name::{EndpointName, FailureDomain, Region, ServiceName, TrainerName, VmName};
+pub use number::{MemberId, Nonce, PartitionKey, Revision, ViewNumber, WeightVersion};
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/wisteriapoint/src/daemon/mod.rs
@@ -0,0 +1,17 @@
+//! One daemon: its threads and what they share.
+
+pub mod claims;
+pub mod control;
+pub mod generate;
+pub mod message;
+pub mod platform;
+pub mod rollouts;
+pub mod shared;
+pub mod snapshot;
+pub mod start;
+pub mod traffic;
+pub mod weights;
+
+pub use shared::Shared;
+pub use snapshot::{Service, Snapshot};
+pub use start::{Addresses, Daemon};
--- /dev/null
+++ b/crates/wisteriapoint/src/daemon/shared.rs
@@ -0,0 +1,119 @@
+//! What the traffic threads share.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, SystemTime};
+
+use arc_swap::ArcSwap;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use wisteriapoint_gateway::{Clients, Router};
+use wisteriapoint_membership::Member;
+use wisteriapoint_peer::Client;
+use wisteriapoint_platform::HttpStore;
+use wisteriapoint_types::{MemberId, ServiceName};
+
+use super::control::Command;
+use super::message::{Question, Reply};
+use super::snapshot::Snapshot;
+use crate::metrics::Metrics;
+
+/// State that every request may use; nothing in it waits for control.
+#[derive(Debug)]
+pub struct Shared {
+    /// This run of the daemon.
+    pub me: Member,
+    /// The latest state of control.
+    pub snapshot: ArcSwap<Snapshot>,
+    /// Routers by service.
+    pub routers: ArcSwap<BTreeMap<ServiceName, Router>>,
+    /// Commands to control.
+    pub control: mpsc::Sender<Command>,
+    /// The traffic threads.
+    pub traffic: Handle,
+    /// Calls to other daemons.
+    pub peers: Client,
+    /// Calls to endpoints.
+    pub clients: Clients,
+    /// The platform.
+    pub store: HttpStore,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Whether a stop was asked for.
+    pub draining: AtomicBool,
+    /// Requests in progress.
+    pub in_flight: AtomicUsize,
+    /// The daemon's wall clock.
+    pub clock: Clock,
+}
+
+/// Unix time that advances with the runtime's clock.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    epoch: Instant,
+    epoch_unix_ms: u64,
+}
+
+impl Clock {
+    /// Reads the wall clock once.
+    pub fn new() -> Self {
+        let since_unix = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        Self {
+            epoch: Instant::now(),
+            epoch_unix_ms: since_unix.as_millis() as u64,
+        }
+    }
+
+    /// Unix milliseconds.
+    pub fn now_ms(self) -> u64 {
+        self.epoch_unix_ms + self.epoch.elapsed().as_millis() as u64
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Counts a request in progress until it is dropped.
+#[derive(Debug)]
+pub struct InFlight(Arc<Shared>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Shared {
+    /// Counts a request in progress.
+    pub fn begin(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        InFlight(Arc::clone(self))
+    }
+
+    /// Whether a stop was asked for.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Asks a member, this daemon included; none if no answer came.
+    pub async fn ask(&self, id: MemberId, question: Question, limit: Duration) -> Option<Reply> {
+        if id == self.me.id {
+            return self.ask_self(question, limit).await;
+        }
+        let address = self.snapshot.load().view.member(id)?.peer_address;
+        self.peers.call(address, &question, limit).await.ok()
+    }
+
+    /// Puts a question to this daemon's own control.
+    pub async fn ask_self(&self, question: Question, limit: Duration) -> Option<Reply> {
+        let (sender, receiver) = oneshot::channel();
+        let command = Command::Question(Box::new(question), sender);
+        self.control.send(command).await.ok()?;
+        tokio::time::timeout(limit, receiver).await.ok()?.ok()
+    }
+}
--- /dev/null
+++ b/crates/wisteriapoint/src/daemon/start.rs
@@ -0,0 +1,254 @@
+//! Start and stop of a daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use salvo::server::ServerHandle;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::runtime::{self, Runtime};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep};
+use wisteriapoint_gateway::Clients;
+use wisteriapoint_membership::Member;
+use wisteriapoint_peer::Client;
+use wisteriapoint_platform::{HttpStore, keys};
+use wisteriapoint_settings::VmSettings;
+use wisteriapoint_types::MemberId;
+
+use super::control::{COMMANDS, Command, Control};
+use super::message::{Question, Reply};
+use super::shared::Clock;
+use super::{Shared, platform, traffic, weights};
+use crate::metrics::Metrics;
+use crate::{Error, http};
+
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+const POLL_PAUSE: Duration = Duration::from_millis(20);
+
+/// The addresses that a daemon listens on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Addresses {
+    /// For callers and trainers.
+    pub service: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+    /// For other daemons.
+    pub peer: SocketAddr,
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    settings: VmSettings,
+    addresses: Addresses,
+    shared: Arc<Shared>,
+    store: HttpStore,
+    servers: [ServerHandle; 2],
+    traffic: Option<Runtime>,
+    control: Option<oneshot::Sender<()>>,
+}
+
+impl Daemon {
+    /// Starts a daemon: one thread for control, others for traffic.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound or a library can't be set up.
+    pub async fn start(settings: VmSettings) -> Result<Self, Error> {
+        let service = TcpListener::bind(settings.service_address).await?;
+        let admin = TcpListener::bind(settings.admin_address).await?;
+        let peer = TcpListener::bind(settings.peer_address).await?;
+        let addresses = Addresses {
+            service: service.local_addr()?,
+            admin: admin.local_addr()?,
+            peer: peer.local_addr()?,
+        };
+        let runtime = traffic_runtime(settings.traffic_threads)?;
+        let (commands, receiver) = mpsc::channel(COMMANDS);
+        let (published, changes) = watch::channel(());
+        let store = HttpStore::new(&settings.platform_url)?;
+        let shared = Arc::new(Shared {
+            me: member(&settings, addresses),
+            snapshot: Default::default(),
+            routers: Default::default(),
+            control: commands,
+            traffic: runtime.handle().clone(),
+            peers: Client::new(),
+            clients: Clients::new()?,
+            metrics: Metrics::new().map_err(std::io::Error::other)?,
+            draining: false.into(),
+            in_flight: 0.into(),
+            store: store.clone(),
+            clock: Clock::new(),
+        });
+        let control = Control::new(Arc::clone(&shared), published);
+        let stop_control = start_control(control, receiver, &shared, &store, &settings)?;
+        let servers = [
+            http::serve(&runtime, service, http::service_router(&shared))?,
+            http::serve(&runtime, admin, http::admin_router(&shared))?,
+        ];
+        start_traffic(&runtime, &shared, peer, changes);
+        Ok(Self {
+            settings,
+            addresses,
+            shared,
+            store,
+            servers,
+            traffic: Some(runtime),
+            control: Some(stop_control),
+        })
+    }
+
+    /// The addresses that it listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// What its threads share.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Waits until an operator asks for a drain over the admin address.
+    pub async fn drain_asked(&self) {
+        while !self.shared.is_draining() {
+            sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Stops gracefully: takes no new requests, ends those in flight, leaves the view.
+    pub async fn stop(mut self) {
+        self.shared.draining.store(true, Ordering::Release);
+        log::info!("draining");
+        sleep(Duration::from_millis(self.settings.drain_wait_ms)).await;
+        let [service, admin] = &self.servers;
+        service.stop_graceful(None);
+        self.wait_for_requests().await;
+        let left = platform::leave(&self.shared, &self.store);
+        if !matches!(tokio::time::timeout(LEAVE_TIMEOUT, left).await, Ok(Ok(()))) {
+            log::warn!("the platform did not take the leave; the lease will lapse");
+        }
+        admin.stop_graceful(None);
+        self.end_threads();
+        log::info!("stopped");
+    }
+
+    /// Ends all threads at once, as a crash would.
+    pub fn kill(mut self) {
+        self.end_threads();
+    }
+
+    async fn wait_for_requests(&self) {
+        let limit = Instant::now() + Duration::from_secs(self.settings.drain_limit_s);
+        while self.shared.in_flight.load(Ordering::Acquire) > 0 && Instant::now() < limit {
+            sleep(POLL_PAUSE).await;
+        }
+    }
+
+    fn end_threads(&mut self) {
+        drop(self.control.take());
+        if let Some(runtime) = self.traffic.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.end_threads();
+    }
+}
+
+fn member(settings: &VmSettings, addresses: Addresses) -> Member {
+    Member {
+        id: MemberId(rand::random()),
+        vm: settings.vm.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        region: settings.region.clone(),
+        peer_address: addresses.peer,
+        admin_address: addresses.admin,
+    }
+}
+
+fn traffic_runtime(threads: usize) -> Result<Runtime, Error> {
+    Ok(runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?)
+}
+
+fn start_control(
+    control: Control,
+    receiver: mpsc::Receiver<Command>,
+    shared: &Arc<Shared>,
+    store: &HttpStore,
+    settings: &VmSettings,
+) -> Result<oneshot::Sender<()>, Error> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let (stop, stopped) = oneshot::channel::<()>();
+    let shared = Arc::clone(shared);
+    let store = store.clone();
+    let ttl = Duration::from_secs(settings.lease_ttl_s);
+    let run = async move {
+        tokio::spawn(platform::join(Arc::clone(&shared), store.clone()));
+        tokio::spawn(platform::keep_lease(
+            Arc::clone(&shared),
+            store.clone(),
+            ttl,
+        ));
+        tokio::spawn(platform::poll_vms(Arc::clone(&shared), store.clone()));
+        watch_all(&shared, &store);
+        tokio::select! {
+            () = control.run(receiver) => {}
+            _ = stopped => {}
+        }
+    };
+    thread::Builder::new()
+        .name("control".into())
+        .spawn(move || runtime.block_on(run))?;
+    Ok(stop)
+}
+
+fn watch_all(shared: &Arc<Shared>, store: &HttpStore) {
+    let watch = |prefix, command: fn(Vec<_>) -> Option<Command>| {
+        tokio::spawn(platform::watch(
+            Arc::clone(shared),
+            store.clone(),
+            prefix,
+            command,
+        ));
+    };
+    watch(keys::VIEW, platform::view_command);
+    watch(keys::SERVICES, |entries| Some(Command::Services(entries)));
+    watch(keys::WEIGHTS, |entries| Some(Command::Weights(entries)));
+}
+
+fn start_traffic(
+    runtime: &Runtime,
+    shared: &Arc<Shared>,
+    peer: TcpListener,
+    changes: watch::Receiver<()>,
+) {
+    let answering = Arc::clone(shared);
+    let answer = move |question: Question| {
+        let shared = Arc::clone(&answering);
+        async move {
+            let reply = shared.ask_self(question, PEER_LIMIT).await;
+            reply.unwrap_or(Reply::Stopping)
+        }
+    };
+    runtime.spawn(wisteriapoint_peer::serve(peer, answer));
+    runtime.spawn(traffic::follow(Arc::clone(shared), changes));
+    runtime.spawn(traffic::tick(Arc::clone(shared)));
+    runtime.spawn(traffic::poll_loads(Arc::clone(shared)));
+    runtime.spawn(weights::run(Arc::clone(shared)));
+}
+
+const PEER_LIMIT: Duration = Duration::from_secs(150);
--- /dev/null
+++ b/crates/wisteriapoint/src/http/admin.rs
@@ -0,0 +1,155 @@
+//! The operators' interface.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use salvo::http::StatusCode;
+use salvo::{Request, Response, handler};
+use serde::{Deserialize, Serialize};
+use wisteriapoint_membership::View;
+use wisteriapoint_types::{MemberId, Revision, ServiceName, VmName, WeightVersion};
+
+use super::respond;
+use crate::daemon::Shared;
+
+/// `GET /metrics`.
+#[derive(Debug)]
+pub struct MetricsPage {
+    shared: Arc<Shared>,
+}
+
+/// `GET /health`: the process answers.
+#[derive(Debug)]
+pub struct Health;
+
+/// `GET /ready`: the daemon is a member, is configured and is not stopping.
+#[derive(Debug)]
+pub struct Ready {
+    shared: Arc<Shared>,
+}
+
+/// `GET /status`.
+#[derive(Debug)]
+pub struct StatusPage {
+    shared: Arc<Shared>,
+}
+
+/// `POST /drain`: asks for a graceful stop.
+#[derive(Debug)]
+pub struct Drain {
+    shared: Arc<Shared>,
+}
+
+/// What a daemon knows.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Status {
+    /// This run of the daemon.
+    pub id: MemberId,
+    /// Its VM.
+    pub vm: VmName,
+    /// The view in force.
+    pub view: View,
+    /// Revisions in force by service.
+    pub revisions: BTreeMap<ServiceName, Revision>,
+    /// Published weight versions by service.
+    pub versions: BTreeMap<ServiceName, WeightVersion>,
+    /// Requests in progress.
+    pub in_flight: usize,
+    /// Whether it is stopping.
+    pub draining: bool,
+}
+
+impl Status {
+    /// Reads a daemon's state.
+    pub fn of(shared: &Shared) -> Self {
+        let snapshot = shared.snapshot.load();
+        let services = snapshot.services.iter();
+        let versions = services.clone().filter_map(|(name, service)| {
+            let version = service.version?;
+            Some((name.clone(), version))
+        });
+        Self {
+            id: shared.me.id,
+            vm: shared.me.vm.clone(),
+            view: View::clone(&snapshot.view),
+            versions: versions.collect(),
+            revisions: services
+                .map(|(name, service)| (name.clone(), service.revision))
+                .collect(),
+            in_flight: shared.in_flight.load(Ordering::Acquire),
+            draining: shared.is_draining(),
+        }
+    }
+}
+
+#[handler]
+impl MetricsPage {
+    /// Makes the handler.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn handle(&self, _request: &mut Request, response: &mut Response) {
+        respond::set_header(response, "content-type", "text/plain; version=0.0.4");
+        response.body(self.shared.metrics.render());
+    }
+}
+
+#[handler]
+impl Health {
+    async fn handle(&self, _request: &mut Request, response: &mut Response) {
+        response.body("ok\n");
+    }
+}
+
+#[handler]
+impl Ready {
+    /// Makes the handler.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn handle(&self, _request: &mut Request, response: &mut Response) {
+        let reason = not_ready(&self.shared);
+        if reason.is_some() {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        response.body(format!("{}\n", reason.unwrap_or("ready")));
+    }
+}
+
+fn not_ready(shared: &Shared) -> Option<&'static str> {
+    let snapshot = shared.snapshot.load();
+    match &snapshot.view {
+        _ if shared.is_draining() => Some("stopping"),
+        _ if !snapshot.configured => Some("no configuration yet"),
+        view if view.member(shared.me.id).is_none() => Some("not in the view"),
+        _ => None,
+    }
+}
+
+#[handler]
+impl StatusPage {
+    /// Makes the handler.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn handle(&self, _request: &mut Request, response: &mut Response) {
+        respond::json(response, &Status::of(&self.shared));
+    }
+}
+
+#[handler]
+impl Drain {
+    /// Makes the handler.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn handle(&self, _request: &mut Request, response: &mut Response) {
+        self.shared.draining.store(true, Ordering::Release);
+        response.body("draining\n");
+    }
+}
--- /dev/null
+++ b/crates/wisteriapoint/src/http/respond.rs
@@ -0,0 +1,72 @@
+//! Answers to callers.
+
+use salvo::http::{HeaderValue, StatusCode};
+use salvo::{Request, Response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use wisteriapoint_gateway::Problem;
+use wisteriapoint_gateway::problem::VERDICT_HEADER;
+
+/// Writes a JSON answer.
+pub fn json<T: Serialize>(response: &mut Response, body: &T) {
+    match serde_json::to_vec(body) {
+        Ok(bytes) => {
+            set_header(response, "content-type", "application/json");
+            response.body(bytes);
+        }
+        Err(error) => problem(
+            response,
+            &Problem::may_have_run(500, "internal", error.to_string()),
+        ),
+    }
+}
+
+/// Writes problem details with the verdict and, if known, the time to come back.
+pub fn problem(response: &mut Response, problem: &Problem) {
+    response.status_code(status(problem.status));
+    set_header(response, VERDICT_HEADER, problem.verdict.as_str());
+    if let Some(seconds) = problem.retry_after_s() {
+        set_header(response, "retry-after", &seconds.to_string());
+    }
+    let body = serde_json::to_vec(problem).unwrap_or_default();
+    set_header(response, "content-type", "application/problem+json");
+    response.body(body);
+}
+
+/// Reads a JSON body of bounded size.
+///
+/// # Errors
+///
+/// Gives the problem to answer with.
+pub async fn read_json<T: DeserializeOwned>(
+    request: &mut Request,
+    bound_bytes: usize,
+) -> Result<T, Problem> {
+    let body = read_body(request, bound_bytes).await?;
+    serde_json::from_slice(&body)
+        .map_err(|error| Problem::not_run(400, "malformed-body", error.to_string()))
+}
+
+/// Reads a body of bounded size.
+///
+/// # Errors
+///
+/// Gives the problem to answer with.
+pub async fn read_body(request: &mut Request, bound_bytes: usize) -> Result<bytes::Bytes, Problem> {
+    match request.payload_with_max_size(bound_bytes).await {
+        Ok(body) => Ok(body.clone()),
+        Err(error) => Err(Problem::not_run(413, "body-refused", error.to_string())),
+    }
+}
+
+/// A status, or 500 if the number is none.
+pub fn status(number: u16) -> StatusCode {
+    StatusCode::from_u16(number).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+/// Sets a header; a value that no header can carry is left out.
+pub fn set_header(response: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/wisteriapoint/src/http/steps.rs
@@ -0,0 +1,163 @@
+//! `/v1/steps/{trainer}/{step}`: steps of trainers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use salvo::{Request, Response, handler};
+use serde::Deserialize;
+use tokio::time::{Instant, sleep};
+use wisteriapoint_gateway::Problem;
+use wisteriapoint_rollout::{Cursor, Error, Pulled, StepId, StepSpec};
+use wisteriapoint_types::{TrainerName, WeightVersion};
+
+use super::{MAX_BODY_BYTES, respond};
+use crate::daemon::Shared;
+use crate::daemon::message::{Question, Reply};
+
+const COORDINATOR_TIMEOUT: Duration = Duration::from_secs(2);
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+const MAX_WAIT_MS: u64 = 60_000;
+
+/// Takes a step.
+#[derive(Debug)]
+pub struct Put {
+    shared: Arc<Shared>,
+}
+
+/// Hands over samples.
+#[derive(Debug)]
+pub struct Pull {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Deserialize)]
+struct PutBody {
+    #[serde(flatten)]
+    spec: StepSpec,
+    #[serde(default)]
+    cursor: Cursor,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PullBody {
+    cursor: Cursor,
+    weight_version: WeightVersion,
+    #[serde(default = "default_max_samples")]
+    max_samples: u32,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+fn default_max_samples() -> u32 {
+    256
+}
+
+#[handler]
+impl Put {
+    /// Makes the handler.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let _in_flight = self.shared.begin();
+        match self.put(request).await {
+            Ok(()) => respond::json(response, &serde_json::json!({ "accepted": true })),
+            Err(problem) => respond::problem(response, &problem),
+        }
+    }
+}
+
+impl Put {
+    async fn put(&self, request: &mut Request) -> Result<(), Problem> {
+        let id = step_id(request)?;
+        let body: PutBody = respond::read_json(request, MAX_BODY_BYTES).await?;
+        let question = Question::Put {
+            id: id.clone(),
+            spec: body.spec,
+            cursor: body.cursor,
+        };
+        match ask_coordinator(&self.shared, &id, question).await {
+            Some(Reply::Put(result)) => result.map_err(problem),
+            _ => Err(no_coordinator()),
+        }
+    }
+}
+
+#[handler]
+impl Pull {
+    /// Makes the handler.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let _in_flight = self.shared.begin();
+        match self.pull(request).await {
+            Ok(pulled) => respond::json(response, &pulled),
+            Err(problem) => respond::problem(response, &problem),
+        }
+    }
+}
+
+impl Pull {
+    async fn pull(&self, request: &mut Request) -> Result<Pulled, Problem> {
+        let id = step_id(request)?;
+        let body: PullBody = respond::read_json(request, MAX_BODY_BYTES).await?;
+        let wait = Duration::from_millis(body.wait_ms.min(MAX_WAIT_MS));
+        let until = Instant::now() + wait;
+        loop {
+            let question = Question::Pull {
+                id: id.clone(),
+                cursor: body.cursor.clone(),
+                version: body.weight_version,
+                limit: body.max_samples,
+            };
+            let pulled = match ask_coordinator(&self.shared, &id, question).await {
+                Some(Reply::Pulled(result)) => result.map_err(problem)?,
+                _ => return Err(no_coordinator()),
+            };
+            let has_news = !pulled.samples.is_empty() || pulled.complete;
+            if has_news || Instant::now() >= until || self.shared.is_draining() {
+                return Ok(pulled);
+            }
+            sleep(POLL_PAUSE).await;
+        }
+    }
+}
+
+async fn ask_coordinator(shared: &Arc<Shared>, id: &StepId, question: Question) -> Option<Reply> {
+    let view = Arc::clone(&shared.snapshot.load().view);
+    let coordinators = view.coordinators(id.trainer.as_str().as_bytes());
+    let coordinator = *coordinators.first()?;
+    shared.ask(coordinator, question, COORDINATOR_TIMEOUT).await
+}
+
+fn step_id(request: &Request) -> Result<StepId, Problem> {
+    let trainer: String = request.param("trainer").unwrap_or_default();
+    let step = request.param::<u64>("step");
+    let step = step.ok_or_else(|| Problem::not_run(400, "malformed-step", "a step is a number"))?;
+    Ok(StepId {
+        trainer: TrainerName::new(trainer),
+        step,
+    })
+}
+
+fn problem(error: Error) -> Problem {
+    let (status, kind) = match &error {
+        error if error.is_unknown_step() => (404, "unknown-step"),
+        error if error.is_conflict() => (409, "step-conflict"),
+        _ => (400, "malformed-step"),
+    };
+    Problem::not_run(status, kind, error.to_string())
+}
+
+fn no_coordinator() -> Problem {
+    Problem::not_run(
+        503,
+        "no-coordinator",
+        "the step's coordinator did not answer",
+    )
+    .with_retry_after_ms(1_000)
+}
