--- /dev/null
+++ b/crates/experiment/src/policy.rs
@@ -0,0 +1,1 @@
+//! Experiments on choice of endpoint, limits, retries and crash suspects.
--- /dev/null
+++ b/crates/experiment/src/rollouts.rs
@@ -0,0 +1,1 @@
+//! Experiments on stragglers, staleness and weight waves.
