Relay views and configuration between daemons; stewards propose views

Cause: every daemon watched the platform and changed the view itself, which neither keeps the platform's rates at hundreds of daemons nor survives its outages; a daemon that died stayed in the view for good. Change: a catalog that only moves forward and a one-datagram digest to three random members a second, with exchanges over TCP where they differ; two watchers for each failure domain; three stewards that add daemons with a lease and remove those whose lease is gone and whom neither they nor witnesses hear; a budget on platform calls; backoff with jitter; seed peers for a start without the platform.

--- /dev/null
+++ b/crates/catalog/src/catalog.rs
@@ -0,0 +1,166 @@
+//! The catalog of one daemon.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wisteriapoint_types::{ServiceName, VmName, WeightVersion, hash64};
+
+use crate::{Document, Leaving, Summary, Update};
+
+/// Documents, weight versions and leaving VMs, each at its newest.
+#[derive(Debug, Clone, Default)]
+pub struct Catalog {
+    documents: BTreeMap<ServiceName, Document>,
+    versions: BTreeMap<ServiceName, WeightVersion>,
+    leaving: Leaving,
+}
+
+/// What a merge changed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Services with a new document.
+    pub documents: Vec<ServiceName>,
+    /// Services with a new weight version.
+    pub versions: Vec<ServiceName>,
+    /// Whether other VMs are leaving.
+    pub leaving: bool,
+}
+
+impl Changes {
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.documents.is_empty() && self.versions.is_empty() && !self.leaving
+    }
+}
+
+impl Catalog {
+    /// Makes an empty catalog.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The newest document of a service.
+    pub fn document(&self, service: &ServiceName) -> Option<&Document> {
+        self.documents.get(service)
+    }
+
+    /// The published weight version of a service.
+    pub fn version(&self, service: &ServiceName) -> Option<WeightVersion> {
+        self.versions.get(service).copied()
+    }
+
+    /// The VMs that are leaving.
+    pub fn leaving(&self) -> &BTreeSet<VmName> {
+        &self.leaving.vms
+    }
+
+    /// A hash of the content; two catalogs with the same content have the same.
+    pub fn sum(&self) -> u64 {
+        let mut sum = 0;
+        for (service, document) in &self.documents {
+            sum = extend(sum, b"document", service.as_str(), document.revision.0);
+        }
+        for (service, version) in &self.versions {
+            sum = extend(sum, b"version", service.as_str(), version.0);
+        }
+        for vm in &self.leaving.vms {
+            sum = extend(sum, b"leaving", vm.as_str(), 0);
+        }
+        sum
+    }
+
+    /// What this catalog knows, without the texts.
+    pub fn summary(&self) -> Summary {
+        let documents = self.documents.iter();
+        Summary {
+            documents: documents
+                .map(|(service, document)| (service.clone(), document.revision))
+                .collect(),
+            versions: self.versions.clone(),
+            leaving_observed_at_ms: self.leaving.observed_at_ms,
+        }
+    }
+
+    /// What this catalog has newer than `known`.
+    ///
+    /// Documents stop at `bound_bytes` of text, but for the first; the rest follows at the
+    /// next exchange.
+    pub fn newer_than(&self, known: &Summary, bound_bytes: usize) -> Update {
+        let mut update = Update {
+            versions: self.newer_versions(known),
+            ..Update::default()
+        };
+        let mut total_bytes = 0;
+        for (service, document) in &self.documents {
+            let is_newer = Some(&document.revision) > known.documents.get(service);
+            total_bytes += if is_newer { document.text.len() } else { 0 };
+            let fits = total_bytes <= bound_bytes || update.documents.is_empty();
+            if is_newer && fits {
+                update.documents.push((service.clone(), document.clone()));
+            }
+        }
+        if self.leaving.observed_at_ms > known.leaving_observed_at_ms {
+            update.leaving = Some(self.leaving.clone());
+        }
+        update
+    }
+
+    /// Whether a catalog with the summary `known` has something newer than this one.
+    pub fn is_behind(&self, known: &Summary) -> bool {
+        let behind_document = known.documents.iter().any(|(service, revision)| {
+            let mine = self.documents.get(service);
+            mine.is_none_or(|document| document.revision < *revision)
+        });
+        let behind_version = known
+            .versions
+            .iter()
+            .any(|(service, version)| self.versions.get(service) < Some(version));
+        behind_document
+            || behind_version
+            || self.leaving.observed_at_ms < known.leaving_observed_at_ms
+    }
+
+    /// Takes what is newer in an update; gives what changed.
+    pub fn merge(&mut self, update: Update) -> Changes {
+        let mut changes = Changes::default();
+        for (service, document) in update.documents {
+            let mine = self.documents.get(&service);
+            if mine.is_none_or(|mine| mine.revision < document.revision) {
+                self.documents.insert(service.clone(), document);
+                changes.documents.push(service);
+            }
+        }
+        for (service, version) in update.versions {
+            if self.versions.get(&service) < Some(&version) {
+                self.versions.insert(service.clone(), version);
+                changes.versions.push(service);
+            }
+        }
+        if let Some(leaving) = update.leaving {
+            changes.leaving = self.merge_leaving(leaving);
+        }
+        changes
+    }
+
+    fn merge_leaving(&mut self, leaving: Leaving) -> bool {
+        if leaving.observed_at_ms <= self.leaving.observed_at_ms {
+            return false;
+        }
+        let changed = leaving.vms != self.leaving.vms;
+        self.leaving = leaving;
+        changed
+    }
+
+    fn newer_versions(&self, known: &Summary) -> Vec<(ServiceName, WeightVersion)> {
+        self.versions
+            .iter()
+            .filter(|(service, version)| known.versions.get(service) < Some(version))
+            .map(|(service, version)| (service.clone(), *version))
+            .collect()
+    }
+}
+
+fn extend(sum: u64, kind: &[u8], name: &str, number: u64) -> u64 {
+    let sum = hash64(sum, kind);
+    let sum = hash64(sum, name.as_bytes());
+    hash64(sum, &number.to_le_bytes())
+}
--- /dev/null
+++ b/crates/membership/src/change.rs
@@ -0,0 +1,53 @@
+//! Changes of a view by several members at once.
+
+use wisteriapoint_types::{MemberId, Nonce, PartitionKey, hash64};
+
+use crate::{Member, View};
+
+/// Daemons of one failure domain that watch the platform for all.
+pub const WATCHERS_PER_DOMAIN: usize = 2;
+
+/// Daemons that propose changes of the view.
+pub const STEWARDS: usize = 3;
+
+impl View {
+    /// The next view, with some daemons added and some removed.
+    ///
+    /// An earlier run of a daemon that joins is removed with it.
+    pub fn with_changes(&self, joining: &[Member], leaving: &[MemberId], nonce: Nonce) -> Self {
+        let mut next = self.without_members(leaving, nonce);
+        for member in joining {
+            next.members
+                .retain(|old| old.vm != member.vm && old.id != member.id);
+            next.members.push(member.clone());
+        }
+        next
+    }
+
+    /// Whether a member watches the platform on behalf of its failure domain.
+    ///
+    /// A daemon that is not a member watches for itself.
+    pub fn is_watcher(&self, id: MemberId) -> bool {
+        let Some(me) = self.member(id) else {
+            return true;
+        };
+        let before_me = self
+            .members
+            .iter()
+            .filter(|member| member.failure_domain == me.failure_domain)
+            .filter(|member| watch_rank(member.id) > watch_rank(id));
+        before_me.count() < WATCHERS_PER_DOMAIN
+    }
+
+    /// Rank of a member among those that propose changes; none if it does not.
+    pub fn steward_rank(&self, id: MemberId) -> Option<usize> {
+        let ranked = self.coordinators(b"steward");
+        let rank = ranked.iter().position(|&member| member == id)?;
+        (rank < STEWARDS).then_some(rank)
+    }
+}
+
+fn watch_rank(id: MemberId) -> (u64, MemberId) {
+    let subject = PartitionKey::default().0.to_le_bytes();
+    (hash64(id.0, &subject), id)
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,8 +8,12 @@
 //! assert!(view.coordinators(b"trainer-1").is_empty());
 //! ```
 
+pub mod change;
 pub mod duty;
+pub mod roster;
 pub mod view;
 
+pub use change::{STEWARDS, WATCHERS_PER_DOMAIN};
 pub use duty::{HOLDERS, Holders};
+pub use roster::{Patience, Probe, Roster, Step};
 pub use view::{Member, View};
--- /dev/null
+++ b/crates/membership/src/roster.rs
@@ -0,0 +1,190 @@
+//! Who holds a lease and who answers: the ground for changes of the view.
+
+use std::collections::BTreeMap;
+
+use wisteriapoint_types::{MemberId, Nonce};
+
+use crate::{Member, View};
+
+/// How patient a [`Roster`] is.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    /// Pause between two probes of the same member, in milliseconds.
+    pub probe_pause_ms: u64,
+    /// Failed probes in a row after which peers' word removes a member.
+    pub failed_probes: u32,
+    /// Time without lease and answer after which it is removed without peers' word, in
+    /// milliseconds.
+    pub alone_ms: u64,
+    /// Wait before proposing, for each rank among the stewards, in milliseconds.
+    pub rank_pause_ms: u64,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Self {
+            probe_pause_ms: 1_000,
+            failed_probes: 3,
+            alone_ms: 30_000,
+            rank_pause_ms: 1_000,
+        }
+    }
+}
+
+/// What a probe of a member found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// It answered.
+    Alive,
+    /// It answered that it is stopping.
+    Stopping,
+    /// Neither this daemon nor any of the peers asked heard it.
+    Unheard {
+        /// Peers that answered that they do not hear it.
+        witnesses: u32,
+    },
+}
+
+/// What the steward is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Probe a member.
+    Probe(MemberId),
+    /// Propose a view.
+    Propose(View),
+}
+
+/// A steward's knowledge of leases and probes.
+///
+/// A member leaves the view only if its lease is gone and it does not answer, or if it
+/// says that it is stopping. A lapse of all leases at once removes nobody who answers.
+#[derive(Debug)]
+pub struct Roster {
+    patience: Patience,
+    leases: Option<Vec<Member>>,
+    suspects: BTreeMap<MemberId, Suspect>,
+    pending_since_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Suspect {
+    since_ms: u64,
+    probed_at_ms: Option<u64>,
+    failed: u32,
+    witnessed: bool,
+    stopping: bool,
+}
+
+impl Roster {
+    /// Makes a roster that has read no leases yet.
+    pub fn new(patience: Patience) -> Self {
+        Self {
+            patience,
+            leases: None,
+            suspects: BTreeMap::new(),
+            pending_since_ms: None,
+        }
+    }
+
+    /// Takes the leases as the platform lists them.
+    pub fn take_leases(&mut self, leases: Vec<Member>) {
+        self.leases = Some(leases);
+    }
+
+    /// Forgets the leases, since the platform does not answer.
+    pub fn lose_platform(&mut self) {
+        self.leases = None;
+        self.suspects.clear();
+        self.pending_since_ms = None;
+    }
+
+    /// Takes the result of a probe.
+    pub fn take_probe(&mut self, id: MemberId, probe: Probe) {
+        let Some(suspect) = self.suspects.get_mut(&id) else {
+            return;
+        };
+        match probe {
+            Probe::Alive => {
+                suspect.failed = 0;
+                suspect.witnessed = false;
+                suspect.since_ms = suspect.probed_at_ms.unwrap_or(suspect.since_ms);
+            }
+            Probe::Stopping => suspect.stopping = true,
+            Probe::Unheard { witnesses } => {
+                suspect.failed += 1;
+                suspect.witnessed |= witnesses > 0;
+            }
+        }
+    }
+
+    /// What to do now, for the steward with a rank.
+    pub fn step(&mut self, now_ms: u64, view: &View, rank: usize, nonce: Nonce) -> Vec<Step> {
+        let Some(leases) = self.leases.clone() else {
+            return Vec::new();
+        };
+        self.update_suspects(now_ms, view, &leases);
+        let joining = joining(view, &leases);
+        let leaving = self.leaving(now_ms);
+        let mut steps = self.probes(now_ms);
+        if joining.is_empty() && leaving.is_empty() {
+            self.pending_since_ms = None;
+            return steps;
+        }
+        let since_ms = *self.pending_since_ms.get_or_insert(now_ms);
+        if now_ms >= since_ms + self.patience.rank_pause_ms * rank as u64 {
+            self.pending_since_ms = Some(now_ms);
+            steps.push(Step::Propose(view.with_changes(&joining, &leaving, nonce)));
+        }
+        steps
+    }
+
+    fn update_suspects(&mut self, now_ms: u64, view: &View, leases: &[Member]) {
+        let holds = |id: MemberId| leases.iter().any(|lease| lease.id == id);
+        let is_member = |id: MemberId| view.member(id).is_some();
+        self.suspects.retain(|&id, _| is_member(id) && !holds(id));
+        for member in view.members.iter().filter(|member| !holds(member.id)) {
+            self.suspects.entry(member.id).or_insert(Suspect {
+                since_ms: now_ms,
+                probed_at_ms: None,
+                failed: 0,
+                witnessed: false,
+                stopping: false,
+            });
+        }
+    }
+
+    fn probes(&mut self, now_ms: u64) -> Vec<Step> {
+        let pause_ms = self.patience.probe_pause_ms;
+        let mut steps = Vec::new();
+        for (&id, suspect) in &mut self.suspects {
+            let due = suspect
+                .probed_at_ms
+                .is_none_or(|at_ms| now_ms >= at_ms + pause_ms);
+            if due {
+                suspect.probed_at_ms = Some(now_ms);
+                steps.push(Step::Probe(id));
+            }
+        }
+        steps
+    }
+
+    fn leaving(&self, now_ms: u64) -> Vec<MemberId> {
+        let patience = &self.patience;
+        let is_gone = |suspect: &Suspect| match suspect.failed {
+            _ if suspect.stopping => true,
+            failed if failed < patience.failed_probes => false,
+            _ if suspect.witnessed => true,
+            _ => now_ms >= suspect.since_ms + patience.alone_ms,
+        };
+        self.suspects
+            .iter()
+            .filter(|(_, suspect)| is_gone(suspect))
+            .map(|(&id, _)| id)
+            .collect()
+    }
+}
+
+fn joining(view: &View, leases: &[Member]) -> Vec<Member> {
+    let is_new = |lease: &&Member| view.member(lease.id).is_none();
+    leases.iter().filter(is_new).cloned().collect()
+}
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -52,6 +52,12 @@
             .map_err(|_| Kind::Timeout)?
     }
 
+    /// Closes the idle connections to all addresses but some.
+    pub fn retain(&self, is_kept: impl Fn(SocketAddr) -> bool) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|&address, _| is_kept(address));
+    }
+
     async fn exchange<A: DeserializeOwned>(
         &self,
         address: SocketAddr,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,11 +11,15 @@
 //! # Ok::<(), wisteriapoint_platform::Error>(())
 //! ```
 
+pub mod backoff;
+pub mod budget;
 pub mod error;
 pub mod http;
 pub mod keys;
 pub mod store;
 
+pub use backoff::Backoff;
+pub use budget::Budgeted;
 pub use error::Error;
 pub use http::HttpStore;
 pub use store::{Entry, Index, Lease, Store, VmEntry, VmState};
--- a/crates/settings/src/vm.rs
+++ b/crates/settings/src/vm.rs
@@ -21,6 +21,9 @@
     pub admin_address: SocketAddr,
     /// Address for the other daemons, UDP and TCP on the same port.
     pub peer_address: SocketAddr,
+    /// Peer addresses to ask for the configuration while the platform does not answer.
+    #[serde(default)]
+    pub seed_peers: Vec<SocketAddr>,
     /// Base URL of the platform's key-value service.
     pub platform_url: Box<str>,
     /// Time to live of the VM's lease, in seconds.
@@ -55,7 +58,7 @@
 }
 
 fn default_lease_ttl_s() -> u64 {
-    10
+    15
 }
 
 fn default_drain_wait_ms() -> u64 {
--- a/crates/wisteriapoint/src/daemon/control/members.rs
+++ b/crates/wisteriapoint/src/daemon/control/members.rs
@@ -1,10 +1,14 @@
-//! Control's part in membership.
+//! Control's part in membership: the view in force, and proposals for the next.
 
 use std::sync::Arc;
 
-use wisteriapoint_membership::View;
+use wisteriapoint_membership::{Member, STEWARDS, Step, View};
+use wisteriapoint_types::Nonce;
 
 use super::Control;
+use crate::daemon::{platform, probe};
+
+const STEP_EVERY_TICKS: u64 = 10;
 
 impl Control {
     pub(super) fn take_view(&mut self, view: View) {
@@ -15,7 +19,47 @@
         self.holder.open(view.number);
         self.shared.metrics.view_number.set(view.number.0 as i64);
         self.shared.metrics.members.set(view.members.len() as i64);
+        self.shared
+            .peers
+            .retain(|address| view.members.iter().any(|m| m.peer_address == address));
         self.snapshot.view = Arc::new(view);
         self.publish();
+        self.relay.spread();
+    }
+
+    pub(super) fn take_leases(&mut self, leases: Option<Vec<Member>>) {
+        match leases {
+            Some(leases) => self.roster.take_leases(leases),
+            None => self.roster.lose_platform(),
+        }
+    }
+
+    pub(super) fn tick_members(&mut self) {
+        if !self.ticks.is_multiple_of(STEP_EVERY_TICKS) {
+            return;
+        }
+        let view = Arc::clone(&self.snapshot.view);
+        let Some(rank) = self.proposing_rank(&view) else {
+            return;
+        };
+        let now_ms = self.shared.clock.now_ms();
+        let nonce = Nonce(rand::random());
+        for step in self.roster.step(now_ms, &view, rank, nonce) {
+            match step {
+                Step::Probe(id) => probe::spawn(&self.shared, id),
+                Step::Propose(next) => platform::spawn_proposal(&self.shared, next),
+            }
+        }
+    }
+
+    /// Stewards propose in the order of their rank; a daemon that is not a member comes
+    /// after them, and first where there is no member at all.
+    fn proposing_rank(&self, view: &View) -> Option<usize> {
+        match view.member(self.shared.me.id) {
+            _ if self.shared.is_draining() => None,
+            Some(me) => view.steward_rank(me.id),
+            None if view.members.is_empty() => Some(0),
+            None => Some(STEWARDS),
+        }
     }
 }
--- a/crates/wisteriapoint/src/daemon/control/mod.rs
+++ b/crates/wisteriapoint/src/daemon/control/mod.rs
@@ -3,23 +3,26 @@
 mod claims;
 mod configuration;
 mod members;
+mod relay;
 mod rollouts;
 
-use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
+use wisteriapoint_catalog::{Catalog, Update};
 use wisteriapoint_claim::Holder;
-use wisteriapoint_membership::View;
-use wisteriapoint_platform::{Entry, VmEntry};
+use wisteriapoint_membership::{Member, Patience, Probe, Roster, View};
+use wisteriapoint_peer::Datagrams;
 use wisteriapoint_rollout::{Coordinator, Sample, SampleKey, StepId};
-use wisteriapoint_types::{ServiceName, WeightVersion};
+use wisteriapoint_types::MemberId;
 
-use super::message::{Question, Reply};
+use self::relay::Relay;
+use super::message::{Digest, Question, Reply};
 use super::snapshot::Snapshot;
-use super::{Shared, generate};
+use super::{Shared, generate, probe};
 
 /// Commands that control may have waiting.
 pub const COMMANDS: usize = 4_096;
@@ -31,14 +34,18 @@
 pub enum Command {
     /// A question from a peer or from this daemon's traffic.
     Question(Box<Question>, oneshot::Sender<Reply>),
-    /// The view, as the platform has it.
+    /// A view, from the platform or a peer.
     View(View),
-    /// Records of services, as the platform has them.
-    Services(Vec<Entry>),
-    /// Published weight versions, as the platform has them.
-    Weights(Vec<Entry>),
-    /// The platform's list of VMs.
-    Vms(Vec<VmEntry>),
+    /// Configuration, from the platform or a peer that has read it.
+    Update(Update),
+    /// The leases that the platform lists; none if it does not answer.
+    Leases(Option<Vec<Member>>),
+    /// The result of a probe.
+    Probed(MemberId, Probe),
+    /// A datagram from a peer.
+    Digest(SocketAddr, Digest),
+    /// An exchange with a peer has ended.
+    Exchanged(SocketAddr),
     /// A sample is finished, or its generation failed.
     Finished(StepId, SampleKey, Option<Sample>),
 }
@@ -49,7 +56,9 @@
     shared: Arc<Shared>,
     published: watch::Sender<()>,
     snapshot: Snapshot,
-    versions: BTreeMap<ServiceName, WeightVersion>,
+    catalog: Catalog,
+    roster: Roster,
+    relay: Relay,
     holder: Holder,
     coordinator: Coordinator,
     running_samples: usize,
@@ -58,12 +67,19 @@
 
 impl Control {
     /// Makes the state of a daemon that knows nothing yet.
-    pub fn new(shared: Arc<Shared>, published: watch::Sender<()>) -> Self {
+    pub fn new(
+        shared: Arc<Shared>,
+        published: watch::Sender<()>,
+        datagrams: Arc<Datagrams>,
+        seed_peers: Vec<SocketAddr>,
+    ) -> Self {
         Self {
             shared,
             published,
             snapshot: Snapshot::default(),
-            versions: Default::default(),
+            catalog: Catalog::new(),
+            roster: Roster::new(Patience::default()),
+            relay: Relay::new(datagrams, seed_peers),
             holder: Holder::new(),
             coordinator: Coordinator::new(),
             running_samples: 0,
@@ -90,9 +106,11 @@
         match command {
             Command::Question(question, reply) => self.answer(*question, reply),
             Command::View(view) => self.take_view(view),
-            Command::Services(entries) => self.take_services(&entries),
-            Command::Weights(entries) => self.take_weights(&entries),
-            Command::Vms(vms) => self.take_vms(vms),
+            Command::Update(update) => self.take_update(update),
+            Command::Leases(leases) => self.take_leases(leases),
+            Command::Probed(id, probe) => self.roster.take_probe(id, probe),
+            Command::Digest(from, digest) => self.take_digest(from, digest),
+            Command::Exchanged(with) => self.relay.end_exchange(with),
             Command::Finished(id, key, sample) => self.finish_sample(&id, key, sample),
         }
     }
@@ -108,6 +126,12 @@
                 version,
                 limit,
             } => self.answer_pull(&id, &cursor, version, limit),
+            Question::Ping => Reply::Pong {
+                stopping: self.shared.is_draining(),
+            },
+            Question::Probe(id) => return probe::spawn_answer(&self.shared, id, sender),
+            Question::Sync { view, known } => self.answer_sync(view, &known),
+            Question::Offer { view, update } => self.answer_offer(view, update),
             Question::Generate(task) => {
                 let shared = Arc::clone(&self.shared);
                 return generate::spawn_sample(shared, task, sender);
@@ -120,6 +144,8 @@
     fn tick(&mut self) {
         self.ticks += 1;
         self.tick_claims();
+        self.tick_members();
+        self.tick_relay();
         self.start_samples();
     }
 
--- /dev/null
+++ b/crates/wisteriapoint/src/daemon/exchange.rs
@@ -0,0 +1,87 @@
+//! Exchanges of configuration with one peer, and the datagrams that start them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wisteriapoint_catalog::Summary;
+use wisteriapoint_peer::Datagrams;
+use wisteriapoint_types::ViewNumber;
+
+use super::Shared;
+use super::control::Command;
+use super::message::{Digest, Question, Reply, Synced};
+
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Hands every datagram to control, until control is gone.
+pub async fn receive(shared: Arc<Shared>, datagrams: Arc<Datagrams>) {
+    loop {
+        match datagrams.receive::<Digest>().await {
+            Ok((from, digest)) => {
+                if shared
+                    .control
+                    .send(Command::Digest(from, digest))
+                    .await
+                    .is_err()
+                {
+                    return;
+                }
+            }
+            Err(_) => shared.metrics.malformed_datagrams.inc(),
+        }
+    }
+}
+
+/// Asks a peer for what it knows beyond this daemon, and offers what it lacks.
+pub fn spawn(shared: &Arc<Shared>, peer: SocketAddr, view: ViewNumber, known: Summary) {
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        exchange(&shared, peer, view, known).await;
+        tell(&shared, Command::Exchanged(peer)).await;
+    });
+}
+
+async fn exchange(shared: &Arc<Shared>, peer: SocketAddr, view: ViewNumber, known: Summary) {
+    let question = Question::Sync { view, known };
+    let Some(Reply::Synced(synced)) = call(shared, peer, &question).await else {
+        return;
+    };
+    let Synced {
+        view,
+        update,
+        configured,
+        behind,
+    } = synced;
+    if let Some(view) = view {
+        tell(shared, Command::View(view)).await;
+    }
+    if configured {
+        tell(shared, Command::Update(update)).await;
+    }
+    if behind {
+        offer(shared, peer).await;
+    }
+}
+
+/// Asks what the peer knows by an exchange in the other direction.
+async fn offer(shared: &Arc<Shared>, peer: SocketAddr) {
+    let asked = Question::Sync {
+        view: ViewNumber::default(),
+        known: Summary::default(),
+    };
+    let mine = shared.ask_self(asked, EXCHANGE_TIMEOUT).await;
+    if let Some(Reply::Synced(Synced { view, update, .. })) = mine {
+        call(shared, peer, &Question::Offer { view, update }).await;
+    }
+}
+
+async fn call(shared: &Arc<Shared>, peer: SocketAddr, question: &Question) -> Option<Reply> {
+    let called = shared.peers.call(peer, question, EXCHANGE_TIMEOUT);
+    called.await.ok()
+}
+
+async fn tell(shared: &Arc<Shared>, command: Command) {
+    // Control is gone only when the daemon stops.
+    let _ = shared.control.send(command).await;
+}
--- a/crates/wisteriapoint/src/daemon/mod.rs
+++ b/crates/wisteriapoint/src/daemon/mod.rs
@@ -2,9 +2,11 @@
 
 pub mod claims;
 pub mod control;
+pub mod exchange;
 pub mod generate;
 pub mod message;
 pub mod platform;
+pub mod probe;
 pub mod rollouts;
 pub mod shared;
 pub mod snapshot;
--- a/crates/wisteriapoint/src/daemon/platform.rs
+++ b/crates/wisteriapoint/src/daemon/platform.rs
@@ -1,43 +1,48 @@
-//! The daemon's calls to the platform: its lease, its place in the view, its watches.
+//! The daemon's calls to the platform: its lease, its watches, proposals of views.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::sleep;
-use wisteriapoint_membership::View;
-use wisteriapoint_platform::{Entry, Error, Index, Lease, Store, keys};
-use wisteriapoint_types::Nonce;
+use wisteriapoint_catalog::{Document, Leaving, Update};
+use wisteriapoint_membership::{Member, View};
+use wisteriapoint_platform::{Backoff, Entry, Error, Index, Lease, Store, VmState, keys};
+use wisteriapoint_types::{Nonce, ServiceName};
 
 use super::Shared;
 use super::control::Command;
+use crate::record::{ServiceRecord, WeightRecord};
 
 const WATCH_WAIT: Duration = Duration::from_secs(30);
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
-const VMS_PAUSE: Duration = Duration::from_secs(5);
+const ROLE_PAUSE: Duration = Duration::from_millis(500);
+const VMS_PAUSE: Duration = Duration::from_secs(3);
 const RENEWALS_PER_TTL: u32 = 3;
 
-/// Joins the view: adds this daemon and removes earlier runs on the same VM.
-pub async fn join<S: Store>(shared: Arc<Shared>, store: S) {
-    loop {
-        match try_join(&shared, &store).await {
-            Ok(true) => return,
-            Ok(false) => {}
-            Err(error) => log::debug!("joining the view failed: {error}"),
+/// Proposes the next view; whatever the platform then holds is told to control.
+pub fn spawn_proposal(shared: &Arc<Shared>, next: View) {
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        let proposed = propose(&shared.store, next).await;
+        count(&shared, "propose", proposed.is_ok());
+        if let Ok(view) = proposed {
+            // Control is gone only when the daemon stops.
+            let _ = shared.control.send(Command::View(view)).await;
         }
-        sleep(RETRY_PAUSE).await;
-    }
+    });
 }
 
-async fn try_join<S: Store>(shared: &Arc<Shared>, store: &S) -> Result<bool, Error> {
-    let (view, index) = read_view(store).await?;
-    if view.member(shared.me.id).is_some() {
-        return Ok(tell(shared, view).await);
+/// Writes a view if the platform holds the one before it; gives the view that it holds.
+async fn propose<S: Store>(store: &S, next: View) -> Result<View, Error> {
+    let (held, index) = read_view(store).await?;
+    if held.number.0 + 1 != next.number.0 {
+        return Ok(held);
     }
-    let next = view.with_member(shared.me.clone(), Nonce(rand::random()));
     let value = serde_json::to_vec(&next).map_err(malformed)?;
-    match store.compare_and_swap(keys::VIEW, index, value).await? {
-        true => Ok(tell(shared, next).await),
-        false => Ok(false),
+    match store.compare_and_swap(keys::VIEW, index, value).await {
+        Ok(true) => Ok(next),
+        Ok(false) => Ok(read_view(store).await?.0),
+        Err(error) if error.may_have_taken_effect() => Ok(read_view(store).await?.0),
+        Err(error) => Err(error),
     }
 }
 
@@ -75,41 +80,92 @@
     Error::Malformed(error.to_string().into())
 }
 
-async fn tell(shared: &Arc<Shared>, view: View) -> bool {
-    shared.control.send(Command::View(view)).await.is_ok()
+fn count(shared: &Shared, kind: &str, ok: bool) {
+    let result = if ok { "ok" } else { "failed" };
+    let calls = &shared.metrics.platform_calls;
+    calls.with_label_values(&[kind, result]).inc();
 }
 
-/// Watches a prefix and tells control of every change.
-pub async fn watch<S, F>(shared: Arc<Shared>, store: S, prefix: &'static str, command: F)
-where
-    S: Store,
-    F: Fn(Vec<Entry>) -> Option<Command>,
-{
-    let mut since = None;
-    loop {
-        let listed = store.list(prefix, since, WATCH_WAIT).await;
-        let result = if listed.is_ok() { "ok" } else { "failed" };
-        let calls = &shared.metrics.platform_calls;
-        calls.with_label_values(&["watch", result]).inc();
-        let Ok((entries, index)) = listed else {
-            since = None;
-            sleep(RETRY_PAUSE).await;
-            continue;
-        };
-        since = Some(index);
-        if let Some(command) = command(entries)
-            && shared.control.send(command).await.is_err()
-        {
-            return;
+/// A prefix of keys that some daemons watch on behalf of all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Watch {
+    /// The view.
+    View,
+    /// Service documents.
+    Services,
+    /// Published weight versions.
+    Weights,
+    /// Leases of VMs.
+    Leases,
+}
+
+impl Watch {
+    fn prefix(self) -> &'static str {
+        match self {
+            Self::View => keys::VIEW,
+            Self::Services => keys::SERVICES,
+            Self::Weights => keys::WEIGHTS,
+            Self::Leases => keys::LEASES,
+        }
+    }
+
+    /// Whether this daemon watches: a few of each failure domain, for leases the stewards.
+    fn is_mine(self, shared: &Shared) -> bool {
+        let snapshot = shared.snapshot.load();
+        let (view, me) = (&snapshot.view, shared.me.id);
+        match self {
+            Self::Leases => view.member(me).is_none() || view.steward_rank(me).is_some(),
+            _ => view.is_watcher(me),
+        }
+    }
+
+    fn command(self, entries: &[Entry]) -> Option<Command> {
+        match self {
+            Self::View => Some(Command::View(parsed(entries.first()?)?)),
+            Self::Services => Some(Command::Update(services(entries))),
+            Self::Weights => Some(Command::Update(weights(entries))),
+            Self::Leases => Some(Command::Leases(Some(leases(entries)))),
+        }
+    }
+
+    /// The command that tells control of a platform that does not answer.
+    fn failed(self) -> Option<Command> {
+        (self == Self::Leases).then_some(Command::Leases(None))
+    }
+
+    /// Watches while it is this daemon's turn, until control is gone.
+    pub async fn run(self, shared: Arc<Shared>) {
+        let mut since = None;
+        let mut backoff = Backoff::new();
+        loop {
+            if !self.is_mine(&shared) {
+                since = None;
+                sleep(ROLE_PAUSE).await;
+                continue;
+            }
+            let listed = shared.store.list(self.prefix(), since, WATCH_WAIT).await;
+            count(&shared, "watch", listed.is_ok());
+            let command = match &listed {
+                Ok((entries, _)) => self.command(entries),
+                Err(_) => self.failed(),
+            };
+            if let Some(command) = command
+                && shared.control.send(command).await.is_err()
+            {
+                return;
+            }
+            since = listed.ok().map(|(_, index)| index);
+            match since {
+                Some(_) => backoff = Backoff::new(),
+                None => sleep(backoff.next_pause()).await,
+            }
         }
     }
 }
 
-/// The command that tells control of a new view.
-pub fn view_command(entries: Vec<Entry>) -> Option<Command> {
-    let entry = entries.first()?;
-    match parse_view(entry) {
-        Ok(view) => Some(Command::View(view)),
+fn parsed<T: serde::de::DeserializeOwned>(entry: &Entry) -> Option<T> {
+    match serde_json::from_slice(&entry.value) {
+        Ok(value) => Some(value),
         Err(error) => {
             log::warn!("{}: {error}", entry.key);
             None
@@ -117,39 +173,98 @@
     }
 }
 
-/// Reads the list of VMs again and again.
-pub async fn poll_vms<S: Store>(shared: Arc<Shared>, store: S) {
+fn services(entries: &[Entry]) -> Update {
+    let documents = entries.iter().filter_map(|entry| {
+        let name = entry.key.strip_prefix(keys::SERVICES)?;
+        let current = parsed::<ServiceRecord>(entry)?.current;
+        let document = Document {
+            revision: current.revision,
+            text: current.document,
+        };
+        Some((ServiceName::new(name), document))
+    });
+    Update {
+        documents: documents.collect(),
+        ..Update::default()
+    }
+}
+
+fn weights(entries: &[Entry]) -> Update {
+    let versions = entries.iter().filter_map(|entry| {
+        let name = entry.key.strip_prefix(keys::WEIGHTS)?;
+        let record = parsed::<WeightRecord>(entry)?;
+        Some((ServiceName::new(name), record.version))
+    });
+    Update {
+        versions: versions.collect(),
+        ..Update::default()
+    }
+}
+
+fn leases(entries: &[Entry]) -> Vec<Member> {
+    entries.iter().filter_map(parsed).collect()
+}
+
+/// Reads the list of VMs again and again while it is this daemon's turn.
+pub async fn poll_vms(shared: Arc<Shared>) {
     loop {
-        if let Ok(vms) = store.vms().await
-            && shared.control.send(Command::Vms(vms)).await.is_err()
-        {
-            return;
+        if Watch::Services.is_mine(&shared) {
+            let listed = shared.store.vms().await;
+            count(&shared, "vms", listed.is_ok());
+            let leaving = listed.map(|vms| Leaving {
+                observed_at_ms: shared.clock.now_ms(),
+                vms: vms
+                    .into_iter()
+                    .filter(|entry| entry.state == VmState::Leaving)
+                    .map(|entry| entry.vm)
+                    .collect(),
+            });
+            if let Ok(leaving) = leaving {
+                let update = Command::Update(Update::of_leaving(leaving));
+                if shared.control.send(update).await.is_err() {
+                    return;
+                }
+            }
         }
         sleep(VMS_PAUSE).await;
     }
 }
 
 /// Keeps the VM's lease, and asks for a new one when it lapsed.
-pub async fn keep_lease<S: Store>(shared: Arc<Shared>, store: S, ttl: Duration) {
+///
+/// The lease's value is the daemon's record as a member.
+pub async fn keep_lease(shared: Arc<Shared>, ttl: Duration) {
     let mut lease: Option<Lease> = None;
-    loop {
+    let mut backoff = Backoff::new();
+    while !shared.is_draining() {
         lease = match lease {
-            Some(held) => match store.renew_lease(&held).await {
+            Some(held) => match shared.store.renew_lease(&held).await {
                 Err(Error::LeaseLapsed) => None,
-                _ => Some(held),
+                result => {
+                    count(&shared, "renew", result.is_ok());
+                    Some(held)
+                }
             },
-            None => grant(&shared, &store, ttl).await,
+            None => grant(&shared, ttl).await,
         };
-        let pause = match lease {
-            Some(_) => ttl / RENEWALS_PER_TTL,
-            None => RETRY_PAUSE,
-        };
-        sleep(pause).await;
+        match lease {
+            Some(_) => {
+                backoff = Backoff::new();
+                sleep(ttl / RENEWALS_PER_TTL).await;
+            }
+            None => sleep(backoff.next_pause()).await,
+        }
+    }
+    if let Some(held) = lease {
+        let released = shared.store.release_lease(&held).await;
+        count(&shared, "release", released.is_ok());
     }
 }
 
-async fn grant<S: Store>(shared: &Arc<Shared>, store: &S, ttl: Duration) -> Option<Lease> {
+async fn grant(shared: &Arc<Shared>, ttl: Duration) -> Option<Lease> {
     let key = keys::lease(&shared.me.vm);
-    let value = shared.me.id.to_string().into_bytes();
-    store.grant_lease(&key, value, ttl).await.ok()
+    let value = serde_json::to_vec(&shared.me).ok()?;
+    let granted = shared.store.grant_lease(&key, value, ttl).await;
+    count(shared, "grant", granted.is_ok());
+    granted.ok()
 }
--- a/crates/wisteriapoint/src/daemon/shared.rs
+++ b/crates/wisteriapoint/src/daemon/shared.rs
@@ -12,7 +12,7 @@
 use wisteriapoint_gateway::{Clients, Router};
 use wisteriapoint_membership::Member;
 use wisteriapoint_peer::Client;
-use wisteriapoint_platform::HttpStore;
+use wisteriapoint_platform::{Budgeted, HttpStore};
 use wisteriapoint_types::{MemberId, ServiceName};
 
 use super::control::Command;
@@ -38,7 +38,7 @@
     /// Calls to endpoints.
     pub clients: Clients,
     /// The platform.
-    pub store: HttpStore,
+    pub store: Budgeted<HttpStore>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Whether a stop was asked for.
--- a/crates/wisteriapoint/src/daemon/start.rs
+++ b/crates/wisteriapoint/src/daemon/start.rs
@@ -8,21 +8,22 @@
 
 use salvo::server::ServerHandle;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::{self, Runtime};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep};
 use wisteriapoint_gateway::Clients;
 use wisteriapoint_membership::Member;
-use wisteriapoint_peer::Client;
-use wisteriapoint_platform::{HttpStore, keys};
+use wisteriapoint_peer::{Client, Datagrams};
+use wisteriapoint_platform::{Budgeted, HttpStore};
 use wisteriapoint_settings::VmSettings;
 use wisteriapoint_types::MemberId;
 
 use super::control::{COMMANDS, Command, Control};
 use super::message::{Question, Reply};
+use super::platform::Watch;
 use super::shared::Clock;
-use super::{Shared, platform, traffic, weights};
+use super::{Shared, exchange, platform, traffic, weights};
 use crate::metrics::Metrics;
 use crate::{Error, http};
 
@@ -46,7 +47,6 @@
     settings: VmSettings,
     addresses: Addresses,
     shared: Arc<Shared>,
-    store: HttpStore,
     servers: [ServerHandle; 2],
     traffic: Option<Runtime>,
     control: Option<oneshot::Sender<()>>,
@@ -67,10 +67,12 @@
             admin: admin.local_addr()?,
             peer: peer.local_addr()?,
         };
+        let datagrams = Arc::new(Datagrams::new(UdpSocket::bind(addresses.peer).await?));
         let runtime = traffic_runtime(settings.traffic_threads)?;
         let (commands, receiver) = mpsc::channel(COMMANDS);
         let (published, changes) = watch::channel(());
         let store = HttpStore::new(&settings.platform_url)?;
+        let store = Budgeted::new(store, settings.platform_calls_per_s);
         let shared = Arc::new(Shared {
             me: member(&settings, addresses),
             snapshot: Default::default(),
@@ -82,11 +84,16 @@
             metrics: Metrics::new().map_err(std::io::Error::other)?,
             draining: false.into(),
             in_flight: 0.into(),
-            store: store.clone(),
+            store,
             clock: Clock::new(),
         });
-        let control = Control::new(Arc::clone(&shared), published);
-        let stop_control = start_control(control, receiver, &shared, &store, &settings)?;
+        let control = Control::new(
+            Arc::clone(&shared),
+            published,
+            Arc::clone(&datagrams),
+            settings.seed_peers.clone(),
+        );
+        let stop_control = start_control(control, receiver, &shared, datagrams, &settings)?;
         let servers = [
             http::serve(&runtime, service, http::service_router(&shared))?,
             http::serve(&runtime, admin, http::admin_router(&shared))?,
@@ -96,7 +103,6 @@
             settings,
             addresses,
             shared,
-            store,
             servers,
             traffic: Some(runtime),
             control: Some(stop_control),
@@ -128,7 +134,7 @@
         let [service, admin] = &self.servers;
         service.stop_graceful(None);
         self.wait_for_requests().await;
-        let left = platform::leave(&self.shared, &self.store);
+        let left = platform::leave(&self.shared, &self.shared.store);
         if !matches!(tokio::time::timeout(LEAVE_TIMEOUT, left).await, Ok(Ok(()))) {
             log::warn!("the platform did not take the leave; the lease will lapse");
         }
@@ -186,7 +192,7 @@
     control: Control,
     receiver: mpsc::Receiver<Command>,
     shared: &Arc<Shared>,
-    store: &HttpStore,
+    datagrams: Arc<Datagrams>,
     settings: &VmSettings,
 ) -> Result<oneshot::Sender<()>, Error> {
     let runtime = runtime::Builder::new_current_thread()
@@ -194,17 +200,14 @@
         .build()?;
     let (stop, stopped) = oneshot::channel::<()>();
     let shared = Arc::clone(shared);
-    let store = store.clone();
     let ttl = Duration::from_secs(settings.lease_ttl_s);
     let run = async move {
-        tokio::spawn(platform::join(Arc::clone(&shared), store.clone()));
-        tokio::spawn(platform::keep_lease(
-            Arc::clone(&shared),
-            store.clone(),
-            ttl,
-        ));
-        tokio::spawn(platform::poll_vms(Arc::clone(&shared), store.clone()));
-        watch_all(&shared, &store);
+        for watch in [Watch::View, Watch::Services, Watch::Weights, Watch::Leases] {
+            tokio::spawn(watch.run(Arc::clone(&shared)));
+        }
+        tokio::spawn(platform::keep_lease(Arc::clone(&shared), ttl));
+        tokio::spawn(platform::poll_vms(Arc::clone(&shared)));
+        tokio::spawn(exchange::receive(Arc::clone(&shared), datagrams));
         tokio::select! {
             () = control.run(receiver) => {}
             _ = stopped => {}
@@ -216,20 +219,6 @@
     Ok(stop)
 }
 
-fn watch_all(shared: &Arc<Shared>, store: &HttpStore) {
-    let watch = |prefix, command: fn(Vec<_>) -> Option<Command>| {
-        tokio::spawn(platform::watch(
-            Arc::clone(shared),
-            store.clone(),
-            prefix,
-            command,
-        ));
-    };
-    watch(keys::VIEW, platform::view_command);
-    watch(keys::SERVICES, |entries| Some(Command::Services(entries)));
-    watch(keys::WEIGHTS, |entries| Some(Command::Weights(entries)));
-}
-
 fn start_traffic(
     runtime: &Runtime,
     shared: &Arc<Shared>,
--- a/crates/wisteriapoint/src/http/admin.rs
+++ b/crates/wisteriapoint/src/http/admin.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub struct Health;
 
-/// `GET /ready`: the daemon is a member, is configured and is not stopping.
+/// `GET /ready`: the daemon knows the view and the configuration and is not stopping.
 #[derive(Debug)]
 pub struct Ready {
     shared: Arc<Shared>,
@@ -124,7 +124,7 @@
     match &snapshot.view {
         _ if shared.is_draining() => Some("stopping"),
         _ if !snapshot.configured => Some("no configuration yet"),
-        view if view.member(shared.me.id).is_none() => Some("not in the view"),
+        view if view.members.is_empty() => Some("no view yet"),
         _ => None,
     }
 }
--- a/crates/wisteriapoint/src/metrics.rs
+++ b/crates/wisteriapoint/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters and histograms.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// The metrics of one daemon.
@@ -16,6 +17,12 @@
     pub failed_attempts: IntCounterVec,
     /// Calls to the platform by kind and result.
     pub platform_calls: IntCounterVec,
+    /// Documents by result: `in-force` or `unreadable`.
+    pub documents: IntCounterVec,
+    /// Bytes of datagrams sent to other daemons.
+    pub control_bytes: IntCounter,
+    /// Datagrams received that break the protocol.
+    pub malformed_datagrams: IntCounter,
     /// Number of the view in force.
     pub view_number: IntGauge,
     /// Members of the view in force.
@@ -55,6 +62,15 @@
                 "Calls to the platform",
                 &["kind", "result"],
             )?,
+            documents: counter("documents_total", "Documents received", &["result"])?,
+            control_bytes: IntCounter::new(
+                "wisteriapoint_digest_bytes_total",
+                "Bytes of datagrams sent to other daemons",
+            )?,
+            malformed_datagrams: IntCounter::new(
+                "wisteriapoint_malformed_datagrams_total",
+                "Datagrams received that break the protocol",
+            )?,
             view_number: IntGauge::new("wisteriapoint_view_number", "Number of the view")?,
             members: IntGauge::new("wisteriapoint_members", "Members of the view")?,
             claims: IntGauge::new("wisteriapoint_claims", "Claims kept")?,
@@ -80,6 +96,9 @@
         registry.register(Box::new(self.request_seconds.clone()))?;
         registry.register(Box::new(self.failed_attempts.clone()))?;
         registry.register(Box::new(self.platform_calls.clone()))?;
+        registry.register(Box::new(self.documents.clone()))?;
+        registry.register(Box::new(self.control_bytes.clone()))?;
+        registry.register(Box::new(self.malformed_datagrams.clone()))?;
         registry.register(Box::new(self.view_number.clone()))?;
         registry.register(Box::new(self.members.clone()))?;
         registry.register(Box::new(self.claims.clone()))
