--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -157,6 +157,13 @@
         self.lock().targets.values().cloned().collect()
     }
 
+    /// The keys of those endpoints that are in service, for [`Demand::tried`].
+    pub fn keys(&self, endpoints: &[EndpointName]) -> Vec<EndpointKey> {
+        let inner = self.lock();
+        let keys = endpoints.iter();
+        keys.filter_map(|endpoint| inner.find(endpoint)).collect()
+    }
+
     /// Waits for the right to dispatch.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/rollout/src/attempt.rs
@@ -0,0 +1,31 @@
+//! Attempts at generating a sample.
+
+use serde::{Deserialize, Serialize};
+use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
+
+use crate::StepId;
+
+/// Names one attempt of one coordinator; never used twice by it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AttemptKey(pub u64);
+
+/// The first tokens of an attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Begun {
+    /// The engine.
+    pub endpoint: EndpointName,
+    /// The version that produced the first tokens.
+    pub version: WeightVersion,
+}
+
+/// An attempt in progress.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub(crate) id: StepId,
+    pub(crate) index: u32,
+    pub(crate) service: ServiceName,
+    pub(crate) dispatched_ms: u64,
+    pub(crate) begun: Option<(Begun, u64)>,
+    pub(crate) expected_tokens: u32,
+}
--- /dev/null
+++ b/crates/rollout/src/coordinator/mod.rs
@@ -0,0 +1,410 @@
+//! The coordinator of trainers' steps.
+
+mod fleet;
+mod hedge;
+mod share;
+mod state;
+
+use std::collections::BTreeMap;
+
+use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
+
+use self::fleet::Fleet;
+use self::share::Shares;
+use self::state::{State, Step};
+use crate::attempt::Attempt;
+use crate::error::{Error, Kind};
+use crate::length::Lengths;
+use crate::{AttemptKey, Begun, Cursor, Pulled, Sample, ScoreTask, StepId, StepSpec, Task};
+
+/// Time after which a step that its trainer no longer asks for is forgotten, in
+/// milliseconds.
+pub const IDLE_MS: u64 = 300_000;
+
+const MAX_SAMPLES: u32 = 1 << 16;
+
+/// State of the steps that one daemon coordinates.
+#[derive(Debug, Default)]
+pub struct Coordinator {
+    steps: BTreeMap<StepId, Step>,
+    attempts: BTreeMap<AttemptKey, Attempt>,
+    last_attempt: u64,
+    lengths: Lengths,
+    fleets: BTreeMap<ServiceName, Fleet>,
+    hedged_at_ms: u64,
+    shares: Shares,
+    cancelled: Vec<AttemptKey>,
+    to_score: Vec<ScoreTask>,
+}
+
+impl Coordinator {
+    /// Makes a coordinator without steps.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the number of requests that a service's engines run at once, and the share of
+    /// tokens that second copies may cost, from 0 to 1.
+    pub fn set_service(&mut self, service: ServiceName, requests: usize, hedge_ratio: f64) {
+        let fleet = self.fleets.entry(service).or_default();
+        fleet.window.set_most(requests);
+        fleet.hedge_ratio = hedge_ratio;
+    }
+
+    /// Takes a step; the same step may be put again.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a step that is empty or too large, and another content under a known name.
+    pub fn put(
+        &mut self,
+        now_ms: u64,
+        id: StepId,
+        spec: StepSpec,
+        cursor: &Cursor,
+    ) -> Result<(), Error> {
+        match self.steps.get(&id) {
+            _ if spec.samples() == 0 => return Err(Kind::Empty.into()),
+            _ if spec.samples() > MAX_SAMPLES => return Err(Kind::TooLarge.into()),
+            Some(step) if step.spec != spec => return Err(Kind::Conflict.into()),
+            Some(_) => {}
+            None => {
+                let step = Step::new(spec, now_ms, &self.lengths);
+                self.shares.join(&id.trainer);
+                self.steps.insert(id.clone(), step);
+            }
+        }
+        self.take_cursor(now_ms, &id, cursor)
+    }
+
+    /// Takes up to `limit` samples that are to be generated now, as far as the services'
+    /// engines have room.
+    ///
+    /// Trainers take turns by the tokens that they were given. Within a step, samples that
+    /// have to be generated again go first, then those that are expected to be longest.
+    /// Second copies of stragglers come last.
+    pub fn take_tasks(&mut self, now_ms: u64, limit: usize) -> Vec<Task> {
+        let mut tasks = Vec::new();
+        while tasks.len() < limit
+            && let Some(task) = self.next_task(now_ms)
+        {
+            tasks.push(task);
+        }
+        self.take_hedges(now_ms, limit, &mut tasks);
+        tasks
+    }
+
+    /// Takes the news that an attempt has its first tokens.
+    pub fn begun(&mut self, now_ms: u64, key: AttemptKey, begun: Begun) {
+        let Some(attempt) = self.attempts.get_mut(&key) else {
+            return;
+        };
+        let version = begun.version;
+        attempt.begun = Some((begun, now_ms));
+        let oldest = self.steps.get(&attempt.id).map(Step::oldest_version);
+        if oldest.is_some_and(|oldest| version < oldest) {
+            self.give_up(key);
+        }
+    }
+
+    /// Takes a finished sample, or none if its generation failed.
+    ///
+    /// The result of an attempt that is no longer wanted changes nothing.
+    pub fn finish(&mut self, now_ms: u64, key: AttemptKey, sample: Option<Sample>) {
+        let Some(sample) = sample else {
+            self.refuse(now_ms, key);
+            return self.detach(key);
+        };
+        let Some(attempt) = self.remove_attempt(key) else {
+            return;
+        };
+        let Some(step) = self.steps.get_mut(&attempt.id) else {
+            return;
+        };
+        self.lengths
+            .learn(step.prompt(attempt.index), sample.tokens());
+        let fleet = self.fleets.entry(attempt.service).or_default();
+        fleet.window.answered();
+        if let Some((begun, at_ms)) = &attempt.begun {
+            let elapsed_ms = now_ms.saturating_sub(*at_ms);
+            fleet
+                .speeds
+                .learn(&begun.endpoint, elapsed_ms, sample.tokens());
+        }
+        self.shares.correct(
+            &attempt.id.trainer,
+            attempt.expected_tokens,
+            sample.tokens(),
+        );
+        let index = attempt.index;
+        if sample.oldest_version() < step.oldest_version() {
+            let other_copies = step.again(index, &self.lengths);
+            return self.cancel(other_copies);
+        }
+        let state = match step.spec.scorer.clone() {
+            Some(scorer) => {
+                self.to_score.push(ScoreTask {
+                    id: attempt.id,
+                    attempt: key,
+                    scorer,
+                    prompt: step.prompt(index).into(),
+                    sample: sample.clone(),
+                });
+                State::Scoring(key, sample)
+            }
+            None => State::Ready(sample),
+        };
+        let mut losers = step.set(index, state);
+        losers.retain(|&loser| loser != key);
+        let group = step.spec.key(index).group;
+        step.reorder(group, &self.lengths);
+        self.cancel(losers);
+    }
+
+    /// Takes the news that an attempt was given up because its tokens were too old.
+    pub fn too_old(&mut self, key: AttemptKey) {
+        self.detach(key);
+    }
+
+    /// Takes the samples that are to be scored.
+    pub fn take_score_tasks(&mut self) -> Vec<ScoreTask> {
+        std::mem::take(&mut self.to_score)
+    }
+
+    /// Takes the score of a sample; without one, the sample is handed over unscored.
+    pub fn scored(&mut self, task: &ScoreTask, score: Option<f64>) {
+        let Some(step) = self.steps.get_mut(&task.id) else {
+            return;
+        };
+        let index = step.spec.index(task.sample.key);
+        match step.state(index) {
+            State::Scoring(attempt, sample) if *attempt == task.attempt => {
+                let sample = Sample {
+                    score,
+                    ..sample.clone()
+                };
+                step.set(index, State::Ready(sample));
+            }
+            _ => {}
+        }
+    }
+
+    /// Hands over samples that are fresh enough for a trainer at `version`.
+    ///
+    /// Samples that are too old, finished or in progress, are generated again.
+    ///
+    /// # Errors
+    ///
+    /// Fails for a step that is not known and for a cursor beyond the step.
+    pub fn pull(
+        &mut self,
+        now_ms: u64,
+        id: &StepId,
+        cursor: &Cursor,
+        version: WeightVersion,
+        limit: usize,
+    ) -> Result<Pulled, Error> {
+        self.take_cursor(now_ms, id, cursor)?;
+        self.take_version(id, version);
+        let step = self.steps.get(id).ok_or(Kind::UnknownStep)?;
+        let samples = step.ready_samples(limit);
+        let mut next = cursor.clone();
+        for sample in &samples {
+            next.insert(step.spec.index(sample.key));
+        }
+        let pulled = Pulled {
+            from: cursor.clone(),
+            version,
+            complete: next.len() == step.len(),
+            cursor: next,
+            samples,
+        };
+        if step.is_complete() {
+            self.remove(id);
+        }
+        Ok(pulled)
+    }
+
+    /// Forgets steps that their trainers no longer ask for.
+    pub fn forget_idle(&mut self, now_ms: u64) {
+        let is_idle = |step: &Step| now_ms.saturating_sub(step.touched_ms) >= IDLE_MS;
+        let steps = self.steps.iter();
+        let idle: Vec<StepId> = steps
+            .filter(|(_, step)| is_idle(step))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in idle {
+            self.remove(&id);
+        }
+    }
+
+    /// Drops a step and all that is in progress for it.
+    pub fn remove(&mut self, id: &StepId) {
+        if let Some(step) = self.steps.remove(id) {
+            self.cancel(step.attempts());
+        }
+        if !self.steps.keys().any(|step| step.trainer == id.trainer) {
+            self.shares.leave(&id.trainer);
+        }
+    }
+
+    /// Takes the attempts that are to be cancelled.
+    pub fn take_cancelled(&mut self) -> Vec<AttemptKey> {
+        std::mem::take(&mut self.cancelled)
+    }
+
+    /// Number of attempts in progress.
+    pub fn in_flight(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Number of steps.
+    pub fn len(&self) -> usize {
+        self.steps.len()
+    }
+
+    /// Whether there is no step.
+    pub fn is_empty(&self) -> bool {
+        self.steps.is_empty()
+    }
+
+    fn next_task(&mut self, now_ms: u64) -> Option<Task> {
+        let is_next = |step: &Step| !step.waiting.is_empty() && self.has_room(&step.spec.service);
+        let waiting = self.steps.iter().filter(|(_, step)| is_next(step));
+        let next = waiting.min_by_key(|(id, _)| (self.shares.get(&id.trainer), id.step));
+        let id = next?.0.clone();
+        let index = self.steps.get(&id)?.waiting.first()?.index;
+        Some(self.dispatch(now_ms, &id, index, Vec::new()))
+    }
+
+    /// Starts an attempt at a sample that waits or runs.
+    fn dispatch(&mut self, now_ms: u64, id: &StepId, index: u32, avoid: Vec<EndpointName>) -> Task {
+        self.last_attempt += 1;
+        let attempt = AttemptKey(self.last_attempt);
+        let step = self.steps.get_mut(id).expect("a step with this sample");
+        let expected_tokens = step.expected_tokens(index, &self.lengths);
+        step.start(index, attempt);
+        step.started_tokens += u64::from(expected_tokens);
+        self.shares.charge(&id.trainer, expected_tokens);
+        let fleet = self.fleets.entry(step.spec.service.clone()).or_default();
+        fleet.in_flight += 1;
+        self.attempts.insert(
+            attempt,
+            Attempt {
+                id: id.clone(),
+                index,
+                service: step.spec.service.clone(),
+                dispatched_ms: now_ms,
+                begun: None,
+                expected_tokens,
+            },
+        );
+        Task {
+            id: id.clone(),
+            key: step.spec.key(index),
+            attempt,
+            service: step.spec.service.clone(),
+            prompt: step.prompt(index).into(),
+            max_tokens: step.spec.max_tokens,
+            expected_tokens,
+            oldest_version: step.oldest_version(),
+            avoid,
+        }
+    }
+
+    fn take_cursor(&mut self, now_ms: u64, id: &StepId, cursor: &Cursor) -> Result<(), Error> {
+        let step = self.steps.get_mut(id).ok_or(Kind::UnknownStep)?;
+        step.touched_ms = now_ms;
+        let needless = step.take_cursor(cursor, &self.lengths)?;
+        self.cancel(needless);
+        Ok(())
+    }
+
+    /// Sends back all that is too old for a trainer at `version`.
+    fn take_version(&mut self, id: &StepId, version: WeightVersion) {
+        let Some(step) = self.steps.get_mut(id) else {
+            return;
+        };
+        if step.version == version {
+            return;
+        }
+        step.version = version;
+        step.drop_stale(version, &self.lengths);
+        let oldest = step.oldest_version();
+        let attempts = self.attempts.iter();
+        let stale: Vec<AttemptKey> = attempts
+            .filter(|(_, attempt)| attempt.id == *id && attempt.is_older_than(oldest))
+            .map(|(&key, _)| key)
+            .collect();
+        for key in stale {
+            self.give_up(key);
+        }
+    }
+
+    /// Cancels an attempt whose sample could not be handed over.
+    fn give_up(&mut self, key: AttemptKey) {
+        self.detach(key);
+        self.cancelled.push(key);
+    }
+
+    /// Takes an attempt from its sample, which waits again if that was its last.
+    fn detach(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.remove_attempt(key) else {
+            return;
+        };
+        self.shares
+            .correct(&attempt.id.trainer, attempt.expected_tokens, 0);
+        let Some(step) = self.steps.get_mut(&attempt.id) else {
+            return;
+        };
+        let State::Running(attempts) = step.state(attempt.index) else {
+            return;
+        };
+        let left: Vec<AttemptKey> = attempts
+            .iter()
+            .copied()
+            .filter(|&other| other != key)
+            .collect();
+        match left {
+            left if left.is_empty() => _ = step.again(attempt.index, &self.lengths),
+            left => _ = step.set(attempt.index, State::Running(left)),
+        }
+    }
+
+    fn has_room(&self, service: &ServiceName) -> bool {
+        self.fleets.get(service).is_none_or(Fleet::has_room)
+    }
+
+    fn refuse(&mut self, now_ms: u64, key: AttemptKey) {
+        if let Some(attempt) = self.attempts.get(&key)
+            && let Some(fleet) = self.fleets.get_mut(&attempt.service)
+        {
+            fleet.window.refused(now_ms);
+        }
+    }
+
+    fn remove_attempt(&mut self, key: AttemptKey) -> Option<Attempt> {
+        let attempt = self.attempts.remove(&key)?;
+        if let Some(fleet) = self.fleets.get_mut(&attempt.service) {
+            fleet.in_flight = fleet.in_flight.saturating_sub(1);
+        }
+        Some(attempt)
+    }
+
+    fn cancel(&mut self, attempts: impl IntoIterator<Item = AttemptKey>) {
+        for key in attempts {
+            if let Some(attempt) = self.remove_attempt(key) {
+                let trainer = &attempt.id.trainer;
+                self.shares.correct(trainer, attempt.expected_tokens, 0);
+            }
+            self.cancelled.push(key);
+        }
+    }
+}
+
+impl Attempt {
+    fn is_older_than(&self, oldest: WeightVersion) -> bool {
+        let begun = self.begun.as_ref();
+        begun.is_some_and(|(begun, _)| begun.version < oldest)
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/coordinator/state.rs
@@ -0,0 +1,219 @@
+//! State of one step.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+
+use wisteriapoint_types::WeightVersion;
+
+use crate::error::{Error, Kind};
+use crate::length::Lengths;
+use crate::{AttemptKey, Cursor, Sample, StepSpec};
+
+/// A step and where each of its samples is.
+#[derive(Debug)]
+pub(super) struct Step {
+    pub(super) spec: StepSpec,
+    pub(super) version: WeightVersion,
+    pub(super) touched_ms: u64,
+    pub(super) started_tokens: u64,
+    pub(super) hedged_tokens: u64,
+    pub(super) waiting: BTreeSet<Place>,
+    pub(super) ready: BTreeSet<u32>,
+    samples: Vec<State>,
+    cursor: Cursor,
+}
+
+#[derive(Debug)]
+pub(super) enum State {
+    Waiting(Place),
+    Running(Vec<AttemptKey>),
+    Scoring(AttemptKey, Sample),
+    Ready(Sample),
+    Received,
+}
+
+/// Place in the line of waiting samples; the least goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Place {
+    is_new: bool,
+    expected_tokens: Reverse<u32>,
+    number_in_group: u32,
+    pub(super) index: u32,
+}
+
+impl Step {
+    pub(super) fn new(spec: StepSpec, now_ms: u64, lengths: &Lengths) -> Self {
+        let mut step = Self {
+            version: WeightVersion(0),
+            touched_ms: now_ms,
+            started_tokens: 0,
+            hedged_tokens: 0,
+            waiting: BTreeSet::new(),
+            ready: BTreeSet::new(),
+            samples: Vec::new(),
+            cursor: Cursor::new(),
+            spec,
+        };
+        for index in 0..step.spec.samples() {
+            let place = step.place(index, true, lengths);
+            step.waiting.insert(place);
+            step.samples.push(State::Waiting(place));
+        }
+        step
+    }
+
+    /// The oldest version that may be handed over now.
+    pub(super) fn oldest_version(&self) -> WeightVersion {
+        oldest(self.version, self.spec.staleness_versions)
+    }
+
+    pub(super) fn prompt(&self, index: u32) -> &str {
+        &self.spec.prompts[self.spec.key(index).group as usize]
+    }
+
+    pub(super) fn expected_tokens(&self, index: u32, lengths: &Lengths) -> u32 {
+        lengths.expected(self.prompt(index), self.spec.max_tokens)
+    }
+
+    pub(super) fn is_complete(&self) -> bool {
+        self.cursor.len() == self.samples.len()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.samples.len()
+    }
+
+    pub(super) fn state(&self, index: u32) -> &State {
+        &self.samples[index as usize]
+    }
+
+    /// Moves a sample to another state; gives the attempts that the old state had.
+    pub(super) fn set(&mut self, index: u32, state: State) -> Vec<AttemptKey> {
+        match &state {
+            State::Waiting(place) => _ = self.waiting.insert(*place),
+            State::Ready(_) => _ = self.ready.insert(index),
+            State::Received | State::Running(_) | State::Scoring(..) => {}
+        }
+        match std::mem::replace(&mut self.samples[index as usize], state) {
+            State::Waiting(place) => {
+                // A sample that waits again under the same place stays in line.
+                let stays = matches!(self.state(index), State::Waiting(new) if *new == place);
+                if !stays {
+                    self.waiting.remove(&place);
+                }
+                Vec::new()
+            }
+            State::Ready(_) => {
+                self.ready.remove(&index);
+                Vec::new()
+            }
+            State::Running(attempts) => attempts,
+            State::Scoring(..) | State::Received => Vec::new(),
+        }
+    }
+
+    /// Adds an attempt at a sample.
+    pub(super) fn start(&mut self, index: u32, attempt: AttemptKey) {
+        let mut attempts = match self.state(index) {
+            State::Running(attempts) => attempts.clone(),
+            _ => Vec::new(),
+        };
+        attempts.push(attempt);
+        self.set(index, State::Running(attempts));
+    }
+
+    /// Puts a sample first in line.
+    pub(super) fn again(&mut self, index: u32, lengths: &Lengths) -> Vec<AttemptKey> {
+        let place = self.place(index, false, lengths);
+        self.set(index, State::Waiting(place))
+    }
+
+    /// Puts the waiting samples of a group where their expected length belongs.
+    pub(super) fn reorder(&mut self, group: u32, lengths: &Lengths) {
+        let first = group * self.spec.samples_per_prompt;
+        for index in first..first + self.spec.samples_per_prompt {
+            if let State::Waiting(place) = *self.state(index) {
+                let place = self.place(index, place.is_new, lengths);
+                self.set(index, State::Waiting(place));
+            }
+        }
+    }
+
+    /// Takes the trainer's cursor as the truth; gives the attempts that are no longer needed.
+    pub(super) fn take_cursor(
+        &mut self,
+        cursor: &Cursor,
+        lengths: &Lengths,
+    ) -> Result<Vec<AttemptKey>, Error> {
+        let samples = self.samples.len() as u32;
+        if let Some(index) = cursor.last().filter(|&index| index >= samples) {
+            return Err(Kind::CursorBeyondStep { index, samples }.into());
+        }
+        let mut needless = Vec::new();
+        if *cursor == self.cursor {
+            return Ok(needless);
+        }
+        self.cursor = cursor.clone();
+        for index in 0..samples {
+            let has_it = matches!(self.state(index), State::Received);
+            match cursor.contains(index) {
+                true if !has_it => needless.extend(self.set(index, State::Received)),
+                false if has_it => _ = self.again(index, lengths),
+                _ => {}
+            }
+        }
+        Ok(needless)
+    }
+
+    /// Sends back finished samples that are too old for a trainer at `version`.
+    pub(super) fn drop_stale(&mut self, version: WeightVersion, lengths: &Lengths) {
+        let oldest = oldest(version, self.spec.staleness_versions);
+        for index in 0..self.samples.len() as u32 {
+            match self.state(index) {
+                State::Ready(sample) | State::Scoring(_, sample)
+                    if sample.oldest_version() < oldest =>
+                {
+                    self.again(index, lengths);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The samples to hand over.
+    pub(super) fn ready_samples(&self, limit: usize) -> Vec<Sample> {
+        let ready = self
+            .ready
+            .iter()
+            .filter_map(|&index| match self.state(index) {
+                State::Ready(sample) => Some(sample.clone()),
+                _ => None,
+            });
+        ready.take(limit).collect()
+    }
+
+    /// All attempts in progress.
+    pub(super) fn attempts(&self) -> impl Iterator<Item = AttemptKey> + '_ {
+        self.samples
+            .iter()
+            .flat_map(|state| match state {
+                State::Running(attempts) => attempts.as_slice(),
+                State::Scoring(attempt, _) => std::slice::from_ref(attempt),
+                _ => &[],
+            })
+            .copied()
+    }
+
+    fn place(&self, index: u32, is_new: bool, lengths: &Lengths) -> Place {
+        Place {
+            is_new,
+            expected_tokens: Reverse(self.expected_tokens(index, lengths)),
+            number_in_group: self.spec.key(index).index,
+            index,
+        }
+    }
+}
+
+fn oldest(version: WeightVersion, staleness_versions: u64) -> WeightVersion {
+    WeightVersion(version.0.saturating_sub(staleness_versions))
+}
--- a/crates/rollout/src/error.rs
+++ b/crates/rollout/src/error.rs
@@ -19,6 +19,8 @@
     CursorBeyondStep { index: u32, samples: u32 },
     #[error("the step has no samples")]
     Empty,
+    #[error("the step has more samples than a coordinator takes")]
+    TooLarge,
 }
 
 impl Error {
--- /dev/null
+++ b/crates/rollout/src/length.rs
@@ -0,0 +1,47 @@
+//! Expected lengths of samples, learned by prompt.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use wisteriapoint_types::hash64;
+
+const MAX_PROMPTS: usize = 1 << 16;
+const SMOOTHING: f64 = 0.5;
+
+/// Lengths of the prompts' latest samples; the oldest prompts are forgotten.
+#[derive(Debug, Default)]
+pub(crate) struct Lengths {
+    tokens: BTreeMap<u64, f64>,
+    order: VecDeque<u64>,
+}
+
+impl Lengths {
+    /// The expected length, at most `max_tokens`, which also stands for an unknown prompt.
+    pub(crate) fn expected(&self, prompt: &str, max_tokens: u32) -> u32 {
+        let known = self.tokens.get(&hash(prompt));
+        known.map_or(max_tokens, |tokens| (tokens.ceil() as u32).min(max_tokens))
+    }
+
+    /// Takes the length of a finished sample.
+    pub(crate) fn learn(&mut self, prompt: &str, tokens: u32) {
+        let hash = hash(prompt);
+        let tokens = f64::from(tokens);
+        match self.tokens.get_mut(&hash) {
+            Some(known) => *known += SMOOTHING * (tokens - *known),
+            None => self.insert(hash, tokens),
+        }
+    }
+
+    fn insert(&mut self, hash: u64, tokens: f64) {
+        self.tokens.insert(hash, tokens);
+        self.order.push_back(hash);
+        if self.order.len() > MAX_PROMPTS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.tokens.remove(&oldest);
+        }
+    }
+}
+
+fn hash(prompt: &str) -> u64 {
+    hash64(0, prompt.as_bytes())
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -9,14 +9,24 @@
 //! # Ok::<(), wisteriapoint_rollout::Error>(())
 //! ```
 
+pub mod attempt;
 pub mod coordinator;
 pub mod cursor;
 pub mod error;
+mod length;
+pub mod progress;
 pub mod sample;
+mod speed;
 pub mod step;
+pub mod task;
+pub mod window;
 
-pub use coordinator::{Coordinator, Pulled, Task};
+pub use attempt::{AttemptKey, Begun};
+pub use coordinator::{Coordinator, IDLE_MS};
 pub use cursor::Cursor;
 pub use error::Error;
+pub use progress::Progress;
 pub use sample::{Sample, SampleKey, Span};
 pub use step::{StepId, StepSpec};
+pub use task::{Pulled, ScoreTask, Task};
+pub use window::Window;
--- /dev/null
+++ b/crates/rollout/src/speed.rs
@@ -0,0 +1,47 @@
+//! Measured speeds of engines.
+
+use std::collections::BTreeMap;
+
+use wisteriapoint_types::EndpointName;
+
+const SMOOTHING: f64 = 0.2;
+const MAX_ENGINES: usize = 1 << 13;
+
+/// Milliseconds per token by engine of one service.
+#[derive(Debug, Default)]
+pub(crate) struct Speeds {
+    ms_per_token: BTreeMap<EndpointName, f64>,
+}
+
+impl Speeds {
+    /// Takes the time of a finished sample.
+    pub(crate) fn learn(&mut self, endpoint: &EndpointName, elapsed_ms: u64, tokens: u32) {
+        let sample = elapsed_ms.max(1) as f64 / f64::from(tokens.max(1));
+        let is_full = self.ms_per_token.len() >= MAX_ENGINES;
+        match self.ms_per_token.get_mut(endpoint) {
+            Some(known) => *known += SMOOTHING * (sample - *known),
+            None if is_full => {}
+            None => _ = self.ms_per_token.insert(endpoint.clone(), sample),
+        }
+    }
+
+    /// The speed of one engine, if it has finished a sample.
+    pub(crate) fn get(&self, endpoint: &EndpointName) -> Option<f64> {
+        self.ms_per_token.get(endpoint).copied()
+    }
+
+    /// The speed that a quarter of the known engines reach.
+    pub(crate) fn fast(&self) -> Option<f64> {
+        let mut speeds: Vec<f64> = self.ms_per_token.values().copied().collect();
+        speeds.sort_by(f64::total_cmp);
+        speeds.get(speeds.len() / 4).copied()
+    }
+
+    /// The engines that are slower than `ms_per_token`.
+    pub(crate) fn slower(&self, ms_per_token: f64) -> impl Iterator<Item = &EndpointName> {
+        let engines = self.ms_per_token.iter();
+        engines
+            .filter(move |&(_, &speed)| speed > ms_per_token)
+            .map(|(endpoint, _)| endpoint)
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/window.rs
@@ -0,0 +1,64 @@
+//! How many samples a coordinator has in flight.
+
+const START: f64 = 64.0;
+const BACKOFF: f64 = 0.7;
+const BACKOFF_PAUSE_MS: u64 = 1_000;
+
+/// A window that grows while the fleet takes work and shrinks when it refuses some.
+///
+/// ```
+/// use wisteriapoint_rollout::Window;
+///
+/// let mut window = Window::new();
+/// window.set_most(1_000);
+/// let before = window.limit();
+/// window.refused(2_000);
+/// assert!(window.limit() < before);
+/// ```
+#[derive(Debug)]
+pub struct Window {
+    limit: f64,
+    most: f64,
+    refused_at_ms: u64,
+}
+
+impl Window {
+    /// Makes a window for a fleet of unknown size.
+    pub fn new() -> Self {
+        Self {
+            limit: START,
+            most: START,
+            refused_at_ms: 0,
+        }
+    }
+
+    /// Sets the number of requests that all engines together run at once.
+    pub fn set_most(&mut self, requests: usize) {
+        self.most = requests.max(1) as f64;
+        self.limit = self.limit.min(self.most);
+    }
+
+    /// Takes the news that a sample was finished.
+    pub fn answered(&mut self) {
+        self.limit = (self.limit + 1.0).min(self.most);
+    }
+
+    /// Takes the news that a sample was refused or failed.
+    pub fn refused(&mut self, now_ms: u64) {
+        if now_ms >= self.refused_at_ms + BACKOFF_PAUSE_MS {
+            self.refused_at_ms = now_ms;
+            self.limit = (self.limit * BACKOFF).max(1.0);
+        }
+    }
+
+    /// Samples that may be in flight.
+    pub fn limit(&self) -> usize {
+        self.limit as usize
+    }
+}
+
+impl Default for Window {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/freshness.rs
@@ -0,0 +1,89 @@
+//! No sample is older than its bound at hand-over.
+
+mod common;
+
+use common::{begun, finish_all, id, sample, spec};
+use wisteriapoint_rollout::{Coordinator, Cursor, Progress, Pulled};
+use wisteriapoint_types::WeightVersion;
+
+fn coordinator(staleness_versions: u64) -> Coordinator {
+    let mut coordinator = Coordinator::new();
+    let spec = spec(1, staleness_versions);
+    let put = coordinator.put(0, id("t"), spec, &Cursor::new());
+    put.expect("a valid step");
+    coordinator
+}
+
+fn pull(coordinator: &mut Coordinator, version: u64) -> Pulled {
+    let version = WeightVersion(version);
+    let pulled = coordinator.pull(0, &id("t"), &Cursor::new(), version, 256);
+    pulled.expect("a known step")
+}
+
+type Case = (u64, &'static [(u64, u32)], u64, bool);
+
+#[test]
+fn the_bound_counts_from_the_version_in_the_pull() {
+    // Bound, spans of versions and tokens, version of the pull, whether it is handed over.
+    let cases: [Case; 8] = [
+        (0, &[(3, 10)], 3, true),
+        (0, &[(3, 10)], 4, false),
+        (1, &[(3, 10)], 4, true),
+        (1, &[(3, 10)], 5, false),
+        (1, &[(3, 1), (4, 9)], 4, true),
+        (1, &[(3, 1), (4, 9)], 5, false),
+        (1, &[(4, 9), (3, 1)], 5, false),
+        (0, &[(5, 10)], 4, true),
+    ];
+    for (bound, spans, version, is_fresh) in cases {
+        let mut coordinator = coordinator(bound);
+        let task = coordinator.take_tasks(0, 1).remove(0);
+        coordinator.finish(0, task.attempt, Some(sample(task.key, spans)));
+        let pulled = pull(&mut coordinator, version);
+        assert_eq!(pulled.samples.len(), usize::from(is_fresh), "{spans:?}");
+        let next = coordinator.take_tasks(0, 1).remove(0);
+        assert_eq!(next.key == task.key, !is_fresh, "first in line: {spans:?}");
+    }
+}
+
+#[test]
+fn a_sample_in_flight_that_can_no_longer_be_fresh_is_cancelled() {
+    // Version of the first tokens, version of the pull, whether it goes on.
+    for (first, version, goes_on) in [(3, 3, true), (3, 4, true), (3, 5, false)] {
+        let mut coordinator = coordinator(1);
+        let tasks = coordinator.take_tasks(0, 2);
+        coordinator.begun(0, tasks[0].attempt, begun("engine-1", first));
+        pull(&mut coordinator, version);
+        let cancelled = coordinator.take_cancelled();
+        assert_eq!(cancelled.is_empty(), goes_on);
+        let again = coordinator.take_tasks(0, 2);
+        assert_eq!(again.is_empty(), goes_on);
+        assert!(again.iter().all(|task| task.key == tasks[0].key));
+        let oldest = WeightVersion(version - 1);
+        assert!(again.iter().all(|task| task.oldest_version == oldest));
+    }
+}
+
+#[test]
+fn an_attempt_that_begins_too_old_is_cancelled_at_once() {
+    let mut coordinator = coordinator(1);
+    let task = coordinator.take_tasks(0, 1).remove(0);
+    pull(&mut coordinator, 5);
+    coordinator.begun(0, task.attempt, begun("engine-1", 3));
+    assert_eq!(coordinator.take_cancelled(), [task.attempt]);
+}
+
+#[test]
+fn an_answer_for_a_version_that_the_trainer_has_left_is_dropped() {
+    let mut coordinator = coordinator(0);
+    let tasks = coordinator.take_tasks(0, 2);
+    finish_all(&mut coordinator, &tasks, 3);
+    let on_its_way = pull(&mut coordinator, 3);
+    let mut progress = Progress::new(WeightVersion(4));
+    assert_eq!(progress.accept(on_its_way), None);
+    assert!(pull(&mut coordinator, 4).samples.is_empty());
+    let tasks = coordinator.take_tasks(0, 2);
+    finish_all(&mut coordinator, &tasks, 4);
+    let samples = progress.accept(pull(&mut coordinator, 4));
+    assert_eq!(samples.map(|samples| samples.len()), Some(2));
+}
--- /dev/null
+++ b/crates/rollout/tests/model.rs
@@ -0,0 +1,298 @@
+//! Coordinators and a trainer under losses, duplicates, restarts and new versions.
+//!
+//! `PROPTEST_CASES` and `PROPTEST_RNG_SEED` run more cases, or others.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::{begun, id, sample};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use wisteriapoint_rollout::{
+    Coordinator, Cursor, Progress, Pulled, SampleKey, ScoreTask, StepSpec, Task,
+};
+use wisteriapoint_types::{ServiceName, WeightVersion};
+
+const SEED: u64 = 0x5eed;
+const CASES: u32 = 256;
+const STALENESS_VERSIONS: u64 = 1;
+const MAX_ROUNDS: usize = 100;
+
+fn spec() -> StepSpec {
+    let mut spec = common::spec(4, STALENESS_VERSIONS);
+    spec.scorer = Some(ServiceName::new("judge"));
+    spec
+}
+
+#[derive(Debug, Clone)]
+enum Transition {
+    Dispatch(usize),
+    Begin(usize),
+    Finish { pick: usize, succeeds: bool },
+    Score { pick: usize, succeeds: bool },
+    SwapEngine,
+    Pull { on_first: bool, limit: usize },
+    Deliver { pick: usize, keep: bool },
+    LoseAnswer(usize),
+    Publish,
+    Checkpoint,
+    RestartTrainer,
+    RestartCoordinator { first: bool },
+    Wait(u64),
+}
+
+/// The faults need no state of their own: any may come at any time.
+struct Faults;
+
+impl ReferenceStateMachine for Faults {
+    type State = ();
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<Transition> {
+        let pick = || 0..16_usize;
+        prop_oneof![
+            6 => (1..8_usize).prop_map(Transition::Dispatch),
+            6 => pick().prop_map(Transition::Begin),
+            8 => (pick(), prop::bool::weighted(0.8))
+                .prop_map(|(pick, succeeds)| Transition::Finish { pick, succeeds }),
+            6 => (pick(), prop::bool::weighted(0.8))
+                .prop_map(|(pick, succeeds)| Transition::Score { pick, succeeds }),
+            2 => Just(Transition::SwapEngine),
+            8 => (prop::bool::weighted(0.8), 1..6_usize)
+                .prop_map(|(on_first, limit)| Transition::Pull { on_first, limit }),
+            8 => (pick(), any::<bool>())
+                .prop_map(|(pick, keep)| Transition::Deliver { pick, keep }),
+            1 => pick().prop_map(Transition::LoseAnswer),
+            2 => Just(Transition::Publish),
+            1 => Just(Transition::Checkpoint),
+            1 => Just(Transition::RestartTrainer),
+            1 => any::<bool>().prop_map(|first| Transition::RestartCoordinator { first }),
+            2 => (1..100_000_u64).prop_map(Transition::Wait),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: (), _: &Transition) {
+        state
+    }
+}
+
+/// Two coordinators that may both believe to be in charge, and one trainer.
+struct Fleet {
+    now_ms: u64,
+    coordinators: [Coordinator; 2],
+    running: Vec<(usize, Task, WeightVersion)>,
+    scoring: Vec<(usize, ScoreTask)>,
+    engine: WeightVersion,
+    published: WeightVersion,
+    trainer: Trainer,
+    saved: Trainer,
+    answers: Vec<Pulled>,
+}
+
+#[derive(Clone)]
+struct Trainer {
+    progress: Progress,
+    accepted: Vec<SampleKey>,
+}
+
+impl Fleet {
+    fn pull(&mut self, number: usize, limit: usize) {
+        let Progress { cursor, version } = self.trainer.progress.clone();
+        let coordinator = &mut self.coordinators[number];
+        match coordinator.pull(self.now_ms, &id("t"), &cursor, version, limit) {
+            Ok(pulled) => self.answers.push(pulled),
+            Err(error) => {
+                assert!(error.is_unknown_step());
+                let put = coordinator.put(self.now_ms, id("t"), spec(), &cursor);
+                put.expect("the same step");
+            }
+        }
+    }
+
+    fn deliver(&mut self, pulled: Pulled) {
+        let Some(samples) = self.trainer.progress.accept(pulled) else {
+            return;
+        };
+        let version = self.trainer.progress.version;
+        for sample in samples {
+            let age = version.0.saturating_sub(sample.oldest_version().0);
+            assert!(age <= STALENESS_VERSIONS, "a sample is {age} versions old");
+            self.trainer.accepted.push(sample.key);
+        }
+    }
+
+    fn dispatch(&mut self, limit: usize) {
+        for (number, coordinator) in self.coordinators.iter_mut().enumerate() {
+            let tasks = coordinator.take_tasks(self.now_ms, limit);
+            let tasks = tasks.into_iter().map(|task| (number, task, self.engine));
+            self.running.extend(tasks);
+        }
+    }
+
+    fn begin(&mut self, pick: usize) {
+        if let Some((number, task, version)) = self.running.get(pick) {
+            let begun = begun("engine-1", version.0);
+            self.coordinators[*number].begun(self.now_ms, task.attempt, begun);
+        }
+    }
+
+    fn finish(&mut self, pick: usize, succeeds: bool) {
+        if pick >= self.running.len() {
+            return;
+        }
+        let (number, task, begun_at) = self.running.swap_remove(pick);
+        let spans = [(begun_at.0, 3), (self.engine.0, 2)];
+        let sample = succeeds.then(|| sample(task.key, &spans));
+        let coordinator = &mut self.coordinators[number];
+        coordinator.finish(self.now_ms, task.attempt, sample);
+        let tasks = coordinator.take_score_tasks().into_iter();
+        self.scoring.extend(tasks.map(|task| (number, task)));
+    }
+
+    fn score(&mut self, pick: usize, score: Option<f64>) {
+        if pick < self.scoring.len() {
+            let (number, task) = self.scoring.swap_remove(pick);
+            self.coordinators[number].scored(&task, score);
+        }
+    }
+
+    fn restart(&mut self, number: usize) {
+        self.coordinators[number] = Coordinator::new();
+        self.running.retain(|(other, ..)| *other != number);
+        self.scoring.retain(|(other, _)| *other != number);
+    }
+
+    /// One round without faults.
+    fn settle(&mut self) {
+        self.engine = self.published;
+        self.pull(0, 256);
+        if let Some(answer) = self.answers.pop() {
+            self.deliver(answer);
+        }
+        self.dispatch(256);
+        while !self.running.is_empty() {
+            self.finish(0, true);
+        }
+        while !self.scoring.is_empty() {
+            self.score(0, Some(1.0));
+        }
+    }
+}
+
+impl StateMachineTest for Fleet {
+    type SystemUnderTest = Self;
+    type Reference = Faults;
+
+    fn init_test(_: &()) -> Self {
+        let trainer = Trainer {
+            progress: Progress::new(WeightVersion(1)),
+            accepted: Vec::new(),
+        };
+        let mut coordinators = [Coordinator::new(), Coordinator::new()];
+        for coordinator in &mut coordinators {
+            coordinator.set_service(spec().service, 12, 0.5);
+        }
+        Self {
+            now_ms: 0,
+            coordinators,
+            running: Vec::new(),
+            scoring: Vec::new(),
+            engine: WeightVersion(1),
+            published: WeightVersion(1),
+            saved: trainer.clone(),
+            trainer,
+            answers: Vec::new(),
+        }
+    }
+
+    fn apply(mut fleet: Self, _: &(), transition: Transition) -> Self {
+        match transition {
+            Transition::Dispatch(limit) => fleet.dispatch(limit),
+            Transition::Begin(pick) => fleet.begin(pick),
+            Transition::Finish { pick, succeeds } => fleet.finish(pick, succeeds),
+            Transition::Score { pick, succeeds } => {
+                fleet.score(pick, succeeds.then_some(1.0));
+            }
+            Transition::SwapEngine => fleet.engine = fleet.published,
+            Transition::Pull { on_first, limit } => fleet.pull(usize::from(!on_first), limit),
+            Transition::Deliver { pick, keep } if pick < fleet.answers.len() => {
+                let answer = match keep {
+                    true => fleet.answers[pick].clone(),
+                    false => fleet.answers.swap_remove(pick),
+                };
+                fleet.deliver(answer);
+            }
+            Transition::LoseAnswer(pick) if pick < fleet.answers.len() => {
+                fleet.answers.swap_remove(pick);
+            }
+            Transition::Deliver { .. } | Transition::LoseAnswer(_) => {}
+            Transition::Publish => {
+                fleet.published.0 += 1;
+                fleet.trainer.progress.version = fleet.published;
+            }
+            Transition::Checkpoint => fleet.saved = fleet.trainer.clone(),
+            Transition::RestartTrainer => {
+                fleet.trainer = fleet.saved.clone();
+                fleet.answers.clear();
+            }
+            Transition::RestartCoordinator { first } => fleet.restart(usize::from(!first)),
+            Transition::Wait(wait_ms) => {
+                fleet.now_ms += wait_ms;
+                for coordinator in &mut fleet.coordinators {
+                    coordinator.forget_idle(fleet.now_ms);
+                }
+            }
+        }
+        fleet
+    }
+
+    fn check_invariants(fleet: &Self, _: &()) {
+        let keys: BTreeSet<_> = fleet.trainer.accepted.iter().collect();
+        assert_eq!(
+            keys.len(),
+            fleet.trainer.accepted.len(),
+            "a sample came twice"
+        );
+        let cursor = &fleet.trainer.progress.cursor;
+        assert_eq!(cursor.len(), keys.len());
+        assert!(keys.iter().all(|&&key| cursor.contains(spec().index(key))));
+        for coordinator in &fleet.coordinators {
+            assert!(coordinator.in_flight() <= 2 * spec().samples() as usize);
+        }
+    }
+
+    fn teardown(mut fleet: Self, _: ()) {
+        fleet.answers.clear();
+        fleet.trainer.progress.version = fleet.trainer.progress.version.max(fleet.published);
+        let samples = spec().samples() as usize;
+        for _ in 0..MAX_ROUNDS {
+            if fleet.trainer.accepted.len() == samples {
+                break;
+            }
+            fleet.settle();
+        }
+        assert_eq!(fleet.trainer.accepted.len(), samples, "the step stalls");
+        Self::check_invariants(&fleet, &());
+        let cursor: Cursor = fleet.trainer.progress.cursor;
+        assert_eq!(cursor.to_string(), format!("0-{}", samples - 1));
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        .. Config::default()
+    })]
+
+    #[test]
+    fn each_sample_is_accepted_once_and_the_step_ends(sequential 1..120 => Fleet);
+}
--- /dev/null
+++ b/crates/rollout/tests/stragglers.rs
@@ -0,0 +1,171 @@
+//! Order of dispatch, second copies, fair shares.
+
+mod common;
+
+use common::{begun, id, sample, spec};
+use wisteriapoint_rollout::{Coordinator, Cursor, StepSpec, Task, Window};
+use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
+
+fn put(coordinator: &mut Coordinator, trainer: &str, spec: StepSpec) {
+    let put = coordinator.put(0, id(trainer), spec, &Cursor::new());
+    put.expect("a valid step");
+}
+
+fn run(coordinator: &mut Coordinator, now_ms: u64, task: &Task, endpoint: &str, tokens: u32) {
+    coordinator.begun(now_ms, task.attempt, begun(endpoint, 1));
+    let at_ms = now_ms + u64::from(tokens) * 10;
+    let sample = sample(task.key, &[(1, tokens)]);
+    coordinator.finish(at_ms, task.attempt, Some(sample));
+}
+
+#[test]
+fn one_of_each_group_goes_first_and_then_the_long_groups() {
+    let mut coordinator = Coordinator::new();
+    let spec = StepSpec {
+        samples_per_prompt: 3,
+        ..spec(3, 1)
+    };
+    put(&mut coordinator, "t", spec);
+    let probes = coordinator.take_tasks(0, 3);
+    let places: Vec<_> = probes.iter().map(|t| (t.key.group, t.key.index)).collect();
+    assert_eq!(places, [(0, 0), (1, 0), (2, 0)]);
+    for (task, tokens) in probes.iter().zip([20, 90, 50]) {
+        run(&mut coordinator, 0, task, "engine-1", tokens);
+    }
+    let rest = coordinator.take_tasks(0, 9);
+    let groups: Vec<_> = rest.iter().map(|task| task.key.group).collect();
+    assert_eq!(groups, [1, 1, 2, 2, 0, 0]);
+    assert_eq!(rest[0].expected_tokens, 90);
+}
+
+/// A step whose last sample is on a slow engine, while a fast one is known.
+fn with_straggler(hedge_ratio: f64) -> (Coordinator, Task) {
+    let mut coordinator = Coordinator::new();
+    let service = ServiceName::new("advisor-lm");
+    coordinator.set_service(service, 64, hedge_ratio);
+    put(&mut coordinator, "t", spec(8, 1));
+    let mut tasks = coordinator.take_tasks(0, 16);
+    let straggler = tasks.pop().expect("16 tasks");
+    for task in &tasks {
+        run(&mut coordinator, 0, task, "fast", 40);
+    }
+    coordinator.begun(0, straggler.attempt, begun("slow", 1));
+    (coordinator, straggler)
+}
+
+#[test]
+fn a_straggler_gets_one_second_copy_on_another_engine() {
+    let (mut coordinator, straggler) = with_straggler(0.1);
+    // The speed of `slow` is not known; the copy in progress counts as fast until it is late.
+    assert!(coordinator.take_tasks(300, 9).is_empty());
+    let copies = coordinator.take_tasks(2_000, 9);
+    assert_eq!(copies.len(), 1);
+    assert_eq!(copies[0].key, straggler.key);
+    assert_eq!(copies[0].avoid, [EndpointName::new("slow")]);
+    assert!(coordinator.take_tasks(9_000, 9).is_empty());
+}
+
+#[test]
+fn second_copies_stay_within_their_budget() {
+    for (hedge_ratio, copies) in [(0.0, 0), (0.01, 0), (0.1, 1)] {
+        let (mut coordinator, _) = with_straggler(hedge_ratio);
+        assert_eq!(coordinator.take_tasks(2_000, 9).len(), copies);
+    }
+}
+
+#[test]
+fn no_second_copy_goes_before_a_first_one() {
+    let mut coordinator = Coordinator::new();
+    coordinator.set_service(ServiceName::new("advisor-lm"), 64, 1.0);
+    put(&mut coordinator, "t", spec(2, 1));
+    let tasks = coordinator.take_tasks(0, 2);
+    run(&mut coordinator, 0, &tasks[0], "fast", 10);
+    coordinator.begun(0, tasks[1].attempt, begun("slow", 1));
+    for limit in [1, 1, 1] {
+        let next = coordinator.take_tasks(60_000, limit);
+        let is_copy = next[0].key == tasks[1].key;
+        assert_eq!(is_copy, coordinator.in_flight() == 4);
+    }
+}
+
+#[test]
+fn of_two_copies_that_both_finish_the_first_counts() {
+    for first in [0, 1] {
+        let (mut coordinator, straggler) = with_straggler(0.1);
+        let copy = coordinator.take_tasks(2_000, 9).remove(0);
+        let both = [straggler.attempt, copy.attempt];
+        let (winner, loser) = (both[first], both[1 - first]);
+        let mut expected = sample(straggler.key, &[(1, 40)]);
+        coordinator.finish(2_100, winner, Some(expected.clone()));
+        assert_eq!(coordinator.take_cancelled(), [loser]);
+        expected.text = "late".into();
+        coordinator.finish(2_200, loser, Some(expected));
+        let version = WeightVersion(1);
+        let pulled = coordinator.pull(2_300, &id("t"), &Cursor::new(), version, 99);
+        let samples = pulled.expect("a known step").samples;
+        assert_eq!(samples.len(), 16);
+        assert!(samples.iter().all(|sample| &*sample.text == "text"));
+    }
+}
+
+#[test]
+fn a_copy_that_fails_leaves_the_other() {
+    let (mut coordinator, straggler) = with_straggler(0.1);
+    let copy = coordinator.take_tasks(2_000, 9).remove(0);
+    coordinator.finish(2_100, straggler.attempt, None);
+    assert!(coordinator.take_cancelled().is_empty());
+    coordinator.finish(2_200, copy.attempt, None);
+    assert_eq!(coordinator.take_tasks(2_300, 9).len(), 1);
+}
+
+#[test]
+fn trainers_take_turns_by_tokens() {
+    let mut coordinator = Coordinator::new();
+    let long = StepSpec {
+        max_tokens: 300,
+        ..spec(50, 1)
+    };
+    put(&mut coordinator, "long", long);
+    put(&mut coordinator, "short", spec(50, 1));
+    let tasks = coordinator.take_tasks(0, 40);
+    let of = |trainer: &str| {
+        let tasks = tasks.iter().filter(|t| t.id.trainer.as_str() == trainer);
+        tasks.count()
+    };
+    assert_eq!((of("long"), of("short")), (10, 30));
+}
+
+#[test]
+fn the_window_follows_the_fleet() {
+    let mut window = Window::new();
+    window.set_most(500);
+    for _ in 0..1_000 {
+        window.answered();
+    }
+    assert_eq!(window.limit(), 500);
+    window.refused(5_000);
+    window.refused(5_001);
+    assert_eq!(window.limit(), 350, "one refusal a second counts");
+    window.set_most(9);
+    assert_eq!(window.limit(), 9);
+}
+
+#[test]
+fn samples_in_flight_stay_within_the_window() {
+    let mut coordinator = Coordinator::new();
+    coordinator.set_service(ServiceName::new("advisor-lm"), 8, 0.0);
+    put(&mut coordinator, "t", spec(50, 1));
+    let tasks = coordinator.take_tasks(0, 99);
+    assert_eq!(tasks.len(), 8);
+    assert!(coordinator.take_tasks(0, 99).is_empty());
+    run(&mut coordinator, 0, &tasks[0], "engine-1", 10);
+    coordinator.finish(5_000, tasks[1].attempt, None);
+    assert_eq!(
+        coordinator.take_tasks(5_000, 99).len(),
+        0,
+        "5 may be in flight, 6 are"
+    );
+    coordinator.finish(5_000, tasks[2].attempt, None);
+    coordinator.finish(5_000, tasks[3].attempt, None);
+    assert_eq!(coordinator.take_tasks(5_000, 99).len(), 1);
+}
--- a/crates/stand-in/src/trainer.rs
+++ b/crates/stand-in/src/trainer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use wisteriapoint_rollout::{Cursor, Pulled, Sample, StepSpec};
+use wisteriapoint_rollout::{Cursor, Progress, Pulled, Sample, StepSpec};
 use wisteriapoint_types::WeightVersion;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -68,17 +68,28 @@
 
     /// Puts a step and pulls until all its samples are here.
     pub async fn run_step(&mut self, step: u64, spec: &StepSpec) -> Received {
-        let mut received = Received::default();
-        while received.samples.len() < spec.samples() as usize {
-            match self.pull(step, &received.cursor).await {
-                Some(pulled) if pulled.from == received.cursor => {
-                    received.samples.extend(pulled.samples);
-                    received.cursor = pulled.cursor;
+        self.resume_step(step, spec, Received::default()).await
+    }
+
+    /// Goes on with a step from what was received before.
+    pub async fn resume_step(&mut self, step: u64, spec: &StepSpec, before: Received) -> Received {
+        let mut received = before;
+        let mut progress = Progress {
+            cursor: received.cursor,
+            version: self.version,
+        };
+        while progress.cursor.len() < spec.samples() as usize {
+            match self.pull(step, &progress.cursor).await {
+                Some(pulled) => {
+                    let samples = progress.accept(pulled);
+                    received.samples.extend(samples.unwrap_or_default());
                 }
-                Some(_) => {}
-                None => self.put(step, spec, &received.cursor).await,
+                None => self.put(step, spec, &progress.cursor).await,
             }
         }
+        // Lets the coordinator forget the step; a lost call only delays that.
+        self.pull(step, &progress.cursor).await;
+        received.cursor = progress.cursor;
         received
     }
 
--- a/crates/wisteriapoint/src/daemon/control/mod.rs
+++ b/crates/wisteriapoint/src/daemon/control/mod.rs
@@ -16,13 +16,14 @@
 use wisteriapoint_claim::Holder;
 use wisteriapoint_membership::{Member, Patience, Probe, Roster, View};
 use wisteriapoint_peer::Datagrams;
-use wisteriapoint_rollout::{Coordinator, Sample, SampleKey, StepId};
+use wisteriapoint_rollout::{AttemptKey, ScoreTask};
 use wisteriapoint_types::MemberId;
 
 use self::relay::Relay;
-use super::message::{Digest, Question, Reply};
+use self::rollouts::{Pull, Rollouts};
+use super::message::{Digest, Generated, Question, Reply};
 use super::snapshot::Snapshot;
-use super::{Shared, generate, probe};
+use super::{Shared, probe};
 
 /// Commands that control may have waiting.
 pub const COMMANDS: usize = 4_096;
@@ -46,8 +47,10 @@
     Digest(SocketAddr, Digest),
     /// An exchange with a peer has ended.
     Exchanged(SocketAddr),
-    /// A sample is finished, or its generation failed.
-    Finished(StepId, SampleKey, Option<Sample>),
+    /// An attempt at a sample has ended.
+    Finished(AttemptKey, Generated),
+    /// A sample has its score, or will not get one.
+    Scored(Box<ScoreTask>, Option<f64>),
 }
 
 /// State that only the control thread touches.
@@ -60,8 +63,7 @@
     roster: Roster,
     relay: Relay,
     holder: Holder,
-    coordinator: Coordinator,
-    running_samples: usize,
+    rollouts: Rollouts,
     ticks: u64,
 }
 
@@ -81,8 +83,7 @@
             roster: Roster::new(Patience::default()),
             relay: Relay::new(datagrams, seed_peers),
             holder: Holder::new(),
-            coordinator: Coordinator::new(),
-            running_samples: 0,
+            rollouts: Rollouts::new(),
             ticks: 0,
         }
     }
@@ -111,7 +112,8 @@
             Command::Probed(id, probe) => self.roster.take_probe(id, probe),
             Command::Digest(from, digest) => self.take_digest(from, digest),
             Command::Exchanged(with) => self.relay.end_exchange(with),
-            Command::Finished(id, key, sample) => self.finish_sample(&id, key, sample),
+            Command::Finished(attempt, generated) => self.finish_attempt(attempt, generated),
+            Command::Scored(task, score) => self.take_score(&task, score),
         }
     }
 
@@ -125,17 +127,30 @@
                 cursor,
                 version,
                 limit,
-            } => self.answer_pull(&id, &cursor, version, limit),
+                wait_ms,
+            } => {
+                let pull = Pull {
+                    id,
+                    cursor,
+                    version,
+                    limit: limit as usize,
+                };
+                return self.answer_pull(pull, wait_ms, sender);
+            }
             Question::Ping => Reply::Pong {
                 stopping: self.shared.is_draining(),
             },
             Question::Probe(id) => return probe::spawn_answer(&self.shared, id, sender),
             Question::Sync { view, known } => self.answer_sync(view, &known),
             Question::Offer { view, update } => self.answer_offer(view, update),
-            Question::Generate(task) => {
-                let shared = Arc::clone(&self.shared);
-                return generate::spawn_sample(shared, task, sender);
+            Question::Generate { coordinator, task } => {
+                return self.generate(coordinator, task, sender);
             }
+            Question::Begun { attempt, begun } => self.answer_begun(attempt, begun),
+            Question::Cancel {
+                coordinator,
+                attempt,
+            } => self.answer_cancel(coordinator, attempt),
         };
         // The asker may have given up; then nobody needs the reply.
         let _ = sender.send(reply);
@@ -146,7 +161,7 @@
         self.tick_claims();
         self.tick_members();
         self.tick_relay();
-        self.start_samples();
+        self.tick_rollouts();
     }
 
     fn publish(&mut self) {
--- a/crates/wisteriapoint/src/daemon/control/rollouts.rs
+++ b/crates/wisteriapoint/src/daemon/control/rollouts.rs
@@ -1,43 +1,216 @@
-//! Control's part in rollouts: the steps that this daemon coordinates.
+//! Control's part in rollouts: the steps that this daemon coordinates, and the samples that
+//! it generates for others.
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
 
-use wisteriapoint_rollout::{Cursor, Sample, SampleKey, StepId, StepSpec};
-use wisteriapoint_types::WeightVersion;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use wisteriapoint_rollout::{
+    AttemptKey, Begun, Coordinator, Cursor, ScoreTask, StepId, StepSpec, Task,
+};
+use wisteriapoint_settings::ServiceKind;
+use wisteriapoint_types::{MemberId, WeightVersion};
 
 use super::Control;
-use crate::daemon::message::Reply;
-use crate::daemon::rollouts;
+use crate::daemon::message::{Generated, Reply};
+use crate::daemon::{rollouts, sample, score};
 
-const SAMPLES_IN_FLIGHT: usize = 64;
+const TASKS_PER_TICK: usize = 256;
+const UPKEEP_EVERY_TICKS: u64 = 50;
+
+/// What control keeps for rollouts.
+#[derive(Debug)]
+pub(super) struct Rollouts {
+    coordinator: Coordinator,
+    dispatched: BTreeMap<AttemptKey, AbortHandle>,
+    generating: BTreeMap<(MemberId, AttemptKey), AbortHandle>,
+    pulls: Vec<WaitingPull>,
+}
+
+/// A trainer's pull.
+#[derive(Debug)]
+pub(super) struct Pull {
+    pub(super) id: StepId,
+    pub(super) cursor: Cursor,
+    pub(super) version: WeightVersion,
+    pub(super) limit: usize,
+}
+
+#[derive(Debug)]
+struct WaitingPull {
+    pull: Pull,
+    until_ms: u64,
+    reply: oneshot::Sender<Reply>,
+}
+
+impl Rollouts {
+    pub(super) fn new() -> Self {
+        Self {
+            coordinator: Coordinator::new(),
+            dispatched: BTreeMap::new(),
+            generating: BTreeMap::new(),
+            pulls: Vec::new(),
+        }
+    }
+}
 
 impl Control {
     pub(super) fn answer_put(&mut self, id: StepId, spec: StepSpec, cursor: &Cursor) -> Reply {
-        Reply::Put(self.coordinator.put(id, spec, cursor))
+        let now_ms = self.shared.clock.now_ms();
+        self.take_fleets();
+        Reply::Put(self.rollouts.coordinator.put(now_ms, id, spec, cursor))
+    }
+
+    pub(super) fn answer_pull(&mut self, pull: Pull, wait_ms: u64, reply: oneshot::Sender<Reply>) {
+        let waiting = WaitingPull {
+            until_ms: self.shared.clock.now_ms() + wait_ms,
+            pull,
+            reply,
+        };
+        self.try_pull(waiting);
     }
 
-    pub(super) fn answer_pull(
+    pub(super) fn answer_begun(&mut self, attempt: AttemptKey, begun: Begun) -> Reply {
+        let now_ms = self.shared.clock.now_ms();
+        self.rollouts.coordinator.begun(now_ms, attempt, begun);
+        self.abort_cancelled();
+        Reply::Noted
+    }
+
+    pub(super) fn answer_cancel(&mut self, coordinator: MemberId, attempt: AttemptKey) -> Reply {
+        if let Some(task) = self.rollouts.generating.remove(&(coordinator, attempt)) {
+            task.abort();
+        }
+        Reply::Noted
+    }
+
+    /// Generates a sample here; a repeated question takes the place of the earlier one.
+    pub(super) fn generate(
         &mut self,
-        id: &StepId,
-        cursor: &Cursor,
-        version: WeightVersion,
-        limit: u32,
-    ) -> Reply {
-        let pulled = self.coordinator.pull(id, cursor, version, limit as usize);
-        Reply::Pulled(pulled)
-    }
-
-    pub(super) fn finish_sample(&mut self, id: &StepId, key: SampleKey, sample: Option<Sample>) {
-        self.running_samples = self.running_samples.saturating_sub(1);
-        self.coordinator.finish(id, key, sample);
+        coordinator: MemberId,
+        task: Task,
+        reply: oneshot::Sender<Reply>,
+    ) {
+        if self.shared.is_draining() {
+            // The asker may have given up; then nobody needs the reply.
+            let _ = reply.send(Reply::Stopping);
+            return;
+        }
+        let key = (coordinator, task.attempt);
+        let handle = sample::spawn(&self.shared, coordinator, task, reply);
+        if let Some(earlier) = self.rollouts.generating.insert(key, handle) {
+            earlier.abort();
+        }
+    }
+
+    pub(super) fn finish_attempt(&mut self, attempt: AttemptKey, generated: Generated) {
+        let now_ms = self.shared.clock.now_ms();
+        self.rollouts.dispatched.remove(&attempt);
+        let coordinator = &mut self.rollouts.coordinator;
+        match generated {
+            Generated::Whole(sample) => coordinator.finish(now_ms, attempt, Some(sample)),
+            Generated::TooOld => coordinator.too_old(attempt),
+            Generated::Failed => coordinator.finish(now_ms, attempt, None),
+        }
+        for task in coordinator.take_score_tasks() {
+            score::spawn(&self.shared, task);
+        }
         self.start_samples();
     }
 
-    pub(super) fn start_samples(&mut self) {
-        let room = SAMPLES_IN_FLIGHT.saturating_sub(self.running_samples);
-        for task in self.coordinator.take_tasks(room) {
-            self.running_samples += 1;
-            rollouts::spawn_task(Arc::clone(&self.shared), task);
+    pub(super) fn take_score(&mut self, task: &ScoreTask, score: Option<f64>) {
+        self.rollouts.coordinator.scored(task, score);
+    }
+
+    pub(super) fn tick_rollouts(&mut self) {
+        if self.ticks.is_multiple_of(UPKEEP_EVERY_TICKS) {
+            let now_ms = self.shared.clock.now_ms();
+            self.take_fleets();
+            self.rollouts.coordinator.forget_idle(now_ms);
+            let generating = &mut self.rollouts.generating;
+            generating.retain(|_, task| !task.is_finished());
+        }
+        for waiting in std::mem::take(&mut self.rollouts.pulls) {
+            self.try_pull(waiting);
+        }
+        self.start_samples();
+    }
+
+    /// Answers a pull, or keeps it until there is something to hand over.
+    fn try_pull(&mut self, waiting: WaitingPull) {
+        if waiting.reply.is_closed() {
+            return;
+        }
+        let now_ms = self.shared.clock.now_ms();
+        let Pull {
+            id,
+            cursor,
+            version,
+            limit,
+        } = &waiting.pull;
+        let coordinator = &mut self.rollouts.coordinator;
+        let pulled = coordinator.pull(now_ms, id, cursor, *version, *limit);
+        self.abort_cancelled();
+        match &pulled {
+            Ok(pulled) if pulled.samples.is_empty() && !pulled.complete => {}
+            _ => return reply_pulled(waiting, pulled),
+        }
+        match waiting.until_ms {
+            until_ms if now_ms >= until_ms => reply_pulled(waiting, pulled),
+            _ => self.rollouts.pulls.push(waiting),
+        }
+    }
+
+    fn start_samples(&mut self) {
+        let now_ms = self.shared.clock.now_ms();
+        let tasks = self.rollouts.coordinator.take_tasks(now_ms, TASKS_PER_TICK);
+        for task in tasks {
+            let attempt = task.attempt;
+            let handle = rollouts::spawn_task(&self.shared, task);
+            self.rollouts.dispatched.insert(attempt, handle);
+        }
+        self.abort_cancelled();
+    }
+
+    fn abort_cancelled(&mut self) {
+        for attempt in self.rollouts.coordinator.take_cancelled() {
+            if let Some(task) = self.rollouts.dispatched.remove(&attempt) {
+                task.abort();
+            }
+        }
+    }
+
+    /// Tells the coordinator of the engines of each service.
+    fn take_fleets(&mut self) {
+        for (name, service) in &self.snapshot.services {
+            let document = &service.document;
+            if document.kind != ServiceKind::Model {
+                continue;
+            }
+            let endpoints = document.endpoints.iter();
+            let in_service =
+                endpoints.filter(|endpoint| !self.snapshot.leaving.contains(&endpoint.vm));
+            let requests = in_service.map(|endpoint| endpoint.max_concurrency as usize);
+            let hedge_ratio = document.rollouts.hedge_ratio;
+            let coordinator = &mut self.rollouts.coordinator;
+            coordinator.set_service(name.clone(), requests.sum(), hedge_ratio);
+        }
+    }
+}
+
+fn reply_pulled(
+    waiting: WaitingPull,
+    pulled: Result<wisteriapoint_rollout::Pulled, wisteriapoint_rollout::Error>,
+) {
+    // The asker may have given up; then its trainer pulls again with the same cursor.
+    let _ = waiting.reply.send(Reply::Pulled(pulled));
+}
+
+impl Drop for Rollouts {
+    fn drop(&mut self) {
+        let generating = self.generating.values();
+        for task in self.dispatched.values().chain(generating) {
+            task.abort();
         }
     }
 }
--- a/crates/wisteriapoint/src/daemon/generate.rs
+++ b/crates/wisteriapoint/src/daemon/generate.rs
@@ -4,22 +4,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 use wisteriapoint_gateway::{Chunk, CompletionRequest, Failure, Permit, Problem, Router};
-use wisteriapoint_rollout::{Sample, Span, Task};
+use wisteriapoint_rollout::Span;
 use wisteriapoint_route::{Class, Demand};
-use wisteriapoint_types::{Digest, ServiceName, hash64};
+use wisteriapoint_types::{Digest, EndpointName, ServiceName, hash64};
 
 use super::Shared;
-use super::message::Reply;
 
 const ATTEMPTS: usize = 3;
 const PREFIX_BYTES: usize = 256;
-const ROLLOUT_PRIORITY: i32 = 10;
 
 /// Where the tokens of a completion go.
 pub trait Sink {
+    /// Takes the news that an engine will now generate.
+    fn begin(&mut self, _endpoint: &EndpointName) {}
+
+    /// The engines that others are better than.
+    fn avoid(&self) -> &[EndpointName] {
+        &[]
+    }
+
     /// Takes some tokens; gives whether more are wanted.
     fn take(&mut self, chunk: Chunk) -> impl Future<Output = bool> + Send;
 
@@ -72,6 +77,7 @@
     let router = router.ok_or_else(|| unknown_service(service))?;
     let deadline = Instant::now() + limit;
     let mut demand = demand(&router, class, request, limit);
+    demand.tried = router.keys(sink.avoid());
     let mut attempt = 1;
     loop {
         let permit = router.acquire(demand.clone()).await?;
@@ -99,6 +105,7 @@
     sink: &mut S,
 ) -> Result<(), Failure> {
     let mut tokens = 0;
+    sink.begin(&permit.target().endpoint);
     let started = shared
         .clients
         .generate(permit.target(), request, limit)
@@ -159,38 +166,3 @@
         format!("there is no service `{service}`"),
     )
 }
-
-/// Generates a sample on this daemon and replies to the coordinator.
-pub fn spawn_sample(shared: Arc<Shared>, task: Task, reply: oneshot::Sender<Reply>) {
-    let runtime = shared.traffic.clone();
-    runtime.spawn(async move {
-        let sample = sample(&shared, task).await;
-        // The coordinator may have given up; then it has asked another daemon.
-        let _ = reply.send(Reply::Generated(sample));
-    });
-}
-
-async fn sample(shared: &Arc<Shared>, task: Task) -> Option<Sample> {
-    let service = &task.spec.service;
-    let document = Arc::clone(&shared.snapshot.load().services.get(service)?.document);
-    let limit = Duration::from_millis(document.rollouts.sample_deadline_ms);
-    let request = CompletionRequest {
-        model: service.as_str().into(),
-        prompt: task.prompt.clone(),
-        max_tokens: task.spec.max_tokens,
-        stream: true,
-        priority: ROLLOUT_PRIORITY,
-    };
-    let trainer = hash64(0, task.id.trainer.as_str().as_bytes());
-    let class = Class::Rollout { trainer };
-    let mut collected = Collected::default();
-    generate(shared, service, class, &request, limit, &mut collected)
-        .await
-        .ok()?;
-    Some(Sample {
-        key: task.key,
-        text: collected.text.into(),
-        spans: collected.spans,
-        score: None,
-    })
-}
--- a/crates/wisteriapoint/src/daemon/message.rs
+++ b/crates/wisteriapoint/src/daemon/message.rs
@@ -4,7 +4,7 @@
 use wisteriapoint_catalog::{Summary, Update};
 use wisteriapoint_claim::{Answer, Ask, Report};
 use wisteriapoint_membership::View;
-use wisteriapoint_rollout::{Cursor, Pulled, Sample, StepId, StepSpec, Task};
+use wisteriapoint_rollout::{AttemptKey, Begun, Cursor, Pulled, Sample, StepId, StepSpec, Task};
 use wisteriapoint_types::{MemberId, ViewNumber, WeightVersion};
 
 /// What one daemon asks of another; each may be repeated.
@@ -33,9 +33,30 @@
         version: WeightVersion,
         /// Most samples to hand over.
         limit: u32,
+        /// Longest wait for the first sample, in milliseconds.
+        wait_ms: u64,
     },
     /// To any daemon: generate a sample.
-    Generate(Task),
+    Generate {
+        /// The coordinator that asks.
+        coordinator: MemberId,
+        /// The sample.
+        task: Task,
+    },
+    /// To a coordinator: an attempt has its first tokens.
+    Begun {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// Where and by which version.
+        begun: Begun,
+    },
+    /// To a daemon that generates a sample: it is no longer wanted.
+    Cancel {
+        /// The coordinator that asked for it.
+        coordinator: MemberId,
+        /// The attempt.
+        attempt: AttemptKey,
+    },
     /// To any daemon: whether its control answers.
     Ping,
     /// To any daemon: whether it hears a member.
@@ -61,14 +82,14 @@
 pub enum Reply {
     /// To [`Question::Claim`].
     Claim(Answer),
-    /// To [`Question::Report`].
+    /// To a [`Question`] that needs no answer.
     Noted,
     /// To [`Question::Put`].
     Put(Result<(), wisteriapoint_rollout::Error>),
     /// To [`Question::Pull`].
     Pulled(Result<Pulled, wisteriapoint_rollout::Error>),
-    /// To [`Question::Generate`]; none if it failed.
-    Generated(Option<Sample>),
+    /// To [`Question::Generate`].
+    Generated(Generated),
     /// To [`Question::Ping`].
     Pong {
         /// Whether the daemon is stopping.
@@ -82,6 +103,17 @@
     Stopping,
 }
 
+/// How an attempt at a sample ended.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Generated {
+    /// With the whole sample.
+    Whole(Sample),
+    /// Given up, because its tokens came from a version that is too old.
+    TooOld,
+    /// Without a sample.
+    Failed,
+}
+
 /// What a daemon knows beyond the asker.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Synced {
--- a/crates/wisteriapoint/src/daemon/mod.rs
+++ b/crates/wisteriapoint/src/daemon/mod.rs
@@ -8,6 +8,8 @@
 pub mod platform;
 pub mod probe;
 pub mod rollouts;
+pub mod sample;
+pub mod score;
 pub mod shared;
 pub mod snapshot;
 pub mod start;
--- /dev/null
+++ b/crates/wisteriapoint/src/daemon/sample.rs
@@ -0,0 +1,140 @@
+//! Generation of a sample for a coordinator.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use wisteriapoint_gateway::{Chunk, CompletionRequest};
+use wisteriapoint_rollout::{Begun, Sample, Task};
+use wisteriapoint_route::Class;
+use wisteriapoint_types::{EndpointName, MemberId, hash64};
+
+use super::Shared;
+use super::generate::{Collected, Sink, generate};
+use super::message::{Generated, Question, Reply};
+
+const ROLLOUT_PRIORITY: i32 = 10;
+const BEGUN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Generates a sample on this daemon and replies to its coordinator.
+///
+/// When the task is aborted, the request to the engine is cancelled.
+pub fn spawn(
+    shared: &Arc<Shared>,
+    coordinator: MemberId,
+    task: Task,
+    mut reply: oneshot::Sender<Reply>,
+) -> AbortHandle {
+    let runtime = shared.traffic.clone();
+    let in_flight = shared.begin();
+    let shared = Arc::clone(shared);
+    let generation = runtime.spawn(async move {
+        let _in_flight = in_flight;
+        tokio::select! {
+            generated = sample(&shared, coordinator, task) => {
+                // The coordinator may have given up; then it has asked another daemon.
+                let _ = reply.send(Reply::Generated(generated));
+            }
+            () = reply.closed() => {}
+        }
+    });
+    generation.abort_handle()
+}
+
+async fn sample(shared: &Arc<Shared>, coordinator: MemberId, task: Task) -> Generated {
+    let snapshot = shared.snapshot.load_full();
+    let Some(service) = snapshot.services.get(&task.service) else {
+        return Generated::Failed;
+    };
+    let limit = Duration::from_millis(service.document.rollouts.sample_deadline_ms);
+    let request = CompletionRequest {
+        model: task.service.as_str().into(),
+        prompt: task.prompt.clone(),
+        max_tokens: task.max_tokens,
+        stream: true,
+        priority: ROLLOUT_PRIORITY,
+    };
+    let trainer = hash64(0, task.id.trainer.as_str().as_bytes());
+    let class = Class::Rollout { trainer };
+    let (service, key) = (task.service.clone(), task.key);
+    let mut tokens = Tokens::new(Arc::clone(shared), coordinator, task);
+    let ended = generate(shared, &service, class, &request, limit, &mut tokens).await;
+    match ended {
+        _ if tokens.too_old => Generated::TooOld,
+        Ok(_) => Generated::Whole(Sample {
+            key,
+            text: tokens.collected.text.into(),
+            spans: tokens.collected.spans,
+            score: None,
+        }),
+        Err(_) => Generated::Failed,
+    }
+}
+
+/// Collects the tokens of a sample, as long as they are fresh enough.
+struct Tokens {
+    shared: Arc<Shared>,
+    coordinator: MemberId,
+    task: Task,
+    endpoint: Option<EndpointName>,
+    collected: Collected,
+    too_old: bool,
+}
+
+impl Tokens {
+    fn new(shared: Arc<Shared>, coordinator: MemberId, task: Task) -> Self {
+        Self {
+            shared,
+            coordinator,
+            task,
+            endpoint: None,
+            collected: Collected::default(),
+            too_old: false,
+        }
+    }
+
+    /// Tells the coordinator which engine and version produced the first tokens.
+    fn report_begun(&self, chunk: &Chunk) {
+        let Some(endpoint) = self.endpoint.clone() else {
+            return;
+        };
+        let question = Question::Begun {
+            attempt: self.task.attempt,
+            begun: Begun {
+                endpoint,
+                version: chunk.version,
+            },
+        };
+        let (shared, coordinator) = (Arc::clone(&self.shared), self.coordinator);
+        tokio::spawn(async move {
+            // Without this, the coordinator only knows less of the sample.
+            let _ = shared.ask(coordinator, question, BEGUN_TIMEOUT).await;
+        });
+    }
+}
+
+impl Sink for Tokens {
+    fn begin(&mut self, endpoint: &EndpointName) {
+        self.endpoint = Some(endpoint.clone());
+    }
+
+    fn avoid(&self) -> &[EndpointName] {
+        &self.task.avoid
+    }
+
+    async fn take(&mut self, chunk: Chunk) -> bool {
+        if chunk.version < self.task.oldest_version {
+            self.too_old = true;
+            return false;
+        }
+        if self.collected.spans.is_empty() {
+            self.report_begun(&chunk);
+        }
+        self.collected.take(chunk).await
+    }
+
+    fn reset(&mut self) -> bool {
+        self.collected.reset()
+    }
+}
--- /dev/null
+++ b/crates/wisteriapoint/src/daemon/score.rs
@@ -0,0 +1,107 @@
+//! Scores of samples, from plain services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use reqwest::Method;
+use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep};
+use wisteriapoint_gateway::PlainRequest;
+use wisteriapoint_rollout::{SampleKey, ScoreTask};
+use wisteriapoint_route::Demand;
+
+use super::Shared;
+use super::control::Command;
+use super::generate::end_failed;
+
+const SCORE_PATH: &str = "/score";
+const SCORE_LIMIT: Duration = Duration::from_secs(60);
+const ATTEMPT_LIMIT: Duration = Duration::from_secs(10);
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Serialize)]
+struct ScoreRequest<'a> {
+    trainer: &'a str,
+    step: u64,
+    key: SampleKey,
+    prompt: &'a str,
+    text: &'a str,
+}
+
+#[derive(Debug, Deserialize)]
+struct ScoreAnswer {
+    score: f64,
+}
+
+/// Asks the scorer for a sample's score and tells control.
+///
+/// A scorer that does not answer for a minute leaves the sample without a score.
+pub fn spawn(shared: &Arc<Shared>, task: ScoreTask) {
+    let runtime = shared.traffic.clone();
+    let shared = Arc::clone(shared);
+    runtime.spawn(async move {
+        let score = score(&shared, &task).await;
+        // Control is gone only when the daemon stops.
+        let _ = shared
+            .control
+            .send(Command::Scored(Box::new(task), score))
+            .await;
+    });
+}
+
+async fn score(shared: &Arc<Shared>, task: &ScoreTask) -> Option<f64> {
+    let until = Instant::now() + SCORE_LIMIT;
+    let mut pause = FIRST_PAUSE;
+    while Instant::now() < until {
+        if let Some(score) = ask_once(shared, task).await {
+            return Some(score);
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+    log::warn!("scorer {}: no score for {}", task.scorer, task.id.trainer);
+    None
+}
+
+async fn ask_once(shared: &Arc<Shared>, task: &ScoreTask) -> Option<f64> {
+    let router = shared.routers.load().get(&task.scorer).cloned()?;
+    let demand = Demand::caller(router.deadline_ms(ATTEMPT_LIMIT));
+    let permit = router.acquire(demand).await.ok()?;
+    let request = request(task)?;
+    let sent = shared
+        .clients
+        .send_plain(permit.target(), &request, ATTEMPT_LIMIT)
+        .await;
+    match sent {
+        Ok(answer) => {
+            permit.answered(1);
+            let answered = answer.status.is_success();
+            let score: ScoreAnswer = serde_json::from_slice(&answer.body).ok()?;
+            answered.then_some(score.score)
+        }
+        Err(failure) => {
+            end_failed(permit, &failure);
+            None
+        }
+    }
+}
+
+fn request(task: &ScoreTask) -> Option<PlainRequest> {
+    let json = HeaderValue::from_static("application/json");
+    let body = ScoreRequest {
+        trainer: task.id.trainer.as_str(),
+        step: task.id.step,
+        key: task.sample.key,
+        prompt: &task.prompt,
+        text: &task.sample.text,
+    };
+    Some(PlainRequest {
+        method: Method::POST,
+        path: SCORE_PATH.into(),
+        headers: HeaderMap::from_iter([(CONTENT_TYPE, json)]),
+        body: serde_json::to_vec(&body).ok()?.into(),
+        idempotent: true,
+    })
+}
--- a/crates/wisteriapoint/src/http/steps.rs
+++ b/crates/wisteriapoint/src/http/steps.rs
@@ -5,7 +5,7 @@
 
 use salvo::{Request, Response, handler};
 use serde::Deserialize;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 use wisteriapoint_gateway::Problem;
 use wisteriapoint_rollout::{Cursor, Error, Pulled, StepId, StepSpec};
 use wisteriapoint_types::{TrainerName, WeightVersion};
@@ -15,7 +15,8 @@
 use crate::daemon::message::{Question, Reply};
 
 const COORDINATOR_TIMEOUT: Duration = Duration::from_secs(2);
-const POLL_PAUSE: Duration = Duration::from_millis(50);
+const COORDINATOR_WAIT: Duration = Duration::from_millis(500);
+const COORDINATORS: usize = 3;
 const MAX_WAIT_MS: u64 = 60_000;
 
 /// Takes a step.
@@ -108,11 +109,13 @@
         let wait = Duration::from_millis(body.wait_ms.min(MAX_WAIT_MS));
         let until = Instant::now() + wait;
         loop {
+            let left = until.saturating_duration_since(Instant::now());
             let question = Question::Pull {
                 id: id.clone(),
                 cursor: body.cursor.clone(),
                 version: body.weight_version,
                 limit: body.max_samples,
+                wait_ms: left.min(COORDINATOR_WAIT).as_millis() as u64,
             };
             let pulled = match ask_coordinator(&self.shared, &id, question).await {
                 Some(Reply::Pulled(result)) => result.map_err(problem)?,
@@ -122,16 +125,24 @@
             if has_news || Instant::now() >= until || self.shared.is_draining() {
                 return Ok(pulled);
             }
-            sleep(POLL_PAUSE).await;
         }
     }
 }
 
+/// Asks the first daemon by rank that answers; one that takes over asks for the step.
 async fn ask_coordinator(shared: &Arc<Shared>, id: &StepId, question: Question) -> Option<Reply> {
     let view = Arc::clone(&shared.snapshot.load().view);
-    let coordinators = view.coordinators(id.trainer.as_str().as_bytes());
-    let coordinator = *coordinators.first()?;
-    shared.ask(coordinator, question, COORDINATOR_TIMEOUT).await
+    let ranked = view.coordinators(id.trainer.as_str().as_bytes());
+    for &coordinator in ranked.iter().take(COORDINATORS) {
+        let reply = shared
+            .ask(coordinator, question.clone(), COORDINATOR_TIMEOUT)
+            .await;
+        match reply {
+            None | Some(Reply::Stopping) => continue,
+            reply => return reply,
+        }
+    }
+    None
 }
 
 fn step_id(request: &Request) -> Result<StepId, Problem> {
