Read engines back after each order; waves over all keepers

Cause: a keeper took any report as the end of its order, also one asked for before the order took effect; it sent the next order after 5 s whatever the engine did; a new keeper of an engine that ignores fencing ordered at once; an order that was planned before a pause was sent after it; and `loading_share` bounded each keeper alone, so eight keepers of nine engines could load all nine at once.

Change: an order is open until its call ends, and closed only by a report that was asked for after that; an engine that still reports the old version a second later is ordered again, with a growing pause. Orders carry the end of their validity, which is checked before they are sent; a new keeper waits it out where fencing is ignored. In a service of up to 64 engines, an engine loads while fewer engines before it, in an order that all daemons know, are behind than may load at once: no messages, and the sum is bounded because versions are read from the engines. An engine that stays behind holds up the others until their turn of `wave_s` has come. In a larger service each keeper takes the share of its own engines. A time slot for each engine was ruled out: it makes fast loads as slow as the bound.

--- a/crates/stand-in/src/engine.rs
+++ b/crates/stand-in/src/engine.rs
@@ -12,6 +12,8 @@
 use wisteriapoint_types::{WeightVersion, hash64};
 use wisteriapoint_weights::{Fence, Order};
 
+use crate::order_faults::{Fate, OrderFaults};
+
 /// How an engine behaves.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -58,6 +60,8 @@
     crashed: bool,
     started: u64,
     orders: Vec<Order>,
+    order_faults: OrderFaults,
+    version_before: WeightVersion,
 }
 
 #[derive(Debug, Deserialize)]
@@ -111,6 +115,16 @@
         self.lock().orders.clone()
     }
 
+    /// Sets what goes wrong with weight orders.
+    pub fn set_order_faults(&self, faults: OrderFaults) {
+        self.lock().order_faults = faults;
+    }
+
+    /// Requests that run now.
+    pub fn running(&self) -> u32 {
+        self.lock().running
+    }
+
     /// The text that a prompt's completion has.
     pub fn expected_text(prompt: &str, max_tokens: u32) -> String {
         (0..max_tokens).map(|index| token(prompt, index)).collect()
@@ -224,9 +238,11 @@
     }
 
     fn status(&self, response: &mut Response) {
-        let state = self.0.lock();
+        let mut state = self.0.lock();
+        let (version, before) = (state.version, state.version_before);
+        let version = state.order_faults.reported(version, before);
         let status = serde_json::json!({
-            "version": state.version,
+            "version": version,
             "running": state.running,
             "waiting": state.waiting,
             "draining": state.draining,
@@ -249,6 +265,14 @@
             return;
         }
         sleep(Duration::from_millis(self.0.settings.load_ms)).await;
-        self.0.lock().version = order.version;
+        let mut state = self.0.lock();
+        let fate = state.order_faults.next();
+        if fate != Fate::Fails {
+            state.version_before = state.version;
+            state.version = order.version;
+        }
+        if fate != Fate::Works {
+            response.status_code(StatusCode::INTERNAL_SERVER_ERROR);
+        }
     }
 }
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -15,13 +15,17 @@
 
 pub mod demo;
 pub mod engine;
+pub mod order_faults;
 pub mod plain;
 pub mod platform;
+pub mod scorer;
 pub mod serve;
 pub mod trainer;
 
 pub use engine::{Engine, EngineSettings};
+pub use order_faults::OrderFaults;
 pub use plain::PlainService;
 pub use platform::Platform;
+pub use scorer::Scorer;
 pub use serve::Running;
 pub use trainer::Trainer;
--- /dev/null
+++ b/crates/stand-in/src/scorer.rs
@@ -0,0 +1,56 @@
+//! A service that scores samples.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use salvo::http::StatusCode;
+use salvo::{Request, Response, Router, handler};
+
+/// A scorer; clones share its state.
+#[derive(Debug, Clone, Default)]
+pub struct Scorer {
+    failures_left: Arc<AtomicU32>,
+}
+
+impl Scorer {
+    /// Makes a scorer whose first answers fail.
+    pub fn new(failures: u32) -> Self {
+        Self {
+            failures_left: Arc::new(failures.into()),
+        }
+    }
+
+    /// The score that a text has.
+    pub fn score(text: &str) -> f64 {
+        text.len() as f64
+    }
+
+    /// The HTTP interface.
+    pub fn router(&self) -> Router {
+        Router::with_path("{**path}").goal(Api(self.clone()))
+    }
+}
+
+struct Api(Scorer);
+
+#[handler]
+impl Api {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        if let Some(id) = request.headers().get("x-request-id").cloned() {
+            response.headers_mut().insert("x-request-id", id);
+        }
+        let left = &self.0.failures_left;
+        let fewer = left.fetch_update(Ordering::AcqRel, Ordering::Acquire, |n| n.checked_sub(1));
+        let body = request.payload().await.cloned().unwrap_or_default();
+        let body: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        match body["text"].as_str() {
+            Some(text) if fewer.is_err() => {
+                let answer = serde_json::json!({ "score": Scorer::score(text) });
+                response.body(answer.to_string());
+            }
+            _ => {
+                response.status_code(StatusCode::INTERNAL_SERVER_ERROR);
+            }
+        }
+    }
+}
--- a/crates/weights/src/lib.rs
+++ b/crates/weights/src/lib.rs
@@ -4,16 +4,20 @@
 //! use wisteriapoint_types::{EndpointName, ViewNumber, WeightVersion};
 //! use wisteriapoint_weights::{Keeper, Order};
 //!
+//! let engine = EndpointName::new("engine-1");
 //! let mut keeper = Keeper::new();
-//! keeper.set_view(0, ViewNumber(3));
-//! keeper.keep(EndpointName::new("engine-1"));
-//! keeper.set_target(WeightVersion(8));
-//! let orders: Vec<Order> = keeper.plan(0, 1);
+//! keeper.set_view(ViewNumber(3));
+//! keeper.keep(0, engine.clone(), true);
+//! keeper.report(&engine, 0, WeightVersion(7));
+//! keeper.set_target(0, WeightVersion(8));
+//! let orders: Vec<Order> = keeper.plan(0, 1, |_| true);
 //! assert_eq!(orders[0].version, WeightVersion(8));
 //! ```
 
 pub mod keeper;
 pub mod order;
+pub mod wave;
 
 pub use keeper::Keeper;
 pub use order::{Fence, Order};
+pub use wave::Wave;
--- a/crates/weights/src/order.rs
+++ b/crates/weights/src/order.rs
@@ -26,4 +26,13 @@
     pub version: WeightVersion,
     /// The fencing number.
     pub fence: Fence,
+    /// When it must no longer be sent or begun, in Unix milliseconds.
+    pub valid_until_ms: u64,
+}
+
+impl Order {
+    /// Whether the order may still be sent.
+    pub fn is_valid(&self, now_ms: u64) -> bool {
+        now_ms < self.valid_until_ms
+    }
 }
