Proofs of membership and configuration under outages

Cause: the relay and the stewards had no test that causes the failures they are for. Change: table tests of the roster, in-process fleets around the stand-in platform, tests of the stand-in itself. Two faults were found on the way: the stand-in's index started at 0, so that a watch slept through the first write (30 s, seen failing first), and a platform restored to a lower index would have left watches asleep.

--- /dev/null
+++ b/crates/membership/tests/roster.rs
@@ -0,0 +1,193 @@
+//! Who joins and who leaves the view, by leases, probes and witnesses.
+
+use wisteriapoint_membership::{Member, Patience, Probe, Roster, Step, View};
+use wisteriapoint_types::{FailureDomain, MemberId, Nonce, Region, VmName};
+
+const PATIENCE: Patience = Patience {
+    probe_pause_ms: 1_000,
+    failed_probes: 3,
+    alone_ms: 30_000,
+    rank_pause_ms: 1_000,
+};
+
+fn member(id: u64) -> Member {
+    Member {
+        id: MemberId(id),
+        vm: VmName::new(format!("vm-{id}")),
+        failure_domain: FailureDomain::new(format!("domain-{}", id % 3)),
+        region: Region::new("region"),
+        peer_address: ([127, 0, 0, 1], 4_000 + id as u16).into(),
+        admin_address: ([127, 0, 0, 1], 5_000 + id as u16).into(),
+    }
+}
+
+fn members(ids: impl IntoIterator<Item = u64>) -> Vec<Member> {
+    ids.into_iter().map(member).collect()
+}
+
+fn view(ids: impl IntoIterator<Item = u64>) -> View {
+    View::default().with_changes(&members(ids), &[], Nonce(0))
+}
+
+fn ids(view: &View) -> Vec<u64> {
+    let mut ids: Vec<u64> = view.members.iter().map(|member| member.id.0).collect();
+    ids.sort_unstable();
+    ids
+}
+
+/// Runs the roster for `seconds`; `probe` answers its probes. Gives the first proposal.
+fn run(
+    roster: &mut Roster,
+    view: &View,
+    rank: usize,
+    seconds: u64,
+    probe: impl Fn(MemberId) -> Probe,
+) -> Option<(u64, View)> {
+    for now_ms in (0..seconds * 1_000).step_by(200) {
+        for step in roster.step(now_ms, view, rank, Nonce(1)) {
+            match step {
+                Step::Probe(id) => roster.take_probe(id, probe(id)),
+                Step::Propose(next) => return Some((now_ms, next)),
+            }
+        }
+    }
+    None
+}
+
+#[test]
+fn proposals_by_leases_and_probes() {
+    let unheard = |witnesses| Probe::Unheard { witnesses };
+    struct Case {
+        name: &'static str,
+        leases: Vec<u64>,
+        probe: Probe,
+        expected: Option<Vec<u64>>,
+    }
+    let cases = [
+        Case {
+            name: "nothing to do",
+            leases: vec![1, 2, 3],
+            probe: unheard(2),
+            expected: None,
+        },
+        Case {
+            name: "two daemons join at once",
+            leases: vec![1, 2, 3, 4, 5],
+            probe: unheard(2),
+            expected: Some(vec![1, 2, 3, 4, 5]),
+        },
+        Case {
+            name: "a daemon without lease that nobody hears is removed",
+            leases: vec![1, 2],
+            probe: unheard(2),
+            expected: Some(vec![1, 2]),
+        },
+        Case {
+            name: "a daemon without lease that answers stays",
+            leases: vec![1, 2],
+            probe: Probe::Alive,
+            expected: None,
+        },
+        Case {
+            name: "a daemon that says it is stopping is removed",
+            leases: vec![1, 2],
+            probe: Probe::Stopping,
+            expected: Some(vec![1, 2]),
+        },
+        Case {
+            name: "all leases lapse at once and all answer",
+            leases: vec![],
+            probe: Probe::Alive,
+            expected: None,
+        },
+        Case {
+            name: "without a witness nobody is removed soon",
+            leases: vec![1],
+            probe: unheard(0),
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let mut roster = Roster::new(PATIENCE);
+        roster.take_leases(members(case.leases));
+        let proposed = run(&mut roster, &view(1..=3), 0, 10, |_| case.probe);
+        let proposed = proposed.map(|(_, next)| ids(&next));
+        assert_eq!(proposed, case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn without_witnesses_removal_takes_longer() {
+    let mut roster = Roster::new(PATIENCE);
+    roster.take_leases(members([1]));
+    let unheard = Probe::Unheard { witnesses: 0 };
+    let proposed = run(&mut roster, &view(1..=2), 0, 60, |_| unheard);
+    let (at_ms, next) = proposed.expect("the silent member is removed in the end");
+    assert!(at_ms >= PATIENCE.alone_ms);
+    assert_eq!(ids(&next), [1]);
+}
+
+#[test]
+fn a_restarted_daemon_replaces_its_earlier_run() {
+    let mut again = member(9);
+    again.vm = VmName::new("vm-3");
+    let mut roster = Roster::new(PATIENCE);
+    roster.take_leases([members([1, 2]), vec![again]].concat());
+    let proposed = run(&mut roster, &view(1..=3), 0, 10, |_| Probe::Alive);
+    assert_eq!(proposed.map(|(_, next)| ids(&next)), Some(vec![1, 2, 9]));
+}
+
+#[test]
+fn stewards_propose_in_the_order_of_their_rank() {
+    for rank in 0..3 {
+        let mut roster = Roster::new(PATIENCE);
+        roster.take_leases(members(1..=4));
+        let (at_ms, _) = run(&mut roster, &view(1..=3), rank, 10, |_| Probe::Alive)
+            .expect("a daemon with a lease joins");
+        assert_eq!(at_ms, rank as u64 * PATIENCE.rank_pause_ms);
+    }
+}
+
+#[test]
+fn a_platform_outage_changes_nothing() {
+    let mut roster = Roster::new(PATIENCE);
+    roster.take_leases(members([1]));
+    roster.lose_platform();
+    let unheard = Probe::Unheard { witnesses: 2 };
+    assert_eq!(run(&mut roster, &view(1..=3), 0, 120, |_| unheard), None);
+}
+
+#[test]
+fn an_answer_starts_the_count_again() {
+    let mut roster = Roster::new(PATIENCE);
+    roster.take_leases(members([1, 2]));
+    let view = view(1..=3);
+    for now_ms in (0..60_000_u64).step_by(1_000) {
+        for step in roster.step(now_ms, &view, 0, Nonce(1)) {
+            let Step::Probe(id) = step else {
+                panic!("a member that answers every third probe was to be removed");
+            };
+            let probe = match now_ms / 1_000 % 3 {
+                0 => Probe::Alive,
+                _ => Probe::Unheard { witnesses: 2 },
+            };
+            roster.take_probe(id, probe);
+        }
+    }
+}
+
+#[test]
+fn each_domain_has_its_watchers() {
+    let view = view(1..=30);
+    for domain in 0..3 {
+        let watchers = view
+            .members
+            .iter()
+            .filter(|member| member.id.0 % 3 == domain && view.is_watcher(member.id));
+        assert_eq!(
+            watchers.count(),
+            wisteriapoint_membership::WATCHERS_PER_DOMAIN
+        );
+    }
+    assert!(view.is_watcher(MemberId(99)));
+}
--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -15,6 +15,7 @@
 use wisteriapoint_platform::VmEntry;
 
 const SWEEP_PAUSE: Duration = Duration::from_millis(100);
+const FIRST_INDEX: u64 = 1;
 const MAX_VALUE_BYTES: usize = 1 << 20;
 
 /// What goes wrong.
@@ -84,7 +85,9 @@
 impl Platform {
     /// Makes an empty platform without faults.
     pub fn new() -> Self {
-        Self::default()
+        let platform = Self::default();
+        platform.lock().index = FIRST_INDEX;
+        platform
     }
 
     /// Sets what goes wrong.
@@ -196,7 +199,7 @@
         written
             .chain(removed.map(|(_, &index)| index))
             .max()
-            .unwrap_or(1)
+            .unwrap_or(FIRST_INDEX)
     }
 }
 
--- /dev/null
+++ b/crates/stand-in/tests/platform.rs
@@ -0,0 +1,110 @@
+//! The stand-in platform as its client sees it.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+use wisteriapoint_platform::{Error, HttpStore, Index, Store};
+use wisteriapoint_stand_in::platform::Faults;
+use wisteriapoint_stand_in::{Platform, Running, serve};
+
+const WAIT: Duration = Duration::from_secs(30);
+
+async fn platform() -> (Platform, Running, HttpStore) {
+    let platform = Platform::new();
+    let running = serve::on_loopback(platform.router()).await.unwrap();
+    let store = HttpStore::new(&format!("http://{}", running.address)).unwrap();
+    (platform, running, store)
+}
+
+#[tokio::test]
+async fn a_watch_wakes_at_each_write() {
+    let (_platform, _running, store) = platform().await;
+    let (_, mut index) = store.list("a/", None, WAIT).await.unwrap();
+    for number in 0..3_u8 {
+        let watching = store.clone();
+        let watch = tokio::spawn(async move { watching.list("a/", Some(index), WAIT).await });
+        sleep(Duration::from_millis(50)).await;
+        let begun = Instant::now();
+        let key = format!("a/{number}");
+        let written = store.compare_and_swap(&key, Index(0), vec![number]).await;
+        assert!(written.unwrap());
+        let (entries, newer) = watch.await.unwrap().unwrap();
+        assert!(
+            begun.elapsed() < WAIT / 2,
+            "the watch slept through write {number}"
+        );
+        assert_eq!(entries.len(), usize::from(number) + 1);
+        assert!(newer > index);
+        index = newer;
+    }
+}
+
+#[tokio::test]
+async fn compare_and_swap_takes_one_of_two() {
+    let (_platform, _running, store) = platform().await;
+    assert!(
+        store
+            .compare_and_swap("key", Index(0), b"1".to_vec())
+            .await
+            .unwrap()
+    );
+    assert!(
+        !store
+            .compare_and_swap("key", Index(0), b"2".to_vec())
+            .await
+            .unwrap()
+    );
+    let entry = store.get("key").await.unwrap().unwrap();
+    assert_eq!(entry.value, b"1");
+    assert!(
+        store
+            .compare_and_swap("key", entry.index, b"3".to_vec())
+            .await
+            .unwrap()
+    );
+}
+
+#[tokio::test]
+async fn a_lost_answer_leaves_the_write() {
+    let (platform, _running, store) = platform().await;
+    platform.set_faults(Faults {
+        lose_write_answers: 1,
+        ..Faults::default()
+    });
+    let lost = store.compare_and_swap("key", Index(0), b"1".to_vec()).await;
+    assert!(lost.unwrap_err().may_have_taken_effect());
+    assert_eq!(platform.value("key"), Some(b"1".to_vec()));
+}
+
+#[tokio::test]
+async fn a_lease_lapses_with_its_key() {
+    let (platform, _running, store) = platform().await;
+    let ttl = Duration::from_secs(1);
+    let lease = store
+        .grant_lease("lease", b"1".to_vec(), ttl)
+        .await
+        .unwrap();
+    assert!(platform.value("lease").is_some());
+    sleep(ttl * 2).await;
+    assert!(platform.value("lease").is_none());
+    let renewed = store.renew_lease(&lease).await;
+    assert!(matches!(renewed, Err(Error::LeaseLapsed)));
+}
+
+#[tokio::test]
+async fn calls_beyond_the_rate_are_refused() {
+    let (platform, _running, store) = platform().await;
+    platform.set_faults(Faults {
+        calls_per_s: Some(2),
+        ..Faults::default()
+    });
+    let mut refused = 0;
+    for _ in 0..4 {
+        match store.get("key").await {
+            Err(Error::RateLimited) => refused += 1,
+            other => assert!(other.is_ok()),
+        }
+    }
+    assert!(refused >= 1);
+    assert_eq!(platform.calls().limited, refused);
+}
--- a/crates/wisteriapoint/src/daemon/platform.rs
+++ b/crates/wisteriapoint/src/daemon/platform.rs
@@ -154,10 +154,16 @@
             {
                 return;
             }
-            since = listed.ok().map(|(_, index)| index);
-            match since {
-                Some(_) => backoff = Backoff::new(),
-                None => sleep(backoff.next_pause()).await,
+            match listed {
+                Ok((_, index)) => {
+                    // An index that falls tells of a platform that was restored.
+                    since = (Some(index) >= since).then_some(index);
+                    backoff = Backoff::new();
+                }
+                Err(_) => {
+                    since = None;
+                    sleep(backoff.next_pause()).await;
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/wisteriapoint/tests/fleet/mod.rs
@@ -0,0 +1,129 @@
+//! A few daemons and a stand-in platform in one process.
+
+#![allow(dead_code)]
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wisteriapoint::cli::service;
+use wisteriapoint::daemon::Daemon;
+use wisteriapoint_platform::HttpStore;
+use wisteriapoint_settings::VmSettings;
+use wisteriapoint_stand_in::{Platform, Running, serve};
+use wisteriapoint_types::{Revision, ServiceName};
+
+/// Longest time that a test waits for what must come; far above what any promise allows.
+const PATIENCE: Duration = Duration::from_secs(60);
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Daemons around one platform.
+pub(crate) struct Fleet {
+    pub(crate) platform: Platform,
+    pub(crate) running: Running,
+    pub(crate) daemons: Vec<Daemon>,
+}
+
+impl Fleet {
+    /// Starts a platform and daemons, and waits until all are in the view.
+    pub(crate) async fn start(domains: &[&str]) -> Self {
+        let platform = Platform::new();
+        let running = serve::on_loopback(platform.router()).await.unwrap();
+        let mut fleet = Self {
+            platform,
+            running,
+            daemons: Vec::new(),
+        };
+        for domain in domains {
+            fleet.add(domain, Vec::new()).await;
+        }
+        let count = domains.len();
+        fleet
+            .until("all are in the view", |fleet| {
+                fleet.daemons.iter().all(|daemon| members(daemon) == count)
+            })
+            .await;
+        fleet
+    }
+
+    /// Starts one more daemon.
+    pub(crate) async fn add(&mut self, domain: &str, seed_peers: Vec<SocketAddr>) {
+        let number = self.daemons.len();
+        let settings = self.settings(&format!("entry-{number}"), domain, seed_peers);
+        self.daemons.push(Daemon::start(settings).await.unwrap());
+    }
+
+    /// Settings of a VM in this fleet.
+    pub(crate) fn settings(
+        &self,
+        vm: &str,
+        domain: &str,
+        seed_peers: Vec<SocketAddr>,
+    ) -> VmSettings {
+        let text = serde_json::json!({
+            "vm": vm,
+            "failure_domain": domain,
+            "region": "dk-east",
+            "service_address": "127.0.0.1:0",
+            "admin_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0",
+            "platform_url": format!("http://{}", self.running.address),
+            "lease_ttl_s": 1,
+            "drain_wait_ms": 1,
+            "traffic_threads": 1,
+            "platform_calls_per_s": 20.0,
+            "seed_peers": seed_peers,
+        });
+        wisteriapoint_settings::vm_from_str(&text.to_string()).unwrap()
+    }
+
+    /// Applies a document as an operator would.
+    pub(crate) async fn apply(&self, text: &str) -> Revision {
+        let store = HttpStore::new(&format!("http://{}", self.running.address)).unwrap();
+        service::apply(&store, text, None, "test").await.unwrap()
+    }
+
+    /// Waits for a condition.
+    pub(crate) async fn until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        until(what, || async { holds(self) }).await;
+    }
+}
+
+/// Waits for a condition.
+pub(crate) async fn until<F: Future<Output = bool>>(what: &str, holds: impl Fn() -> F) {
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !holds().await {
+            tokio::time::sleep(PAUSE).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "gave up waiting: {what}");
+}
+
+/// Number of members that a daemon knows.
+pub(crate) fn members(daemon: &Daemon) -> usize {
+    daemon.shared().snapshot.load().view.members.len()
+}
+
+/// Revision of a service that a daemon has in force.
+pub(crate) fn revision(daemon: &Daemon, service: &str) -> Option<Revision> {
+    let snapshot = daemon.shared().snapshot.load();
+    let service = snapshot.services.get(&ServiceName::new(service));
+    service.map(|service| service.revision)
+}
+
+/// A plain service's document with one endpoint.
+pub(crate) fn document(service: &str, address: SocketAddr, deadline_ms: u64) -> String {
+    format!(
+        r#"{{
+    "service": "{service}", "owner": "shop team", "kind": "plain",
+    "endpoints": [
+        {{ "endpoint": "shop-1", "address": "{address}", "failure_domain": "dk-east-a", "vm": "shop-vm-1" }},
+    ],
+    "routes": [
+        {{ "path": "/catalogue", "idempotent": true }},
+        {{ "path": "/stock/hold", "idempotent": false }},
+    ],
+    "deadline_ms": {deadline_ms},
+}}"#
+    )
+}
