Prove rollouts in process: killed coordinator, swaps, scorer, stragglers

Cause: delivery, freshness and truthful versions were only proved on the pure libraries, not on daemons that talk over sockets.

Change: tests with up to three daemons, engines, a trainer and a scorer on loopback. The stand-in engine can fail orders, lose their answers and report late; a stand-in scorer fails its first answers. Cases: the coordinator is killed in mid-step; a trainer goes on from its cursor; an engine swaps in mid-stream (each sample then names versions 0 and 1); a trainer moves five versions on; the four faults of orders, with the number of orders that each engine then gets; a scorer that fails six times; a straggler on an engine that needs 200 s for what others do in 0.1 s.

Seen failing first, by taking out: the cancel message to the other daemon, second copies, the scorer's retries, the time that a report is given after an order, spans by version, the staleness bound, and the trainer's put after "unknown step". The straggler's test did not fail without second copies while the engine needed 100 s, less than the test's patience; it is now bounded by 60 s against 200 s.

--- a/crates/stand-in/src/engine.rs
+++ b/crates/stand-in/src/engine.rs
@@ -8,7 +8,7 @@
 use salvo::{Request, Response, Router, handler};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use wisteriapoint_types::{WeightVersion, hash64};
 use wisteriapoint_weights::{Fence, Order};
 
@@ -61,7 +61,7 @@
     started: u64,
     orders: Vec<Order>,
     order_faults: OrderFaults,
-    version_before: WeightVersion,
+    swapped: Option<(WeightVersion, Instant)>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -85,6 +85,11 @@
         Router::with_path("{**path}").goal(Api(self.clone()))
     }
 
+    /// How it behaves.
+    pub fn settings(&self) -> &EngineSettings {
+        &self.settings
+    }
+
     /// The version that it serves.
     pub fn version(&self) -> WeightVersion {
         self.lock().version
@@ -238,9 +243,12 @@
     }
 
     fn status(&self, response: &mut Response) {
-        let mut state = self.0.lock();
-        let (version, before) = (state.version, state.version_before);
-        let version = state.order_faults.reported(version, before);
+        let state = self.0.lock();
+        let lag = Duration::from_millis(state.order_faults.report_lag_ms);
+        let version = match state.swapped {
+            Some((before, at)) if at.elapsed() < lag => before,
+            _ => state.version,
+        };
         let status = serde_json::json!({
             "version": version,
             "running": state.running,
@@ -268,7 +276,7 @@
         let mut state = self.0.lock();
         let fate = state.order_faults.next();
         if fate != Fate::Fails {
-            state.version_before = state.version;
+            state.swapped = Some((state.version, Instant::now()));
             state.version = order.version;
         }
         if fate != Fate::Works {
--- a/crates/stand-in/src/order_faults.rs
+++ b/crates/stand-in/src/order_faults.rs
@@ -1,16 +1,14 @@
 //! What goes wrong with an engine's weight orders.
 
-use wisteriapoint_types::WeightVersion;
-
-/// Faults of weight orders, each for so many of the next orders.
+/// Faults of weight orders.
 #[derive(Debug, Clone, Default)]
 pub struct OrderFaults {
-    /// Orders that fail and leave the old version.
+    /// So many of the next orders fail and leave the old version.
     pub fail: u32,
-    /// Orders that take effect and are answered 500.
+    /// So many of the next orders take effect and are answered 500.
     pub lose_answers: u32,
-    /// Status reports that still name the version before the last swap.
-    pub late_reports: u32,
+    /// Time for which status reports still name the version before a swap, in milliseconds.
+    pub report_lag_ms: u64,
 }
 
 /// What becomes of one order.
@@ -37,19 +35,4 @@
             _ => Fate::Works,
         }
     }
-
-    /// The version that a status report names.
-    pub(crate) fn reported(
-        &mut self,
-        version: WeightVersion,
-        before: WeightVersion,
-    ) -> WeightVersion {
-        match self.late_reports {
-            0 => version,
-            _ => {
-                self.late_reports -= 1;
-                before
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/wisteriapoint/tests/rollouts.rs
@@ -0,0 +1,263 @@
+//! Samples reach trainers fresh and once, and name the versions that produced them.
+
+mod fleet;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fleet::{Fleet, until};
+use tokio::time::timeout;
+use wisteriapoint::daemon::Daemon;
+use wisteriapoint_rollout::{Sample, SampleKey, Span, StepSpec};
+use wisteriapoint_stand_in::trainer::Received;
+use wisteriapoint_stand_in::{
+    Engine, EngineSettings, OrderFaults, Running, Scorer, Trainer, serve,
+};
+use wisteriapoint_types::{ServiceName, WeightVersion};
+
+/// Far more than the step takes without its straggler, far less than with it.
+const STRAGGLER_BOUND: Duration = Duration::from_secs(60);
+
+const DOMAINS: [&str; 3] = ["dk-east-a", "dk-east-b", "dk-east-c"];
+
+struct Engines {
+    engines: Vec<Engine>,
+    running: Vec<Running>,
+}
+
+impl Engines {
+    async fn start(settings: &[EngineSettings]) -> Self {
+        let mut engines = Vec::new();
+        let mut running = Vec::new();
+        for settings in settings {
+            let engine = Engine::new(settings.clone());
+            running.push(serve::on_loopback(engine.router()).await.unwrap());
+            engines.push(engine);
+        }
+        Self { engines, running }
+    }
+
+    /// A document for these engines, with more fields of the service.
+    fn document(&self, fields: &str) -> String {
+        let mut endpoints = String::new();
+        for (number, engine) in self.engines.iter().enumerate() {
+            let address = self.running[number].address;
+            let slots = engine.settings().slots;
+            endpoints.push_str(&format!(
+                r#"{{ "endpoint": "engine-{number}", "address": "{address}",
+                "failure_domain": "dk-east-a", "vm": "vm-{number}",
+                "checks_fencing": true, "echoes_request_id": true,
+                "max_concurrency": {slots} }},"#
+            ));
+        }
+        format!(
+            r#"{{ "service": "advisor-lm", "owner": "advisor team", "kind": "model",
+            "endpoints": [{endpoints}], {fields} }}"#
+        )
+    }
+}
+
+fn settings(slots: usize, tokens_per_s: f64) -> EngineSettings {
+    EngineSettings {
+        slots,
+        tokens_per_s,
+        ..EngineSettings::default()
+    }
+}
+
+fn spec(prompts: u32, max_tokens: u32) -> StepSpec {
+    StepSpec {
+        service: ServiceName::new("advisor-lm"),
+        prompts: (0..prompts).map(|n| format!("strap {n}").into()).collect(),
+        samples_per_prompt: 4,
+        max_tokens,
+        staleness_versions: 1,
+        scorer: None,
+    }
+}
+
+fn trainer(fleet: &Fleet) -> Trainer {
+    let daemons = fleet.daemons.iter();
+    let urls = daemons.map(|daemon| format!("http://{}", daemon.addresses().service));
+    Trainer::new("advisor-trainer", urls.collect()).unwrap()
+}
+
+async fn start(domains: &[&str], engines: &Engines, fields: &str) -> Fleet {
+    let fleet = Fleet::start(domains).await;
+    fleet.apply(&engines.document(fields)).await;
+    fleet
+        .until("the document is in force", |fleet| {
+            let mut daemons = fleet.daemons.iter();
+            daemons.all(|daemon| fleet::revision(daemon, "advisor-lm").is_some())
+        })
+        .await;
+    fleet
+}
+
+fn assert_whole(received: &Received, spec: &StepSpec) {
+    let keys: BTreeSet<SampleKey> = received.samples.iter().map(|sample| sample.key).collect();
+    assert_eq!(received.samples.len(), spec.samples() as usize);
+    assert_eq!(keys.len(), received.samples.len(), "a sample came twice");
+    for sample in &received.samples {
+        let prompt = &spec.prompts[sample.key.group as usize];
+        assert_eq!(
+            *sample.text,
+            *Engine::expected_text(prompt, spec.max_tokens)
+        );
+        assert_eq!(sample.tokens(), spec.max_tokens);
+    }
+}
+
+fn is_coordinator(daemon: &Daemon) -> bool {
+    let view = daemon.shared().snapshot.load().view.clone();
+    view.coordinators(b"advisor-trainer").first() == Some(&daemon.shared().me.id)
+}
+
+#[tokio::test]
+async fn a_step_is_whole_and_single_when_its_coordinator_is_killed() {
+    let engines = Engines::start(&[settings(4, 200.0), settings(4, 200.0)]).await;
+    let mut fleet = start(&DOMAINS, &engines, "").await;
+    let spec = spec(16, 20);
+    let mut trainer = trainer(&fleet);
+    let step = tokio::spawn({
+        let spec = spec.clone();
+        async move { trainer.run_step(1, &spec).await }
+    });
+    let started = || async { engines.engines[0].started() >= 8 };
+    until("samples are generated", started).await;
+    let coordinator = fleet.daemons.iter().position(is_coordinator).unwrap();
+    fleet.daemons.remove(coordinator).kill();
+    assert_whole(&step.await.unwrap(), &spec);
+}
+
+#[tokio::test]
+async fn a_trainer_that_restarts_goes_on_from_its_cursor() {
+    let engines = Engines::start(&[settings(8, 1_000.0)]).await;
+    let fleet = start(&DOMAINS, &engines, "").await;
+    let spec = spec(4, 10);
+    let whole = trainer(&fleet).run_step(1, &spec).await;
+    let mut saved = Received::default();
+    for sample in &whole.samples[..5] {
+        saved.cursor.insert(spec.index(sample.key));
+        saved.samples.push(sample.clone());
+    }
+    let again = trainer(&fleet).resume_step(1, &spec, saved).await;
+    assert_whole(&again, &spec);
+}
+
+fn spans(sample: &Sample) -> Vec<u64> {
+    let versions = sample.spans.iter().map(|Span { version, .. }| version.0);
+    versions.collect()
+}
+
+#[tokio::test]
+async fn a_swap_in_mid_stream_shows_in_the_spans() {
+    let engines = Engines::start(&[settings(8, 50.0)]).await;
+    let fleet = start(&DOMAINS[..1], &engines, "").await;
+    let spec = spec(1, 100);
+    let mut trainer = trainer(&fleet);
+    trainer.put(1, &spec, &Received::default().cursor).await;
+    let running = || async { engines.engines[0].running() == 4 };
+    until("all samples run", running).await;
+    trainer.publish("advisor-lm", WeightVersion(1)).await;
+    let received = trainer.run_step(1, &spec).await;
+    assert_whole(&received, &spec);
+    for sample in &received.samples {
+        assert_eq!(spans(sample), [0, 1]);
+    }
+}
+
+#[tokio::test]
+async fn samples_too_old_for_a_trainer_that_moved_on_are_generated_again() {
+    let engines = Engines::start(&[settings(8, 20.0)]).await;
+    let fleet = start(&DOMAINS, &engines, "").await;
+    let spec = spec(1, 40);
+    let mut trainer = trainer(&fleet);
+    trainer.put(1, &spec, &Received::default().cursor).await;
+    let running = || async { engines.engines[0].running() == 4 };
+    until("all samples run", running).await;
+    trainer.publish("advisor-lm", WeightVersion(5)).await;
+    let received = trainer.run_step(1, &spec).await;
+    assert_whole(&received, &spec);
+    for sample in &received.samples {
+        assert_eq!(spans(sample), [5]);
+    }
+}
+
+#[tokio::test]
+async fn every_engine_ends_at_the_published_version() {
+    // What goes wrong with the engine's orders, and the orders that it then gets.
+    let cases = [
+        (OrderFaults::default(), 1),
+        (
+            OrderFaults {
+                fail: 2,
+                ..OrderFaults::default()
+            },
+            3,
+        ),
+        (
+            OrderFaults {
+                lose_answers: 1,
+                ..OrderFaults::default()
+            },
+            1,
+        ),
+        (
+            OrderFaults {
+                report_lag_ms: 500,
+                ..OrderFaults::default()
+            },
+            1,
+        ),
+    ];
+    let engines = vec![settings(8, 1_000.0); cases.len()];
+    let engines = Engines::start(&engines).await;
+    for (engine, (faults, _)) in engines.engines.iter().zip(&cases) {
+        engine.set_order_faults(faults.clone());
+    }
+    let weights = r#""weights": { "loading_share": 1.0 }"#;
+    let fleet = start(&DOMAINS, &engines, weights).await;
+    let version = WeightVersion(1);
+    trainer(&fleet).publish("advisor-lm", version).await;
+    let all_swapped = || async { engines.engines.iter().all(|e| e.version() == version) };
+    until("all engines have the version", all_swapped).await;
+    // Time for needless orders to show.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for (engine, (faults, orders)) in engines.engines.iter().zip(&cases) {
+        assert_eq!(engine.orders().len(), *orders, "{faults:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_scorer_that_fails_for_a_while_loses_no_sample() {
+    let engines = Engines::start(&[settings(8, 1_000.0)]).await;
+    let scorer = Scorer::new(6);
+    let scoring = serve::on_loopback(scorer.router()).await.unwrap();
+    let fleet = start(&DOMAINS, &engines, "").await;
+    let document = fleet::document("judge", scoring.address, 1_000);
+    fleet.apply(&document).await;
+    let mut spec = spec(4, 10);
+    spec.scorer = Some(ServiceName::new("judge"));
+    let received = trainer(&fleet).run_step(1, &spec).await;
+    assert_whole(&received, &spec);
+    for sample in &received.samples {
+        assert_eq!(sample.score, Some(Scorer::score(&sample.text)));
+    }
+}
+
+#[tokio::test]
+async fn a_straggler_is_overtaken_by_a_second_copy_and_cancelled() {
+    let engines = [settings(1, 0.5), settings(8, 1_000.0), settings(8, 1_000.0)];
+    let engines = Engines::start(&engines).await;
+    let fleet = start(&DOMAINS, &engines, "").await;
+    let spec = spec(32, 100);
+    let mut trainer = trainer(&fleet);
+    let step = timeout(STRAGGLER_BOUND, trainer.run_step(1, &spec)).await;
+    let received = step.expect("the straggler alone takes 200 s");
+    assert_whole(&received, &spec);
+    let slow = &engines.engines[0];
+    assert!(slow.started() >= 1);
+    let cancelled = || async { slow.running() == 0 };
+    until("the straggler is cancelled", cancelled).await;
+}
