Keep a version in reserve; second copies by reported progress; measure both

Two reasons were seen. Samples begun by engines that had not loaded the latest version were too old once the trainer published the next, so every second step was in part generated twice. And a copy on an engine in a slow spell looked as if it went on at that engine's usual speed.

Change: where the bound allows it, a new sample has to begin with one version more than the bound asks for, at most for 33 s after the trainer moved on, so that engines that are stuck do not stall it; engines just seen with an older version are avoided. The first tokens and then ever rarer reports (after 1, 2, 4, … s) tell the coordinator how far a sample is; a second copy is weighed against that speed, and a copy that is not heard of for twice the time so far is taken as stuck.

The targets are a test: idle at most half of the baseline's, at most 10 % wasted, a wave within 33 s.

--- a/crates/experiment/src/rollouts.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Experiments on stragglers, staleness and weight waves.
--- /dev/null
+++ b/crates/experiment/src/rollouts/engine.rs
@@ -0,0 +1,85 @@
+//! A fake engine: slots, its own speed, slow spells, loads of versions.
+
+use wisteriapoint_rollout::{AttemptKey, SampleKey, Span};
+use wisteriapoint_types::{EndpointName, WeightVersion};
+
+/// How much slower an engine is during a slow spell.
+const SPELL_FACTOR: f64 = 8.0;
+
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) name: EndpointName,
+    pub(super) tokens_per_s: f64,
+    pub(super) slots: usize,
+    pub(super) version: WeightVersion,
+    pub(super) loading_until_ms: Option<u64>,
+    pub(super) slow_until_ms: u64,
+    pub(super) running: Vec<Request>,
+}
+
+/// A sample in a slot.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) attempt: AttemptKey,
+    pub(super) step: u64,
+    pub(super) key: SampleKey,
+    pub(super) tokens: f64,
+    pub(super) done: f64,
+    pub(super) begun_ms: Option<u64>,
+    pub(super) next_report_ms: u64,
+    pub(super) oldest: WeightVersion,
+    pub(super) spans: Vec<(WeightVersion, f64)>,
+}
+
+impl Request {
+    pub(super) fn spans(&self) -> Vec<Span> {
+        let spans = self.spans.iter();
+        spans
+            .map(|&(version, tokens)| Span {
+                version,
+                tokens: (tokens.round() as u32).max(1),
+            })
+            .collect()
+    }
+}
+
+impl Engine {
+    pub(super) fn has_room(&self) -> bool {
+        self.running.len() < self.slots
+    }
+
+    /// Advances all requests by a step of time; an engine that loads makes no tokens.
+    pub(super) fn advance(&mut self, now_ms: u64, step_ms: u64) {
+        if self.loading_until_ms.is_some() {
+            return;
+        }
+        let factor = match now_ms {
+            now_ms if now_ms < self.slow_until_ms => SPELL_FACTOR,
+            _ => 1.0,
+        };
+        let tokens = self.tokens_per_s / factor * step_ms as f64 / 1_000.0;
+        for request in &mut self.running {
+            let made = tokens.min(request.tokens - request.done);
+            request.done += made;
+            match request.spans.last_mut() {
+                Some((version, tokens)) if *version == self.version => *tokens += made,
+                _ => request.spans.push((self.version, made)),
+            }
+        }
+    }
+
+    /// Takes out the requests that are whole.
+    pub(super) fn take_finished(&mut self) -> Vec<Request> {
+        let is_whole = |request: &mut Request| request.done >= request.tokens;
+        self.running.extract_if(.., is_whole).collect()
+    }
+
+    /// Takes out a request that is no longer wanted.
+    pub(super) fn cancel(&mut self, attempt: AttemptKey) -> Option<Request> {
+        let place = self
+            .running
+            .iter()
+            .position(|request| request.attempt == attempt)?;
+        Some(self.running.swap_remove(place))
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/rollouts/mod.rs
@@ -0,0 +1,23 @@
+//! Experiments on stragglers, staleness and weight waves.
+//!
+//! Trainers, engines and their faults are small fakes on a virtual clock; the coordinator,
+//! the keepers and the wave are the daemon's own.
+
+mod engine;
+mod fifo;
+mod simulation;
+
+use crate::report::Run;
+
+pub use simulation::{Scenario, Variant, run};
+
+/// Runs all variants of a scenario with the seeds from 1 on.
+pub fn run_all(scenario: &Scenario, seeds: u64) -> Vec<Run> {
+    let mut runs = Vec::new();
+    for variant in Variant::ALL {
+        for seed in 1..=seeds {
+            runs.push(run(scenario, variant, seed));
+        }
+    }
+    runs
+}
--- /dev/null
+++ b/crates/experiment/tests/rollouts.rs
@@ -0,0 +1,30 @@
+//! The targets for stragglers and waves, over ten seeds.
+
+use wisteriapoint_experiment::report::{Run, Spread};
+use wisteriapoint_experiment::rollouts::{Scenario, Variant, run};
+
+const SEEDS: u64 = 10;
+const WASTED_BOUND: f64 = 0.10;
+const WAVE_BOUND_S: f64 = 33.0;
+
+fn spread(runs: &[Run], figure: &str) -> Spread {
+    let values: Vec<f64> = runs.iter().map(|run| run.figures[figure]).collect();
+    Spread::of(&values)
+}
+
+#[test]
+fn idle_time_under_stragglers_at_least_halves_and_waves_stay_within_their_time() {
+    let scenario = Scenario::stragglers();
+    let of = |variant| -> Vec<Run> {
+        let seeds = 1..=SEEDS;
+        seeds.map(|seed| run(&scenario, variant, seed)).collect()
+    };
+    let (baseline, now) = (of(Variant::Baseline), of(Variant::Now));
+    let idle = spread(&now, "idle_share").median;
+    let idle_before = spread(&baseline, "idle_share").median;
+    assert!(idle <= idle_before / 2.0, "{idle} after {idle_before}");
+    assert!(spread(&now, "wasted_share").greatest <= WASTED_BOUND);
+    assert!(spread(&now, "wave_s").greatest <= WAVE_BOUND_S);
+    let bound = scenario.staleness_versions as f64;
+    assert!(spread(&now, "age_p99_versions").greatest <= bound);
+}
--- a/crates/rollout/src/attempt.rs
+++ b/crates/rollout/src/attempt.rs
@@ -19,6 +19,10 @@
     pub version: WeightVersion,
 }
 
+/// Time from an attempt's first tokens to its first report of progress, in milliseconds;
+/// each later report comes after twice the time of the one before.
+pub const FIRST_REPORT_MS: u64 = 1_000;
+
 /// An attempt in progress.
 #[derive(Debug)]
 pub(crate) struct Attempt {
@@ -27,5 +31,13 @@
     pub(crate) service: ServiceName,
     pub(crate) dispatched_ms: u64,
     pub(crate) begun: Option<(Begun, u64)>,
+    pub(crate) reported: Option<Reported>,
     pub(crate) expected_tokens: u32,
 }
+
+/// How far an attempt was at one moment.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Reported {
+    pub(crate) at_ms: u64,
+    pub(crate) tokens: u32,
+}
--- a/crates/rollout/src/coordinator/fleet.rs
+++ b/crates/rollout/src/coordinator/fleet.rs
@@ -1,8 +1,14 @@
 //! What a coordinator knows of the engines of one service.
 
+use std::collections::BTreeMap;
+
+use wisteriapoint_types::{EndpointName, WeightVersion};
+
 use crate::Window;
 use crate::speed::Speeds;
 
+const VERSION_MEMORY_MS: u64 = 2_000;
+
 /// Speeds, bounds and load of the engines of one service.
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
@@ -10,10 +16,32 @@
     pub(super) window: Window,
     pub(super) in_flight: usize,
     pub(super) hedge_ratio: f64,
+    versions: BTreeMap<EndpointName, (WeightVersion, u64)>,
 }
 
 impl Fleet {
     pub(super) fn has_room(&self) -> bool {
         self.in_flight < self.window.limit()
     }
+
+    /// Takes the version that an engine used at `now_ms`.
+    pub(super) fn saw(&mut self, now_ms: u64, endpoint: &EndpointName, version: WeightVersion) {
+        self.versions.insert(endpoint.clone(), (version, now_ms));
+    }
+
+    /// The engines that were seen with an older version a moment ago.
+    pub(super) fn older_than(&self, now_ms: u64, oldest: WeightVersion) -> Vec<EndpointName> {
+        let is_old = |&(version, at_ms): &(WeightVersion, u64)| {
+            version < oldest && now_ms < at_ms + VERSION_MEMORY_MS
+        };
+        let versions = self.versions.iter();
+        let older = versions.filter(|(_, seen)| is_old(seen));
+        older.map(|(endpoint, _)| endpoint.clone()).collect()
+    }
+
+    /// Forgets versions that were seen too long ago to matter.
+    pub(super) fn forget(&mut self, now_ms: u64) {
+        self.versions
+            .retain(|_, (_, at_ms)| now_ms < *at_ms + VERSION_MEMORY_MS);
+    }
 }
--- a/crates/rollout/src/coordinator/hedge.rs
+++ b/crates/rollout/src/coordinator/hedge.rs
@@ -3,14 +3,15 @@
 use wisteriapoint_types::{EndpointName, ServiceName};
 
 use super::Coordinator;
-use super::state::{State, Step};
-use crate::attempt::Attempt;
+use super::state::State;
+use crate::attempt::{Attempt, FIRST_REPORT_MS};
 use crate::speed::Speeds;
 use crate::{AttemptKey, StepId, Task};
 
 const PERIOD_MS: u64 = 250;
 const MAX_COPIES: usize = 2;
 const GROWTH: f64 = 1.5;
+const SILENT_PERIODS: u64 = 2;
 const MAX_AVOIDED: usize = 64;
 
 /// A sample that a second copy is expected to finish earlier.
@@ -56,7 +57,13 @@
         }
         let speeds = &self.fleets.get(&attempt.service)?.speeds;
         let fast = speeds.fast()?;
-        let outlook = outlook(now_ms, attempt, step, speeds, fast);
+        let expected = f64::from(step.expected_tokens(attempt.index, &self.lengths));
+        let max_tokens = f64::from(step.spec.max_tokens);
+        let length = Length {
+            expected,
+            max_tokens,
+        };
+        let outlook = outlook(now_ms, attempt, length, speeds, fast);
         let gain_ms = outlook.left_ms - outlook.anew_ms;
         (gain_ms > 0.0).then(|| Straggler {
             id: attempt.id.clone(),
@@ -112,9 +119,17 @@
     anew_ms: f64,
 }
 
-fn outlook(now_ms: u64, attempt: &Attempt, step: &Step, speeds: &Speeds, fast: f64) -> Outlook {
-    let max_tokens = f64::from(step.spec.max_tokens);
-    let expected = f64::from(attempt.expected_tokens);
+/// Tokens that a sample may have.
+struct Length {
+    expected: f64,
+    max_tokens: f64,
+}
+
+fn outlook(now_ms: u64, attempt: &Attempt, length: Length, speeds: &Speeds, fast: f64) -> Outlook {
+    let Length {
+        expected,
+        max_tokens,
+    } = length;
     let Some((begun, at_ms)) = &attempt.begun else {
         let waited_ms = now_ms.saturating_sub(attempt.dispatched_ms) as f64;
         let anew_ms = expected * fast;
@@ -123,13 +138,17 @@
             anew_ms,
         };
     };
-    let speed = speeds.get(&begun.endpoint).unwrap_or(fast);
-    let elapsed_ms = now_ms.saturating_sub(*at_ms) as f64;
-    let done = elapsed_ms / speed;
+    let heard_ms = attempt.reported.map_or(*at_ms, |reported| reported.at_ms);
+    let period_ms = heard_ms.saturating_sub(*at_ms).max(FIRST_REPORT_MS);
+    let speed = match attempt.reported {
+        Some(reported) => period_ms as f64 / f64::from(reported.tokens.max(1)),
+        None => speeds.get(&begun.endpoint).unwrap_or(fast),
+    };
+    let done = now_ms.saturating_sub(*at_ms) as f64 / speed;
     let expected = expected.max(done * GROWTH).min(max_tokens);
-    let left_ms = match done {
-        done if done > max_tokens * GROWTH => f64::MAX,
-        done => (expected - done).max(0.0) * speed,
+    let left_ms = match now_ms.saturating_sub(heard_ms) {
+        silent_ms if silent_ms > SILENT_PERIODS * period_ms => f64::MAX,
+        _ => (expected - done).max(0.0) * speed,
     };
     Outlook {
         left_ms,
--- a/crates/rollout/src/coordinator/mod.rs
+++ b/crates/rollout/src/coordinator/mod.rs
@@ -7,12 +7,12 @@
 
 use std::collections::BTreeMap;
 
-use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
+use wisteriapoint_types::{EndpointName, ServiceName, TrainerName, WeightVersion};
 
 use self::fleet::Fleet;
 use self::share::Shares;
 use self::state::{State, Step};
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, Reported};
 use crate::error::{Error, Kind};
 use crate::length::Lengths;
 use crate::{AttemptKey, Begun, Cursor, Pulled, Sample, ScoreTask, StepId, StepSpec, Task};
@@ -33,6 +33,7 @@
     fleets: BTreeMap<ServiceName, Fleet>,
     hedged_at_ms: u64,
     shares: Shares,
+    versions: BTreeMap<TrainerName, (WeightVersion, u64)>,
     cancelled: Vec<AttemptKey>,
     to_score: Vec<ScoreTask>,
 }
@@ -69,7 +70,9 @@
             Some(step) if step.spec != spec => return Err(Kind::Conflict.into()),
             Some(_) => {}
             None => {
-                let step = Step::new(spec, now_ms, &self.lengths);
+                let version = self.versions.get(&id.trainer).copied();
+                let version = version.unwrap_or_default();
+                let step = Step::new(spec, now_ms, version, &self.lengths);
                 self.shares.join(&id.trainer);
                 self.steps.insert(id.clone(), step);
             }
@@ -100,13 +103,28 @@
             return;
         };
         let version = begun.version;
+        let fleet = self.fleets.entry(attempt.service.clone()).or_default();
+        fleet.saw(now_ms, &begun.endpoint, version);
         attempt.begun = Some((begun, now_ms));
-        let oldest = self.steps.get(&attempt.id).map(Step::oldest_version);
+        let oldest = self
+            .steps
+            .get(&attempt.id)
+            .map(|step| step.oldest_start(now_ms));
         if oldest.is_some_and(|oldest| version < oldest) {
             self.give_up(key);
         }
     }
 
+    /// Takes the news of how many tokens an attempt has.
+    pub fn progress(&mut self, now_ms: u64, key: AttemptKey, tokens: u32) {
+        if let Some(attempt) = self.attempts.get_mut(&key) {
+            attempt.reported = Some(Reported {
+                at_ms: now_ms,
+                tokens,
+            });
+        }
+    }
+
     /// Takes a finished sample, or none if its generation failed.
     ///
     /// The result of an attempt that is no longer wanted changes nothing.
@@ -205,7 +223,7 @@
         limit: usize,
     ) -> Result<Pulled, Error> {
         self.take_cursor(now_ms, id, cursor)?;
-        self.take_version(id, version);
+        self.take_version(now_ms, id, version);
         let step = self.steps.get(id).ok_or(Kind::UnknownStep)?;
         let samples = step.ready_samples(limit);
         let mut next = cursor.clone();
@@ -227,6 +245,14 @@
 
     /// Forgets steps that their trainers no longer ask for.
     pub fn forget_idle(&mut self, now_ms: u64) {
+        let steps = &self.steps;
+        self.versions.retain(|trainer, (_, since_ms)| {
+            let is_new = now_ms < *since_ms + IDLE_MS;
+            is_new || steps.keys().any(|id| id.trainer == *trainer)
+        });
+        for fleet in self.fleets.values_mut() {
+            fleet.forget(now_ms);
+        }
         let is_idle = |step: &Step| now_ms.saturating_sub(step.touched_ms) >= IDLE_MS;
         let steps = self.steps.iter();
         let idle: Vec<StepId> = steps
@@ -274,7 +300,11 @@
         let next = waiting.min_by_key(|(id, _)| (self.shares.get(&id.trainer), id.step));
         let id = next?.0.clone();
         let index = self.steps.get(&id)?.waiting.first()?.index;
-        Some(self.dispatch(now_ms, &id, index, Vec::new()))
+        let step = self.steps.get(&id)?;
+        let fleet = self.fleets.get(&step.spec.service);
+        let oldest = step.oldest_start(now_ms);
+        let avoid = fleet.map(|fleet| fleet.older_than(now_ms, oldest));
+        Some(self.dispatch(now_ms, &id, index, avoid.unwrap_or_default()))
     }
 
     /// Starts an attempt at a sample that waits or runs.
@@ -296,6 +326,7 @@
                 service: step.spec.service.clone(),
                 dispatched_ms: now_ms,
                 begun: None,
+                reported: None,
                 expected_tokens,
             },
         );
@@ -307,7 +338,7 @@
             prompt: step.prompt(index).into(),
             max_tokens: step.spec.max_tokens,
             expected_tokens,
-            oldest_version: step.oldest_version(),
+            oldest_version: step.oldest_start(now_ms),
             avoid,
         }
     }
@@ -321,7 +352,7 @@
     }
 
     /// Sends back all that is too old for a trainer at `version`.
-    fn take_version(&mut self, id: &StepId, version: WeightVersion) {
+    fn take_version(&mut self, now_ms: u64, id: &StepId, version: WeightVersion) {
         let Some(step) = self.steps.get_mut(id) else {
             return;
         };
@@ -329,6 +360,13 @@
             return;
         }
         step.version = version;
+        step.version_since_ms = now_ms;
+        let seen = (version, now_ms);
+        let known = self.versions.entry(id.trainer.clone()).or_insert(seen);
+        match *known {
+            (known, since_ms) if known == version => step.version_since_ms = since_ms,
+            _ => *known = seen,
+        }
         step.drop_stale(version, &self.lengths);
         let oldest = step.oldest_version();
         let attempts = self.attempts.iter();
--- a/crates/rollout/src/coordinator/state.rs
+++ b/crates/rollout/src/coordinator/state.rs
@@ -9,11 +9,14 @@
 use crate::length::Lengths;
 use crate::{AttemptKey, Cursor, Sample, StepSpec};
 
+const RESERVE_MS: u64 = 33_000;
+
 /// A step and where each of its samples is.
 #[derive(Debug)]
 pub(super) struct Step {
     pub(super) spec: StepSpec,
     pub(super) version: WeightVersion,
+    pub(super) version_since_ms: u64,
     pub(super) touched_ms: u64,
     pub(super) started_tokens: u64,
     pub(super) hedged_tokens: u64,
@@ -42,9 +45,15 @@
 }
 
 impl Step {
-    pub(super) fn new(spec: StepSpec, now_ms: u64, lengths: &Lengths) -> Self {
+    pub(super) fn new(
+        spec: StepSpec,
+        now_ms: u64,
+        (version, version_since_ms): (WeightVersion, u64),
+        lengths: &Lengths,
+    ) -> Self {
         let mut step = Self {
-            version: WeightVersion(0),
+            version,
+            version_since_ms,
             touched_ms: now_ms,
             started_tokens: 0,
             hedged_tokens: 0,
@@ -67,6 +76,19 @@
         oldest(self.version, self.spec.staleness_versions)
     }
 
+    /// The oldest version that a new sample may begin with.
+    ///
+    /// Where the bound allows it, one version is kept in reserve, since the trainer may
+    /// publish the next before it pulls. Engines that take longer than a wave to follow the
+    /// trainer are used without it.
+    pub(super) fn oldest_start(&self, now_ms: u64) -> WeightVersion {
+        let bound = self.spec.staleness_versions;
+        match now_ms.saturating_sub(self.version_since_ms) {
+            age_ms if age_ms < RESERVE_MS => oldest(self.version, bound.saturating_sub(1)),
+            _ => oldest(self.version, bound),
+        }
+    }
+
     pub(super) fn prompt(&self, index: u32) -> &str {
         &self.spec.prompts[self.spec.key(index).group as usize]
     }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod task;
 pub mod window;
 
-pub use attempt::{AttemptKey, Begun};
+pub use attempt::{AttemptKey, Begun, FIRST_REPORT_MS};
 pub use coordinator::{Coordinator, IDLE_MS};
 pub use cursor::Cursor;
 pub use error::Error;
--- a/crates/wisteriapoint/src/daemon/control/mod.rs
+++ b/crates/wisteriapoint/src/daemon/control/mod.rs
@@ -147,6 +147,7 @@
                 return self.generate(coordinator, task, sender);
             }
             Question::Begun { attempt, begun } => self.answer_begun(attempt, begun),
+            Question::Progress { attempt, tokens } => self.answer_progress(attempt, tokens),
             Question::Cancel {
                 coordinator,
                 attempt,
--- a/crates/wisteriapoint/src/daemon/control/rollouts.rs
+++ b/crates/wisteriapoint/src/daemon/control/rollouts.rs
@@ -77,6 +77,12 @@
         Reply::Noted
     }
 
+    pub(super) fn answer_progress(&mut self, attempt: AttemptKey, tokens: u32) -> Reply {
+        let now_ms = self.shared.clock.now_ms();
+        self.rollouts.coordinator.progress(now_ms, attempt, tokens);
+        Reply::Noted
+    }
+
     pub(super) fn answer_cancel(&mut self, coordinator: MemberId, attempt: AttemptKey) -> Reply {
         if let Some(task) = self.rollouts.generating.remove(&(coordinator, attempt)) {
             task.abort();
--- a/crates/wisteriapoint/src/daemon/message.rs
+++ b/crates/wisteriapoint/src/daemon/message.rs
@@ -50,6 +50,13 @@
         /// Where and by which version.
         begun: Begun,
     },
+    /// To a coordinator: how far an attempt is.
+    Progress {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// Its tokens.
+        tokens: u32,
+    },
     /// To a daemon that generates a sample: it is no longer wanted.
     Cancel {
         /// The coordinator that asked for it.
--- a/crates/wisteriapoint/src/daemon/sample.rs
+++ b/crates/wisteriapoint/src/daemon/sample.rs
@@ -5,17 +5,18 @@
 
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 use wisteriapoint_gateway::{Chunk, CompletionRequest};
-use wisteriapoint_rollout::{Begun, Sample, Task};
+use wisteriapoint_rollout::{Begun, FIRST_REPORT_MS, Sample, Task};
 use wisteriapoint_route::Class;
-use wisteriapoint_types::{EndpointName, MemberId, hash64};
+use wisteriapoint_types::{EndpointName, MemberId, WeightVersion, hash64};
 
 use super::Shared;
 use super::generate::{Collected, Sink, generate};
 use super::message::{Generated, Question, Reply};
 
 const ROLLOUT_PRIORITY: i32 = 10;
-const BEGUN_TIMEOUT: Duration = Duration::from_secs(2);
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Generates a sample on this daemon and replies to its coordinator.
 ///
@@ -78,6 +79,8 @@
     coordinator: MemberId,
     task: Task,
     endpoint: Option<EndpointName>,
+    begun: Option<Instant>,
+    next_report: Duration,
     collected: Collected,
     too_old: bool,
 }
@@ -89,27 +92,44 @@
             coordinator,
             task,
             endpoint: None,
+            begun: None,
+            next_report: Duration::ZERO,
             collected: Collected::default(),
             too_old: false,
         }
     }
 
     /// Tells the coordinator which engine and version produced the first tokens.
-    fn report_begun(&self, chunk: &Chunk) {
-        let Some(endpoint) = self.endpoint.clone() else {
+    fn report_begun(&mut self, version: WeightVersion) {
+        self.begun = Some(Instant::now());
+        self.next_report = Duration::from_millis(FIRST_REPORT_MS);
+        if let Some(endpoint) = self.endpoint.clone() {
+            self.tell(Question::Begun {
+                attempt: self.task.attempt,
+                begun: Begun { endpoint, version },
+            });
+        }
+    }
+
+    /// Tells the coordinator how far the sample is, ever more seldom.
+    fn report_progress(&mut self) {
+        let elapsed = self.begun.map(|begun| begun.elapsed()).unwrap_or_default();
+        if elapsed < self.next_report {
             return;
-        };
-        let question = Question::Begun {
+        }
+        self.next_report = elapsed * 2;
+        let spans = self.collected.spans.iter();
+        self.tell(Question::Progress {
             attempt: self.task.attempt,
-            begun: Begun {
-                endpoint,
-                version: chunk.version,
-            },
-        };
+            tokens: spans.map(|span| span.tokens).sum(),
+        });
+    }
+
+    fn tell(&self, question: Question) {
         let (shared, coordinator) = (Arc::clone(&self.shared), self.coordinator);
         tokio::spawn(async move {
             // Without this, the coordinator only knows less of the sample.
-            let _ = shared.ask(coordinator, question, BEGUN_TIMEOUT).await;
+            let _ = shared.ask(coordinator, question, REPORT_TIMEOUT).await;
         });
     }
 }
@@ -124,14 +144,16 @@
     }
 
     async fn take(&mut self, chunk: Chunk) -> bool {
+        if self.collected.spans.is_empty() {
+            self.report_begun(chunk.version);
+        }
         if chunk.version < self.task.oldest_version {
             self.too_old = true;
             return false;
         }
-        if self.collected.spans.is_empty() {
-            self.report_begun(&chunk);
-        }
-        self.collected.take(chunk).await
+        let goes_on = self.collected.take(chunk).await;
+        self.report_progress();
+        goes_on
     }
 
     fn reset(&mut self) -> bool {
