End watches with the turn; give back the lease before leaving

Cause: with the relay taken out two of its proofs still passed, since every daemon watches until it knows the view and its first watch lasts 30 s; and a steward could add a leaving daemon again while its lease stood. A fleet test named two daemons alike and failed in one of two runs. Change: a watch is dropped when the daemon's turn ends; the lease is given back before the view is left; the stand-in counts waiting queries; VM names in the tests are unique.

--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -59,6 +59,7 @@
     vms: Vec<VmEntry>,
     faults: Faults,
     calls: Calls,
+    waiting: u32,
     window: Option<(Instant, u32)>,
 }
 
@@ -105,6 +106,11 @@
         self.lock().calls
     }
 
+    /// Blocking queries that wait now.
+    pub fn waiting(&self) -> u32 {
+        self.lock().waiting
+    }
+
     /// The value of a key.
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         self.lock().rows.get(key).map(|row| row.value.clone())
@@ -274,6 +280,7 @@
     }
 
     async fn wait_for_change(&self, key: &str, since: u64, wait: Duration) {
+        let _waiting = Waiting::new(&self.0);
         let until = Instant::now() + wait;
         loop {
             let changed = self.0.changed.notified();
@@ -324,6 +331,22 @@
     }
 }
 
+/// Counts a blocking query while it waits.
+struct Waiting<'a>(&'a Platform);
+
+impl<'a> Waiting<'a> {
+    fn new(platform: &'a Platform) -> Self {
+        platform.lock().waiting += 1;
+        Self(platform)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.lock().waiting -= 1;
+    }
+}
+
 fn write_row(state: &mut State, key: &str, request: &Request, body: Vec<u8>) -> bool {
     let row = state.rows.get(key);
     let modified = row.map_or(0, |row| row.modified);
--- a/crates/wisteriapoint/src/daemon/platform.rs
+++ b/crates/wisteriapoint/src/daemon/platform.rs
@@ -1,6 +1,7 @@
 //! The daemon's calls to the platform: its lease, its watches, proposals of views.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::sleep;
@@ -46,12 +47,18 @@
     }
 }
 
-/// Leaves the view.
+/// Gives back the lease and leaves the view.
 ///
 /// # Errors
 ///
-/// Fails if the platform does not answer.
-pub async fn leave<S: Store>(shared: &Arc<Shared>, store: &S) -> Result<(), Error> {
+/// Fails if the platform does not answer; then the lease lapses, and the stewards remove
+/// this daemon.
+pub async fn leave(shared: &Arc<Shared>) -> Result<(), Error> {
+    let store = &shared.store;
+    shared.leaving.store(true, Ordering::Release);
+    if let Some(lease) = shared.lease.swap(None) {
+        store.release_lease(&lease).await?;
+    }
     loop {
         let (view, index) = read_view(store).await?;
         if view.member(shared.me.id).is_none() {
@@ -119,6 +126,13 @@
         }
     }
 
+    /// Waits until it is no longer this daemon's turn.
+    async fn turn_ends(self, shared: &Shared) {
+        while self.is_mine(shared) {
+            sleep(ROLE_PAUSE).await;
+        }
+    }
+
     fn command(self, entries: &[Entry]) -> Option<Command> {
         match self {
             Self::View => Some(Command::View(parsed(entries.first()?)?)),
@@ -143,7 +157,10 @@
                 sleep(ROLE_PAUSE).await;
                 continue;
             }
-            let listed = shared.store.list(self.prefix(), since, WATCH_WAIT).await;
+            let listed = tokio::select! {
+                listed = shared.store.list(self.prefix(), since, WATCH_WAIT) => listed,
+                () = self.turn_ends(&shared) => continue,
+            };
             count(&shared, "watch", listed.is_ok());
             let command = match &listed {
                 Ok((entries, _)) => self.command(entries),
@@ -236,24 +253,17 @@
     }
 }
 
-/// Keeps the VM's lease, and asks for a new one when it lapsed.
+/// Keeps the VM's lease, and asks for a new one when it lapsed, until the daemon leaves.
 ///
 /// The lease's value is the daemon's record as a member.
 pub async fn keep_lease(shared: Arc<Shared>, ttl: Duration) {
-    let mut lease: Option<Lease> = None;
     let mut backoff = Backoff::new();
-    while !shared.is_draining() {
-        lease = match lease {
-            Some(held) => match shared.store.renew_lease(&held).await {
-                Err(Error::LeaseLapsed) => None,
-                result => {
-                    count(&shared, "renew", result.is_ok());
-                    Some(held)
-                }
-            },
+    while !shared.leaving.load(Ordering::Acquire) {
+        match shared.lease.load_full() {
+            Some(held) => renew(&shared, &held).await,
             None => grant(&shared, ttl).await,
-        };
-        match lease {
+        }
+        match shared.lease.load_full() {
             Some(_) => {
                 backoff = Backoff::new();
                 sleep(ttl / RENEWALS_PER_TTL).await;
@@ -261,16 +271,22 @@
             None => sleep(backoff.next_pause()).await,
         }
     }
-    if let Some(held) = lease {
-        let released = shared.store.release_lease(&held).await;
-        count(&shared, "release", released.is_ok());
+}
+
+async fn renew(shared: &Arc<Shared>, lease: &Lease) {
+    let renewed = shared.store.renew_lease(lease).await;
+    count(shared, "renew", renewed.is_ok());
+    if let Err(Error::LeaseLapsed) = renewed {
+        shared.lease.store(None);
     }
 }
 
-async fn grant(shared: &Arc<Shared>, ttl: Duration) -> Option<Lease> {
+async fn grant(shared: &Arc<Shared>, ttl: Duration) {
     let key = keys::lease(&shared.me.vm);
-    let value = serde_json::to_vec(&shared.me).ok()?;
+    let value = serde_json::to_vec(&shared.me).unwrap_or_default();
     let granted = shared.store.grant_lease(&key, value, ttl).await;
     count(shared, "grant", granted.is_ok());
-    granted.ok()
+    if let Ok(lease) = granted {
+        shared.lease.store(Some(Arc::new(lease)));
+    }
 }
--- a/crates/wisteriapoint/src/daemon/shared.rs
+++ b/crates/wisteriapoint/src/daemon/shared.rs
@@ -5,14 +5,14 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use wisteriapoint_gateway::{Clients, Router};
 use wisteriapoint_membership::Member;
 use wisteriapoint_peer::Client;
-use wisteriapoint_platform::{Budgeted, HttpStore};
+use wisteriapoint_platform::{Budgeted, HttpStore, Lease};
 use wisteriapoint_types::{MemberId, ServiceName};
 
 use super::control::Command;
@@ -43,6 +43,10 @@
     pub metrics: Metrics,
     /// Whether a stop was asked for.
     pub draining: AtomicBool,
+    /// Whether the daemon is about to leave the view, and its lease with it.
+    pub leaving: AtomicBool,
+    /// The VM's lease, as long as it is held.
+    pub lease: ArcSwapOption<Lease>,
     /// Requests in progress.
     pub in_flight: AtomicUsize,
     /// The daemon's wall clock.
--- a/crates/wisteriapoint/src/daemon/start.rs
+++ b/crates/wisteriapoint/src/daemon/start.rs
@@ -83,6 +83,8 @@
             clients: Clients::new()?,
             metrics: Metrics::new().map_err(std::io::Error::other)?,
             draining: false.into(),
+            leaving: false.into(),
+            lease: None.into(),
             in_flight: 0.into(),
             store,
             clock: Clock::new(),
@@ -134,7 +136,7 @@
         let [service, admin] = &self.servers;
         service.stop_graceful(None);
         self.wait_for_requests().await;
-        let left = platform::leave(&self.shared, &self.shared.store);
+        let left = platform::leave(&self.shared);
         if !matches!(tokio::time::timeout(LEAVE_TIMEOUT, left).await, Ok(Ok(()))) {
             log::warn!("the platform did not take the leave; the lease will lapse");
         }
--- a/crates/wisteriapoint/tests/configuration.rs
+++ b/crates/wisteriapoint/tests/configuration.rs
@@ -2,12 +2,14 @@
 
 mod fleet;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fleet::{Fleet, document, revision, until};
 use tokio::time::{Instant, sleep};
 use wisteriapoint::daemon::message::{Question, Reply};
 use wisteriapoint_catalog::{Document, Update};
+use wisteriapoint_membership::Member;
 use wisteriapoint_peer::Client;
 use wisteriapoint_stand_in::platform::Faults;
 use wisteriapoint_stand_in::{PlainService, serve};
@@ -16,6 +18,9 @@
 /// The users' bound on the time until a change is in force everywhere.
 const IN_FORCE_BOUND: Duration = Duration::from_secs(6);
 
+/// Time after which a daemon whose turn has ended watches no more.
+const ROLES_SETTLE: Duration = Duration::from_secs(1);
+
 const ONE_DOMAIN: [&str; 6] = ["dk-east-a"; 6];
 
 fn address() -> std::net::SocketAddr {
@@ -29,16 +34,23 @@
     }
 }
 
+/// Two daemons watch three prefixes each; three stewards watch the leases.
+async fn only_watchers_watch(fleet: &Fleet) {
+    sleep(ROLES_SETTLE).await;
+    fleet
+        .until("only the watchers watch", |fleet| {
+            fleet.platform.waiting() == 2 * 3 + 3
+        })
+        .await;
+}
+
 #[tokio::test]
 async fn daemons_that_do_not_watch_learn_from_those_that_do() {
     let fleet = Fleet::start(&ONE_DOMAIN).await;
-    let view = fleet.daemons[0].shared().snapshot.load().view.clone();
-    let watchers = view
-        .members
-        .iter()
-        .filter(|member| view.is_watcher(member.id));
-    assert_eq!(watchers.count(), 2);
-
+    let view = Arc::clone(&fleet.daemons[0].shared().snapshot.load().view);
+    let is_watcher = |member: &&Member| view.is_watcher(member.id);
+    assert_eq!(view.members.iter().filter(is_watcher).count(), 2);
+    only_watchers_watch(&fleet).await;
     let begun = Instant::now();
     fleet.apply(&document("shopfront", address(), 1_000)).await;
     fleet
@@ -53,6 +65,7 @@
 #[tokio::test]
 async fn an_outage_right_after_acceptance_does_not_stop_the_spread() {
     let fleet = Fleet::start(&ONE_DOMAIN).await;
+    only_watchers_watch(&fleet).await;
     fleet.apply(&document("shopfront", address(), 1_000)).await;
     fleet
         .until("one has the revision", |fleet| {
--- a/crates/wisteriapoint/tests/fleet/mod.rs
+++ b/crates/wisteriapoint/tests/fleet/mod.rs
@@ -22,6 +22,7 @@
     pub(crate) platform: Platform,
     pub(crate) running: Running,
     pub(crate) daemons: Vec<Daemon>,
+    started: u32,
 }
 
 impl Fleet {
@@ -33,6 +34,7 @@
             platform,
             running,
             daemons: Vec::new(),
+            started: 0,
         };
         for domain in domains {
             fleet.add(domain, Vec::new()).await;
@@ -48,8 +50,9 @@
 
     /// Starts one more daemon.
     pub(crate) async fn add(&mut self, domain: &str, seed_peers: Vec<SocketAddr>) {
-        let number = self.daemons.len();
-        let settings = self.settings(&format!("entry-{number}"), domain, seed_peers);
+        let vm = format!("entry-{}", self.started);
+        self.started += 1;
+        let settings = self.settings(&vm, domain, seed_peers);
         self.daemons.push(Daemon::start(settings).await.unwrap());
     }
 
