Check settings and documents against tables of fields

A file's first fault hid all others and had no line or column, numbers had no bounds, names went unchecked into URLs, keys of the platform and labels of metrics, and the parser took forms beyond JSON with comments (words without quotes, missing commas). Now one table for each kind of file gives type, unit, default and bounds of every field; the check walks the syntax tree against it and tells every fault at once with line, column and what to write instead: unknown fields with the near name, fields that stand twice, wrong types, missing fields, bounds, equal names, addresses and paths in a list, equal addresses of a VM, and fields that a kind of service has no use for. Only the first fault of syntax is told, since the parser stops there.

--- /dev/null
+++ b/crates/settings/src/check/clash.rs
@@ -0,0 +1,87 @@
+//! Fields that are right one by one but not together.
+
+use std::collections::BTreeMap;
+
+use jsonc_parser::ast::{Object, Value};
+
+use super::Checker;
+
+const VM_ADDRESSES: [&str; 3] = ["service_address", "admin_address", "peer_address"];
+
+/// Checks the fields of a service document against each other.
+pub(crate) fn document_clashes(checker: &mut Checker<'_>, root: &Value<'_>) {
+    let Value::Object(document) = root else {
+        return;
+    };
+    checker.unique(document, "endpoints", "endpoint");
+    checker.unique(document, "endpoints", "address");
+
+    checker.unique(document, "routes", "path");
+    match document.get_string("kind").map(|kind| &*kind.value) {
+        Some("model") => checker.out_of_place(document, "model", &["routes"]),
+        Some("plain") => checker.out_of_place(document, "plain", &["rollouts", "weights"]),
+        _ => {}
+    }
+}
+
+/// Checks the fields of a VM's settings against each other.
+pub(crate) fn vm_clashes(checker: &mut Checker<'_>, root: &Value<'_>) {
+    let Value::Object(settings) = root else {
+        return;
+    };
+    let mut seen: BTreeMap<&str, &str> = BTreeMap::new();
+    for name in VM_ADDRESSES {
+        let Some(address) = settings.get_string(name) else {
+            continue;
+        };
+        match seen.insert(&address.value, name) {
+            Some(other) if !address.value.ends_with(":0") => {
+                let message = format!("`{name}` is the same as `{other}`; write another port");
+                checker.fault(address.range, message);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Checker<'_> {
+    fn unique(&mut self, document: &Object<'_>, list: &str, field: &str) {
+        let Some(elements) = document.get_array(list) else {
+            return;
+        };
+        let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
+        for (index, element) in elements.elements.iter().enumerate() {
+            let object = element.as_object();
+            let Some(text) = object.and_then(|object| object.get_string(field)) else {
+                continue;
+            };
+            match seen.get(&*text.value) {
+                Some(first) => {
+                    let value = &text.value;
+                    let message = format!(
+                        "`{list}[{index}].{field}` is `{value}`, as in `{list}[{first}]`; write \
+                         another or remove one"
+                    );
+                    self.fault(text.range, message);
+                }
+                None => {
+                    seen.insert(&text.value, index);
+                }
+            }
+        }
+    }
+
+    fn out_of_place(&mut self, document: &Object<'_>, kind: &str, fields: &[&str]) {
+        for field in fields {
+            let property = document.get(field);
+            let empty = property
+                .and_then(|property| property.value.as_array())
+                .is_some_and(|array| array.elements.is_empty());
+            if let Some(property) = property.filter(|_| !empty) {
+                let message =
+                    format!("`{field}` has no meaning for `\"kind\": \"{kind}\"`; remove it");
+                self.fault(property.range, message);
+            }
+        }
+    }
+}
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -1,13 +1,10 @@
 //! The document of one service.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 use wisteriapoint_types::{EndpointName, FailureDomain, Region, ServiceName, VmName};
 
-use crate::Fault;
-
 /// What a service is, which endpoints serve it and how it is treated.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -166,19 +163,6 @@
             .filter(|route| path.starts_with(&*route.path))
             .max_by_key(|route| route.path.len())
     }
-
-    pub(crate) fn faults(&self) -> Vec<Fault> {
-        let mut seen = BTreeSet::new();
-        self.endpoints
-            .iter()
-            .filter(|endpoint| !seen.insert(&endpoint.endpoint))
-            .map(|endpoint| Fault {
-                line: 0,
-                column: 0,
-                message: format!("endpoint `{}` stands twice", endpoint.endpoint).into(),
-            })
-            .collect()
-    }
 }
 
 fn default_deadline_ms() -> u64 {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,9 +15,11 @@
 //! # Ok::<(), wisteriapoint_settings::Error>(())
 //! ```
 
+mod check;
 pub mod document;
 pub mod error;
 pub mod read;
+pub mod schema;
 pub mod vm;
 
 pub use document::{Endpoint, Limits, Rollouts, Route, ServiceDocument, ServiceKind, Weights};
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -1,42 +1,61 @@
 //! Reading of files into typed values.
 
-use jsonc_parser::{ParseOptions, parse_to_serde_value};
+use jsonc_parser::ast::Value;
+use jsonc_parser::{
+    CollectOptions, ParseOptions, errors::ParseError, parse_to_ast, parse_to_serde_value,
+};
 use serde::de::DeserializeOwned;
 
+use crate::check::{Checker, document_clashes, vm_clashes};
+use crate::schema::{DOCUMENT, Field, VM};
 use crate::{Error, Fault, ServiceDocument, VmSettings};
 
+/// Longest text of a file, in bytes.
+pub const MAX_TEXT_BYTES: usize = 1_000_000;
+
 /// Reads a service document and checks it.
 ///
 /// # Errors
 ///
-/// Gives every fault found, with line and column where it has one.
+/// Gives every fault found, with line and column.
+///
+/// ```
+/// let error = wisteriapoint_settings::document_from_str("{ \"service\": 7 }").unwrap_err();
+/// assert!(error.is_data());
+/// assert_eq!((error.faults()[0].line, error.faults()[0].column), (1, 1));
+/// ```
 pub fn document_from_str(text: &str) -> Result<ServiceDocument, Error> {
-    let document: ServiceDocument = parse(text)?;
-    let faults = document.faults();
-    match faults.is_empty() {
-        true => Ok(document),
-        false => Err(Error::data(faults)),
-    }
+    parse(text, DOCUMENT, document_clashes)
 }
 
 /// Reads a VM's settings and checks them.
 ///
 /// # Errors
 ///
-/// Gives every fault found, with line and column where it has one.
+/// Gives every fault found, with line and column.
 pub fn vm_from_str(text: &str) -> Result<VmSettings, Error> {
-    parse(text)
+    parse(text, VM, vm_clashes)
 }
 
-fn parse<T: DeserializeOwned>(text: &str) -> Result<T, Error> {
-    let value: serde_json::Value =
-        parse_to_serde_value(text, &ParseOptions::default()).map_err(|error| {
-            Error::syntax(Fault {
-                line: error.line_display(),
-                column: error.column_display(),
-                message: error.kind().to_string().into(),
-            })
-        })?;
+fn parse<T: DeserializeOwned>(
+    text: &str,
+    fields: &'static [Field],
+    clashes: fn(&mut Checker<'_>, &Value<'_>),
+) -> Result<T, Error> {
+    if text.len() > MAX_TEXT_BYTES {
+        return Err(too_long(text));
+    }
+    let options = options();
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &options).map_err(syntax)?;
+    let root = parsed.value.ok_or_else(empty)?;
+    let mut checker = Checker::new(text);
+    checker.check_root(&root, fields);
+    clashes(&mut checker, &root);
+    let faults = checker.into_faults();
+    if !faults.is_empty() {
+        return Err(Error::data(faults));
+    }
+    let value: serde_json::Value = parse_to_serde_value(text, &options).map_err(syntax)?;
     serde_path_to_error::deserialize(value).map_err(|error| {
         Error::data(vec![Fault {
             line: 0,
@@ -45,3 +64,47 @@
         }])
     })
 }
+
+/// JSON with comments and trailing commas, and nothing else beyond JSON.
+fn options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_loose_object_property_names: false,
+        allow_trailing_commas: true,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+fn syntax(error: ParseError) -> Error {
+    Error::syntax(Fault {
+        line: error.line_display(),
+        column: error.column_display(),
+        message: error.kind().to_string().into(),
+    })
+}
+
+fn empty() -> Error {
+    Error::syntax(Fault {
+        line: 1,
+        column: 1,
+        message: "the file is empty; write an object".into(),
+    })
+}
+
+fn too_long(text: &str) -> Error {
+    let message = format!(
+        "the file has {} bytes; write at most {MAX_TEXT_BYTES}",
+        text.len(),
+    );
+    Error::syntax(Fault {
+        line: 1,
+        column: 1,
+        message: message.into(),
+    })
+}
