Tell operators what became of an edit

An edit whose answer was lost and that another edit followed was reported as a lost race, although it had been accepted; an edit that came between read and write was overwritten unseen; a platform that was down for a moment failed the command; a race told only a number. Now an edit keeps the revision that it was made from, is looked for by its nonce in the whole history, and ends as accepted, accepted and superseded, lost to a named revision with its author and line difference, not written, or unresolved. Too many edits after a lost answer are told as forgotten and not guessed. Tries go on with growing pauses up to a bound. The history loses its oldest revisions when a record nears a megabyte; a document that does not fit is refused, and so is a change of a home region that was set, since the claims are kept there.

--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -157,6 +157,12 @@
         self.lock().targets.values().cloned().collect()
     }
 
+    /// What the policy knows of the endpoints now.
+    pub fn seats(&self) -> Vec<Seat> {
+        let inner = self.lock();
+        inner.pool.seats().map(|(_, seat)| seat.clone()).collect()
+    }
+
     /// Waits for the right to dispatch.
     ///
     /// # Errors
--- a/crates/settings/src/check/clash.rs
+++ b/crates/settings/src/check/clash.rs
@@ -4,6 +4,8 @@
 
 use jsonc_parser::ast::{Object, Value};
 
+use wisteriapoint_types::Region;
+
 use super::Checker;
 
 const VM_ADDRESSES: [&str; 3] = ["service_address", "admin_address", "peer_address"];
@@ -24,6 +26,26 @@
     }
 }
 
+/// Checks that a home region stays as it was set.
+pub(crate) fn home_region_change(checker: &mut Checker<'_>, root: &Value<'_>, previous: &Region) {
+    let Value::Object(document) = root else {
+        return;
+    };
+    let region = document.get_string("home_region");
+    match region {
+        Some(region) if region.value == previous.as_str() => {}
+        found => {
+            let range = found.map_or(document.range, |region| region.range);
+            let message = format!(
+                "`home_region` was set to `{previous}` and can't change: the claims of requests \
+                 in progress are kept there, and elsewhere a request could run twice; write \
+                 `{previous}`, or a new service"
+            );
+            checker.fault(range, message);
+        }
+    }
+}
+
 /// Checks the fields of a VM's settings against each other.
 pub(crate) fn vm_clashes(checker: &mut Checker<'_>, root: &Value<'_>) {
     let Value::Object(settings) = root else {
--- a/crates/settings/src/check/value.rs
+++ b/crates/settings/src/check/value.rs
@@ -35,7 +35,7 @@
 }
 
 /// Whether a text is a name: it goes into URLs, keys and labels of metrics.
-pub(crate) fn is_name(text: &str) -> bool {
+pub fn is_name(text: &str) -> bool {
     let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
     (1..=MAX_NAME_BYTES).contains(&text.len())
         && text.bytes().all(allowed)
--- /dev/null
+++ b/crates/settings/src/edit.rs
@@ -0,0 +1,77 @@
+//! Change of single fields in a text, with its comments kept.
+
+use jsonc_parser::cst::{CstInputValue, CstNode, CstObject, CstRootNode};
+use serde_json::Value;
+
+use crate::read::{options, syntax};
+use crate::{Error, Fault};
+
+/// Sets one field of a document's text; the rest of the text stays as it is.
+///
+/// A path names fields and places in lists, such as `limits.queue_length` or
+/// `endpoints[2].max_concurrency`. The result is not checked.
+///
+/// # Errors
+///
+/// Fails if the text is not JSON with comments, or if the path leads nowhere.
+///
+/// ```
+/// let text = "{ \"limits\": { \"queue_length\": 64 } } // Shop.";
+/// let edited = wisteriapoint_settings::with_field(text, "limits.queue_length", &128.into())?;
+/// assert_eq!(edited, "{ \"limits\": { \"queue_length\": 128 } } // Shop.");
+/// # Ok::<(), wisteriapoint_settings::Error>(())
+/// ```
+pub fn with_field(text: &str, path: &str, value: &Value) -> Result<String, Error> {
+    let root = CstRootNode::parse(text, &options()).map_err(syntax)?;
+    let mut object = root.object_value().ok_or_else(|| nowhere(path))?;
+    let (parents, name) = match path.rsplit_once('.') {
+        Some((parents, name)) => (Some(parents), name),
+        None => (None, path),
+    };
+    for step in parents.into_iter().flat_map(|parents| parents.split('.')) {
+        object = descend(&object, step).ok_or_else(|| nowhere(path))?;
+    }
+    let known = object.get(name);
+    match known {
+        Some(property) => property.set_value(input(value)),
+        None => {
+            object.append(name, input(value));
+        }
+    }
+    Ok(root.to_string())
+}
+
+fn descend(object: &CstObject, step: &str) -> Option<CstObject> {
+    let Some((name, index)) = step.split_once('[') else {
+        return object.object_value_or_create(step);
+    };
+    let index: usize = index.strip_suffix(']')?.parse().ok()?;
+    let elements = object.array_value(name)?.elements();
+    elements.get(index).and_then(CstNode::as_object)
+}
+
+fn input(value: &Value) -> CstInputValue {
+    match value {
+        Value::Null => CstInputValue::Null,
+        Value::Bool(boolean) => CstInputValue::Bool(*boolean),
+        Value::Number(number) => CstInputValue::Number(number.to_string()),
+        Value::String(text) => CstInputValue::String(text.clone()),
+        Value::Array(elements) => CstInputValue::Array(elements.iter().map(input).collect()),
+        Value::Object(fields) => {
+            let fields = fields.iter();
+            CstInputValue::Object(fields.map(|(n, v)| (n.clone(), input(v))).collect())
+        }
+    }
+}
+
+fn nowhere(path: &str) -> Error {
+    let message = format!(
+        "`{path}` leads nowhere; write a path such as `limits.queue_length` or \
+         `endpoints[2].max_concurrency`"
+    );
+    Error::data(vec![Fault {
+        line: 0,
+        column: 0,
+        message: message.into(),
+    }])
+}
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -6,7 +6,7 @@
 };
 use serde::de::DeserializeOwned;
 
-use crate::check::{Checker, document_clashes, vm_clashes};
+use crate::check::{Checker, document_clashes, home_region_change, vm_clashes};
 use crate::schema::{DOCUMENT, Field, VM};
 use crate::{Error, Fault, ServiceDocument, VmSettings};
 
@@ -28,6 +28,23 @@
     parse(text, DOCUMENT, document_clashes)
 }
 
+/// Reads a service document that is to replace another one.
+///
+/// # Errors
+///
+/// Gives every fault found, and changes of what can't change.
+pub fn document_in_place_of(
+    previous: &ServiceDocument,
+    text: &str,
+) -> Result<ServiceDocument, Error> {
+    parse(text, DOCUMENT, |checker, root| {
+        document_clashes(checker, root);
+        if let Some(region) = &previous.home_region {
+            home_region_change(checker, root, region);
+        }
+    })
+}
+
 /// Reads a VM's settings and checks them.
 ///
 /// # Errors
@@ -40,7 +57,7 @@
 fn parse<T: DeserializeOwned>(
     text: &str,
     fields: &'static [Field],
-    clashes: fn(&mut Checker<'_>, &Value<'_>),
+    clashes: impl FnOnce(&mut Checker<'_>, &Value<'_>),
 ) -> Result<T, Error> {
     if text.len() > MAX_TEXT_BYTES {
         return Err(too_long(text));
@@ -66,7 +83,7 @@
 }
 
 /// JSON with comments and trailing commas, and nothing else beyond JSON.
-fn options() -> ParseOptions {
+pub(crate) fn options() -> ParseOptions {
     ParseOptions {
         allow_comments: true,
         allow_loose_object_property_names: false,
@@ -81,7 +98,7 @@
     }
 }
 
-fn syntax(error: ParseError) -> Error {
+pub(crate) fn syntax(error: ParseError) -> Error {
     Error::syntax(Fault {
         line: error.line_display(),
         column: error.column_display(),
--- a/crates/wisteriapoint/src/cli/check.rs
+++ b/crates/wisteriapoint/src/cli/check.rs
@@ -4,29 +4,36 @@
 
 use clap::Args;
 
+use super::output::{self, Output};
+use super::read_file;
 use crate::Error;
 
-/// Checks files without changing anything.
+/// Checks files without changing anything; tells all faults of a file at once.
 #[derive(Debug, Args)]
-#[group(required = true)]
+#[group(required = true, multiple = true)]
+#[command(after_help = "Examples:
+  wisteriapoint check --settings examples/dk-east/vm.json
+  wisteriapoint check --document examples/dk-east/shopfront.json")]
 pub struct Check {
     /// File with a VM's settings.
     #[arg(long)]
-    settings: Option<PathBuf>,
+    settings: Vec<PathBuf>,
     /// File with a service document.
     #[arg(long)]
-    document: Option<PathBuf>,
+    document: Vec<PathBuf>,
 }
 
 impl Check {
-    pub(super) fn run(self) -> Result<(), Error> {
-        if let Some(path) = self.settings {
-            wisteriapoint_settings::vm_from_str(&std::fs::read_to_string(path)?)?;
+    pub(super) fn run(self, output: Output) -> Result<(), Error> {
+        for path in &self.settings {
+            let settings = wisteriapoint_settings::vm_from_str(&read_file(path)?);
+            settings.map_err(|error| Error::refused(path, error))?;
         }
-        if let Some(path) = self.document {
-            wisteriapoint_settings::document_from_str(&std::fs::read_to_string(path)?)?;
+        for path in &self.document {
+            let document = wisteriapoint_settings::document_from_str(&read_file(path)?);
+            document.map_err(|error| Error::refused(path, error))?;
         }
-        println!("ok");
-        Ok(())
+        let done = serde_json::json!({ "accepted": self.settings.len() + self.document.len() });
+        output::print(output, &done, |_| println!("ok"))
     }
 }
--- a/crates/wisteriapoint/src/cli/drain.rs
+++ b/crates/wisteriapoint/src/cli/drain.rs
@@ -4,10 +4,13 @@
 
 use clap::Args;
 
+use super::daemon::Daemons;
+use super::output::{self, Output};
 use crate::Error;
 
-/// Asks a daemon to stop gracefully.
+/// Asks a daemon to stop gracefully: it ends the requests in flight and exits.
 #[derive(Debug, Args)]
+#[command(after_help = "Example:\n  wisteriapoint drain --admin 10.10.0.11:8081")]
 pub struct Drain {
     /// Admin address of the daemon.
     #[arg(long)]
@@ -15,11 +18,9 @@
 }
 
 impl Drain {
-    pub(super) async fn run(self) -> Result<(), Error> {
-        let url = format!("http://{}/drain", self.admin);
-        let client = reqwest::Client::builder().no_proxy().build()?;
-        client.post(url).send().await?.error_for_status()?;
-        println!("draining");
-        Ok(())
+    pub(super) async fn run(self, output: Output) -> Result<(), Error> {
+        Daemons::new()?.drain(self.admin).await?;
+        let done = serde_json::json!({ "draining": true });
+        output::print(output, &done, |_| println!("draining"))
     }
 }
--- a/crates/wisteriapoint/src/cli/ready.rs
+++ b/crates/wisteriapoint/src/cli/ready.rs
@@ -4,10 +4,13 @@
 
 use clap::Args;
 
+use super::daemon::Daemons;
+use super::output::{self, Output};
 use crate::Error;
 
 /// Exits 0 if a daemon takes requests.
 #[derive(Debug, Args)]
+#[command(after_help = "Example:\n  wisteriapoint ready --admin 10.10.0.11:8081")]
 pub struct Ready {
     /// Admin address of the daemon.
     #[arg(long)]
@@ -15,11 +18,9 @@
 }
 
 impl Ready {
-    pub(super) async fn run(self) -> Result<(), Error> {
-        let url = format!("http://{}/ready", self.admin);
-        let client = reqwest::Client::builder().no_proxy().build()?;
-        client.get(url).send().await?.error_for_status()?;
-        println!("ready");
-        Ok(())
+    pub(super) async fn run(self, output: Output) -> Result<(), Error> {
+        Daemons::new()?.ready(self.admin).await?;
+        let done = serde_json::json!({ "ready": true });
+        output::print(output, &done, |_| println!("ready"))
     }
 }
--- a/crates/wisteriapoint/src/cli/serve.rs
+++ b/crates/wisteriapoint/src/cli/serve.rs
@@ -5,11 +5,13 @@
 use clap::Args;
 use tokio::signal::unix::{SignalKind, signal};
 
+use super::read_file;
 use crate::daemon::Daemon;
 use crate::{Error, logging};
 
-/// Runs the daemon until SIGTERM, SIGINT or a drain.
+/// Runs the daemon until SIGTERM, SIGINT or a drain, then stops gracefully.
 #[derive(Debug, Args)]
+#[command(after_help = "Example:\n  wisteriapoint serve --settings examples/dk-east/vm.json")]
 pub struct Serve {
     /// File with the VM's settings.
     #[arg(long)]
@@ -21,13 +23,14 @@
 
 impl Serve {
     pub(super) async fn run(self) -> Result<(), Error> {
-        let settings =
-            wisteriapoint_settings::vm_from_str(&std::fs::read_to_string(self.settings)?)?;
+        let settings = wisteriapoint_settings::vm_from_str(&read_file(&self.settings)?)
+            .map_err(|error| Error::refused(&self.settings, error))?;
         logging::init(settings.log_format, log::LevelFilter::Info)?;
         let mut terminate = signal(SignalKind::terminate())?;
         let daemon = Daemon::start(settings).await?;
         if let Some(path) = self.addresses {
-            std::fs::write(path, serde_json::to_vec(&daemon.addresses())?)?;
+            let addresses = serde_json::to_vec(&daemon.addresses())?;
+            std::fs::write(&path, addresses).map_err(|error| Error::file(&path, error))?;
         }
         log::info!("serving callers on {}", daemon.addresses().service);
         tokio::select! {
--- /dev/null
+++ b/crates/wisteriapoint/src/cli/service/diff.rs
@@ -0,0 +1,15 @@
+//! Differences between two texts, by lines.
+
+use similar::TextDiff;
+
+const CONTEXT_LINES: usize = 2;
+
+/// What changes from one revision's text to another.
+pub(super) fn unified(from: (&str, &str), to: (&str, &str)) -> String {
+    let ((from_name, from), (to_name, to)) = (from, to);
+    TextDiff::from_lines(from, to)
+        .unified_diff()
+        .context_radius(CONTEXT_LINES)
+        .header(from_name, to_name)
+        .to_string()
+}
--- /dev/null
+++ b/crates/wisteriapoint/src/cli/service/mod.rs
@@ -0,0 +1,204 @@
+//! `wisteriapoint service`.
+
+pub mod apply;
+mod diff;
+mod show;
+mod store;
+pub mod wait;
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+
+use clap::{Args, Subcommand};
+use serde_json::Value;
+use tokio::time::Instant;
+use wisteriapoint_platform::HttpStore;
+use wisteriapoint_settings::with_field;
+use wisteriapoint_types::{Nonce, Revision, ServiceName};
+
+use self::apply::{Applied, Edit};
+use super::output::{self, Output};
+use super::{read_file, service_name};
+use crate::Error;
+
+/// Reads and edits service documents.
+#[derive(Debug, Args)]
+#[command(after_help = EXAMPLES)]
+pub struct Service {
+    /// Base URL of the platform's key-value service.
+    #[arg(long, env = "WISTERIAPOINT_PLATFORM_URL")]
+    platform_url: String,
+    /// How long to go on while the platform does not answer, in seconds.
+    #[arg(long, default_value_t = 30)]
+    patience_s: u64,
+    #[command(subcommand)]
+    action: Action,
+}
+
+const EXAMPLES: &str = "Examples:
+  wisteriapoint service list
+  wisteriapoint service get shopfront --to shopfront.json
+  wisteriapoint service apply shopfront.json --from 4 --wait
+  wisteriapoint service edit shopfront --set limits.queue_length=128
+  wisteriapoint service history shopfront --revision 3";
+
+#[derive(Debug, Subcommand)]
+enum Action {
+    /// Puts a service document in force: checks it, shows the difference, writes it.
+    Apply {
+        /// File with the document.
+        file: PathBuf,
+        /// Revision that the edit was made from; refused if another came since.
+        #[arg(long)]
+        from: Option<u64>,
+        #[command(flatten)]
+        write: Write,
+    },
+    /// Sets single fields of the document in force; its comments stay.
+    Edit {
+        /// Name of the service.
+        #[arg(value_parser = service_name)]
+        service: ServiceName,
+        /// Field and value, such as `limits.queue_length=128`.
+        #[arg(long = "set", required = true, value_name = "PATH=VALUE")]
+        fields: Vec<String>,
+        #[command(flatten)]
+        write: Write,
+    },
+    /// Prints the document in force, or writes it to a file.
+    Get {
+        /// Name of the service.
+        #[arg(value_parser = service_name)]
+        service: ServiceName,
+        /// File to write it to.
+        #[arg(long)]
+        to: Option<PathBuf>,
+    },
+    /// Lists the services.
+    List,
+    /// Lists the revisions of a service, or prints one.
+    History {
+        /// Name of the service.
+        #[arg(value_parser = service_name)]
+        service: ServiceName,
+        /// Revision to print.
+        #[arg(long)]
+        revision: Option<u64>,
+    },
+}
+
+#[derive(Debug, Args)]
+struct Write {
+    /// Who makes the edit.
+    #[arg(long, env = "USER", default_value = "unknown")]
+    author: String,
+    /// Shows the difference and writes nothing.
+    #[arg(long)]
+    dry_run: bool,
+    /// Waits until every daemon has the revision in force, and names those that have not.
+    #[arg(long)]
+    wait: bool,
+    /// Longest wait, in seconds.
+    #[arg(long, default_value_t = 30, requires = "wait")]
+    wait_s: u64,
+}
+
+impl Service {
+    pub(super) async fn run(self, output: Output) -> Result<(), Error> {
+        let store = HttpStore::new(&self.platform_url)?;
+        let until = Instant::now() + Duration::from_secs(self.patience_s);
+        match self.action {
+            Action::Apply { file, from, write } => {
+                let text = read_file(&file)?;
+                let edit = Edit::new(&text, &write.author, from.map(Revision));
+                let named = |error| named(&file, error);
+                run_edit(&store, &edit, &write, until, output)
+                    .await
+                    .map_err(named)
+            }
+            Action::Edit {
+                service,
+                fields,
+                write,
+            } => {
+                let (record, _) = store::require(&store, &service, until).await?;
+                let current = record.current;
+                let text = with_fields(&current.document, &fields)?;
+                let edit = Edit::new(&text, &write.author, Some(current.revision));
+                run_edit(&store, &edit, &write, until, output).await
+            }
+            Action::Get { service, to } => {
+                show::get(&store, &service, to.as_deref(), until, output).await
+            }
+            Action::List => show::list(&store, output).await,
+            Action::History { service, revision } => {
+                let revision = revision.map(Revision);
+                show::history(&store, &service, revision, until, output).await
+            }
+        }
+    }
+}
+
+async fn run_edit(
+    store: &HttpStore,
+    edit: &Edit<'_>,
+    write: &Write,
+    until: Instant,
+    output: Output,
+) -> Result<(), Error> {
+    let applied = match write.dry_run {
+        true => apply::compare(store, edit, until).await?,
+        false => apply::apply(store, edit, until).await?,
+    };
+    output::print(output, &applied, print_applied)?;
+    match write.wait && !write.dry_run {
+        true => {
+            let wait_until = Instant::now() + Duration::from_secs(write.wait_s);
+            let members = wait::in_force(store, &applied, wait_until).await?;
+            output::print(output, &members, |members| {
+                println!("in force on {} daemons", members.in_force.len());
+            })
+        }
+        false => Ok(()),
+    }
+}
+
+fn print_applied(applied: &Applied) {
+    print!("{}", applied.change);
+    let (service, revision) = (&applied.service, applied.revision);
+    match &applied.superseded_by {
+        _ if applied.dry_run => println!("{service}: nothing written"),
+        _ if !applied.written => println!("{service}: no change; revision {revision} stays"),
+        None => println!("{service}: revision {revision} accepted"),
+        Some(later) => println!(
+            "{service}: revision {revision} accepted; revision {} by {} came after it",
+            later.revision, later.author,
+        ),
+    }
+}
+
+fn with_fields(text: &str, fields: &[String]) -> Result<String, Error> {
+    let mut text = text.to_owned();
+    for field in fields {
+        let (path, value) = field.split_once('=').unwrap_or((field, "null"));
+        let value = serde_json::from_str(value).unwrap_or_else(|_| Value::from(value));
+        text = with_field(&text, path, &value)?;
+    }
+    Ok(text)
+}
+
+fn named(file: &Path, error: Error) -> Error {
+    match error {
+        Error::Settings(source) => Error::refused(file, source),
+        other => other,
+    }
+}
+
+fn new_nonce() -> Nonce {
+    Nonce(rand::random())
+}
+
+fn now_ms() -> u64 {
+    let since_unix = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    since_unix.as_millis() as u64
+}
--- /dev/null
+++ b/crates/wisteriapoint/src/cli/service/store.rs
@@ -0,0 +1,76 @@
+//! Reads of service records, again and again while the platform does not answer.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+use wisteriapoint_platform::{Entry, Error as PlatformError, Index, Store, keys};
+use wisteriapoint_types::ServiceName;
+
+use crate::Error;
+use crate::record::ServiceRecord;
+
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LAST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Growing pauses between tries, up to a moment.
+#[derive(Debug)]
+pub(super) struct Pauses {
+    next: Duration,
+    until: Instant,
+}
+
+impl Pauses {
+    pub(super) fn new(until: Instant) -> Self {
+        Self {
+            next: FIRST_PAUSE,
+            until,
+        }
+    }
+
+    /// Waits before another try; gives false if there is no time for one.
+    pub(super) async fn pause(&mut self) -> bool {
+        if Instant::now() + self.next > self.until {
+            return false;
+        }
+        sleep(self.next).await;
+        self.next = (self.next * 2).min(LAST_PAUSE);
+        true
+    }
+}
+
+/// Reads the record of a service, if there is one.
+pub(super) async fn read<S: Store>(
+    store: &S,
+    service: &ServiceName,
+    until: Instant,
+) -> Result<Option<(ServiceRecord, Index)>, Error> {
+    let key = keys::service(service);
+    let mut pauses = Pauses::new(until);
+    loop {
+        let error = match store.get(&key).await {
+            Ok(entry) => return entry.map(|entry| parse(&entry)).transpose(),
+            Err(error) => error,
+        };
+        if is_final(&error) || !pauses.pause().await {
+            return Err(error.into());
+        }
+    }
+}
+
+/// Reads the record of a service that has to be there.
+pub(super) async fn require<S: Store>(
+    store: &S,
+    service: &ServiceName,
+    until: Instant,
+) -> Result<(ServiceRecord, Index), Error> {
+    let found = read(store, service, until).await?;
+    found.ok_or_else(|| Error::UnknownService(service.clone()))
+}
+
+pub(super) fn parse(entry: &Entry) -> Result<(ServiceRecord, Index), Error> {
+    Ok((serde_json::from_slice(&entry.value)?, entry.index))
+}
+
+fn is_final(error: &PlatformError) -> bool {
+    matches!(error, PlatformError::Malformed(_))
+}
--- /dev/null
+++ b/crates/wisteriapoint/src/cli/service/wait.rs
@@ -0,0 +1,82 @@
+//! The wait until a revision is in force on every daemon.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream;
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+use wisteriapoint_membership::{Member, View};
+use wisteriapoint_platform::{Store, keys};
+use wisteriapoint_types::{MemberId, Revision, VmName};
+
+use super::apply::Applied;
+use crate::Error;
+use crate::cli::daemon::Daemons;
+
+const ROUND_PAUSE: Duration = Duration::from_millis(250);
+const ASKED_AT_ONCE: usize = 32;
+
+/// The daemons that have a revision in force.
+#[derive(Debug, Serialize)]
+pub struct Members {
+    /// The revision.
+    pub revision: Revision,
+    /// Their VMs.
+    pub in_force: Vec<VmName>,
+}
+
+/// Waits until every member of the view has the revision, or a later one, in force.
+///
+/// # Errors
+///
+/// Names the members that have not at `until`.
+pub async fn in_force<S: Store>(
+    store: &S,
+    applied: &Applied,
+    until: Instant,
+) -> Result<Members, Error> {
+    let daemons = Daemons::new()?;
+    let mut members = Vec::new();
+    let mut done: BTreeSet<MemberId> = BTreeSet::new();
+    loop {
+        if let Ok(Some(entry)) = store.get(keys::VIEW).await {
+            members = serde_json::from_slice::<View>(&entry.value)?.members;
+        }
+        let asked = members.iter().filter(|member| !done.contains(&member.id));
+        let answers: Vec<Option<MemberId>> = stream::iter(asked)
+            .map(|member| has_revision(&daemons, member, applied))
+            .buffer_unordered(ASKED_AT_ONCE)
+            .collect()
+            .await;
+        done.extend(answers.into_iter().flatten());
+        let lagging = |member: &&Member| !done.contains(&member.id);
+        let lagging: Vec<VmName> = vms(members.iter().filter(lagging));
+        if lagging.is_empty() && !members.is_empty() {
+            return Ok(Members {
+                revision: applied.revision,
+                in_force: vms(members.iter()),
+            });
+        }
+        if Instant::now() + ROUND_PAUSE > until {
+            return Err(Error::NotInForce {
+                revision: applied.revision,
+                lagging,
+            });
+        }
+        sleep(ROUND_PAUSE).await;
+    }
+}
+
+async fn has_revision(daemons: &Daemons, member: &Member, applied: &Applied) -> Option<MemberId> {
+    let status = daemons.status(member.admin_address).await.ok()?;
+    let revision = status.revisions.get(&applied.service)?;
+    (*revision >= applied.revision && status.id == member.id).then_some(member.id)
+}
+
+fn vms<'a>(members: impl Iterator<Item = &'a Member>) -> Vec<VmName> {
+    let mut vms: Vec<VmName> = members.map(|member| member.vm.clone()).collect();
+    vms.sort();
+    vms
+}
--- /dev/null
+++ b/crates/wisteriapoint/src/http/explain.rs
@@ -0,0 +1,128 @@
+//! `GET /explain/{service}`: where a request would go, without sending one.
+
+use std::sync::Arc;
+
+use salvo::{Request, Response, handler};
+use serde::{Deserialize, Serialize};
+use wisteriapoint_route::Seat;
+use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName};
+
+use super::respond;
+use crate::daemon::Shared;
+use crate::daemon::generate::unknown_service;
+
+/// Handles explanations.
+#[derive(Debug)]
+pub struct Explain {
+    shared: Arc<Shared>,
+}
+
+/// What a daemon knows of a service's endpoints.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Explanation {
+    /// The endpoints, by name.
+    pub endpoints: Vec<EndpointState>,
+    /// Those that a request sent now could go to, by name.
+    pub candidates: Vec<EndpointName>,
+}
+
+/// What a daemon knows of one endpoint.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EndpointState {
+    /// Its name.
+    pub endpoint: EndpointName,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// Whether it may get a request now.
+    pub state: Availability,
+    /// Requests of this daemon in flight there.
+    pub in_flight: u32,
+    /// Requests that it may run at once.
+    pub max_concurrency: u32,
+    /// Requests that it reported as running.
+    pub reported_running: u32,
+    /// Requests that it reported as waiting.
+    pub reported_waiting: u32,
+    /// Age of its report, in milliseconds.
+    pub report_age_ms: u64,
+    /// Measured time for one token, or for one request of a plain service, in milliseconds.
+    pub ms_per_token: f64,
+}
+
+/// Whether an endpoint may get a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Availability {
+    /// It may.
+    Open,
+    /// It runs as many requests as it may.
+    Full,
+    /// It failed a moment ago.
+    PassedOver,
+    /// It takes no new work.
+    Leaving,
+}
+
+impl Availability {
+    /// The word in tables and JSON.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Full => "full",
+            Self::PassedOver => "passed-over",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+impl EndpointState {
+    fn new(seat: &Seat, now_ms: u64) -> Self {
+        let state = match seat {
+            seat if seat.leaving => Availability::Leaving,
+            seat if seat.ejected_until_ms > now_ms => Availability::PassedOver,
+            seat if seat.in_flight >= seat.max_concurrency => Availability::Full,
+            _ => Availability::Open,
+        };
+        Self {
+            endpoint: seat.endpoint.clone(),
+            failure_domain: seat.failure_domain.clone(),
+            state,
+            in_flight: seat.in_flight,
+            max_concurrency: seat.max_concurrency,
+            reported_running: seat.load.running,
+            reported_waiting: seat.load.waiting,
+            report_age_ms: now_ms.saturating_sub(seat.load.at_ms),
+            ms_per_token: seat.ms_per_token,
+        }
+    }
+}
+
+#[handler]
+impl Explain {
+    /// Makes the handler.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let service = ServiceName::new(request.param::<String>("service").unwrap_or_default());
+        let router = self.shared.routers.load().get(&service).cloned();
+        let Some(router) = router else {
+            return respond::problem(response, &unknown_service(&service));
+        };
+        let now_ms = router.now_ms();
+        let seats = router.seats();
+        let mut endpoints: Vec<EndpointState> = seats
+            .iter()
+            .map(|seat| EndpointState::new(seat, now_ms))
+            .collect();
+        endpoints.sort_by(|one, other| one.endpoint.cmp(&other.endpoint));
+        let open = |endpoint: &&EndpointState| endpoint.state == Availability::Open;
+        let candidates = endpoints.iter().filter(open);
+        let explanation = Explanation {
+            candidates: candidates.map(|state| state.endpoint.clone()).collect(),
+            endpoints,
+        };
+        respond::json(response, &explanation);
+    }
+}
--- a/crates/wisteriapoint/src/http/mod.rs
+++ b/crates/wisteriapoint/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod completions;
+pub mod explain;
 pub mod plain;
 pub mod respond;
 pub mod steps;
@@ -72,6 +73,7 @@
         .push(Router::with_path("health").get(admin::Health))
         .push(Router::with_path("ready").get(admin::Ready::new(Arc::clone(shared))))
         .push(Router::with_path("status").get(admin::StatusPage::new(Arc::clone(shared))))
+        .push(Router::with_path("explain/{service}").get(explain::Explain::new(Arc::clone(shared))))
         .push(Router::with_path("drain").post(admin::Drain::new(Arc::clone(shared))))
 }
 
--- a/crates/wisteriapoint/src/record.rs
+++ b/crates/wisteriapoint/src/record.rs
@@ -6,6 +6,9 @@
 /// Revisions that a record keeps besides the one in force.
 pub const HISTORY_LENGTH: usize = 20;
 
+/// Largest record, in bytes as stored; the platform holds values up to a megabyte.
+pub const MAX_RECORD_BYTES: usize = 1_000_000;
+
 /// A service document with its revision and history; one compare-and-swap writes it all.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRecord {
@@ -47,7 +50,7 @@
             history.extend(old.history);
             history.truncate(HISTORY_LENGTH);
         }
-        Self {
+        let record = Self {
             current: AcceptedRevision {
                 revision: Revision(revision + 1),
                 nonce,
@@ -56,10 +59,36 @@
                 document: document.into(),
             },
             history,
+        };
+        record.with_bounded_size()
+    }
+
+    /// The revision that an edit made, if the record still keeps it.
+    pub fn find(&self, nonce: Nonce) -> Option<&AcceptedRevision> {
+        self.revisions().find(|revision| revision.nonce == nonce)
+    }
+
+    /// All revisions that the record keeps, newest first.
+    pub fn revisions(&self) -> impl Iterator<Item = &AcceptedRevision> {
+        std::iter::once(&self.current).chain(&self.history)
+    }
+
+    fn with_bounded_size(mut self) -> Self {
+        let mut size_bytes = stored_bytes(&self);
+        while size_bytes > MAX_RECORD_BYTES {
+            let Some(oldest) = self.history.pop() else {
+                return self;
+            };
+            size_bytes -= stored_bytes(&oldest);
         }
+        self
     }
 }
 
+fn stored_bytes<T: Serialize>(value: &T) -> usize {
+    serde_json::to_vec(value).map_or(0, |bytes| bytes.len())
+}
+
 /// The published weight version of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightRecord {
--- /dev/null
+++ b/crates/wisteriapoint/tests/edits.rs
@@ -0,0 +1,338 @@
+//! Operators' edits: races, lost answers, outages of the platform, bounds.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+use wisteriapoint::Error;
+use wisteriapoint::cli::service::apply::{Applied, Edit, apply, compare};
+use wisteriapoint::record::{MAX_RECORD_BYTES, ServiceRecord};
+use wisteriapoint_platform::{
+    Entry, Error as PlatformError, HttpStore, Index, Lease, Store, VmEntry,
+};
+use wisteriapoint_stand_in::platform::Faults;
+use wisteriapoint_stand_in::{Platform, Running, serve};
+use wisteriapoint_types::Revision;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+const KEY: &str = "wisteriapoint/services/shopfront";
+
+struct Fixture {
+    platform: Platform,
+    store: HttpStore,
+    _running: Running,
+}
+
+async fn fixture() -> Fixture {
+    let platform = Platform::new();
+    let running = serve::on_loopback(platform.router()).await.unwrap();
+    let store = HttpStore::new(&format!("http://{}", running.address)).unwrap();
+    Fixture {
+        platform,
+        store,
+        _running: running,
+    }
+}
+
+impl Fixture {
+    fn record(&self) -> ServiceRecord {
+        serde_json::from_slice(&self.platform.value(KEY).unwrap()).unwrap()
+    }
+
+    /// A store whose first write is followed by other edits and is not answered.
+    fn silent(&self, edits_after: u32) -> Meddling {
+        Meddling {
+            store: self.store.clone(),
+            stale: None,
+            edits_after,
+            silent_writes: Arc::new(1.into()),
+        }
+    }
+}
+
+/// A store that others write to at the worst moment.
+#[derive(Clone)]
+struct Meddling {
+    store: HttpStore,
+    stale: Option<(Entry, Arc<AtomicU32>)>,
+    edits_after: u32,
+    silent_writes: Arc<AtomicU32>,
+}
+
+fn takes_one(left: &AtomicU32) -> bool {
+    let order = Ordering::Relaxed;
+    left.fetch_update(order, order, |left| left.checked_sub(1))
+        .is_ok()
+}
+
+impl Store for Meddling {
+    async fn list(
+        &self,
+        prefix: &str,
+        changed_since: Option<Index>,
+        wait: Duration,
+    ) -> Result<(Vec<Entry>, Index), PlatformError> {
+        self.store.list(prefix, changed_since, wait).await
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
+        match &self.stale {
+            Some((entry, left)) if takes_one(left) => Ok(Some(entry.clone())),
+            _ => self.store.get(key).await,
+        }
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &str,
+        expected: Index,
+        value: Vec<u8>,
+    ) -> Result<bool, PlatformError> {
+        let written = self.store.compare_and_swap(key, expected, value).await?;
+        if !takes_one(&self.silent_writes) {
+            return Ok(written);
+        }
+        for number in 0..self.edits_after {
+            let text = document(9_000 + number);
+            let edit = Edit::new(&text, "jonas", None);
+            let edited = apply(&self.store, &edit, Instant::now() + PATIENCE).await;
+            assert!(edited.is_ok(), "{edited:?}");
+        }
+        Err(PlatformError::Unavailable("answer lost".into()))
+    }
+
+    async fn grant_lease(
+        &self,
+        key: &str,
+        value: Vec<u8>,
+        ttl: Duration,
+    ) -> Result<Lease, PlatformError> {
+        self.store.grant_lease(key, value, ttl).await
+    }
+
+    async fn renew_lease(&self, lease: &Lease) -> Result<(), PlatformError> {
+        self.store.renew_lease(lease).await
+    }
+
+    async fn release_lease(&self, lease: &Lease) -> Result<(), PlatformError> {
+        self.store.release_lease(lease).await
+    }
+
+    async fn vms(&self) -> Result<Vec<VmEntry>, PlatformError> {
+        self.store.vms().await
+    }
+}
+
+fn document(deadline_ms: u32) -> String {
+    format!(
+        r#"{{
+    "service": "shopfront",
+    "owner": "shop team",
+    "kind": "plain",
+    "endpoints": [
+        {{ "endpoint": "e", "address": "127.0.0.1:1", "failure_domain": "a", "vm": "v" }},
+    ],
+    "deadline_ms": {deadline_ms},
+}}
+"#
+    )
+}
+
+async fn put<S: Store>(store: &S, text: &str, from: Option<u64>) -> Result<Applied, Error> {
+    let edit = Edit::new(text, "kirsten", from.map(Revision));
+    apply(store, &edit, Instant::now() + PATIENCE).await
+}
+
+fn down(down: bool) -> Faults {
+    Faults {
+        down,
+        ..Faults::default()
+    }
+}
+
+#[tokio::test]
+async fn an_edit_is_written_once_and_an_equal_text_not_again() {
+    let fixture = fixture().await;
+    let first = put(&fixture.store, &document(1), None).await.unwrap();
+    assert!(first.written && first.revision == Revision(1));
+    let second = put(&fixture.store, &document(2), Some(1)).await.unwrap();
+    assert_eq!(second.revision, Revision(2));
+    assert!(
+        second
+            .change
+            .contains("-    \"deadline_ms\": 1,\n+    \"deadline_ms\": 2,")
+    );
+    let again = put(&fixture.store, &document(2), None).await.unwrap();
+    assert!(!again.written && again.revision == Revision(2));
+    assert_eq!(fixture.platform.calls().writes, 2);
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_resolved_by_reading_back() {
+    let fixture = fixture().await;
+    fixture.platform.set_faults(Faults {
+        lose_write_answers: 1,
+        ..Faults::default()
+    });
+    let applied = put(&fixture.store, &document(1), None).await.unwrap();
+    assert!(applied.written && applied.superseded_by.is_none());
+    assert_eq!(fixture.record().revisions().count(), 1);
+}
+
+#[tokio::test]
+async fn an_accepted_edit_that_another_followed_is_no_race() {
+    let fixture = fixture().await;
+    put(&fixture.store, &document(1), None).await.unwrap();
+    let applied = put(&fixture.silent(2), &document(2), Some(1))
+        .await
+        .unwrap();
+    assert_eq!(applied.revision, Revision(2));
+    let later = applied.superseded_by.expect("another edit came after");
+    assert_eq!((later.revision, &*later.author), (Revision(4), "jonas"));
+}
+
+#[tokio::test]
+async fn an_edit_that_the_history_has_forgotten_is_not_called_a_race() {
+    let fixture = fixture().await;
+    put(&fixture.store, &document(1), None).await.unwrap();
+    let error = put(&fixture.silent(25), &document(2), Some(1))
+        .await
+        .unwrap_err();
+    let forgotten = Error::Forgotten { base: Revision(1) };
+    assert_eq!(error.to_string(), forgotten.to_string());
+}
+
+#[tokio::test]
+async fn a_lost_race_tells_the_other_edit() {
+    let fixture = fixture().await;
+    put(&fixture.store, &document(1), None).await.unwrap();
+    let other = document(2);
+    let other = Edit::new(&other, "jonas", Some(Revision(1)));
+    apply(&fixture.store, &other, Instant::now() + PATIENCE)
+        .await
+        .unwrap();
+    let error = put(&fixture.store, &document(3), Some(1))
+        .await
+        .unwrap_err();
+    let Error::Race(race) = &error else {
+        panic!("{error}");
+    };
+    assert_eq!(
+        (race.expected, race.found.revision),
+        (Revision(1), Revision(2))
+    );
+    assert_eq!(&*race.found.author, "jonas");
+    assert!(
+        race.change
+            .contains("-    \"deadline_ms\": 1,\n+    \"deadline_ms\": 2,")
+    );
+    assert_eq!(&*fixture.record().current.document, document(2));
+    assert_eq!(error.exit_code(), 4);
+}
+
+#[tokio::test]
+async fn an_edit_between_read_and_write_is_a_lost_race() {
+    let fixture = fixture().await;
+    put(&fixture.store, &document(1), None).await.unwrap();
+    let stale = fixture.store.get(KEY).await.unwrap().unwrap();
+    put(&fixture.store, &document(2), None).await.unwrap();
+    let racing = Meddling {
+        stale: Some((stale, Arc::new(1.into()))),
+        silent_writes: Arc::default(),
+        ..fixture.silent(0)
+    };
+    let error = put(&racing, &document(3), None).await.unwrap_err();
+    assert!(matches!(error, Error::Race(_)), "{error}");
+    assert_eq!(&*fixture.record().current.document, document(2));
+}
+
+#[tokio::test]
+async fn an_edit_outlives_an_outage_within_its_patience() {
+    let fixture = fixture().await;
+    fixture.platform.set_faults(down(true));
+    let platform = fixture.platform.clone();
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(400)).await;
+        platform.set_faults(down(false));
+    });
+    let applied = put(&fixture.store, &document(1), None).await.unwrap();
+    assert_eq!(applied.revision, Revision(1));
+}
+
+#[tokio::test]
+async fn an_edit_gives_up_at_the_end_of_its_patience() {
+    let fixture = fixture().await;
+    fixture.platform.set_faults(down(true));
+    let text = document(1);
+    let edit = Edit::new(&text, "kirsten", None);
+    let until = Instant::now() + Duration::from_millis(300);
+    let error = apply(&fixture.store, &edit, until).await.unwrap_err();
+    assert!(matches!(error, Error::Platform(_)), "{error}");
+    assert!(error.to_string().ends_with("nothing was written"));
+    assert_eq!(error.exit_code(), 5);
+}
+
+#[tokio::test]
+async fn an_edit_that_was_sent_is_not_called_unwritten() {
+    let fixture = fixture().await;
+    let text = document(1);
+    let edit = Edit::new(&text, "kirsten", None);
+    let error = apply(&fixture.silent(0), &edit, Instant::now())
+        .await
+        .unwrap_err();
+    assert!(matches!(error, Error::Unresolved { .. }), "{error}");
+    assert!(error.to_string().contains("may have been accepted"));
+}
+
+#[tokio::test]
+async fn the_oldest_history_goes_when_a_record_grows_large() {
+    let fixture = fixture().await;
+    let padding = "x".repeat(300_000);
+    for number in 1..=5 {
+        let text = format!("// {padding}\n{}", document(number));
+        put(&fixture.store, &text, None).await.unwrap();
+    }
+    assert!(fixture.platform.value(KEY).unwrap().len() <= MAX_RECORD_BYTES);
+    let record = fixture.record();
+    let revisions: Vec<u64> = record.revisions().map(|kept| kept.revision.0).collect();
+    assert_eq!(revisions, [5, 4, 3]);
+}
+
+#[tokio::test]
+async fn a_document_too_large_to_store_is_refused() {
+    let fixture = fixture().await;
+    // A quote takes two bytes as stored.
+    let text = format!("// {}\n{}", "\"".repeat(600_000), document(1));
+    let error = put(&fixture.store, &text, None).await.unwrap_err();
+    assert!(matches!(error, Error::TooLarge { .. }), "{error}");
+    assert_eq!(fixture.platform.calls().writes, 0);
+}
+
+#[tokio::test]
+async fn a_home_region_is_set_once_and_a_dry_run_writes_nothing() {
+    let fixture = fixture().await;
+    let with_region = |region: &str| {
+        document(1).replace(
+            "\"kind\"",
+            &format!("\"home_region\": \"{region}\", \"kind\""),
+        )
+    };
+    put(&fixture.store, &with_region("dk-east"), None)
+        .await
+        .unwrap();
+    let moved = with_region("hu-central");
+    let error = put(&fixture.store, &moved, None).await.unwrap_err();
+    assert!(
+        error.to_string().contains("was set to `dk-east`"),
+        "{error}"
+    );
+    let until = Instant::now() + PATIENCE;
+    let edit = Edit::new(&moved, "kirsten", None);
+    assert!(compare(&fixture.store, &edit, until).await.is_err());
+    let text = with_region("dk-east").replace(": 1,", ": 2,");
+    let edit = Edit::new(&text, "kirsten", None);
+    let compared = compare(&fixture.store, &edit, until).await.unwrap();
+    assert!(compared.dry_run && compared.change.contains("+    \"deadline_ms\": 2,"));
+    assert_eq!(fixture.platform.calls().writes, 1);
+}
