--- a/crates/settings/src/check/mod.rs
+++ b/crates/settings/src/check/mod.rs
@@ -100,20 +100,28 @@
                     self.check_element(&format!("{name}[{index}]"), element, fields);
                 }
             }
-            (value, shape) => {
-                if let Err(found) = value::check(value, shape) {
-                    let unit = match field.unit {
-                        "" => String::new(),
-                        unit => format!(" ({unit})"),
-                    };
-                    let wanted = shape.describe();
-                    let message = format!("`{name}` is {found}; write {wanted}{unit}");
-                    self.fault(value.range(), message);
+            (Value::Array(array), Shape::Addresses { max }) if array.elements.len() <= max => {
+                for (index, element) in array.elements.iter().enumerate() {
+                    self.check_value(&format!("{name}[{index}]"), element, Shape::Address, "");
                 }
             }
+            (value, shape) => self.check_value(&name, value, shape, field.unit),
         }
     }
 
+    fn check_value(&mut self, name: &str, value: &Value<'_>, shape: Shape, unit: &str) {
+        let Err(found) = value::check(value, shape) else {
+            return;
+        };
+        let unit = match unit {
+            "" => String::new(),
+            unit => format!(" ({unit})"),
+        };
+        let wanted = shape.describe();
+        let message = format!("`{name}` is {found}; write {wanted}{unit}");
+        self.fault(value.range(), message);
+    }
+
     fn check_element(&mut self, name: &str, element: &Value<'_>, fields: &'static [Field]) {
         match element {
             Value::Object(object) => self.check_object(&format!("{name}."), object, fields),
--- a/crates/settings/src/schema/mod.rs
+++ b/crates/settings/src/schema/mod.rs
@@ -24,6 +24,11 @@
     Url,
     /// An IP number and a port.
     Address,
+    /// A list of addresses.
+    Addresses {
+        /// Most addresses.
+        max: usize,
+    },
     /// A whole number.
     Integer {
         /// Smallest value.
@@ -102,6 +107,9 @@
             ),
             Self::Url => "a URL such as `http://10.0.0.1:8500`".into(),
             Self::Address => "an address such as `10.0.0.1:8000`".into(),
+            Self::Addresses { max } => {
+                format!("a list of at most {max} addresses such as `10.0.0.1:8000`")
+            }
             Self::Integer { min, max } => format!("a whole number from {min} to {max}"),
             Self::Number { min, max } => format!("a number from {min} to {max}"),
             Self::Bool => "`true` or `false`".into(),
--- a/crates/settings/src/schema/vm.rs
+++ b/crates/settings/src/schema/vm.rs
@@ -31,10 +31,16 @@
         Shape::Url,
         "Base URL of the platform's key-value service.",
     ),
+    with_default(
+        "seed_peers",
+        Shape::Addresses { max: 1_024 },
+        "[]",
+        "Peer addresses of some other daemons, asked when the platform does not answer at start.",
+    ),
     with_default(
         "lease_ttl_s",
         Shape::Integer { min: 1, max: 3_600 },
-        "10",
+        "15",
         "Time to live of the VM's lease.",
     )
     .with_unit("s"),
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -55,6 +55,7 @@
     "admin_address": "10.0.0.1:80",
     "peer_adress": "10.0.0.1:81",
     "platform_url": "10.0.0.2:8500",
+    "seed_peers": ["10.0.0.3:82", "entry-2", 4],
     "traffic_threads": 0,
     "platform_calls_per_s": 0,
     "log_format": "xml",
--- a/crates/wisteriapoint/src/cli/service/mod.rs
+++ b/crates/wisteriapoint/src/cli/service/mod.rs
@@ -12,7 +12,7 @@
 use clap::{Args, Subcommand};
 use serde_json::Value;
 use tokio::time::Instant;
-use wisteriapoint_platform::HttpStore;
+use wisteriapoint_platform::{HttpStore, Store};
 use wisteriapoint_settings::with_field;
 use wisteriapoint_types::{Nonce, Revision, ServiceName};
 
@@ -29,12 +29,14 @@
     #[arg(long, env = "WISTERIAPOINT_PLATFORM_URL")]
     platform_url: String,
     /// How long to go on while the platform does not answer, in seconds.
-    #[arg(long, default_value_t = 30)]
+    #[arg(long, default_value_t = DEFAULT_PATIENCE_S)]
     patience_s: u64,
     #[command(subcommand)]
     action: Action,
 }
 
+const DEFAULT_PATIENCE_S: u64 = 30;
+
 const EXAMPLES: &str = "Examples:
   wisteriapoint service list
   wisteriapoint service get shopfront --to shopfront.json
@@ -139,6 +141,23 @@
     }
 }
 
+/// Puts a document in force, with the command's default patience; gives its revision.
+///
+/// # Errors
+///
+/// Fails as [`apply::apply`] does.
+pub async fn apply<S: Store>(
+    store: &S,
+    text: &str,
+    from: Option<Revision>,
+    author: &str,
+) -> Result<Revision, Error> {
+    let edit = Edit::new(text, author, from);
+    let until = Instant::now() + Duration::from_secs(DEFAULT_PATIENCE_S);
+    let applied = apply::apply(store, &edit, until).await?;
+    Ok(applied.revision)
+}
+
 async fn run_edit(
     store: &HttpStore,
     edit: &Edit<'_>,
