Refuse peer messages that are cut or followed by more

A frame cut short was read as whole when what had come held a whole message, and bytes after a message were ignored, in frames and datagrams alike: the codec takes what it needs and does not look at the rest. A frame now has to have its full length, and a message has to take all of it.

A checksum was ruled out: TCP and UDP have one, and what is left is a fault of a peer.

--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -7,7 +7,7 @@
 use tokio::net::UdpSocket;
 
 use crate::error::{Error, Kind};
-use crate::frame::{MAX_DATAGRAM_BYTES, PROTOCOL_VERSION};
+use crate::frame::{self, MAX_DATAGRAM_BYTES, PROTOCOL_VERSION};
 
 /// A UDP socket that carries postcard messages.
 #[derive(Debug)]
@@ -47,8 +47,7 @@
         let (length_bytes, from) = self.socket.recv_from(&mut buffer).await?;
         match buffer[..length_bytes] {
             [PROTOCOL_VERSION, ref body @ ..] if length_bytes <= MAX_DATAGRAM_BYTES => {
-                let message = postcard::from_bytes(body).map_err(Kind::Malformed)?;
-                Ok((from, message))
+                Ok((from, frame::decode(body)?))
             }
             [PROTOCOL_VERSION, ..] => Err(Kind::TooLong { length_bytes }.into()),
             [version, ..] => Err(Kind::Version { version }.into()),
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -19,6 +19,8 @@
     TooLong { length_bytes: usize },
     #[error("the peer speaks protocol version {version}")]
     Version { version: u8 },
+    #[error("a message is malformed: {count} bytes follow it")]
+    Trailing { count: usize },
     #[error("a message is malformed: {0}")]
     Malformed(#[from] postcard::Error),
 }
@@ -44,7 +46,10 @@
     pub fn is_malformed(&self) -> bool {
         matches!(
             self.0,
-            Kind::Malformed(_) | Kind::TooLong { .. } | Kind::Version { .. }
+            Kind::Malformed(_)
+                | Kind::Trailing { .. }
+                | Kind::TooLong { .. }
+                | Kind::Version { .. }
         )
     }
 }
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -1,5 +1,7 @@
 //! Frames on a TCP connection: version, length, postcard.
 
+use std::io::{self, ErrorKind};
+
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -54,5 +56,17 @@
     let mut body = Vec::new();
     let mut limited = stream.take(length_bytes as u64);
     limited.read_to_end(&mut body).await?;
-    Ok(postcard::from_bytes(&body).map_err(Kind::Malformed)?)
+    match body.len() {
+        read if read < length_bytes => Err(io::Error::from(ErrorKind::UnexpectedEof).into()),
+        _ => decode(&body),
+    }
+}
+
+/// Decodes a message that takes all of the bytes.
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    let (message, rest) = postcard::take_from_bytes(bytes).map_err(Kind::Malformed)?;
+    match rest.len() {
+        0 => Ok(message),
+        count => Err(Kind::Trailing { count }.into()),
+    }
 }
