--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -163,6 +163,13 @@
         inner.pool.seats().map(|(_, seat)| seat.clone()).collect()
     }
 
+    /// The keys of those endpoints that are in service, for [`Demand::tried`].
+    pub fn keys(&self, endpoints: &[EndpointName]) -> Vec<EndpointKey> {
+        let inner = self.lock();
+        let keys = endpoints.iter();
+        keys.filter_map(|endpoint| inner.find(endpoint)).collect()
+    }
+
     /// Waits for the right to dispatch.
     ///
     /// # Errors
