--- a/crates/wisteriapoint/src/daemon/sample.rs
+++ b/crates/wisteriapoint/src/daemon/sample.rs
@@ -54,6 +54,7 @@
         max_tokens: task.max_tokens,
         stream: true,
         priority: ROLLOUT_PRIORITY,
+        resume: None,
     };
     let trainer = hash64(0, task.id.trainer.as_str().as_bytes());
     let class = Class::Rollout { trainer };
