--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -1,18 +1,76 @@
 //! Runs experiments and prints their figures.
 
+use std::error::Error;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::Parser;
+use clap::{Parser, Subcommand};
+use wisteriapoint_experiment::policy::{self, Scenario};
+use wisteriapoint_experiment::report;
 
 /// Runs the experiments on the decision libraries.
 #[derive(Debug, Parser)]
 struct Cli {
+    #[command(subcommand)]
+    experiment: Experiment,
+}
+
+#[derive(Debug, Subcommand)]
+enum Experiment {
+    /// Choice of endpoint, limits, retries and crash suspects.
+    Policy(PolicyArguments),
+}
+
+#[derive(Debug, clap::Args)]
+struct PolicyArguments {
     /// Scenario files, JSON with comments.
-    scenarios: Vec<std::path::PathBuf>,
+    #[arg(required = true)]
+    scenarios: Vec<PathBuf>,
+    /// Number of seeds, from 1 on.
+    #[arg(long, default_value_t = 10)]
+    seeds: u64,
+    /// Prints a table in Markdown in place of JSON lines.
+    #[arg(long)]
+    table: bool,
+    /// Figures of the table; all if none is named.
+    #[arg(long, value_delimiter = ',')]
+    figures: Vec<String>,
+    /// Directory for one plot of the callers answered in time for each scenario.
+    #[arg(long)]
+    plots: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
-    let cli = Cli::parse();
-    println!("{} scenarios", cli.scenarios.len());
-    ExitCode::SUCCESS
+    let result = match Cli::parse().experiment {
+        Experiment::Policy(arguments) => run_policy(&arguments),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_policy(arguments: &PolicyArguments) -> Result<(), Box<dyn Error>> {
+    let mut runs = Vec::new();
+    for path in &arguments.scenarios {
+        let scenario = Scenario::read(path)?;
+        let new = policy::run_all(&scenario, arguments.seeds);
+        if let Some(directory) = &arguments.plots {
+            policy::plot(directory, &scenario, &new)?;
+        }
+        runs.extend(new);
+    }
+    for run in &mut runs {
+        let named = |name: &str| arguments.figures.iter().any(|wanted| wanted == name);
+        run.figures
+            .retain(|name, _| arguments.figures.is_empty() || named(name));
+    }
+    match arguments.table {
+        true => print!("{}", report::table(&runs)),
+        false => report::print_lines(&runs),
+    }
+    Ok(())
 }
--- a/crates/experiment/src/policy.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Experiments on choice of endpoint, limits, retries and crash suspects.
--- /dev/null
+++ b/crates/experiment/src/policy/before.rs
@@ -0,0 +1,166 @@
+//! The step before: power of two choices, fixed limits and a queue in order of arrival.
+
+use std::collections::BTreeMap;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use wisteriapoint_route::Strike;
+
+use super::scenario::Kind;
+use super::variant::{Ask, End, Order, Place, Policy};
+
+const QUEUE_LENGTH: usize = 64;
+const EJECTION_MS: u64 = 1_000;
+const RETRY_AFTER_MS: u64 = 1_000;
+const SMOOTHING: f64 = 0.1;
+
+#[derive(Debug, Clone, Copy)]
+struct Seat {
+    failure_domain: usize,
+    slots: u32,
+    in_flight: u32,
+    reported: u32,
+    ejected_until_ms: u64,
+    ms_per_token: f64,
+    leaving: bool,
+}
+
+/// A frozen copy of the first policy.
+#[derive(Debug)]
+pub struct Before {
+    seats: Vec<Seat>,
+    queue: BTreeMap<(bool, u64), (usize, Ask)>,
+    sequence: u64,
+    random: SmallRng,
+}
+
+impl Before {
+    /// Makes the variant.
+    pub fn new(places: &[Place], seed: u64) -> Self {
+        let seat = |place: &Place| Seat {
+            failure_domain: place.failure_domain,
+            slots: place.slots,
+            in_flight: 0,
+            reported: 0,
+            ejected_until_ms: 0,
+            ms_per_token: 0.0,
+            leaving: false,
+        };
+        Self {
+            seats: places.iter().map(seat).collect(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn choose(&mut self, now_ms: u64, ask: &Ask) -> Option<usize> {
+        let seats = &self.seats;
+        let is_open = |seat: &Seat| {
+            !seat.leaving && seat.ejected_until_ms <= now_ms && seat.in_flight < seat.slots
+        };
+        let open: Vec<usize> = (0..seats.len()).filter(|&i| is_open(&seats[i])).collect();
+        let untried = open.iter().copied().filter(|i| !ask.tried.contains(i));
+        let untried: Vec<usize> = untried.collect();
+        let elsewhere = untried.iter().copied();
+        let elsewhere = elsewhere.filter(|&i| Some(seats[i].failure_domain) != ask.avoid);
+        let candidates = [elsewhere.collect(), untried, open]
+            .into_iter()
+            .find(|indices: &Vec<usize>| !indices.is_empty())?;
+        let first = candidates[self.random.random_range(0..candidates.len())];
+        let second = candidates[self.random.random_range(0..candidates.len())];
+        let better = score(&self.seats[second]) < score(&self.seats[first]);
+        Some(if better { second } else { first })
+    }
+
+    fn place(&mut self, now_ms: u64, request: usize, ask: &Ask) -> Option<Order> {
+        let endpoint = self.choose(now_ms, ask)?;
+        self.seats[endpoint].in_flight += 1;
+        Some(Order::Dispatch { request, endpoint })
+    }
+}
+
+impl Policy for Before {
+    fn admit(&mut self, now_ms: u64, request: usize, ask: &Ask) -> Vec<Order> {
+        let rollout = ask.kind != Kind::Caller;
+        let waiting = self.queue.range((rollout, 0)..=(rollout, u64::MAX)).count();
+        if let Some(order) = self.place(now_ms, request, ask) {
+            return vec![order];
+        }
+        if waiting >= QUEUE_LENGTH {
+            let retry_after_ms = Some(RETRY_AFTER_MS);
+            return vec![Order::Refuse {
+                request,
+                retry_after_ms,
+            }];
+        }
+        self.sequence += 1;
+        self.queue
+            .insert((rollout, self.sequence), (request, ask.clone()));
+        Vec::new()
+    }
+
+    fn finish(&mut self, now_ms: u64, _: usize, endpoint: usize, end: End) -> Vec<Order> {
+        let seat = &mut self.seats[endpoint];
+        seat.in_flight = seat.in_flight.saturating_sub(1);
+        match end {
+            End::Answered { elapsed_ms, tokens } => {
+                let sample = elapsed_ms.max(1) as f64 / f64::from(tokens.max(1));
+                seat.ms_per_token = match seat.ms_per_token {
+                    known if known > 0.0 => known + SMOOTHING * (sample - known),
+                    _ => sample,
+                };
+            }
+            End::Unreachable | End::Crashed => seat.ejected_until_ms = now_ms + EJECTION_MS,
+            End::Refused | End::Cancelled => {}
+        }
+        self.wake(now_ms)
+    }
+
+    fn wake(&mut self, now_ms: u64) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let keys: Vec<(bool, u64)> = self.queue.keys().copied().collect();
+        for key in keys {
+            let Some((request, ask)) = self.queue.get(&key).cloned() else {
+                continue;
+            };
+            let Some(order) = self.place(now_ms, request, &ask) else {
+                continue;
+            };
+            self.queue.remove(&key);
+            orders.push(order);
+        }
+        orders
+    }
+
+    fn withdraw(&mut self, request: usize) {
+        self.queue.retain(|_, (waiting, _)| *waiting != request);
+    }
+
+    fn report(&mut self, _: u64, _: u64, endpoint: usize, running: u32, waiting: u32) {
+        self.seats[endpoint].reported = running + waiting;
+    }
+
+    fn set_leaving(&mut self, endpoint: usize) {
+        self.seats[endpoint].leaving = true;
+    }
+
+    fn may_retry(&mut self) -> bool {
+        true
+    }
+
+    fn export(&self) -> Vec<Strike> {
+        Vec::new()
+    }
+
+    fn import(&mut self, _now_ms: u64, _strikes: &[Strike]) {}
+}
+
+fn score(seat: &Seat) -> f64 {
+    let queued = f64::from(seat.in_flight.max(seat.reported));
+    let speed = match seat.ms_per_token {
+        measured if measured > 0.0 => measured,
+        _ => 1.0,
+    };
+    (queued + 1.0) * speed
+}
--- /dev/null
+++ b/crates/experiment/src/policy/now.rs
@@ -0,0 +1,191 @@
+//! The policy that the daemon uses.
+
+use std::collections::BTreeMap;
+
+use slotmap::SecondaryMap;
+use wisteriapoint_route::{
+    Admission, Class, Demand, EndpointKey, Load, Outcome, Pool, Reason, Refusal, Seat, Strike,
+    TicketKey, Woken,
+};
+use wisteriapoint_types::FailureDomain;
+
+use super::scenario::Kind;
+use super::variant::{Ask, End, Order, Place, Policy};
+
+const QUEUE_LENGTH: usize = 64;
+
+/// A real pool.
+#[derive(Debug)]
+pub struct Now {
+    pool: Pool,
+    keys: Vec<EndpointKey>,
+    indices: SecondaryMap<EndpointKey, usize>,
+    tickets: BTreeMap<usize, TicketKey>,
+    requests: SecondaryMap<TicketKey, usize>,
+    now_ms: u64,
+}
+
+impl Now {
+    /// Makes the variant.
+    pub fn new(places: &[Place], seed: u64) -> Self {
+        let mut pool = Pool::new(QUEUE_LENGTH, seed);
+        let mut indices = SecondaryMap::new();
+        let mut keys = Vec::new();
+        for (index, place) in places.iter().enumerate() {
+            let name = format!("endpoint-{index}");
+            let key = pool.insert(Seat::new(&name, &domain(place.failure_domain), place.slots));
+            indices.insert(key, index);
+            keys.push(key);
+        }
+        Self {
+            pool,
+            keys,
+            indices,
+            tickets: BTreeMap::new(),
+            requests: SecondaryMap::new(),
+            now_ms: 0,
+        }
+    }
+
+    fn orders(&mut self, woken: Vec<Woken>) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for Woken { ticket, endpoint } in woken {
+            let Some(&request) = self.requests.get(ticket) else {
+                continue;
+            };
+            orders.push(match endpoint {
+                Ok(key) => Order::Dispatch {
+                    request,
+                    endpoint: self.indices[key],
+                },
+                Err(refusal) => {
+                    self.forget(request);
+                    refuse(request, refusal)
+                }
+            });
+        }
+        let preempted = self.pool.take_preempted();
+        let request = |ticket| self.requests.get(ticket).copied();
+        let cancels = preempted.into_iter().filter_map(request);
+        orders.extend(cancels.map(|request| Order::Cancel { request }));
+        orders
+    }
+
+    fn remember(&mut self, request: usize, ticket: TicketKey) {
+        self.tickets.insert(request, ticket);
+        self.requests.insert(ticket, request);
+    }
+
+    fn forget(&mut self, request: usize) -> Option<TicketKey> {
+        let ticket = self.tickets.remove(&request)?;
+        self.requests.remove(ticket);
+        Some(ticket)
+    }
+
+    fn demand(&self, ask: &Ask) -> Demand {
+        let class = match ask.kind {
+            Kind::Caller => Class::Caller,
+            Kind::Rollout(trainer) => Class::Rollout { trainer },
+        };
+        Demand {
+            class,
+            cost_tokens: ask.cost_tokens,
+            prefix: ask.prefix,
+            digest: Some(ask.digest),
+            tried: ask.tried.iter().map(|&index| self.keys[index]).collect(),
+            avoid: ask
+                .avoid
+                .map(|domain_index| FailureDomain::new(domain(domain_index))),
+            ..Demand::caller(ask.deadline_ms)
+        }
+    }
+}
+
+fn domain(index: usize) -> String {
+    format!("failure-domain-{index}")
+}
+
+fn refuse(request: usize, refusal: Refusal) -> Order {
+    let retry_after_ms = match refusal.reason {
+        Reason::Quarantined => None,
+        _ => Some(refusal.retry_after_ms),
+    };
+    Order::Refuse {
+        request,
+        retry_after_ms,
+    }
+}
+
+impl Policy for Now {
+    fn admit(&mut self, now_ms: u64, request: usize, ask: &Ask) -> Vec<Order> {
+        self.now_ms = now_ms;
+        let demand = self.demand(ask);
+        match self.pool.admit(now_ms, demand) {
+            Admission::Go(dispatch) => {
+                self.remember(request, dispatch.ticket);
+                let endpoint = self.indices[dispatch.endpoint];
+                vec![Order::Dispatch { request, endpoint }]
+            }
+            Admission::Wait(ticket) => {
+                self.remember(request, ticket);
+                self.orders(Vec::new())
+            }
+            Admission::Refuse(refusal) => vec![refuse(request, refusal)],
+        }
+    }
+
+    fn finish(&mut self, now_ms: u64, request: usize, _: usize, end: End) -> Vec<Order> {
+        self.now_ms = now_ms;
+        let outcome = match end {
+            End::Answered { elapsed_ms, tokens } => Outcome::Answered { elapsed_ms, tokens },
+            End::Refused => Outcome::Refused,
+            End::Unreachable => Outcome::Failed,
+            End::Crashed => Outcome::Crashed,
+            End::Cancelled => Outcome::Cancelled,
+        };
+        let Some(ticket) = self.forget(request) else {
+            return Vec::new();
+        };
+        let woken = self.pool.finish(now_ms, ticket, outcome);
+        self.orders(woken)
+    }
+
+    fn wake(&mut self, now_ms: u64) -> Vec<Order> {
+        self.now_ms = now_ms;
+        let woken = self.pool.wake(now_ms);
+        self.orders(woken)
+    }
+
+    fn withdraw(&mut self, request: usize) {
+        if let Some(ticket) = self.forget(request) {
+            self.pool.withdraw(ticket);
+        }
+    }
+
+    fn report(&mut self, at_ms: u64, now_ms: u64, endpoint: usize, running: u32, waiting: u32) {
+        let load = Load {
+            running,
+            waiting,
+            at_ms,
+        };
+        self.pool.report(now_ms, self.keys[endpoint], load);
+    }
+
+    fn set_leaving(&mut self, endpoint: usize) {
+        if let Some(seat) = self.pool.seat_mut(self.keys[endpoint]) {
+            seat.leaving = true;
+        }
+    }
+
+    fn may_retry(&mut self) -> bool {
+        self.pool.may_retry()
+    }
+
+    fn export(&self) -> Vec<Strike> {
+        self.pool.strikes(self.now_ms)
+    }
+
+    fn import(&mut self, now_ms: u64, strikes: &[Strike]) {
+        self.pool.learn_strikes(now_ms, strikes);
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/policy/request.rs
@@ -0,0 +1,94 @@
+//! One request in the simulation.
+
+use wisteriapoint_types::Digest;
+
+use super::scenario::Kind;
+use super::variant::Ask;
+
+/// What became of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum State {
+    /// Still under way.
+    Open,
+    /// Answered in time.
+    Answered { at_ms: u64 },
+    /// Its deadline passed.
+    Missed,
+    /// Its caller got an error and gave up.
+    Refused,
+    /// Refused for good, since it crashes endpoints.
+    Quarantined,
+}
+
+/// One request.
+#[derive(Debug, Clone)]
+pub(crate) struct Request {
+    pub(crate) kind: Kind,
+    pub(crate) arrived_ms: u64,
+    pub(crate) deadline_ms: u64,
+    pub(crate) tokens: u32,
+    pub(crate) greatest_tokens: u32,
+    pub(crate) prefill_tokens: u32,
+    pub(crate) prefix: Option<u64>,
+    pub(crate) digest: Digest,
+    pub(crate) crashes: bool,
+    pub(crate) resends: u32,
+    pub(crate) daemon: usize,
+    pub(crate) queued: bool,
+    pub(crate) at: Option<usize>,
+    pub(crate) attempt: u32,
+    pub(crate) attempts_left: u32,
+    pub(crate) dispatched_ms: u64,
+    pub(crate) tried: Vec<usize>,
+    pub(crate) avoid: Option<usize>,
+    pub(crate) refused: bool,
+    pub(crate) preempted: u32,
+    pub(crate) state: State,
+}
+
+impl Request {
+    pub(crate) fn new(
+        kind: Kind,
+        arrived_ms: u64,
+        deadline_ms: u64,
+        tokens: u32,
+        digest: Digest,
+    ) -> Self {
+        Self {
+            kind,
+            arrived_ms,
+            deadline_ms,
+            tokens,
+            greatest_tokens: tokens,
+            prefill_tokens: 0,
+            prefix: None,
+            digest,
+            crashes: false,
+            resends: 0,
+            daemon: 0,
+            queued: false,
+            at: None,
+            attempt: 0,
+            attempts_left: 0,
+            dispatched_ms: 0,
+            tried: Vec::new(),
+            avoid: None,
+            refused: false,
+            preempted: 0,
+            state: State::Open,
+        }
+    }
+
+    pub(crate) fn ask(&self) -> Ask {
+        Ask {
+            kind: self.kind,
+            deadline_ms: self.deadline_ms,
+            cost_tokens: self.greatest_tokens,
+            true_tokens: self.tokens,
+            prefix: self.prefix,
+            digest: self.digest,
+            tried: self.tried.clone(),
+            avoid: self.avoid,
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/policy/simulation.rs
@@ -0,0 +1,509 @@
+//! The event loop: arrivals, endpoints, reports and faults on a virtual clock.
+
+use std::collections::BTreeMap;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use wisteriapoint_types::Digest;
+
+use super::endpoint::{Attempt, Endpoint};
+use super::request::{Request, State};
+use super::scenario::{Fault, Kind, Scenario, Stream};
+use super::variant::{Ask, End, Order, Place, Policy};
+
+const ATTEMPTS: u32 = 3;
+const TICK_MS: u64 = 50;
+const GOSSIP_MS: u64 = 1_000;
+const CONNECT_MS: u64 = 1;
+const CRASH_AFTER_MS: u64 = 50;
+const RESEND_MS: u64 = 1_000;
+/// Time after the last arrival in which answers may still come, in milliseconds.
+const TAIL_MS: u64 = 30_000;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Arrive(usize),
+    Next(usize),
+    Done(Attempt),
+    Crashing(Attempt),
+    Failed(Attempt, End),
+    Expire(usize),
+    Tick,
+    Gossip,
+    Report(usize),
+    Heard {
+        endpoint: usize,
+        running: u32,
+        waiting: u32,
+        leaving: bool,
+    },
+    Fault(usize),
+    Back(usize),
+    Gone(usize),
+    Healed,
+}
+
+/// One run of one variant.
+pub(crate) struct Simulation<'a, P> {
+    scenario: &'a Scenario,
+    policies: Vec<P>,
+    endpoints: Vec<Endpoint>,
+    pub(crate) requests: Vec<Request>,
+    events: BTreeMap<(u64, u64), Event>,
+    sequence: u64,
+    now_ms: u64,
+    arrivals: SmallRng,
+    random: SmallRng,
+    cut: Option<usize>,
+    pub(crate) crashed_by_request: u64,
+    pub(crate) prefix_lookups: u64,
+    pub(crate) prefix_hits: u64,
+}
+
+/// The endpoints of a scenario in the order of their indices.
+pub(crate) fn places(scenario: &Scenario) -> Vec<Place> {
+    let groups = scenario.endpoints.iter();
+    let all = groups.flat_map(|group| std::iter::repeat_n(group, group.count));
+    let numbered = all.enumerate();
+    let place = |(index, group): (usize, &super::scenario::Group)| Place {
+        failure_domain: index % 3,
+        slots: group.slots,
+        ms_per_token: group.ms_per_token,
+    };
+    numbered.map(place).collect()
+}
+
+impl<'a, P: Policy> Simulation<'a, P> {
+    pub(crate) fn new(scenario: &'a Scenario, seed: u64, policies: Vec<P>) -> Self {
+        let endpoint =
+            |place: Place| Endpoint::new(place.failure_domain, place.slots, place.ms_per_token);
+        Self {
+            scenario,
+            policies,
+            endpoints: places(scenario).into_iter().map(endpoint).collect(),
+            requests: Vec::new(),
+            events: BTreeMap::new(),
+            sequence: 0,
+            now_ms: 0,
+            arrivals: SmallRng::seed_from_u64(seed),
+            random: SmallRng::seed_from_u64(!seed),
+            cut: None,
+            crashed_by_request: 0,
+            prefix_lookups: 0,
+            prefix_hits: 0,
+        }
+    }
+
+    /// Runs until the tail after the last arrival is over.
+    pub(crate) fn run(&mut self) {
+        self.prepare();
+        let end_ms = self.scenario.duration_ms + TAIL_MS;
+        while let Some(((at_ms, _), event)) = self.events.pop_first() {
+            if at_ms > end_ms {
+                break;
+            }
+            self.now_ms = at_ms;
+            self.handle(event);
+        }
+    }
+
+    fn prepare(&mut self) {
+        for stream in 0..self.scenario.streams.len() {
+            self.at(self.scenario.streams[stream].from_ms, Event::Next(stream));
+        }
+        for (index, fault) in self.scenario.faults.iter().enumerate() {
+            self.at(fault.at_ms(), Event::Fault(index));
+        }
+        for endpoint in 0..self.endpoints.len() {
+            let offset = self
+                .random
+                .random_range(0..self.scenario.reports.interval_ms);
+            self.at(offset, Event::Report(endpoint));
+        }
+        self.at(TICK_MS, Event::Tick);
+        self.at(GOSSIP_MS, Event::Gossip);
+    }
+
+    fn at(&mut self, at_ms: u64, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at_ms, self.sequence), event);
+    }
+
+    fn after(&mut self, delay_ms: u64, event: Event) {
+        self.at(self.now_ms + delay_ms, event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Next(stream) => self.next(stream),
+            Event::Arrive(request) => self.arrive(request),
+            Event::Done(attempt) => self.done(attempt),
+            Event::Crashing(attempt) => self.crash_by(attempt),
+            Event::Failed(attempt, end) => self.failed(attempt, end),
+            Event::Expire(request) => self.expire(request),
+            Event::Tick => self.tick(),
+            Event::Gossip => self.gossip(),
+            Event::Report(endpoint) => self.report(endpoint),
+            Event::Heard {
+                endpoint,
+                running,
+                waiting,
+                leaving,
+            } => {
+                self.heard(endpoint, running, waiting, leaving);
+            }
+            Event::Fault(index) => self.fault(index),
+            Event::Back(endpoint) => self.endpoints[endpoint].up = true,
+            Event::Gone(endpoint) => self.crash(endpoint),
+            Event::Healed => self.cut = None,
+        }
+    }
+
+    fn next(&mut self, index: usize) {
+        let stream = &self.scenario.streams[index];
+        let until_ms = stream.until_ms.unwrap_or(self.scenario.duration_ms);
+        if self.now_ms >= until_ms {
+            return;
+        }
+        let request = self.draw(stream);
+        self.begin(request);
+        let rate = stream.load * self.scenario.tokens_per_second() / stream.mean_tokens();
+        let gap_s = -(1.0 - self.arrivals.random::<f64>()).ln() / rate;
+        self.after((gap_s * 1_000.0) as u64, Event::Next(index));
+    }
+
+    fn draw(&mut self, stream: &Stream) -> Request {
+        let tokens = self
+            .arrivals
+            .random_range(stream.least_tokens..=stream.greatest_tokens);
+        let prefix = match stream.prefixes {
+            0 => None,
+            // The square makes some beginnings far more frequent than others.
+            count => Some((self.arrivals.random::<f64>().powi(2) * count as f64) as u64),
+        };
+        let digest = Digest(self.arrivals.random());
+        Request {
+            prefix,
+            prefill_tokens: stream.prefill_tokens,
+            resends: stream.resends,
+            greatest_tokens: stream.greatest_tokens,
+            ..Request::new(
+                stream.kind,
+                self.now_ms,
+                self.now_ms + stream.deadline_ms,
+                tokens,
+                digest,
+            )
+        }
+    }
+
+    fn begin(&mut self, request: Request) {
+        let index = self.requests.len();
+        self.after(request.deadline_ms - self.now_ms, Event::Expire(index));
+        self.requests.push(request);
+        self.arrive(index);
+    }
+
+    fn arrive(&mut self, index: usize) {
+        if self.requests[index].state != State::Open {
+            return;
+        }
+        let daemon = self.random.random_range(0..self.policies.len());
+        let request = &mut self.requests[index];
+        request.daemon = daemon;
+        request.tried.clear();
+        request.avoid = None;
+        request.attempts_left = ATTEMPTS;
+        self.admit(index);
+    }
+
+    fn admit(&mut self, index: usize) {
+        let request = &mut self.requests[index];
+        request.queued = true;
+        let ask: Ask = request.ask();
+        let orders = self.policies[request.daemon].admit(self.now_ms, index, &ask);
+        self.obey(orders);
+    }
+
+    fn obey(&mut self, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Dispatch { request, endpoint } => self.dispatch(request, endpoint),
+                Order::Refuse {
+                    request,
+                    retry_after_ms,
+                } => self.refuse(request, retry_after_ms),
+                Order::Cancel { request } => self.preempt(request),
+            }
+        }
+    }
+
+    fn dispatch(&mut self, index: usize, target: usize) {
+        let request = &mut self.requests[index];
+        request.queued = false;
+        request.at = Some(target);
+        request.attempt += 1;
+        request.dispatched_ms = self.now_ms;
+        request.attempts_left = request.attempts_left.saturating_sub(1);
+        let attempt = Attempt {
+            request: index,
+            number: request.attempt,
+        };
+        let cut_off = request.daemon >= self.policies.len().div_ceil(2);
+        let is_caller = request.kind == Kind::Caller;
+        let endpoint = &mut self.endpoints[target];
+        let reachable = self.cut != Some(endpoint.failure_domain) || !cut_off;
+        match endpoint {
+            endpoint if !endpoint.up || !reachable => {
+                self.after(CONNECT_MS, Event::Failed(attempt, End::Unreachable));
+            }
+            endpoint if endpoint.leaving => {
+                self.after(CONNECT_MS, Event::Failed(attempt, End::Refused));
+            }
+            endpoint => {
+                endpoint.push(attempt, is_caller);
+                self.start(target);
+            }
+        }
+    }
+
+    fn start(&mut self, target: usize) {
+        while let Some(attempt) = self.endpoints[target].start() {
+            let request = &self.requests[attempt.request];
+            let mut cost = f64::from(request.tokens);
+            if let Some(prefix) = request.prefix {
+                self.prefix_lookups += 1;
+                match self.endpoints[target].cached(prefix) {
+                    true => self.prefix_hits += 1,
+                    false => cost += f64::from(request.prefill_tokens),
+                }
+            }
+            let crashes = request.crashes;
+            let service_ms = (cost * self.endpoints[target].ms_per_token).max(1.0) as u64;
+            match crashes {
+                true => self.after(CRASH_AFTER_MS, Event::Crashing(attempt)),
+                false => self.after(service_ms, Event::Done(attempt)),
+            }
+        }
+    }
+
+    fn is_current(&self, attempt: Attempt) -> bool {
+        let request = &self.requests[attempt.request];
+        request.attempt == attempt.number && request.at.is_some()
+    }
+
+    fn done(&mut self, attempt: Attempt) {
+        let Some(target) = self.current_endpoint(attempt) else {
+            return;
+        };
+        self.endpoints[target].remove(attempt);
+        let request = &mut self.requests[attempt.request];
+        request.state = State::Answered { at_ms: self.now_ms };
+        let elapsed_ms = self.now_ms - request.dispatched_ms;
+        let tokens = request.tokens;
+        self.end(attempt.request, End::Answered { elapsed_ms, tokens });
+        self.start(target);
+    }
+
+    fn current_endpoint(&self, attempt: Attempt) -> Option<usize> {
+        match self.is_current(attempt) {
+            true => self.requests[attempt.request].at,
+            false => None,
+        }
+    }
+
+    /// Tells the daemon of the end of an attempt.
+    fn end(&mut self, index: usize, end: End) {
+        let request = &mut self.requests[index];
+        let daemon = request.daemon;
+        if let Some(endpoint) = request.at.take() {
+            let orders = self.policies[daemon].finish(self.now_ms, index, endpoint, end);
+            self.obey(orders);
+        }
+    }
+
+    fn failed(&mut self, attempt: Attempt, end: End) {
+        let Some(target) = self.current_endpoint(attempt) else {
+            return;
+        };
+        self.end(attempt.request, end);
+        let failure_domain = self.endpoints[target].failure_domain;
+        let request = &mut self.requests[attempt.request];
+        if request.state != State::Open {
+            return;
+        }
+        request.tried.push(target);
+        request.avoid = Some(failure_domain);
+        let daemon = request.daemon;
+        let is_rollout = request.kind != Kind::Caller;
+        let attempts_left = request.attempts_left > 0;
+        match end {
+            End::Refused => {
+                request.attempts_left += 1;
+                self.admit(attempt.request);
+            }
+            _ if attempts_left && self.policies[daemon].may_retry() => self.admit(attempt.request),
+            _ if is_rollout => self.after(RESEND_MS, Event::Arrive(attempt.request)),
+            _ => self.refuse(attempt.request, Some(RESEND_MS)),
+        }
+    }
+
+    /// The caller got an error; it may send the request again.
+    fn refuse(&mut self, index: usize, retry_after_ms: Option<u64>) {
+        let jitter_ms = self.random.random_range(0..100);
+        let request = &mut self.requests[index];
+        request.queued = false;
+        request.refused = true;
+        let is_rollout = request.kind != Kind::Caller;
+        let delay_ms = retry_after_ms.unwrap_or(RESEND_MS) + jitter_ms;
+        match retry_after_ms {
+            None if request.resends == 0 => request.state = State::Quarantined,
+            _ if is_rollout => self.after(delay_ms, Event::Arrive(index)),
+            _ if request.resends == 0 => request.state = State::Refused,
+            _ => {
+                request.resends -= 1;
+                self.after(delay_ms, Event::Arrive(index));
+            }
+        }
+    }
+
+    fn preempt(&mut self, index: usize) {
+        self.give_up(index);
+        self.requests[index].preempted += 1;
+        self.arrive(index);
+    }
+
+    /// Breaks off an attempt or takes it out of the queue.
+    fn give_up(&mut self, index: usize) {
+        let request = &self.requests[index];
+        let attempt = Attempt {
+            request: index,
+            number: request.attempt,
+        };
+        match request.at {
+            Some(target) => {
+                self.endpoints[target].remove(attempt);
+                self.end(index, End::Cancelled);
+                self.start(target);
+            }
+            None if request.queued => self.policies[request.daemon].withdraw(index),
+            None => {}
+        }
+    }
+
+    fn expire(&mut self, index: usize) {
+        if self.requests[index].state != State::Open {
+            return;
+        }
+        self.requests[index].state = State::Missed;
+        self.give_up(index);
+    }
+
+    fn tick(&mut self) {
+        for daemon in 0..self.policies.len() {
+            let orders = self.policies[daemon].wake(self.now_ms);
+            self.obey(orders);
+        }
+        self.after(TICK_MS, Event::Tick);
+    }
+
+    /// Daemons tell each other their suspicions.
+    fn gossip(&mut self) {
+        let strikes: Vec<_> = self.policies.iter().flat_map(Policy::export).collect();
+        for policy in &mut self.policies {
+            policy.import(self.now_ms, &strikes);
+        }
+        self.after(GOSSIP_MS, Event::Gossip);
+    }
+
+    fn report(&mut self, index: usize) {
+        let reports = self.scenario.reports;
+        let endpoint = &self.endpoints[index];
+        let heard = Event::Heard {
+            endpoint: index,
+            running: endpoint.running() as u32,
+            waiting: endpoint.waiting() as u32,
+            leaving: endpoint.leaving,
+        };
+        let is_up = endpoint.up;
+        if is_up && !self.random.random_bool(reports.gap_share) {
+            self.after(reports.lag_ms, heard);
+        }
+        self.after(reports.interval_ms, Event::Report(index));
+    }
+
+    fn heard(&mut self, endpoint: usize, running: u32, waiting: u32, leaving: bool) {
+        let at_ms = self.now_ms.saturating_sub(self.scenario.reports.lag_ms);
+        let domain = self.endpoints[endpoint].failure_domain;
+        let heard_by = match self.cut {
+            Some(cut) if cut == domain => self.policies.len().div_ceil(2),
+            _ => self.policies.len(),
+        };
+        for policy in &mut self.policies[..heard_by] {
+            policy.report(at_ms, self.now_ms, endpoint, running, waiting);
+            if leaving {
+                policy.set_leaving(endpoint);
+            }
+        }
+    }
+
+    fn fault(&mut self, index: usize) {
+        match self.scenario.faults[index] {
+            Fault::Crash {
+                endpoint, down_ms, ..
+            } => {
+                self.crash(endpoint);
+                self.after(down_ms, Event::Back(endpoint));
+            }
+            Fault::Domain {
+                failure_domain,
+                down_ms,
+                ..
+            } => {
+                for endpoint in
+                    (0..self.endpoints.len()).filter(|index| index % 3 == failure_domain)
+                {
+                    self.crash(endpoint);
+                    self.after(down_ms, Event::Back(endpoint));
+                }
+            }
+            Fault::Leave {
+                endpoint, grace_ms, ..
+            } => {
+                self.endpoints[endpoint].leaving = true;
+                self.after(grace_ms, Event::Gone(endpoint));
+            }
+            Fault::Cut {
+                failure_domain,
+                cut_ms,
+                ..
+            } => {
+                self.cut = Some(failure_domain);
+                self.after(cut_ms, Event::Healed);
+            }
+            Fault::CrashingRequest { resends, .. } => {
+                let digest = Digest(self.arrivals.random());
+                let request =
+                    Request::new(Kind::Caller, self.now_ms, self.now_ms + TAIL_MS, 1, digest);
+                self.begin(Request {
+                    crashes: true,
+                    resends,
+                    ..request
+                });
+            }
+        }
+    }
+
+    fn crash_by(&mut self, attempt: Attempt) {
+        if let Some(target) = self.current_endpoint(attempt) {
+            self.crashed_by_request += 1;
+            self.crash(target);
+        }
+    }
+
+    fn crash(&mut self, endpoint: usize) {
+        for attempt in self.endpoints[endpoint].crash() {
+            self.after(CONNECT_MS, Event::Failed(attempt, End::Crashed));
+        }
+    }
+}
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -136,11 +136,7 @@
         check_draining(&response)?;
         match response.status() {
             StatusCode::OK => {}
-            status => {
-                return Err(Failure::may_have_run(Kind::Broken(
-                    status.to_string().into(),
-                )));
-            }
+            status => return Err(Failure::may_have_run(Kind::Status(status.as_u16()))),
         }
         Ok(Generation {
             events: Box::pin(response.bytes_stream()).eventsource(),
--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -18,6 +18,8 @@
     Connect(reqwest::Error),
     #[error("the endpoint did not answer whole: {0}")]
     Broken(Box<str>),
+    #[error("the endpoint answered with status {0}")]
+    Status(u16),
     #[error("the endpoint did not answer in time")]
     Timeout,
     #[error("the endpoint takes no new work")]
@@ -61,6 +63,11 @@
         matches!(self.kind, Kind::Draining)
     }
 
+    /// Whether the endpoint broke off before the end of its answer.
+    pub fn is_broken(&self) -> bool {
+        matches!(self.kind, Kind::Broken(_))
+    }
+
     /// Whether the deadline passed.
     pub fn is_timeout(&self) -> bool {
         matches!(self.kind, Kind::Timeout)
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -9,7 +9,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 use wisteriapoint_route::{
-    Admission, Demand, EndpointKey, Load, Outcome, Pool, Reason, Refusal, Seat, TicketKey, Woken,
+    Admission, Demand, Dispatch, EndpointKey, Load, Outcome, Pool, Reason, Refusal, Seat, Strike,
+    Subset, TicketKey, Woken,
 };
 use wisteriapoint_settings::{Endpoint, ServiceDocument};
 use wisteriapoint_types::{EndpointName, FailureDomain, VmName};
@@ -49,14 +50,25 @@
 struct Inner {
     pool: Pool,
     targets: SecondaryMap<EndpointKey, Target>,
+    leaves: SecondaryMap<EndpointKey, Leave>,
+    subset: Option<Subset>,
     waiting: BTreeMap<TicketKey, oneshot::Sender<Result<EndpointKey, Refusal>>>,
+    preempted: BTreeMap<TicketKey, oneshot::Sender<()>>,
+}
+
+/// Why an endpoint takes no new work.
+#[derive(Debug, Clone, Copy, Default)]
+struct Leave {
+    vm_is_leaving: bool,
+    says_draining: bool,
 }
 
 /// The right to send one request to one endpoint.
 #[derive(Debug)]
 pub struct Permit {
     router: Router,
-    key: EndpointKey,
+    dispatch: Dispatch,
+    preempted: oneshot::Receiver<()>,
     target: Target,
     outcome: Outcome,
     begun: Instant,
@@ -70,6 +82,7 @@
 }
 
 const QUEUE_LENGTH: usize = 64;
+const RETRY_AFTER_MS: u64 = 1_000;
 
 impl Router {
     /// Makes a router without endpoints; `seed` drives its random choices.
@@ -78,7 +91,10 @@
             inner: Arc::new(Mutex::new(Inner {
                 pool: Pool::new(QUEUE_LENGTH, seed),
                 targets: SecondaryMap::new(),
+                leaves: SecondaryMap::new(),
+                subset: None,
                 waiting: BTreeMap::new(),
+                preempted: BTreeMap::new(),
             })),
             epoch: Instant::now(),
         }
@@ -100,14 +116,21 @@
         inner
             .pool
             .set_queue_length(document.limits.queue_length as usize);
-        inner.remove_absent(document);
-        for endpoint in &document.endpoints {
+        inner.pool.set_retry_ratio(document.limits.retry_ratio);
+        let names = inner.names(document);
+        inner.remove_absent(&names);
+        let used = |endpoint: &&Endpoint| names.contains(&endpoint.endpoint);
+        for endpoint in document.endpoints.iter().filter(used) {
             let key = inner.key(endpoint);
-            inner.targets.insert(key, endpoint.into());
+            let earlier = inner.targets.insert(key, endpoint.into());
+            let moved = earlier.is_some_and(|earlier| earlier.address != endpoint.address);
             if let Some(seat) = inner.pool.seat_mut(key) {
                 seat.max_concurrency = endpoint.max_concurrency;
-                seat.leaving = leaving.contains(&endpoint.vm);
             }
+            inner.set_leave(key, |leave| {
+                leave.vm_is_leaving = leaving.contains(&endpoint.vm);
+                leave.says_draining &= !moved;
+            });
         }
         let woken = inner.pool.wake(self.now_ms());
         inner.deliver(self.now_ms(), woken);
@@ -120,30 +143,55 @@
         let Some(key) = inner.find(endpoint) else {
             return;
         };
-        inner.pool.report(
-            key,
-            Load {
-                running,
-                waiting,
-                at_ms,
-            },
-        );
-        match inner.pool.seat_mut(key) {
-            Some(seat) if draining => seat.leaving = true,
-            _ => {}
-        }
+        let load = Load {
+            running,
+            waiting,
+            at_ms,
+        };
+        inner.pool.report(at_ms, key, load);
+        inner.set_leave(key, |leave| leave.says_draining = draining);
     }
 
-    /// Marks an endpoint as leaving.
-    pub fn set_leaving(&self, endpoint: &EndpointName) {
+    /// Takes an endpoint's own word on whether it takes no new work.
+    pub fn set_draining(&self, endpoint: &EndpointName, draining: bool) {
         let mut inner = self.lock();
-        if let Some(key) = inner.find(endpoint)
-            && let Some(seat) = inner.pool.seat_mut(key)
-        {
-            seat.leaving = true;
+        if let Some(key) = inner.find(endpoint) {
+            inner.set_leave(key, |leave| leave.says_draining = draining);
         }
     }
 
+    /// The endpoints that said that they take no new work.
+    pub fn draining(&self) -> Vec<Target> {
+        let inner = self.lock();
+        let leaves = inner.leaves.iter();
+        leaves
+            .filter(|(_, leave)| leave.says_draining)
+            .filter_map(|(key, _)| inner.targets.get(key).cloned())
+            .collect()
+    }
+
+    /// Sets which endpoints this daemon uses; [`Router::update`] puts it in force.
+    pub fn set_subset(&self, subset: Subset) {
+        self.lock().subset = Some(subset);
+    }
+
+    /// Asks for one retry of a request that failed; it comes out of the service's budget.
+    pub fn may_retry(&self) -> bool {
+        self.lock().pool.may_retry()
+    }
+
+    /// Recent crashes and the requests that ran there, for the other daemons.
+    pub fn strikes(&self) -> Vec<Strike> {
+        let now_ms = self.now_ms();
+        self.lock().pool.strikes(now_ms)
+    }
+
+    /// Takes the strikes of another daemon.
+    pub fn learn_strikes(&self, strikes: &[Strike]) {
+        let now_ms = self.now_ms();
+        self.lock().pool.learn_strikes(now_ms, strikes);
+    }
+
     /// Wakes requests whose time has come; to be called a few times a second.
     pub fn tick(&self) {
         let now_ms = self.now_ms();
@@ -167,25 +215,27 @@
         let mut waiting = {
             let mut inner = self.lock();
             match inner.pool.admit(self.now_ms(), demand) {
-                Admission::Go(key) => return inner.permit(self, key),
+                Admission::Go(dispatch) => return inner.permit(self, dispatch),
                 Admission::Refuse(refusal) => return Err(refusal),
                 Admission::Wait(ticket) => inner.wait(self, ticket),
             }
         };
+        let ticket = waiting.ticket;
         match timeout_at(deadline, &mut waiting.called).await {
-            Ok(Ok(Ok(key))) => self.lock().permit(self, key),
+            Ok(Ok(Ok(endpoint))) => self.lock().permit(self, Dispatch { ticket, endpoint }),
             Ok(Ok(Err(refusal))) => Err(refusal),
             Ok(Err(_)) | Err(_) => Err(Refusal {
                 reason: Reason::Deadline,
-                retry_after_ms: 1_000,
+                retry_after_ms: RETRY_AFTER_MS,
             }),
         }
     }
 
-    fn finish(&self, key: EndpointKey, outcome: Outcome) {
+    fn finish(&self, ticket: TicketKey, outcome: Outcome) {
         let now_ms = self.now_ms();
         let mut inner = self.lock();
-        let woken = inner.pool.finish(now_ms, key, outcome);
+        inner.preempted.remove(&ticket);
+        let woken = inner.pool.finish(now_ms, ticket, outcome);
         inner.deliver(now_ms, woken);
     }
 
@@ -213,9 +263,17 @@
         }
     }
 
-    fn remove_absent(&mut self, document: &ServiceDocument) {
-        let names: BTreeSet<&EndpointName> =
-            document.endpoints.iter().map(|e| &e.endpoint).collect();
+    /// Names of the endpoints that this daemon uses.
+    fn names<'a>(&self, document: &'a ServiceDocument) -> BTreeSet<&'a EndpointName> {
+        let endpoints = document.endpoints.iter();
+        let all: Vec<&EndpointName> = endpoints.map(|endpoint| &endpoint.endpoint).collect();
+        match &self.subset {
+            Some(subset) => subset.select(&all).into_iter().collect(),
+            None => all.into_iter().collect(),
+        }
+    }
+
+    fn remove_absent(&mut self, names: &BTreeSet<&EndpointName>) {
         let absent: Vec<EndpointKey> = self
             .pool
             .seats()
@@ -225,12 +283,23 @@
         for key in absent {
             self.pool.remove(key);
             self.targets.remove(key);
+            self.leaves.remove(key);
+        }
+    }
+
+    fn set_leave(&mut self, key: EndpointKey, change: impl FnOnce(&mut Leave)) {
+        let mut leave = self.leaves.get(key).copied().unwrap_or_default();
+        change(&mut leave);
+        self.leaves.insert(key, leave);
+        if let Some(seat) = self.pool.seat_mut(key) {
+            seat.leaving = leave.vm_is_leaving || leave.says_draining;
         }
     }
 
     fn wait<'a>(&mut self, router: &'a Router, ticket: TicketKey) -> Waiting<'a> {
         let (sender, called) = oneshot::channel();
         self.waiting.insert(ticket, sender);
+        self.preempt();
         Waiting {
             router,
             ticket,
@@ -238,28 +307,51 @@
         }
     }
 
-    fn permit(&self, router: &Router, key: EndpointKey) -> Result<Permit, Refusal> {
-        let target = self.targets.get(key).cloned().ok_or(Refusal {
-            reason: Reason::NoEndpoint,
-            retry_after_ms: 1_000,
-        })?;
+    fn permit(&mut self, router: &Router, dispatch: Dispatch) -> Result<Permit, Refusal> {
+        let Some(target) = self.targets.get(dispatch.endpoint).cloned() else {
+            let now_ms = router.now_ms();
+            let woken = self
+                .pool
+                .finish(now_ms, dispatch.ticket, Outcome::Cancelled);
+            self.deliver(now_ms, woken);
+            return Err(Refusal {
+                reason: Reason::NoEndpoint,
+                retry_after_ms: RETRY_AFTER_MS,
+            });
+        };
+        let (sender, preempted) = oneshot::channel();
+        self.preempted.insert(dispatch.ticket, sender);
+        self.preempt();
         Ok(Permit {
             router: router.clone(),
-            key,
+            dispatch,
+            preempted,
             target,
             outcome: Outcome::Cancelled,
             begun: Instant::now(),
         })
     }
 
+    /// Passes calls on; a call that nobody waits for frees its place for others.
     fn deliver(&mut self, now_ms: u64, woken: Vec<Woken>) {
         let mut calls = woken;
-        while let Some(call) = calls.pop() {
-            let sender = self.waiting.remove(&call.ticket);
-            let delivered = sender.map(|sender| sender.send(call.endpoint));
-            match (delivered, call.endpoint) {
+        while let Some(Woken { ticket, endpoint }) = calls.pop() {
+            let sender = self.waiting.remove(&ticket);
+            let delivered = sender.map(|sender| sender.send(endpoint));
+            match (delivered, endpoint) {
                 (Some(Ok(())), _) | (_, Err(_)) => {}
-                (_, Ok(key)) => calls.extend(self.pool.finish(now_ms, key, Outcome::Cancelled)),
+                (_, Ok(_)) => calls.extend(self.pool.finish(now_ms, ticket, Outcome::Cancelled)),
+            }
+        }
+        self.preempt();
+    }
+
+    /// Tells the rollouts that make way for callers.
+    fn preempt(&mut self) {
+        for ticket in self.pool.take_preempted() {
+            if let Some(sender) = self.preempted.remove(&ticket) {
+                // A request that has just ended needs no word.
+                let _ = sender.send(());
             }
         }
     }
@@ -271,8 +363,8 @@
         inner.waiting.remove(&self.ticket);
         inner.pool.withdraw(self.ticket);
         drop(inner);
-        if let Ok(Ok(key)) = self.called.try_recv() {
-            self.router.finish(key, Outcome::Cancelled);
+        if let Ok(Ok(_)) = self.called.try_recv() {
+            self.router.finish(self.ticket, Outcome::Cancelled);
         }
     }
 }
@@ -280,7 +372,14 @@
 impl Permit {
     /// The endpoint's key, for [`Demand::tried`].
     pub fn key(&self) -> EndpointKey {
-        self.key
+        self.dispatch.endpoint
+    }
+
+    /// Completes when the request shall make way for a caller's.
+    pub async fn preempted(&mut self) {
+        if (&mut self.preempted).await.is_err() {
+            std::future::pending().await
+        }
     }
 
     /// Where to send the request.
@@ -299,6 +398,18 @@
         self.outcome = Outcome::Failed;
     }
 
+    /// Ends the request, in which the endpoint broke off.
+    pub fn crashed(mut self) {
+        self.outcome = Outcome::Crashed;
+    }
+
+    /// Ends the request, which the endpoint refused because it takes no new work.
+    pub fn drained(self) {
+        let (router, endpoint) = (self.router.clone(), self.target.endpoint.clone());
+        self.refused();
+        router.set_draining(&endpoint, true);
+    }
+
     /// Ends the request, which the endpoint refused to run.
     pub fn refused(mut self) {
         self.outcome = Outcome::Refused;
@@ -307,6 +418,6 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.router.finish(self.key, self.outcome);
+        self.router.finish(self.dispatch.ticket, self.outcome);
     }
 }
--- /dev/null
+++ b/crates/route/src/choice.rs
@@ -0,0 +1,123 @@
+//! Choice of an endpoint for one request.
+
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use slotmap::SlotMap;
+use wisteriapoint_types::hash64;
+
+use crate::{Demand, EndpointKey, Seat};
+
+const CHOICES: usize = 2;
+/// How much worse than the best an endpoint may be to be chosen for its prefix cache.
+const AFFINITY_RATIO: f64 = 1.5;
+
+/// What the endpoints can do for a request now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Choice {
+    /// This endpoint.
+    Take(EndpointKey),
+    /// None has room, or only such that would answer too late.
+    Wait,
+}
+
+/// State of the pool that a choice looks at.
+pub(crate) struct Chooser<'a> {
+    pub(crate) seats: &'a SlotMap<EndpointKey, Seat>,
+    pub(crate) now_ms: u64,
+    pub(crate) default_ms_per_token: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    key: EndpointKey,
+    tier: u8,
+    score: f64,
+}
+
+impl Chooser<'_> {
+    /// Power of two choices among the best that have room; among those that are nearly as
+    /// good, the one that a prompt's beginning leads to.
+    pub(crate) fn choose(&self, demand: &Demand, random: &mut SmallRng) -> Choice {
+        let candidates = self.candidates(demand);
+        let Some(first) = candidates.first() else {
+            return Choice::Wait;
+        };
+        if first.tier & LATE != 0 && self.could_be_in_time(demand) {
+            return Choice::Wait;
+        }
+        match demand.prefix {
+            Some(prefix) => Choice::Take(self.affine(&candidates, prefix)),
+            None => Choice::Take(least_of_some(&candidates, random)),
+        }
+    }
+
+    /// The candidates of the best tier.
+    fn candidates(&self, demand: &Demand) -> Vec<Candidate> {
+        let rollout = demand.class.is_rollout();
+        let mut best = u8::MAX;
+        let mut candidates = Vec::new();
+        for (key, seat) in self.seats {
+            if !seat.is_open(self.now_ms) || !seat.has_room(self.now_ms, rollout) {
+                continue;
+            }
+            let tier = self.tier(key, seat, demand);
+            if tier < best {
+                best = tier;
+                candidates.clear();
+            }
+            if tier == best {
+                let score = seat.score(self.now_ms, self.default_ms_per_token);
+                candidates.push(Candidate { key, tier, score });
+            }
+        }
+        candidates
+    }
+
+    fn tier(&self, key: EndpointKey, seat: &Seat, demand: &Demand) -> u8 {
+        let mut tier = 0;
+        if demand.avoid.as_ref() == Some(&seat.failure_domain) {
+            tier |= AVOIDED;
+        }
+        if demand.tried.contains(&key) {
+            tier |= TRIED;
+        }
+        if self.is_late(seat, demand) {
+            tier |= LATE;
+        }
+        tier
+    }
+
+    fn is_late(&self, seat: &Seat, demand: &Demand) -> bool {
+        let service_ms = f64::from(demand.cost_tokens) * seat.speed(self.default_ms_per_token);
+        self.now_ms as f64 + service_ms > demand.deadline_ms as f64
+    }
+
+    /// Whether an endpoint without room would still be in time.
+    fn could_be_in_time(&self, demand: &Demand) -> bool {
+        let mut open = self.seats.values().filter(|seat| seat.is_open(self.now_ms));
+        open.any(|seat| !self.is_late(seat, demand))
+    }
+
+    fn affine(&self, candidates: &[Candidate], prefix: u64) -> EndpointKey {
+        let scores = candidates.iter().map(|candidate| candidate.score);
+        let bound = scores.fold(f64::INFINITY, f64::min) * AFFINITY_RATIO;
+        let near = candidates.iter().filter(|c| c.score <= bound);
+        let weight = |c: &&Candidate| hash64(self.seats[c.key].hash, &prefix.to_le_bytes());
+        near.max_by_key(weight).unwrap_or(&candidates[0]).key
+    }
+}
+
+const AVOIDED: u8 = 1;
+const TRIED: u8 = 2;
+const LATE: u8 = 4;
+
+fn least_of_some(candidates: &[Candidate], random: &mut SmallRng) -> EndpointKey {
+    let mut best = candidates[random.random_range(0..candidates.len())];
+    for _ in 1..CHOICES {
+        let other = candidates[random.random_range(0..candidates.len())];
+        if other.score < best.score {
+            best = other;
+        }
+    }
+    best.key
+}
--- a/crates/route/src/demand.rs
+++ b/crates/route/src/demand.rs
@@ -16,6 +16,13 @@
     },
 }
 
+impl Class {
+    /// Whether a trainer waits for it.
+    pub fn is_rollout(self) -> bool {
+        matches!(self, Self::Rollout { .. })
+    }
+}
+
 /// One request as the policy sees it.
 #[derive(Debug, Clone)]
 pub struct Demand {
@@ -23,7 +30,7 @@
     pub class: Class,
     /// When the answer must be there, in milliseconds of the pool's clock.
     pub deadline_ms: u64,
-    /// Tokens that it is expected to cost; 1 for a plain request.
+    /// Tokens that it may cost at most; 1 for a plain request.
     pub cost_tokens: u32,
     /// Hash of the prompt's beginning, for the endpoints' prefix caches.
     pub prefix: Option<u64>,
@@ -58,11 +65,20 @@
     }
 }
 
+/// The right to send a request to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Dispatch {
+    /// The request, for [`crate::Pool::finish`].
+    pub ticket: TicketKey,
+    /// Where to send it.
+    pub endpoint: EndpointKey,
+}
+
 /// The pool's answer to a demand.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Admission {
-    /// Dispatch to this endpoint now.
-    Go(EndpointKey),
+    /// Dispatch now.
+    Go(Dispatch),
     /// Wait until the ticket is called.
     Wait(TicketKey),
     /// Refused; the request has not run.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,20 +1,33 @@
-//! Choice of endpoint, limits and queues: pure policy without sockets or clock.
+//! Choice of endpoint, limits, queues, retries and crash suspects: pure policy without
+//! sockets or clock.
 //!
 //! ```
-//! use wisteriapoint_route::{Admission, Demand, Pool, Seat};
+//! use wisteriapoint_route::{Admission, Demand, Outcome, Pool, Seat};
 //!
 //! let mut pool = Pool::new(16, 1);
 //! let key = pool.insert(Seat::new("shop-1", "dk-east-a", 8));
-//! let admission = pool.admit(0, Demand::caller(1_000));
-//! assert_eq!(admission, Admission::Go(key));
+//! let Admission::Go(dispatch) = pool.admit(0, Demand::caller(1_000)) else {
+//!     panic!("an idle endpoint takes the request");
+//! };
+//! assert_eq!(dispatch.endpoint, key);
+//! let outcome = Outcome::Answered { elapsed_ms: 20, tokens: 1 };
+//! assert!(pool.finish(20, dispatch.ticket, outcome).is_empty());
 //! ```
 
 pub mod demand;
 pub mod pool;
 pub mod queue;
+pub mod retry;
 pub mod seat;
+pub mod subset;
+pub mod suspect;
 
-pub use demand::{Admission, Class, Demand, Reason, Refusal};
+mod choice;
+
+pub use demand::{Admission, Class, Demand, Dispatch, Reason, Refusal};
 pub use pool::{Pool, Woken};
 pub use queue::TicketKey;
+pub use retry::RetryBudget;
 pub use seat::{EndpointKey, Load, Outcome, Seat};
+pub use subset::Subset;
+pub use suspect::{Standing, Strike, Suspects};
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,17 +1,28 @@
-//! The endpoints of one service and the requests that wait for them.
+//! The endpoints of one service and the requests that wait for them or run there.
 
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
 use slotmap::SlotMap;
 
-use crate::queue::Queue;
+use crate::choice::{Choice, Chooser};
+use crate::queue::{Place, Queue};
+use crate::suspect::{Standing, Strike, Suspects};
 use crate::{
-    Admission, Class, Demand, EndpointKey, Load, Outcome, Reason, Refusal, Seat, TicketKey,
+    Admission, Class, Demand, Dispatch, EndpointKey, Load, Outcome, Reason, Refusal, RetryBudget,
+    Seat, TicketKey,
 };
 
-const EJECTION_MS: u64 = 1_000;
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
-const SPEED_SMOOTHING: f64 = 0.1;
+const MIN_RETRY_AFTER_MS: u64 = 100;
+const MAX_RETRY_AFTER_MS: u64 = 60_000;
+const QUARANTINE_RETRY_AFTER_MS: u64 = 600_000;
+const STRIKE_EXPORT_MS: u64 = 60_000;
+const DEFAULT_RETRY_RATIO: f64 = 0.1;
+/// Waiting requests that one wake looks at beyond those that it dispatches.
+const LOOK_AHEAD: usize = 16;
+/// One endpoint in so many may be kept for a suspect.
+const SOLO_DIVISOR: usize = 4;
+const TOKEN_SHARE_SMOOTHING: f64 = 0.02;
 
 /// A waiting request that may now be dispatched, or is refused.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,12 +33,38 @@
     pub endpoint: Result<EndpointKey, Refusal>,
 }
 
+#[derive(Debug)]
+struct Ticket {
+    demand: Demand,
+    state: State,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum State {
+    Queued(Place),
+    Solo,
+    Running {
+        endpoint: EndpointKey,
+        since_ms: u64,
+    },
+    Preempted {
+        endpoint: EndpointKey,
+    },
+}
+
 /// The endpoints of one service, as one daemon uses them.
 #[derive(Debug)]
 pub struct Pool {
     seats: SlotMap<EndpointKey, Seat>,
+    tickets: SlotMap<TicketKey, Ticket>,
     queue: Queue,
     queue_length: usize,
+    solo: Vec<TicketKey>,
+    preempted: Vec<TicketKey>,
+    preempting: usize,
+    suspects: Suspects,
+    retries: RetryBudget,
+    token_share: f64,
     random: SmallRng,
 }
 
@@ -36,8 +73,15 @@
     pub fn new(queue_length: usize, seed: u64) -> Self {
         Self {
             seats: SlotMap::with_key(),
+            tickets: SlotMap::with_key(),
             queue: Queue::default(),
             queue_length,
+            solo: Vec::new(),
+            preempted: Vec::new(),
+            preempting: 0,
+            suspects: Suspects::default(),
+            retries: RetryBudget::new(DEFAULT_RETRY_RATIO),
+            token_share: 1.0,
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -47,6 +91,11 @@
         self.queue_length = queue_length;
     }
 
+    /// Sets the share of requests that may be retries, from 0 to 1.
+    pub fn set_retry_ratio(&mut self, ratio: f64) {
+        self.retries.set_ratio(ratio);
+    }
+
     /// Adds an endpoint.
     pub fn insert(&mut self, seat: Seat) -> EndpointKey {
         self.seats.insert(seat)
@@ -73,61 +122,275 @@
     }
 
     /// Takes an endpoint's load report.
-    pub fn report(&mut self, key: EndpointKey, load: Load) {
+    pub fn report(&mut self, now_ms: u64, key: EndpointKey, load: Load) {
         if let Some(seat) = self.seats.get_mut(key) {
-            seat.load = load;
+            seat.report(now_ms, load);
         }
     }
 
+    /// Asks for one retry; first attempts earn them.
+    pub fn may_retry(&mut self) -> bool {
+        self.retries.withdraw()
+    }
+
+    /// Recent crashes and the requests that ran there, for the other daemons.
+    pub fn strikes(&self, now_ms: u64) -> Vec<Strike> {
+        self.suspects.export(now_ms, STRIKE_EXPORT_MS)
+    }
+
+    /// Takes the strikes of another daemon.
+    pub fn learn_strikes(&mut self, now_ms: u64, strikes: &[Strike]) {
+        self.suspects.import(now_ms, strikes);
+    }
+
+    /// The dispatched rollouts to cancel, since callers wait; each is named once.
+    pub fn take_preempted(&mut self) -> Vec<TicketKey> {
+        std::mem::take(&mut self.preempted)
+    }
+
     /// Admits, queues or refuses a request.
     pub fn admit(&mut self, now_ms: u64, demand: Demand) -> Admission {
         if demand.deadline_ms <= now_ms {
-            return refuse(Reason::Deadline);
+            return Admission::Refuse(self.refusal(now_ms, Reason::Deadline, &demand));
         }
         if !self.seats.values().any(|seat| !seat.leaving) {
-            return refuse(Reason::NoEndpoint);
+            return Admission::Refuse(self.refusal(now_ms, Reason::NoEndpoint, &demand));
+        }
+        if demand.tried.is_empty() {
+            self.retries.deposit();
+        }
+        match self.standing(&demand) {
+            Standing::Quarantined => {
+                Admission::Refuse(self.refusal(now_ms, Reason::Quarantined, &demand))
+            }
+            Standing::Suspect => self.admit_suspect(now_ms, demand),
+            Standing::Clean => self.admit_clean(now_ms, demand),
         }
+    }
+
+    fn admit_clean(&mut self, now_ms: u64, demand: Demand) -> Admission {
+        let class = demand.class;
+        let first_in_line = self.queue.len(Class::Caller) == 0
+            && (class == Class::Caller || self.queue.len(class) == 0);
         match self.choose(now_ms, &demand) {
-            Some(key) => Admission::Go(self.occupy(key)),
-            None if self.queue.len(demand.class) >= self.queue_length => refuse(Reason::QueueFull),
-            None => Admission::Wait(self.queue.push(demand)),
+            Choice::Take(endpoint) if first_in_line => {
+                Admission::Go(self.start(now_ms, demand, endpoint))
+            }
+            _ if self.queue.len(class) >= self.queue_length => {
+                Admission::Refuse(self.refusal(now_ms, Reason::QueueFull, &demand))
+            }
+            _ if self.is_hopeless(now_ms, &demand, self.wait_ms(now_ms, class)) => {
+                Admission::Refuse(self.refusal(now_ms, Reason::Deadline, &demand))
+            }
+            _ => {
+                let ticket = self.enqueue(demand);
+                self.preempt();
+                Admission::Wait(ticket)
+            }
         }
     }
 
+    fn admit_suspect(&mut self, now_ms: u64, demand: Demand) -> Admission {
+        if self.solo.len() >= self.queue_length {
+            return Admission::Refuse(self.refusal(now_ms, Reason::QueueFull, &demand));
+        }
+        let state = State::Solo;
+        let ticket = self.tickets.insert(Ticket { demand, state });
+        self.solo.push(ticket);
+        match self.start_solo(now_ms, ticket) {
+            Some(endpoint) => {
+                self.solo.retain(|&other| other != ticket);
+                Admission::Go(Dispatch { ticket, endpoint })
+            }
+            None => Admission::Wait(ticket),
+        }
+    }
+
+    fn enqueue(&mut self, demand: Demand) -> TicketKey {
+        let queue = &mut self.queue;
+        self.tickets.insert_with_key(|ticket| {
+            let state = State::Queued(queue.push(ticket, &demand));
+            Ticket { demand, state }
+        })
+    }
+
+    fn start(&mut self, now_ms: u64, demand: Demand, endpoint: EndpointKey) -> Dispatch {
+        let state = State::Running {
+            endpoint,
+            since_ms: now_ms,
+        };
+        let ticket = self.tickets.insert(Ticket { demand, state });
+        self.seats[endpoint].occupy(now_ms);
+        Dispatch { ticket, endpoint }
+    }
+
     /// Takes back a waiting request.
     pub fn withdraw(&mut self, ticket: TicketKey) {
-        self.queue.remove(ticket);
+        let state = self.tickets.get(ticket).map(|held| held.state);
+        if matches!(state, Some(State::Queued(_) | State::Solo)) {
+            self.forget(ticket);
+        }
+    }
+
+    fn forget(&mut self, ticket: TicketKey) {
+        let Some(held) = self.tickets.remove(ticket) else {
+            return;
+        };
+        match held.state {
+            State::Queued(place) => self.queue.remove(place, &held.demand),
+            State::Solo => {
+                self.solo.retain(|&other| other != ticket);
+                self.unreserve(ticket);
+            }
+            State::Running { .. } => {}
+            State::Preempted { .. } => self.preempting -= 1,
+        }
+    }
+
+    fn unreserve(&mut self, ticket: TicketKey) {
+        for seat in self.seats.values_mut() {
+            if seat.reserved == Some(ticket) {
+                seat.reserved = None;
+            }
+        }
     }
 
     /// Ends a dispatched request; gives the waiting ones that may now go.
-    pub fn finish(&mut self, now_ms: u64, key: EndpointKey, outcome: Outcome) -> Vec<Woken> {
-        if let Some(seat) = self.seats.get_mut(key) {
-            seat.in_flight = seat.in_flight.saturating_sub(1);
-            match outcome {
-                Outcome::Answered { elapsed_ms, tokens } => learn_speed(seat, elapsed_ms, tokens),
-                Outcome::Failed => seat.ejected_until_ms = now_ms + EJECTION_MS,
-                Outcome::Refused | Outcome::Cancelled => {}
+    pub fn finish(&mut self, now_ms: u64, ticket: TicketKey, outcome: Outcome) -> Vec<Woken> {
+        let Some(held) = self.tickets.get(ticket) else {
+            return Vec::new();
+        };
+        let endpoint = match held.state {
+            State::Running { endpoint, .. } | State::Preempted { endpoint } => endpoint,
+            State::Queued(_) | State::Solo => return Vec::new(),
+        };
+        let digest = held.demand.digest;
+        let cost_tokens = held.demand.cost_tokens;
+        self.forget(ticket);
+        self.preempted.retain(|&other| other != ticket);
+        if let Some(seat) = self.seats.get_mut(endpoint) {
+            seat.release(now_ms, outcome);
+            let alone = seat.reserved == Some(ticket);
+            if alone {
+                seat.reserved = None;
+            }
+            match (outcome, digest) {
+                (Outcome::Crashed, Some(digest)) => {
+                    self.suspects.strike(now_ms, digest, &seat.endpoint, alone);
+                }
+                (Outcome::Answered { .. }, Some(digest)) => self.suspects.acquit(digest),
+                _ => {}
             }
         }
+        if let Outcome::Answered { tokens, .. } = outcome {
+            let share = f64::from(tokens) / f64::from(cost_tokens.max(1));
+            self.token_share += TOKEN_SHARE_SMOOTHING * (share.min(1.0) - self.token_share);
+        }
         self.wake(now_ms)
     }
 
     /// Gives the waiting requests that may go now; to be called when anything changed.
     pub fn wake(&mut self, now_ms: u64) -> Vec<Woken> {
         let mut woken = Vec::new();
-        for ticket in self.queue.tickets() {
-            let Some(demand) = self.queue.get(ticket).cloned() else {
-                continue;
-            };
-            let endpoint = match self.choose(now_ms, &demand) {
-                _ if demand.deadline_ms <= now_ms => Err(refusal(Reason::Deadline)),
-                Some(key) => Ok(self.occupy(key)),
-                None => continue,
+        self.wake_solo(now_ms, &mut woken);
+        self.wake_class(now_ms, Class::Caller, &mut woken);
+        if self.queue.len(Class::Caller) == 0 {
+            self.wake_class(now_ms, Class::Rollout { trainer: 0 }, &mut woken);
+        }
+        self.preempt();
+        woken
+    }
+
+    fn wake_solo(&mut self, now_ms: u64, woken: &mut Vec<Woken>) {
+        for ticket in self.solo.clone() {
+            let demand = &self.tickets[ticket].demand;
+            let endpoint = match self.standing(demand) {
+                Standing::Quarantined => Err(self.refusal(now_ms, Reason::Quarantined, demand)),
+                _ if demand.deadline_ms <= now_ms => {
+                    Err(self.refusal(now_ms, Reason::Deadline, demand))
+                }
+                _ => match self.start_solo(now_ms, ticket) {
+                    Some(endpoint) => Ok(endpoint),
+                    None => continue,
+                },
             };
-            self.queue.remove(ticket);
+            self.solo.retain(|&other| other != ticket);
+            if endpoint.is_err() {
+                self.forget(ticket);
+            }
             woken.push(Woken { ticket, endpoint });
         }
-        woken
+    }
+
+    fn wake_class(&mut self, now_ms: u64, class: Class, woken: &mut Vec<Woken>) {
+        let mut passed_over = 0;
+        loop {
+            let heads = match class {
+                Class::Caller => self.queue.callers(passed_over + 1),
+                Class::Rollout { .. } => self.queue.rollouts(passed_over + 1),
+            };
+            let Some(&ticket) = heads.get(passed_over) else {
+                return;
+            };
+            match self.call(now_ms, ticket) {
+                Some(endpoint) => woken.push(Woken { ticket, endpoint }),
+                None if passed_over >= LOOK_AHEAD || !self.any_room(now_ms, class) => return,
+                None => passed_over += 1,
+            }
+        }
+    }
+
+    /// Dispatches or refuses one queued request, if it is time.
+    fn call(&mut self, now_ms: u64, ticket: TicketKey) -> Option<Result<EndpointKey, Refusal>> {
+        let held = self.tickets.get(ticket)?;
+        let State::Queued(place) = held.state else {
+            return None;
+        };
+        let demand = held.demand.clone();
+        if self.is_hopeless(now_ms, &demand, 0.0) {
+            self.forget(ticket);
+            return Some(Err(self.refusal(now_ms, Reason::Deadline, &demand)));
+        }
+        let Choice::Take(endpoint) = self.choose(now_ms, &demand) else {
+            return None;
+        };
+        self.queue.remove(place, &demand);
+        if demand.class.is_rollout() {
+            self.queue.advance(place);
+        }
+        self.seats[endpoint].occupy(now_ms);
+        self.tickets[ticket].state = State::Running {
+            endpoint,
+            since_ms: now_ms,
+        };
+        Some(Ok(endpoint))
+    }
+
+    fn any_room(&self, now_ms: u64, class: Class) -> bool {
+        let rollout = class.is_rollout();
+        let mut open = self.seats.values().filter(|seat| seat.is_open(now_ms));
+        open.any(|seat| seat.has_room(now_ms, rollout))
+    }
+
+    /// Marks the youngest rollouts in flight for cancellation, one for each waiting caller.
+    fn preempt(&mut self) {
+        while self.preempting < self.queue.len(Class::Caller) {
+            let running = self
+                .tickets
+                .iter()
+                .filter_map(|(key, held)| match held.state {
+                    State::Running { endpoint, since_ms } if held.demand.class.is_rollout() => {
+                        Some((since_ms, key, endpoint))
+                    }
+                    _ => None,
+                });
+            let Some((_, ticket, endpoint)) = running.max() else {
+                return;
+            };
+            self.tickets[ticket].state = State::Preempted { endpoint };
+            self.preempting += 1;
+            self.preempted.push(ticket);
+        }
     }
 
     /// Number of waiting requests of a class.
@@ -135,56 +398,121 @@
         self.queue.len(class)
     }
 
-    fn occupy(&mut self, key: EndpointKey) -> EndpointKey {
-        if let Some(seat) = self.seats.get_mut(key) {
-            seat.in_flight += 1;
-        }
-        key
+    /// Number of requests that wait or run.
+    pub fn tickets(&self) -> usize {
+        self.tickets.len()
     }
 
-    /// Power of two choices among the open endpoints that have room.
-    fn choose(&mut self, now_ms: u64, demand: &Demand) -> Option<EndpointKey> {
-        let open: Vec<EndpointKey> = self
+    fn standing(&self, demand: &Demand) -> Standing {
+        let standing = demand.digest.map(|digest| self.suspects.standing(digest));
+        standing.unwrap_or(Standing::Clean)
+    }
+
+    fn choose(&mut self, now_ms: u64, demand: &Demand) -> Choice {
+        let chooser = Chooser {
+            seats: &self.seats,
+            now_ms,
+            default_ms_per_token: self.mean_ms_per_token(),
+        };
+        chooser.choose(demand, &mut self.random)
+    }
+
+    /// Reserves an endpoint for a suspect and starts it there once it is empty.
+    fn start_solo(&mut self, now_ms: u64, ticket: TicketKey) -> Option<EndpointKey> {
+        let held = self
             .seats
             .iter()
-            .filter(|(_, seat)| seat.is_open(now_ms) && seat.has_room())
-            .map(|(key, _)| key)
-            .collect();
-        let untried: Vec<EndpointKey> = open
-            .iter()
-            .copied()
-            .filter(|key| !demand.tried.contains(key))
-            .collect();
-        let elsewhere: Vec<EndpointKey> = untried
-            .iter()
-            .copied()
-            .filter(|&key| demand.avoid.as_ref() != Some(&self.seats[key].failure_domain))
-            .collect();
-        let candidates = [elsewhere, untried, open]
-            .into_iter()
-            .find(|keys| !keys.is_empty())?;
-        let first = candidates[self.random.random_range(0..candidates.len())];
-        let second = candidates[self.random.random_range(0..candidates.len())];
-        let better = self.seats[second].score() < self.seats[first].score();
-        Some(if better { second } else { first })
+            .find(|(_, seat)| seat.reserved == Some(ticket));
+        let endpoint = match held.map(|(key, _)| key) {
+            Some(key) if self.seats[key].is_open(now_ms) => key,
+            _ => self.reserve(now_ms, ticket)?,
+        };
+        if self.seats[endpoint].in_flight > 0 {
+            return None;
+        }
+        self.seats[endpoint].occupy(now_ms);
+        self.tickets[ticket].state = State::Running {
+            endpoint,
+            since_ms: now_ms,
+        };
+        Some(endpoint)
     }
-}
 
-fn learn_speed(seat: &mut Seat, elapsed_ms: u64, tokens: u32) {
-    let sample = elapsed_ms.max(1) as f64 / f64::from(tokens.max(1));
-    seat.ms_per_token = match seat.ms_per_token {
-        known if known > 0.0 => known + SPEED_SMOOTHING * (sample - known),
-        _ => sample,
-    };
-}
+    fn reserve(&mut self, now_ms: u64, ticket: TicketKey) -> Option<EndpointKey> {
+        self.unreserve(ticket);
+        let digest = self.tickets[ticket].demand.digest?;
+        let open = || self.seats.iter().filter(|(_, seat)| seat.is_open(now_ms));
+        let reserved = open().filter(|(_, seat)| seat.reserved.is_some()).count();
+        if reserved >= (open().count() / SOLO_DIVISOR).max(1) {
+            return None;
+        }
+        let free = open().filter(|(_, seat)| seat.reserved.is_none());
+        let (key, _) = free.min_by_key(|(_, seat)| {
+            let struck = self.suspects.has_struck(digest, &seat.endpoint);
+            (struck, seat.in_flight + seat.peers(now_ms) as u32)
+        })?;
+        self.seats[key].reserved = Some(ticket);
+        Some(key)
+    }
 
-fn refusal(reason: Reason) -> Refusal {
-    Refusal {
-        reason,
-        retry_after_ms: DEFAULT_RETRY_AFTER_MS,
+    fn mean_ms_per_token(&self) -> f64 {
+        let measured = || self.seats.values().filter(|seat| seat.ms_per_token > 0.0);
+        match measured().count() {
+            0 => 0.0,
+            count => measured().map(|seat| seat.ms_per_token).sum::<f64>() / count as f64,
+        }
     }
-}
 
-fn refuse(reason: Reason) -> Admission {
-    Admission::Refuse(refusal(reason))
+    /// Time until the queue before a new request of a class is dispatched, in milliseconds.
+    fn wait_ms(&self, now_ms: u64, class: Class) -> f64 {
+        let mean = self.mean_ms_per_token();
+        let open = self.seats.values().filter(|seat| seat.is_open(now_ms));
+        let rates = open.map(|seat| match seat.speed(mean) {
+            speed if speed > 0.0 => seat.share(now_ms) / speed,
+            _ => 0.0,
+        });
+        let tokens_per_ms: f64 = rates.sum();
+        match tokens_per_ms {
+            rate if rate > 0.0 => self.queue.tokens(class) as f64 * self.token_share / rate,
+            _ => 0.0,
+        }
+    }
+
+    /// Expected time of a request on the fastest open endpoint, in milliseconds.
+    fn service_ms(&self, now_ms: u64, demand: &Demand) -> f64 {
+        let mean = self.mean_ms_per_token();
+        let open = self.seats.values().filter(|seat| seat.is_open(now_ms));
+        let fastest = open
+            .map(|seat| seat.speed(mean))
+            .fold(f64::INFINITY, f64::min);
+        match fastest {
+            speed if speed.is_finite() => f64::from(demand.cost_tokens) * self.token_share * speed,
+            _ => 0.0,
+        }
+    }
+
+    fn is_hopeless(&self, now_ms: u64, demand: &Demand, wait_ms: f64) -> bool {
+        let expected_ms = wait_ms + self.service_ms(now_ms, demand);
+        now_ms as f64 + expected_ms >= demand.deadline_ms as f64
+    }
+
+    fn refusal(&self, now_ms: u64, reason: Reason, demand: &Demand) -> Refusal {
+        let allowed_ms = demand.deadline_ms.saturating_sub(now_ms) as f64;
+        let wait_ms = self.wait_ms(now_ms, demand.class);
+        let retry_after_ms = match reason {
+            Reason::NoEndpoint => DEFAULT_RETRY_AFTER_MS,
+            Reason::Quarantined => QUARANTINE_RETRY_AFTER_MS,
+            Reason::QueueFull => wait_ms as u64,
+            Reason::Deadline => {
+                (wait_ms + self.service_ms(now_ms, demand) - allowed_ms).max(0.0) as u64
+            }
+        };
+        Refusal {
+            reason,
+            retry_after_ms: match reason {
+                Reason::Quarantined => retry_after_ms,
+                _ => retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
+            },
+        }
+    }
 }
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -1,56 +1,99 @@
-//! Requests that wait for an endpoint.
+//! Order of the requests that wait for an endpoint.
 
 use std::collections::BTreeMap;
 
 use crate::{Class, Demand};
 
-/// Key of a waiting request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TicketKey(pub u64);
+slotmap::new_key_type! {
+    /// Key of a request in a [`crate::Pool`], from admission to its end.
+    pub struct TicketKey;
+}
+
+/// Place of a waiting request in its line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Place {
+    rank: u64,
+    sequence: u64,
+}
 
-/// Bounded queue, callers before rollouts, otherwise in order of arrival.
+/// Waiting callers by deadline, waiting rollouts by fair shares of tokens.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
-    waiting: BTreeMap<(bool, u64), Demand>,
-    next: u64,
+    callers: BTreeMap<Place, TicketKey>,
+    rollouts: BTreeMap<Place, TicketKey>,
+    caller_tokens: u64,
+    rollout_tokens: u64,
+    sequence: u64,
+    /// Tokens dispatched for the trainer that had least, as in weighted fair queueing.
+    virtual_tokens: u64,
+    /// Virtual finish of each trainer's last request.
+    finish_tokens: BTreeMap<u64, u64>,
 }
 
 impl Queue {
     pub(crate) fn len(&self, class: Class) -> usize {
-        let rollout = is_rollout(class);
-        self.waiting
-            .range((rollout, 0)..=(rollout, u64::MAX))
-            .count()
+        match class {
+            Class::Caller => self.callers.len(),
+            Class::Rollout { .. } => self.rollouts.len(),
+        }
     }
 
-    pub(crate) fn push(&mut self, demand: Demand) -> TicketKey {
-        let ticket = TicketKey(self.next);
-        self.next += 1;
-        self.waiting
-            .insert((is_rollout(demand.class), ticket.0), demand);
-        ticket
+    /// Tokens that wait at or before a class.
+    pub(crate) fn tokens(&self, class: Class) -> u64 {
+        match class {
+            Class::Caller => self.caller_tokens,
+            Class::Rollout { .. } => self.caller_tokens + self.rollout_tokens,
+        }
     }
 
-    pub(crate) fn remove(&mut self, ticket: TicketKey) -> Option<Demand> {
-        self.waiting
-            .remove(&(false, ticket.0))
-            .or_else(|| self.waiting.remove(&(true, ticket.0)))
+    pub(crate) fn push(&mut self, ticket: TicketKey, demand: &Demand) -> Place {
+        let cost = u64::from(demand.cost_tokens);
+        self.sequence += 1;
+        let sequence = self.sequence;
+        match demand.class {
+            Class::Caller => {
+                let rank = demand.deadline_ms;
+                self.caller_tokens += cost;
+                self.callers.insert(Place { rank, sequence }, ticket);
+                Place { rank, sequence }
+            }
+            Class::Rollout { trainer } => {
+                let finish = self.finish_tokens.entry(trainer).or_default();
+                *finish = self.virtual_tokens.max(*finish) + cost;
+                let rank = *finish;
+                self.rollout_tokens += cost;
+                self.rollouts.insert(Place { rank, sequence }, ticket);
+                Place { rank, sequence }
+            }
+        }
     }
 
-    pub(crate) fn tickets(&self) -> Vec<TicketKey> {
-        self.waiting
-            .keys()
-            .map(|&(_, key)| TicketKey(key))
-            .collect()
+    pub(crate) fn remove(&mut self, place: Place, demand: &Demand) {
+        let cost = u64::from(demand.cost_tokens);
+        match demand.class {
+            Class::Caller if self.callers.remove(&place).is_some() => self.caller_tokens -= cost,
+            Class::Rollout { .. } if self.rollouts.remove(&place).is_some() => {
+                self.rollout_tokens -= cost;
+            }
+            _ => {}
+        }
     }
 
-    pub(crate) fn get(&self, ticket: TicketKey) -> Option<&Demand> {
-        self.waiting
-            .get(&(false, ticket.0))
-            .or_else(|| self.waiting.get(&(true, ticket.0)))
+    /// Notes that a rollout is dispatched, which moves the virtual time on.
+    pub(crate) fn advance(&mut self, place: Place) {
+        self.virtual_tokens = self.virtual_tokens.max(place.rank);
+        let virtual_tokens = self.virtual_tokens;
+        self.finish_tokens
+            .retain(|_, finish| *finish > virtual_tokens);
     }
-}
 
-fn is_rollout(class: Class) -> bool {
-    matches!(class, Class::Rollout { .. })
+    /// The first `count` callers.
+    pub(crate) fn callers(&self, count: usize) -> Vec<TicketKey> {
+        self.callers.values().copied().take(count).collect()
+    }
+
+    /// The first `count` rollouts.
+    pub(crate) fn rollouts(&self, count: usize) -> Vec<TicketKey> {
+        self.rollouts.values().copied().take(count).collect()
+    }
 }
--- /dev/null
+++ b/crates/route/src/suspect.rs
@@ -0,0 +1,139 @@
+//! Requests that are suspected of crashing endpoints.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use wisteriapoint_types::{Digest, EndpointName};
+
+const FORGET_MS: u64 = 600_000;
+const MAX_DIGESTS: usize = 4_096;
+const MAX_STRIKES: usize = 4;
+
+/// One endpoint that crashed while it ran a request; daemons tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Strike {
+    /// Fingerprint of the request.
+    pub digest: Digest,
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u64,
+    /// Whether the request ran there alone.
+    pub alone: bool,
+}
+
+/// How a request is treated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Like any other.
+    Clean,
+    /// It runs alone on its endpoint.
+    Suspect,
+    /// It does not run again.
+    Quarantined,
+}
+
+/// The strikes of all requests.
+///
+/// A strike beside others only raises a suspicion: when a failure domain is lost, many
+/// requests get several. A strike alone condemns.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    records: BTreeMap<Digest, Vec<Held>>,
+}
+
+#[derive(Debug)]
+struct Held {
+    endpoint: EndpointName,
+    at_ms: u64,
+    alone: bool,
+}
+
+impl Suspects {
+    /// Notes that an endpoint crashed while it ran a request, alone or beside others.
+    pub fn strike(&mut self, now_ms: u64, digest: Digest, endpoint: &EndpointName, alone: bool) {
+        self.forget(now_ms);
+        let strikes = self.records.entry(digest).or_default();
+        match strikes.iter_mut().find(|held| held.endpoint == *endpoint) {
+            Some(held) => {
+                held.at_ms = held.at_ms.max(now_ms);
+                held.alone |= alone;
+            }
+            None => strikes.push(Held {
+                endpoint: endpoint.clone(),
+                at_ms: now_ms,
+                alone,
+            }),
+        }
+        // Strikes alone sort last and stay.
+        strikes.sort_by_key(|held| (held.alone, held.at_ms));
+        let surplus = strikes.len().saturating_sub(MAX_STRIKES);
+        strikes.drain(..surplus);
+    }
+
+    /// Clears a suspect that ran to its end; a quarantined request stays so.
+    pub fn acquit(&mut self, digest: Digest) {
+        if self.standing(digest) == Standing::Suspect {
+            self.records.remove(&digest);
+        }
+    }
+
+    /// How a request is treated.
+    pub fn standing(&self, digest: Digest) -> Standing {
+        match self.records.get(&digest) {
+            None => Standing::Clean,
+            Some(strikes) if strikes.iter().any(|held| held.alone) => Standing::Quarantined,
+            Some(_) => Standing::Suspect,
+        }
+    }
+
+    /// Whether an endpoint crashed with a request.
+    pub fn has_struck(&self, digest: Digest, endpoint: &EndpointName) -> bool {
+        let strikes = self.records.get(&digest);
+        strikes.is_some_and(|strikes| strikes.iter().any(|held| held.endpoint == *endpoint))
+    }
+
+    /// The strikes not older than `max_age_ms`, for the other daemons.
+    pub fn export(&self, now_ms: u64, max_age_ms: u64) -> Vec<Strike> {
+        let all = self.records.iter();
+        all.flat_map(|(&digest, strikes)| strikes.iter().map(move |held| (digest, held)))
+            .map(|(digest, held)| Strike {
+                digest,
+                endpoint: held.endpoint.clone(),
+                age_ms: now_ms.saturating_sub(held.at_ms),
+                alone: held.alone,
+            })
+            .filter(|strike| strike.age_ms <= max_age_ms)
+            .collect()
+    }
+
+    /// Takes the strikes of another daemon.
+    pub fn import(&mut self, now_ms: u64, strikes: &[Strike]) {
+        for strike in strikes.iter().filter(|strike| strike.age_ms < FORGET_MS) {
+            let at_ms = now_ms.saturating_sub(strike.age_ms);
+            self.strike(at_ms, strike.digest, &strike.endpoint, strike.alone);
+        }
+    }
+
+    fn forget(&mut self, now_ms: u64) {
+        if self.records.len() < MAX_DIGESTS {
+            return;
+        }
+        self.records
+            .retain(|_, strikes| latest_ms(strikes) + FORGET_MS > now_ms);
+        while self.records.len() >= MAX_DIGESTS {
+            let oldest = self
+                .records
+                .iter()
+                .min_by_key(|(_, strikes)| latest_ms(strikes));
+            match oldest.map(|(&digest, _)| digest) {
+                Some(digest) => self.records.remove(&digest),
+                None => return,
+            };
+        }
+    }
+}
+
+fn latest_ms(strikes: &[Held]) -> u64 {
+    strikes.iter().map(|held| held.at_ms).max().unwrap_or(0)
+}
--- a/crates/wisteriapoint/src/daemon/generate.rs
+++ b/crates/wisteriapoint/src/daemon/generate.rs
@@ -84,7 +84,7 @@
         let verdict = failure.verdict().as_str();
         let failed = &shared.metrics.failed_attempts;
         failed.with_label_values(&[service.as_str(), verdict]).inc();
-        if attempt >= ATTEMPTS || !sink.reset() {
+        if attempt >= ATTEMPTS || !router.may_retry() || !sink.reset() {
             return Err(Problem::from(&failure));
         }
         attempt += 1;
@@ -133,8 +133,9 @@
 /// Ends a permit after a failure of its endpoint.
 pub fn end_failed(permit: Permit, failure: &Failure) {
     match failure {
-        failure if failure.is_draining() => permit.refused(),
+        failure if failure.is_draining() => permit.drained(),
         failure if failure.is_timeout() => drop(permit),
+        failure if failure.is_broken() => permit.crashed(),
         _ => permit.failed(),
     }
 }
--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -104,8 +104,7 @@
         outgoing: &PlainRequest,
         limit: Duration,
     ) -> Result<Recorded, Problem> {
-        let method = outgoing.method.as_str().as_bytes();
-        let digest = Digest::new(&[method, outgoing.path.as_bytes(), &outgoing.body]);
+        let digest = digest(outgoing);
         let horizon_ms = document.retry_horizon_s * 1_000;
         let claim = match claims::claim(&self.shared, key, digest, horizon_ms).await {
             Claimed::Won(claim) => claim,
@@ -137,7 +136,10 @@
         limit: Duration,
     ) -> Result<Recorded, Problem> {
         let deadline = Instant::now() + limit;
-        let mut demand = Demand::caller(router.deadline_ms(limit));
+        let mut demand = Demand {
+            digest: Some(digest(outgoing)),
+            ..Demand::caller(router.deadline_ms(limit))
+        };
         let mut attempt = 1;
         loop {
             let permit = router.acquire(demand.clone()).await?;
@@ -158,7 +160,8 @@
             failed
                 .with_label_values(&[service.as_str(), verdict.as_str()])
                 .inc();
-            if attempt >= ATTEMPTS || !verdict.may_repeat(outgoing.idempotent) {
+            let may_repeat = verdict.may_repeat(outgoing.idempotent);
+            if attempt >= ATTEMPTS || !may_repeat || !router.may_retry() {
                 return Err(Problem::from(&failure));
             }
             attempt += 1;
@@ -166,6 +169,11 @@
     }
 }
 
+fn digest(outgoing: &PlainRequest) -> Digest {
+    let method = outgoing.method.as_str().as_bytes();
+    Digest::new(&[method, outgoing.path.as_bytes(), &outgoing.body])
+}
+
 fn key(request: &Request) -> Option<RequestKey> {
     let value = request.headers().get(KEY_HEADER)?;
     value.to_str().ok().map(RequestKey::new)
