--- a/crates/wisteriapoint/src/daemon/generate.rs
+++ b/crates/wisteriapoint/src/daemon/generate.rs
@@ -104,7 +104,7 @@
         let verdict = failure.verdict().as_str();
         let failed = &shared.metrics.failed_attempts;
         failed.with_label_values(&[service.as_str(), verdict]).inc();
-        if !attempts.note(&failure) {
+        if !attempts.note(&failure) || !router.may_retry() {
             return Err(attempts.problem(&failure));
         }
         if failure.is_resume_refused() && sink.reset() {
@@ -161,6 +161,7 @@
         failure if failure.is_draining() => permit.drained(),
         failure if failure.is_refusal() => permit.refused(),
         failure if failure.is_timeout() => drop(permit),
+        failure if failure.is_broken() => permit.crashed(),
         _ => permit.failed(),
     }
 }
--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -163,7 +163,10 @@
         limit: Duration,
     ) -> Result<PlainAnswer, Problem> {
         let deadline = Instant::now() + limit;
-        let mut demand = Demand::caller(router.deadline_ms(limit));
+        let mut demand = Demand {
+            digest: Some(digest(outgoing)),
+            ..Demand::caller(router.deadline_ms(limit))
+        };
         let mut attempts = Attempts::new(outgoing.idempotent);
         loop {
             let permit = router.acquire(demand.clone()).await;
@@ -183,7 +186,7 @@
             let verdict = failure.verdict().as_str();
             let failed = &self.shared.metrics.failed_attempts;
             failed.with_label_values(&[service.as_str(), verdict]).inc();
-            if !attempts.note(&failure) {
+            if !attempts.note(&failure) || !router.may_retry() {
                 return Err(attempts.problem(&failure));
             }
         }
