Share strikes against crashing requests; subsets and paced polls

Cause: a daemon knew only the crashes it saw itself, so a request that crashes engines could cost two at each daemon; every daemon used and polled every endpoint, which is daemons times engines at the target. Change: a fresh strike goes to all members in one datagram each, recent ones ride on the digests; a daemon uses 36 endpoints of a large service; load polls are paced at most six a second, so that they stay within the control budget.

--- a/crates/wisteriapoint/src/daemon/control/mod.rs
+++ b/crates/wisteriapoint/src/daemon/control/mod.rs
@@ -21,7 +21,7 @@
 
 use self::relay::Relay;
 use self::rollouts::{Pull, Rollouts};
-use super::message::{Digest, Generated, Question, Reply};
+use super::message::{Digest, Generated, Question, Reply, ServiceStrike};
 use super::snapshot::Snapshot;
 use super::{Shared, probe};
 
@@ -45,6 +45,13 @@
     Probed(MemberId, Probe),
     /// A datagram from a peer.
     Digest(SocketAddr, Digest),
+    /// Strikes against requests.
+    Strikes {
+        /// The recent ones that this daemon knows, newest first.
+        recent: Vec<ServiceStrike>,
+        /// Those that no other daemon knows yet.
+        fresh: Vec<ServiceStrike>,
+    },
     /// An exchange with a peer has ended.
     Exchanged(SocketAddr),
     /// An attempt at a sample has ended.
@@ -111,6 +118,7 @@
             Command::Leases(leases) => self.take_leases(leases),
             Command::Probed(id, probe) => self.roster.take_probe(id, probe),
             Command::Digest(from, digest) => self.take_digest(from, digest),
+            Command::Strikes { recent, fresh } => self.take_strikes(recent, fresh),
             Command::Exchanged(with) => self.relay.end_exchange(with),
             Command::Finished(attempt, generated) => self.finish_attempt(attempt, generated),
             Command::Scored(task, score) => self.take_score(&task, score),
--- a/crates/wisteriapoint/src/daemon/control/relay.rs
+++ b/crates/wisteriapoint/src/daemon/control/relay.rs
@@ -16,10 +16,11 @@
 
 use super::Control;
 use crate::daemon::exchange;
-use crate::daemon::message::{Digest, Reply, Synced};
+use crate::daemon::message::{Digest, Reply, ServiceStrike, Synced};
 
 const FANOUT: usize = 3;
 const DIGEST_EVERY_TICKS: u64 = 50;
+const STRIKES_PER_DIGEST: usize = 8;
 const EXCHANGES_AT_ONCE: usize = 3;
 const UPDATE_BYTES: usize = 4 << 20;
 
@@ -30,6 +31,7 @@
     seed_peers: Vec<SocketAddr>,
     exchanging: BTreeSet<SocketAddr>,
     has_news: bool,
+    strikes: Vec<ServiceStrike>,
 }
 
 impl Relay {
@@ -39,6 +41,7 @@
             seed_peers,
             exchanging: BTreeSet::new(),
             has_news: false,
+            strikes: Vec::new(),
         }
     }
 
@@ -59,28 +62,58 @@
             return;
         }
         self.relay.has_news = false;
-        let digest = Digest {
+        let digest = self.digest(self.relay.strikes.clone());
+        self.send(self.digest_receivers(), &digest);
+    }
+
+    /// Takes recent strikes for the next digests, and tells all members of the fresh ones.
+    pub(super) fn take_strikes(
+        &mut self,
+        mut recent: Vec<ServiceStrike>,
+        mut fresh: Vec<ServiceStrike>,
+    ) {
+        recent.truncate(STRIKES_PER_DIGEST);
+        self.relay.strikes = recent;
+        if fresh.is_empty() {
+            return;
+        }
+        fresh.truncate(STRIKES_PER_DIGEST);
+        let digest = self.digest(fresh);
+        self.send(self.other_members(), &digest);
+    }
+
+    fn digest(&self, strikes: Vec<ServiceStrike>) -> Digest {
+        Digest {
             view: self.snapshot.view.number,
             sum: self.catalog.sum(),
-        };
-        for address in self.digest_receivers() {
-            let datagrams = Arc::clone(&self.relay.datagrams);
-            let counter = self.shared.metrics.control_bytes.clone();
-            tokio::spawn(async move {
+            strikes,
+        }
+    }
+
+    fn send(&self, receivers: Vec<SocketAddr>, digest: &Digest) {
+        let datagrams = Arc::clone(&self.relay.datagrams);
+        let counter = self.shared.metrics.control_bytes.clone();
+        let digest = digest.clone();
+        tokio::spawn(async move {
+            for address in receivers {
                 if let Ok(length_bytes) = datagrams.send(address, &digest).await {
                     counter.inc_by(length_bytes as u64);
                 }
-            });
-        }
+            }
+        });
     }
 
-    fn digest_receivers(&self) -> Vec<SocketAddr> {
+    fn other_members(&self) -> Vec<SocketAddr> {
         let me = self.shared.me.id;
         let members = self.snapshot.view.members.iter();
-        let mut addresses: Vec<SocketAddr> = members
+        members
             .filter(|member| member.id != me)
             .map(|member| member.peer_address)
-            .collect();
+            .collect()
+    }
+
+    fn digest_receivers(&self) -> Vec<SocketAddr> {
+        let mut addresses = self.other_members();
         if addresses.is_empty() || !self.snapshot.configured {
             addresses.extend(&self.relay.seed_peers);
         }
@@ -91,6 +124,10 @@
     }
 
     pub(super) fn take_digest(&mut self, from: SocketAddr, digest: Digest) {
+        if !digest.strikes.is_empty() {
+            // Traffic that is behind learns of them with a later digest.
+            let _ = self.shared.strikes.try_send(digest.strikes);
+        }
         let same_view = digest.view == self.snapshot.view.number;
         let is_same = same_view && digest.sum == self.catalog.sum();
         let is_full = self.relay.exchanging.len() >= EXCHANGES_AT_ONCE;
--- a/crates/wisteriapoint/src/daemon/message.rs
+++ b/crates/wisteriapoint/src/daemon/message.rs
@@ -5,7 +5,8 @@
 use wisteriapoint_claim::{Answer, Ask, Report};
 use wisteriapoint_membership::View;
 use wisteriapoint_rollout::{AttemptKey, Begun, Cursor, Pulled, Sample, StepId, StepSpec, Task};
-use wisteriapoint_types::{MemberId, ViewNumber, WeightVersion};
+use wisteriapoint_route::Strike;
+use wisteriapoint_types::{MemberId, ServiceName, ViewNumber, WeightVersion};
 
 /// What one daemon asks of another; each may be repeated.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -128,10 +129,21 @@
 }
 
 /// What a daemon tells a few others every second, as one datagram.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
     /// The sender's view.
     pub view: ViewNumber,
     /// Hash of the sender's configuration.
     pub sum: u64,
+    /// Recent crashes of endpoints and the requests that ran there.
+    pub strikes: Vec<ServiceStrike>,
+}
+
+/// A strike against a request, and the service that it was sent to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceStrike {
+    /// The service.
+    pub service: ServiceName,
+    /// The strike.
+    pub strike: Strike,
 }
--- a/crates/wisteriapoint/src/daemon/mod.rs
+++ b/crates/wisteriapoint/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 pub mod shared;
 pub mod snapshot;
 pub mod start;
+pub mod strikes;
 pub mod traffic;
 pub mod weights;
 
--- a/crates/wisteriapoint/src/daemon/shared.rs
+++ b/crates/wisteriapoint/src/daemon/shared.rs
@@ -16,7 +16,7 @@
 use wisteriapoint_types::{MemberId, ServiceName};
 
 use super::control::Command;
-use super::message::{Question, Reply};
+use super::message::{Question, Reply, ServiceStrike};
 use super::snapshot::Snapshot;
 use crate::metrics::Metrics;
 
@@ -31,6 +31,8 @@
     pub routers: ArcSwap<BTreeMap<ServiceName, Router>>,
     /// Commands to control.
     pub control: mpsc::Sender<Command>,
+    /// Strikes of other daemons, for the routers.
+    pub strikes: mpsc::Sender<Vec<ServiceStrike>>,
     /// The traffic threads.
     pub traffic: Handle,
     /// Calls to other daemons.
--- a/crates/wisteriapoint/src/daemon/start.rs
+++ b/crates/wisteriapoint/src/daemon/start.rs
@@ -19,16 +19,17 @@
 use wisteriapoint_types::MemberId;
 
 use super::control::{COMMANDS, Command, Control};
-use super::message::{Question, Reply};
+use super::message::{Question, Reply, ServiceStrike};
 use super::platform::Watch;
 use super::shared::Clock;
-use super::{Shared, exchange, platform, traffic, weights};
+use super::{Shared, exchange, platform, strikes, traffic, weights};
 use crate::Error;
 use crate::http::{self, Serving};
 use crate::metrics::Metrics;
 
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(1);
+const STRIKES: usize = 16;
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 
 /// The addresses that a daemon listens on.
@@ -71,6 +72,7 @@
         let datagrams = Arc::new(Datagrams::new(UdpSocket::bind(addresses.peer).await?));
         let runtime = traffic_runtime(settings.traffic_threads)?;
         let (commands, receiver) = mpsc::channel(COMMANDS);
+        let (strikes_in, others_strikes) = mpsc::channel(STRIKES);
         let (published, changes) = watch::channel(());
         let store = HttpStore::new(&settings.platform_url)?;
         let store = Budgeted::new(store, settings.platform_calls_per_s);
@@ -79,6 +81,7 @@
             snapshot: Default::default(),
             routers: Default::default(),
             control: commands,
+            strikes: strikes_in,
             traffic: runtime.handle().clone(),
             peers: Client::new(),
             clients: Clients::new()?,
@@ -102,7 +105,7 @@
             Serving::new(&runtime, service, http::service_router(&shared))?,
             Serving::new(&runtime, admin, http::admin_router(&shared))?,
         ];
-        start_traffic(&runtime, &shared, peer, changes);
+        start_traffic(&runtime, &shared, peer, changes, others_strikes);
         Ok(Self {
             settings,
             addresses,
@@ -238,6 +241,7 @@
     shared: &Arc<Shared>,
     peer: TcpListener,
     changes: watch::Receiver<()>,
+    others_strikes: mpsc::Receiver<Vec<ServiceStrike>>,
 ) {
     let answering = Arc::clone(shared);
     let answer = move |question: Question| {
@@ -250,6 +254,7 @@
     runtime.spawn(wisteriapoint_peer::serve(peer, answer));
     runtime.spawn(traffic::follow(Arc::clone(shared), changes));
     runtime.spawn(traffic::tick(Arc::clone(shared)));
+    runtime.spawn(strikes::run(Arc::clone(shared), others_strikes));
     runtime.spawn(traffic::poll_loads(Arc::clone(shared)));
     runtime.spawn(weights::run(Arc::clone(shared)));
 }
--- a/crates/wisteriapoint/src/daemon/traffic.rs
+++ b/crates/wisteriapoint/src/daemon/traffic.rs
@@ -4,19 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
-use futures_util::stream::{self, StreamExt};
 use tokio::sync::watch;
 use tokio::time::sleep;
 use wisteriapoint_gateway::{Router, Target};
+use wisteriapoint_route::Subset;
 use wisteriapoint_settings::ServiceKind;
 use wisteriapoint_types::{ServiceName, hash64};
 
-use super::{Service, Shared};
+use super::{Shared, Snapshot};
 
 const TICK: Duration = Duration::from_millis(50);
 const LOAD_PAUSE: Duration = Duration::from_millis(500);
-const POLLS_AT_ONCE: usize = 32;
+const POLL_PAUSE: Duration = Duration::from_millis(160);
+const ENDPOINTS_PER_DAEMON: usize = 36;
 
 /// Brings the routers up to date whenever control publishes.
 pub async fn follow(shared: Arc<Shared>, mut published: watch::Receiver<()>) {
@@ -27,6 +27,7 @@
         for (name, service) in &snapshot.services {
             let router = known.get(name).cloned();
             let router = router.unwrap_or_else(|| new_router(&shared, name));
+            router.set_subset(subset(&shared, &snapshot));
             router.update(&service.document, &snapshot.leaving);
             routers.insert(name.clone(), router);
         }
@@ -34,6 +35,11 @@
     }
 }
 
+fn subset(shared: &Shared, snapshot: &Snapshot) -> Subset {
+    let members = snapshot.view.members.iter().map(|member| member.id);
+    Subset::new(shared.me.id, members.collect(), ENDPOINTS_PER_DAEMON)
+}
+
 fn new_router(shared: &Arc<Shared>, name: &ServiceName) -> Router {
     Router::new(hash64(shared.me.id.0, name.as_str().as_bytes()))
 }
@@ -49,28 +55,54 @@
 }
 
 /// Asks the engines for their load, and leaving plain services whether they are back.
+///
+/// One endpoint after the other: each as often as every half second, all together never
+/// more often than the control budget allows.
 pub async fn poll_loads(shared: Arc<Shared>) {
     loop {
-        let snapshot = shared.snapshot.load_full();
-        let services = snapshot.services.iter();
-        join_all(services.map(|(name, service)| poll_service(&shared, name, service))).await;
-        sleep(LOAD_PAUSE).await;
+        let polls = due_polls(&shared);
+        let share = LOAD_PAUSE / polls.len().max(1) as u32;
+        for poll in polls {
+            tokio::spawn(poll.run(Arc::clone(&shared)));
+            sleep(share.max(POLL_PAUSE)).await;
+        }
+        sleep(POLL_PAUSE).await;
+    }
+}
+
+/// A question to one endpoint.
+struct Poll {
+    router: Router,
+    kind: ServiceKind,
+    target: Target,
+}
+
+impl Poll {
+    async fn run(self, shared: Arc<Shared>) {
+        poll_endpoint(&shared, &self.router, self.kind, self.target).await;
     }
 }
 
-async fn poll_service(shared: &Arc<Shared>, name: &ServiceName, service: &Service) {
-    let Some(router) = shared.routers.load().get(name).cloned() else {
-        return;
-    };
-    let targets = match service.document.kind {
-        ServiceKind::Model => router.targets(),
-        ServiceKind::Plain => router.draining(),
-    };
-    stream::iter(targets)
-        .for_each_concurrent(POLLS_AT_ONCE, |target| {
-            poll_endpoint(shared, &router, service.document.kind, target)
-        })
-        .await;
+fn due_polls(shared: &Shared) -> Vec<Poll> {
+    let snapshot = shared.snapshot.load();
+    let routers = shared.routers.load();
+    let mut polls = Vec::new();
+    for (name, service) in &snapshot.services {
+        let Some(router) = routers.get(name) else {
+            continue;
+        };
+        let kind = service.document.kind;
+        let targets = match kind {
+            ServiceKind::Model => router.targets(),
+            ServiceKind::Plain => router.draining(),
+        };
+        polls.extend(targets.into_iter().map(|target| Poll {
+            router: router.clone(),
+            kind,
+            target,
+        }));
+    }
+    polls
 }
 
 async fn poll_endpoint(shared: &Arc<Shared>, router: &Router, kind: ServiceKind, target: Target) {
--- /dev/null
+++ b/crates/wisteriapoint/tests/crash.rs
@@ -0,0 +1,63 @@
+//! A request that crashes each engine that runs it, sent again and again to all daemons.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, revision};
+use wisteriapoint_stand_in::demo::model_document;
+use wisteriapoint_stand_in::{Engine, EngineSettings, Running, serve};
+
+const MARK: &str = "poison";
+const ENGINES: usize = 8;
+const REPEATS: usize = 12;
+
+/// The users' bound on the endpoints that one such request may cost.
+const LOST_BOUND: usize = 2;
+
+async fn engines() -> Vec<(Engine, Running)> {
+    let mut engines = Vec::new();
+    for _ in 0..ENGINES {
+        let engine = Engine::new(EngineSettings {
+            crash_mark: Some(MARK.into()),
+            ..EngineSettings::default()
+        });
+        let running = serve::on_loopback(engine.router()).await.unwrap();
+        engines.push((engine, running));
+    }
+    engines
+}
+
+async fn complete(client: &reqwest::Client, fleet: &Fleet, number: usize, prompt: &str) -> u16 {
+    let daemon = &fleet.daemons[number % fleet.daemons.len()];
+    let url = format!("http://{}/v1/completions", daemon.addresses().service);
+    let body = serde_json::json!({ "model": "advisor-lm", "prompt": prompt, "max_tokens": 4 });
+    let answer = client.post(url).json(&body).send().await.unwrap();
+    answer.status().as_u16()
+}
+
+#[tokio::test]
+async fn one_request_costs_two_engines_at_most() {
+    let fleet = Fleet::start(&["dk-east-a", "dk-east-b", "dk-east-c"]).await;
+    let engines = engines().await;
+    let addresses: Vec<_> = engines.iter().map(|(_, running)| running.address).collect();
+    fleet.apply(&model_document(&addresses)).await;
+    fleet
+        .until("all have the document", |fleet| {
+            let mut daemons = fleet.daemons.iter();
+            daemons.all(|daemon| revision(daemon, "advisor-lm").is_some())
+        })
+        .await;
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    for number in 0..REPEATS {
+        let status = complete(&client, &fleet, number, MARK).await;
+        assert_ne!(status, 200);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let lost = engines.iter().filter(|(engine, _)| engine.is_crashed());
+    assert!(lost.count() <= LOST_BOUND);
+    for number in 0..REPEATS {
+        let prompt = format!("innocent {number}");
+        assert_eq!(complete(&client, &fleet, number, &prompt).await, 200);
+    }
+}
