--- /dev/null
+++ b/crates/capacity/src/claims.rs
@@ -0,0 +1,60 @@
+//! Claims in a holder: memory and time.
+
+use std::time::Instant;
+
+use uuid::Uuid;
+use wisteriapoint_claim::{Ask, Holder, Recorded, Report, Settled};
+use wisteriapoint_types::{Digest, MemberId, Nonce, RequestKey, ViewNumber};
+
+use crate::process::memory_bytes;
+use crate::slope::Slope;
+
+const SIZES: [usize; 3] = [10_000, 100_000, 400_000];
+const ANSWER_BYTES: usize = 256;
+
+pub(crate) fn measure() -> Vec<Slope> {
+    let mut memory = Slope::new(
+        "memory of settled claims (256-byte answers), bytes",
+        "claims",
+    );
+    let mut time = Slope::new("ask and report of one claim, microseconds", "claims held");
+    // Kept to the end, so that no size reuses the memory of another.
+    let mut kept = Vec::new();
+    for size in SIZES {
+        let before = memory_bytes();
+        let mut holder = Holder::new();
+        holder.open(ViewNumber(1));
+        let begun = Instant::now();
+        for number in 0..size as u64 {
+            settle(&mut holder, number);
+        }
+        let each_us = begun.elapsed().as_secs_f64() * 1e6 / size as f64;
+        let used = memory_bytes().saturating_sub(before);
+        memory = memory.with_point(size, &[used as f64]);
+        time = time.with_point(size, &[each_us]);
+        kept.push(holder);
+    }
+    vec![memory, time]
+}
+
+fn settle(holder: &mut Holder, number: u64) {
+    let key = RequestKey::new(Uuid::now_v7().to_string());
+    let ask = Ask {
+        view: ViewNumber(1),
+        key: key.clone(),
+        digest: Digest::new(&[&number.to_le_bytes()]),
+        claimant: MemberId(1),
+        nonce: Nonce(number),
+        horizon_ms: 3_600_000,
+    };
+    holder.ask(0, &ask);
+    holder.report(&Report {
+        key,
+        nonce: Nonce(number),
+        settled: Some(Settled::Ran(Recorded {
+            status: 200,
+            content_type: "application/json".into(),
+            body: vec![b'x'; ANSWER_BYTES],
+        })),
+    });
+}
--- /dev/null
+++ b/crates/capacity/src/fleet.rs
@@ -0,0 +1,187 @@
+//! Daemons in one process: control traffic, platform calls, spread of a change, memory.
+
+use std::time::{Duration, Instant};
+
+use wisteriapoint::cli::service::apply;
+use wisteriapoint::daemon::Daemon;
+use wisteriapoint_platform::HttpStore;
+use wisteriapoint_settings::VmSettings;
+use wisteriapoint_stand_in::demo::plain_document;
+use wisteriapoint_stand_in::{Platform, Running, serve};
+use wisteriapoint_types::{Revision, ServiceName};
+
+use crate::process::{cpu_of_threads, memory_bytes};
+use crate::slope::Slope;
+
+const SIZES: [usize; 3] = [8, 32, 96];
+const DOMAINS: usize = 12;
+const LEASE_TTL_S: u64 = 15;
+const QUIET: Duration = Duration::from_secs(10);
+const CHANGES: usize = 5;
+const PATIENCE: Duration = Duration::from_secs(60);
+const PAUSE: Duration = Duration::from_millis(2);
+
+/// The figures of one size.
+#[derive(Debug, Default)]
+struct Figures {
+    joined_s: f64,
+    in_force_ms: Vec<f64>,
+    digest_bytes_per_s: f64,
+    control_cpu_share: f64,
+    memory_bytes: f64,
+    reads_per_s: f64,
+    writes_per_s: f64,
+    waiting: f64,
+}
+
+struct Fleet {
+    platform: Platform,
+    running: Running,
+    daemons: Vec<Daemon>,
+}
+
+pub(crate) fn measure() -> Vec<Slope> {
+    let Ok(runtime) = tokio::runtime::Runtime::new() else {
+        return Vec::new();
+    };
+    let mut slopes = [
+        "time until all daemons are in the view, s",
+        "time until a change is in force everywhere, ms",
+        "digest bytes sent, bytes/s a daemon",
+        "control thread's processor time, share of a core a daemon",
+        "resident memory, bytes a daemon",
+        "platform reads, calls/s of the whole fleet",
+        "platform writes, calls/s of the whole fleet",
+        "waiting watches of the whole fleet",
+    ]
+    .map(|quantity| Slope::new(quantity, "daemons"));
+    for size in SIZES {
+        let figures = runtime.block_on(run(size));
+        let values = [
+            vec![figures.joined_s],
+            figures.in_force_ms,
+            vec![figures.digest_bytes_per_s],
+            vec![figures.control_cpu_share],
+            vec![figures.memory_bytes],
+            vec![figures.reads_per_s],
+            vec![figures.writes_per_s],
+            vec![figures.waiting],
+        ];
+        let mut values = values.into_iter();
+        slopes = slopes.map(|slope| slope.with_point(size, &values.next().unwrap_or_default()));
+    }
+    slopes.into()
+}
+
+async fn run(size: usize) -> Figures {
+    let before_bytes = memory_bytes();
+    let begun = Instant::now();
+    let Ok(fleet) = Fleet::start(size).await else {
+        return Figures::default();
+    };
+    let mut figures = Figures {
+        joined_s: begun.elapsed().as_secs_f64(),
+        ..Figures::default()
+    };
+    for change in 1..=CHANGES {
+        figures.in_force_ms.push(fleet.change(change as u64).await);
+    }
+    tokio::time::sleep(QUIET / 4).await;
+    fleet.quiet(&mut figures).await;
+    let grown = memory_bytes().saturating_sub(before_bytes);
+    figures.memory_bytes = grown as f64 / size as f64;
+    fleet.stop();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    figures
+}
+
+impl Fleet {
+    async fn start(size: usize) -> Result<Self, wisteriapoint::Error> {
+        let platform = Platform::new();
+        let running = serve::on_loopback(platform.router()).await?;
+        let mut daemons = Vec::with_capacity(size);
+        for number in 0..size {
+            let settings = settings(number, &running)?;
+            daemons.push(Daemon::start(settings).await?);
+        }
+        let fleet = Self {
+            platform,
+            running,
+            daemons,
+        };
+        let members = |daemon: &Daemon| daemon.shared().snapshot.load().view.members.len();
+        fleet.until(|daemon| members(daemon) == size).await;
+        Ok(fleet)
+    }
+
+    /// Applies a change and waits until it is in force everywhere; gives the milliseconds.
+    async fn change(&self, number: u64) -> f64 {
+        let Ok(store) = HttpStore::new(&format!("http://{}", self.running.address)) else {
+            return f64::NAN;
+        };
+        let document = plain_document(&[([127, 0, 0, 1], 9).into()]);
+        let deadline_ms = format!("\"deadline_ms\": {}", 3_000 + number);
+        let document = document.replace("\"deadline_ms\": 3000", &deadline_ms);
+        let begun = Instant::now();
+        if apply(&store, &document, None, "capacity").await.is_err() {
+            return f64::NAN;
+        }
+        let service = ServiceName::new("shopfront");
+        self.until(|daemon| {
+            let snapshot = daemon.shared().snapshot.load();
+            let revision = snapshot.services.get(&service).map(|found| found.revision);
+            revision == Some(Revision(number))
+        })
+        .await;
+        begun.elapsed().as_secs_f64() * 1e3
+    }
+
+    async fn quiet(&self, figures: &mut Figures) {
+        let calls = self.platform.calls();
+        let bytes = self.digest_bytes();
+        let cpu = cpu_of_threads("control");
+        tokio::time::sleep(QUIET).await;
+        let (seconds, daemons) = (QUIET.as_secs_f64(), self.daemons.len() as f64);
+        let after = self.platform.calls();
+        figures.reads_per_s = (after.reads - calls.reads) as f64 / seconds;
+        figures.writes_per_s = (after.writes - calls.writes) as f64 / seconds;
+        figures.waiting = f64::from(self.platform.waiting());
+        figures.digest_bytes_per_s = (self.digest_bytes() - bytes) as f64 / seconds / daemons;
+        let used = cpu_of_threads("control").saturating_sub(cpu);
+        figures.control_cpu_share = used.as_secs_f64() / seconds / daemons;
+    }
+
+    fn digest_bytes(&self) -> u64 {
+        let metrics = self.daemons.iter().map(|daemon| &daemon.shared().metrics);
+        metrics.map(|metrics| metrics.control_bytes.get()).sum()
+    }
+
+    async fn until(&self, holds: impl Fn(&Daemon) -> bool) {
+        let begun = Instant::now();
+        while !self.daemons.iter().all(&holds) && begun.elapsed() < PATIENCE {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    fn stop(self) {
+        for daemon in self.daemons {
+            daemon.kill();
+        }
+    }
+}
+
+fn settings(number: usize, running: &Running) -> Result<VmSettings, wisteriapoint::Error> {
+    let domain = number % DOMAINS;
+    let text = serde_json::json!({
+        "vm": format!("entry-{number}"),
+        "failure_domain": format!("domain-{domain}"),
+        "region": format!("region-{}", domain / 4),
+        "service_address": "127.0.0.1:0",
+        "admin_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "platform_url": format!("http://{}", running.address),
+        "lease_ttl_s": LEASE_TTL_S,
+        "traffic_threads": 1,
+    });
+    Ok(wisteriapoint_settings::vm_from_str(&text.to_string())?)
+}
--- /dev/null
+++ b/crates/capacity/src/views.rs
@@ -0,0 +1,91 @@
+//! The view record: its size, and the time to derive duties from it.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use wisteriapoint_membership::{Member, View};
+use wisteriapoint_route::Subset;
+use wisteriapoint_types::{
+    EndpointName, FailureDomain, MemberId, Nonce, PartitionKey, Region, VmName, hash64,
+};
+
+use crate::slope::Slope;
+
+const SIZES: [usize; 4] = [8, 96, 380, 1_000];
+const ENGINES_PER_DAEMON: usize = 12;
+const PARTITIONS: u16 = 256;
+const REPEATS: usize = 5;
+const DOMAINS: u64 = 12;
+
+/// A view with so many members in twelve failure domains.
+pub(crate) fn view(members: usize) -> View {
+    let members: Vec<Member> = (0..members as u64).map(member).collect();
+    View::default().with_changes(&members, &[], Nonce(1))
+}
+
+fn member(number: u64) -> Member {
+    let domain = number % DOMAINS;
+    Member {
+        id: MemberId(hash64(1, &number.to_le_bytes())),
+        vm: VmName::new(format!("entry-vm-{number:04}")),
+        failure_domain: FailureDomain::new(format!("region-{}-domain-{domain}", domain / 4)),
+        region: Region::new(format!("region-{}", domain / 4)),
+        peer_address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 7_000).into(),
+        admin_address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 7_001).into(),
+    }
+}
+
+pub(crate) fn measure() -> Vec<Slope> {
+    let mut stored = Slope::new("view in the platform's store (JSON), bytes", "members");
+    let mut sent = Slope::new("view between daemons (postcard), bytes", "members");
+    let mut holders = Slope::new("holders of all 256 partitions, ms", "members");
+    let mut subset = Slope::new("subset of 12 engines a member, ms", "members");
+    let mut keepers = Slope::new("keepers of 12 engines a member, ms", "members");
+    for size in SIZES {
+        let view = view(size);
+        let engines: Vec<EndpointName> = (0..size * ENGINES_PER_DAEMON)
+            .map(|number| EndpointName::new(format!("engine-{number}")))
+            .collect();
+        let names: Vec<&EndpointName> = engines.iter().collect();
+        let json_bytes = serde_json::to_vec(&view).map_or(0, |bytes| bytes.len());
+        let wire_bytes = postcard::to_stdvec(&view).map_or(0, |bytes| bytes.len());
+        stored = stored.with_point(size, &[json_bytes as f64]);
+        sent = sent.with_point(size, &[wire_bytes as f64]);
+        holders = holders.with_point(
+            size,
+            &timed(|| {
+                for partition in 0..PARTITIONS {
+                    black_box(view.holders(PartitionKey(partition)));
+                }
+            }),
+        );
+        let members: Vec<MemberId> = view.members.iter().map(|member| member.id).collect();
+        let chooser = Subset::new(members[0], members.clone(), 36);
+        subset = subset.with_point(
+            size,
+            &timed(|| {
+                black_box(chooser.select(&names));
+            }),
+        );
+        keepers = keepers.with_point(
+            size,
+            &timed(|| {
+                for name in &names {
+                    black_box(view.coordinator(name.as_str().as_bytes()));
+                }
+            }),
+        );
+    }
+    vec![stored, sent, holders, subset, keepers]
+}
+
+/// Times a piece of work several times, in milliseconds.
+pub(crate) fn timed(mut work: impl FnMut()) -> Vec<f64> {
+    let mut values = Vec::with_capacity(REPEATS);
+    for _ in 0..REPEATS {
+        let begun = Instant::now();
+        work();
+        values.push(begun.elapsed().as_secs_f64() * 1e3);
+    }
+    values
+}
--- a/crates/membership/src/change.rs
+++ b/crates/membership/src/change.rs
@@ -24,6 +24,13 @@
         next
     }
 
+    /// The member ranked first for a subject; the same as the first of
+    /// [`View::coordinators`], without ranking the others.
+    pub fn coordinator(&self, subject: &[u8]) -> Option<MemberId> {
+        let ids = self.members.iter().map(|member| member.id);
+        ids.max_by_key(|id| (hash64(id.0, subject), *id))
+    }
+
     /// Whether a member watches the platform on behalf of its failure domain.
     ///
     /// A daemon that is not a member watches for itself.
