Carry claims over view changes; specification explored exhaustively

A new view used to open a holder that knew nothing, so a key could run twice after any join or leave. Now a holder that learns of a view refuses the earlier ones, and opens a partition only when it has pulled the claims from a majority of the sealed holders of every view back to one that a source was open in. The view record keeps the earlier views until their claims have been transferred. When all that could tell are gone for certain, keys issued before are answered may-have-run. A lapse or silence is no proof of loss: the exploration shows a double run for it. Claims merge as sets of attempts, so that a release travels and a grant after it is ignored. A refusal says not-run only when this attempt had won and did not dispatch.

Ruled out: exploring single pulls and late messages without a bound, which did not end within a minute for one view change.

--- a/crates/claim/src/holder.rs
+++ b/crates/claim/src/holder.rs
@@ -2,24 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use wisteriapoint_types::{Digest, MemberId, Nonce, RequestKey, ViewNumber};
+use wisteriapoint_types::{PartitionKey, ViewNumber};
 
-use crate::{Answer, Ask, Report, Settled};
+use crate::{Answer, Ask, Page, Partition, Report, Seal, Transfer};
 
 /// The claims that one daemon keeps.
 #[derive(Debug, Default)]
 pub struct Holder {
     view: ViewNumber,
-    claims: BTreeMap<RequestKey, Claim>,
-}
-
-#[derive(Debug)]
-struct Claim {
-    digest: Digest,
-    claimant: MemberId,
-    nonce: Nonce,
-    forget_at_ms: u64,
-    settled: Option<Settled>,
+    partitions: BTreeMap<PartitionKey, Partition>,
 }
 
 impl Holder {
@@ -28,62 +19,71 @@
         Self::default()
     }
 
-    /// Opens the holder in a view.
-    pub fn open(&mut self, view: ViewNumber) {
-        self.view = view;
+    /// Learns of a view: from now on the asks of earlier views are refused.
+    pub fn learn(&mut self, view: ViewNumber) {
+        self.view = self.view.max(view);
+    }
+
+    /// Opens a partition with the claims of all earlier views, if the view is the latest.
+    pub fn open(&mut self, view: ViewNumber, key: PartitionKey, transfer: Transfer) {
+        let latest = self.view;
+        let partition = self.partition(key);
+        partition.seal(latest);
+        partition.open(view, transfer);
     }
 
-    /// Number of claims kept.
+    /// Number of keys that are known.
     pub fn len(&self) -> usize {
-        self.claims.len()
+        self.partitions.values().map(Partition::len).sum()
     }
 
-    /// Whether no claim is kept.
+    /// Whether no key is known.
     pub fn is_empty(&self) -> bool {
-        self.claims.is_empty()
+        self.partitions.values().all(Partition::is_empty)
+    }
+
+    /// Number of partitions that are open in the latest view.
+    pub fn open_partitions(&self) -> usize {
+        let is_open = |partition: &&Partition| partition.is_open(self.view);
+        self.partitions.values().filter(is_open).count()
+    }
+
+    /// Whether a partition is open in a view that is the latest.
+    pub fn is_open(&self, view: ViewNumber, key: PartitionKey) -> bool {
+        let partition = self.partitions.get(&key);
+        view == self.view && partition.is_some_and(|partition| partition.is_open(view))
     }
 
     /// Answers a claimant.
     pub fn ask(&mut self, now_ms: u64, ask: &Ask) -> Answer {
-        if ask.view != self.view {
-            return Answer::NotOpen { view: self.view };
-        }
-        let claim = self.claims.entry(ask.key.clone()).or_insert(Claim {
-            digest: ask.digest,
-            claimant: ask.claimant,
-            nonce: ask.nonce,
-            forget_at_ms: now_ms.saturating_add(ask.horizon_ms),
-            settled: None,
-        });
-        match &claim.settled {
-            _ if claim.digest != ask.digest => Answer::Mismatch,
-            Some(settled) => Answer::Settled(settled.clone()),
-            None if claim.nonce == ask.nonce => Answer::Granted,
-            None => Answer::Held {
-                claimant: claim.claimant,
-                nonce: claim.nonce,
-            },
-        }
+        let latest = self.view;
+        let partition = self.partition(ask.key.partition());
+        partition.seal(latest);
+        partition.ask(now_ms, ask)
     }
 
     /// Takes a claimant's report.
-    pub fn report(&mut self, report: &Report) {
-        let Some(claim) = self.claims.get_mut(&report.key) else {
-            return;
-        };
-        match &report.settled {
-            _ if claim.nonce != report.nonce => {}
-            Some(settled) => {
-                claim.settled.get_or_insert_with(|| settled.clone());
-            }
-            None => {
-                self.claims.remove(&report.key);
-            }
-        }
+    pub fn report(&mut self, now_ms: u64, report: &Report) {
+        let partition = self.partition(report.ask.key.partition());
+        partition.report(now_ms, report);
+    }
+
+    /// Seals a partition and answers with a page of its claims.
+    pub fn seal(&mut self, seal: &Seal) -> Page {
+        let latest = self.view;
+        let partition = self.partition(seal.partition);
+        partition.seal(latest.max(seal.view));
+        partition.page(seal.after.as_ref())
     }
 
     /// Forgets claims whose time is over.
     pub fn forget(&mut self, now_ms: u64) {
-        self.claims.retain(|_, claim| claim.forget_at_ms > now_ms);
+        for partition in self.partitions.values_mut() {
+            partition.forget(now_ms);
+        }
+    }
+
+    fn partition(&mut self, key: PartitionKey) -> &mut Partition {
+        self.partitions.entry(key).or_default()
     }
 }
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -1,17 +1,20 @@
 //! At-most-once execution of requests that are not idempotent.
 //!
-//! [`Holder`] keeps claims; [`Tally`] counts the answers of a claim's holders for the
-//! daemon that wants to dispatch.
+//! [`Holder`] keeps claims by partition; [`Tally`] counts the answers of a claim's holders
+//! for the daemon that wants to dispatch; [`Pull`] brings a new holder the claims of
+//! earlier views.
 //!
 //! ```
-//! use wisteriapoint_claim::{Answer, Ask, Holder};
+//! use wisteriapoint_claim::{Answer, Ask, Holder, Transfer};
 //! use wisteriapoint_types::{Digest, MemberId, Nonce, RequestKey, ViewNumber};
 //!
+//! let key = RequestKey::new("order-17");
 //! let mut holder = Holder::new();
-//! holder.open(ViewNumber(1));
+//! holder.learn(ViewNumber(1));
+//! holder.open(ViewNumber(1), key.partition(), Transfer::default());
 //! let ask = Ask {
 //!     view: ViewNumber(1),
-//!     key: RequestKey::new("order-17"),
+//!     key,
 //!     digest: Digest::new(&[b"POST", b"/stock/hold"]),
 //!     claimant: MemberId(1),
 //!     nonce: Nonce(7),
@@ -20,10 +23,18 @@
 //! assert_eq!(holder.ask(0, &ask), Answer::Granted);
 //! ```
 
+pub mod age;
 pub mod holder;
 pub mod message;
+pub mod partition;
+pub mod pull;
+pub mod record;
 pub mod tally;
 
+pub use age::{Age, CLOCK_SKEW_MS};
 pub use holder::Holder;
-pub use message::{Answer, Ask, Recorded, Report, Settled};
+pub use message::{Answer, Ask, Page, Recorded, Report, Seal, Settled};
+pub use partition::{PAGE_BYTES, Partition};
+pub use pull::{Progress, Pull};
+pub use record::{Attempt, AttemptState, Record, Transfer};
 pub use tally::{Decision, Tally};
--- a/crates/claim/src/message.rs
+++ b/crates/claim/src/message.rs
@@ -1,10 +1,12 @@
 //! Messages between a claimant and a holder.
 
 use serde::{Deserialize, Serialize};
-use wisteriapoint_types::{Digest, MemberId, Nonce, RequestKey, ViewNumber};
+use wisteriapoint_types::{Digest, MemberId, Nonce, PartitionKey, RequestKey, ViewNumber};
+
+use crate::{Attempt, AttemptState, Transfer};
 
 /// Asks a holder for the sole right to dispatch a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Ask {
     /// The view that the claimant derived the holder from.
     pub view: ViewNumber,
@@ -21,7 +23,7 @@
 }
 
 /// A holder's answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Answer {
     /// The claimant has this holder's vote.
     Granted,
@@ -34,6 +36,10 @@
     },
     /// The request has run; this is its recorded answer.
     Settled(Settled),
+    /// Claims of the partition were lost, and the request may have run before.
+    Lost,
+    /// This attempt was released before the ask arrived.
+    Released,
     /// The key was used for another request.
     Mismatch,
     /// The holder is not open in that view.
@@ -44,7 +50,7 @@
 }
 
 /// What became of a claimed request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Settled {
     /// It ran and gave this answer.
     Ran(Recorded),
@@ -53,7 +59,7 @@
 }
 
 /// A recorded answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Recorded {
     /// HTTP status.
     pub status: u16,
@@ -63,13 +69,45 @@
     pub body: Vec<u8>,
 }
 
-/// Tells a holder what became of a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// Tells a holder what became of an attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Report {
-    /// The request's key.
-    pub key: RequestKey,
-    /// The attempt that the report is about.
-    pub nonce: Nonce,
+    /// The attempt, as the holders were asked.
+    pub ask: Ask,
     /// The outcome; none releases the key, since nothing was dispatched.
     pub settled: Option<Settled>,
 }
+
+/// Asks a holder of an earlier view to grant no more, and for the claims of a partition.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seal {
+    /// The view that the asker is a holder in; all earlier ones are sealed.
+    pub view: ViewNumber,
+    /// The partition.
+    pub partition: PartitionKey,
+    /// The last key of the page before; none for the first page.
+    pub after: Option<RequestKey>,
+}
+
+/// A page of a partition's claims.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// All views before this one are sealed.
+    pub sealed: ViewNumber,
+    /// The last view that the partition was open in at this holder.
+    pub opened: ViewNumber,
+    /// The claims.
+    pub transfer: Transfer,
+    /// The key to continue after; none if this is the last page.
+    pub next: Option<RequestKey>,
+}
+
+impl Ask {
+    pub(crate) fn attempt(&self) -> Attempt {
+        Attempt {
+            claimant: self.claimant,
+            digest: self.digest,
+            state: AttemptState::Granted,
+        }
+    }
+}
--- a/crates/claim/src/tally.rs
+++ b/crates/claim/src/tally.rs
@@ -1,19 +1,23 @@
 //! The claimant's count of answers.
 
+use std::collections::BTreeSet;
+
+use wisteriapoint_types::MemberId;
+
 use crate::{Answer, Settled};
 
 /// Counts the answers to one attempt.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Tally {
     holders: usize,
     majority: usize,
     granted: usize,
-    held: usize,
-    failed: usize,
+    refused: usize,
+    claimants: BTreeSet<MemberId>,
 }
 
 /// What the claimant does next.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Decision {
     /// Waits for more answers.
     Wait,
@@ -21,9 +25,11 @@
     Dispatch,
     /// Gives the recorded outcome.
     Settled(Settled),
+    /// Refuses the request for good: it may have run, and what is known of it is lost.
+    Lost,
     /// Refuses the request: the key belongs to another one.
     Mismatch,
-    /// Releases what it was granted and tells the caller to come back.
+    /// Releases what it was granted; another attempt may have run.
     Release,
 }
 
@@ -34,8 +40,8 @@
             holders,
             majority,
             granted: 0,
-            held: 0,
-            failed: 0,
+            refused: 0,
+            claimants: BTreeSet::new(),
         }
     }
 
@@ -44,16 +50,24 @@
         match answer {
             Some(Answer::Settled(settled)) => return Decision::Settled(settled),
             Some(Answer::Mismatch) => return Decision::Mismatch,
+            Some(Answer::Lost) => return Decision::Lost,
             Some(Answer::Granted) => self.granted += 1,
-            Some(Answer::Held { .. }) => self.held += 1,
-            Some(Answer::NotOpen { .. }) | None => self.failed += 1,
+            Some(Answer::Held { claimant, .. }) => {
+                self.claimants.insert(claimant);
+                self.refused += 1;
+            }
+            Some(Answer::NotOpen { .. } | Answer::Released) | None => self.refused += 1,
         }
         self.decide()
     }
 
+    /// The daemons whose attempts stand in the way.
+    pub fn claimants(&self) -> &BTreeSet<MemberId> {
+        &self.claimants
+    }
+
     fn decide(&self) -> Decision {
-        let answered = self.granted + self.held + self.failed;
-        let open = self.holders - answered;
+        let open = self.holders - self.granted - self.refused;
         match self.granted {
             granted if granted >= self.majority => Decision::Dispatch,
             granted if granted + open >= self.majority => Decision::Wait,
--- a/crates/membership/src/duty.rs
+++ b/crates/membership/src/duty.rs
@@ -1,5 +1,8 @@
 //! Duties derived from a view by rendezvous hashing.
 
+use std::collections::BTreeSet;
+
+use wisteriapoint_types::key::PARTITIONS;
 use wisteriapoint_types::{MemberId, PartitionKey, hash64};
 
 use crate::{Member, View};
@@ -8,7 +11,7 @@
 pub const HOLDERS: usize = 3;
 
 /// The daemons that keep the claims of one partition.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Holders {
     /// Their ids, best rank first.
     pub members: Vec<MemberId>,
@@ -45,6 +48,22 @@
         }
     }
 
+    /// The partitions that a member keeps the claims of.
+    pub fn held_by(&self, id: MemberId) -> impl Iterator<Item = PartitionKey> {
+        let holds = move |key: &PartitionKey| self.holders(*key).members.contains(&id);
+        (0..PARTITIONS).map(PartitionKey).filter(holds)
+    }
+
+    /// Whether members that have all their partitions open are enough to forget the
+    /// earlier views: a majority of the holders of each partition.
+    pub fn is_transferred(&self, open: &BTreeSet<MemberId>) -> bool {
+        (0..PARTITIONS).map(PartitionKey).all(|key| {
+            let holders = self.holders(key);
+            let open = holders.members.iter().filter(|id| open.contains(id));
+            open.count() >= holders.majority()
+        })
+    }
+
     /// The members in order of rank for a subject; the first coordinates it.
     pub fn coordinators(&self, subject: &[u8]) -> Vec<MemberId> {
         self.ranked(subject)
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -12,4 +12,4 @@
 pub mod view;
 
 pub use duty::{HOLDERS, Holders};
-pub use view::{Member, View};
+pub use view::{Earlier, Member, View};
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -15,6 +15,22 @@
     pub nonce: Nonce,
     /// The members.
     pub members: Vec<Member>,
+    /// Earlier views whose claims may not all have been transferred, oldest first.
+    #[serde(default)]
+    pub earlier: Vec<Earlier>,
+    /// Members of earlier views that are in this one no more.
+    #[serde(default)]
+    pub former: Vec<Member>,
+}
+
+/// An earlier view.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Earlier {
+    /// Number of the view.
+    pub number: ViewNumber,
+    /// Its members.
+    pub members: Vec<MemberId>,
 }
 
 /// One daemon.
@@ -41,26 +57,72 @@
         self.members.iter().find(|member| member.id == id)
     }
 
+    /// The member with an id, of this view or of an earlier one.
+    pub fn known(&self, id: MemberId) -> Option<&Member> {
+        let mut known = self.members.iter().chain(&self.former);
+        known.find(|member| member.id == id)
+    }
+
+    /// Whether a member's run is over for certain, since its VM runs a later one.
+    pub fn is_replaced(&self, id: MemberId) -> bool {
+        let former = self.former.iter().find(|member| member.id == id);
+        former.is_some_and(|old| self.members.iter().any(|member| member.vm == old.vm))
+    }
+
+    /// The earlier views, oldest first.
+    pub fn earlier_views(&self) -> impl Iterator<Item = Self> {
+        self.earlier.iter().map(|earlier| Self {
+            number: earlier.number,
+            members: earlier
+                .members
+                .iter()
+                .filter_map(|&id| self.known(id).cloned())
+                .collect(),
+            ..Self::default()
+        })
+    }
+
+    /// This view without the earlier ones, once their claims have been transferred.
+    pub fn without_earlier(&self) -> Self {
+        Self {
+            earlier: Vec::new(),
+            former: Vec::new(),
+            ..self.clone()
+        }
+    }
+
     /// The next view with a daemon added; an earlier run on the same VM is removed.
     pub fn with_member(&self, member: Member, nonce: Nonce) -> Self {
-        let mut next = self.next(nonce);
-        next.members.retain(|old| old.vm != member.vm);
-        next.members.push(member);
-        next
+        let mut members = self.members.clone();
+        members.retain(|old| old.vm != member.vm);
+        members.push(member);
+        self.next(members, nonce)
     }
 
     /// The next view without some daemons.
     pub fn without_members(&self, gone: &[MemberId], nonce: Nonce) -> Self {
-        let mut next = self.next(nonce);
-        next.members.retain(|member| !gone.contains(&member.id));
-        next
+        let mut members = self.members.clone();
+        members.retain(|member| !gone.contains(&member.id));
+        self.next(members, nonce)
     }
 
-    fn next(&self, nonce: Nonce) -> Self {
+    fn next(&self, members: Vec<Member>, nonce: Nonce) -> Self {
+        let mut earlier = self.earlier.clone();
+        if self.number > ViewNumber(0) {
+            earlier.push(Earlier {
+                number: self.number,
+                members: self.members.iter().map(|member| member.id).collect(),
+            });
+        }
+        let is_new = |old: &&Member| members.iter().all(|member| member.id != old.id);
+        let known = self.former.iter().chain(&self.members);
+        let former = known.filter(is_new).cloned().collect();
         Self {
             number: ViewNumber(self.number.0 + 1),
             nonce,
-            members: self.members.clone(),
+            members,
+            earlier,
+            former,
         }
     }
 }
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -35,6 +35,11 @@
         matches!(self.0, Kind::Connect(_))
     }
 
+    /// Whether nothing listens at the peer's address.
+    pub fn is_refused(&self) -> bool {
+        matches!(&self.0, Kind::Connect(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Whether the peer took too long.
     pub fn is_timeout(&self) -> bool {
         matches!(self.0, Kind::Timeout)
--- /dev/null
+++ b/crates/spec/src/explore.rs
@@ -0,0 +1,93 @@
+//! Exhaustive exploration.
+
+use std::cell::Cell;
+use std::hash::{Hash, Hasher};
+
+use pathfinding::prelude::bfs;
+
+use crate::recovery;
+use crate::rule::Rule;
+use crate::state::{Bounds, State};
+use crate::step::Step;
+
+/// What an exploration found.
+#[derive(Debug)]
+pub struct Explored {
+    /// States that were seen.
+    pub states: usize,
+    /// Steps to the farthest of them.
+    pub depth: usize,
+    /// The shortest way to a state that breaks the specification.
+    pub violation: Option<Violation>,
+}
+
+/// A way to a state that breaks the specification.
+#[derive(Debug)]
+pub struct Violation {
+    /// What is wrong in the last state.
+    pub fault: &'static str,
+    /// The steps.
+    pub steps: Vec<Step>,
+}
+
+#[derive(Debug, Clone)]
+struct Node {
+    state: State,
+    step: Option<Step>,
+    depth: usize,
+}
+
+impl PartialEq for Node {
+    fn eq(&self, other: &Self) -> bool {
+        self.state == other.state
+    }
+}
+
+impl Eq for Node {}
+
+impl Hash for Node {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.state.hash(hasher);
+    }
+}
+
+/// Visits every state within the bounds, or stops at the first that breaks the
+/// specification.
+pub fn explore(bounds: Bounds, without: Option<Rule>) -> Explored {
+    let states = Cell::new(0);
+    let depth = Cell::new(0);
+    let start = Node {
+        state: State::new(bounds),
+        step: None,
+        depth: 0,
+    };
+    let successors = |node: &Node| {
+        let depth = node.depth + 1;
+        let steps = node.state.steps(bounds, without).into_iter();
+        let nodes = steps.map(move |(step, state)| Node {
+            state,
+            step: Some(step),
+            depth,
+        });
+        nodes.collect::<Vec<_>>()
+    };
+    let path = bfs(&start, successors, |node| {
+        states.set(states.get() + 1);
+        depth.set(depth.get().max(node.depth));
+        fault(&node.state, without).is_some()
+    });
+    let violation = path.and_then(|path| {
+        let fault = fault(&path.last()?.state, without)?;
+        let steps = path.iter().filter_map(|node| node.step).collect();
+        Some(Violation { fault, steps })
+    });
+    Explored {
+        states: states.get(),
+        depth: depth.get(),
+        violation,
+    }
+}
+
+fn fault(state: &State, without: Option<Rule>) -> Option<&'static str> {
+    state.fault().or_else(|| recovery::fault(state, without))
+}
--- /dev/null
+++ b/crates/spec/src/recovery.rs
@@ -0,0 +1,119 @@
+//! What has to hold once faults stop.
+
+use std::rc::Rc;
+
+use wisteriapoint_claim::{Decision, Progress, Pull, Tally};
+use wisteriapoint_types::ViewNumber;
+
+use crate::rule::Rule;
+use crate::state::{Bounds, CLAIMANTS, Phase, State, ask};
+use crate::step::Step;
+use crate::views::{self, DAEMONS, PARTITION};
+
+const RETRY: usize = CLAIMANTS;
+
+const FREE: Bounds = Bounds {
+    views: u64::MAX,
+    crashes: 0,
+    ticks: 2,
+    losses: u8::MAX,
+    reports: u8::MAX,
+    first_start: 0,
+    retry_start: 0,
+};
+
+/// Whether a retry gets no final answer once faults have stopped, or one that is wrong.
+///
+/// It is tried with the claimants running to their end, and with the claimants gone.
+pub fn fault(state: &State, without: Option<Rule>) -> Option<&'static str> {
+    let mut ended = state.clone();
+    ended.time = 2;
+    end_claimants(&mut ended, without);
+    let with_claimants = retry(ended, true);
+    let mut gone = state.clone();
+    gone.time = 2;
+    with_claimants.or_else(|| retry(gone, false))
+}
+
+fn end_claimants(state: &mut State, without: Option<Rule>) {
+    for c in 0..CLAIMANTS {
+        let give_up = (0..DAEMONS).map(|h| Step::GiveUp(c, h));
+        let end = [Step::Dispatch(c)];
+        for step in give_up.chain(end) {
+            if let Some(next) = state.take(step, FREE, without) {
+                *state = next;
+            }
+        }
+    }
+    for c in 0..CLAIMANTS {
+        for h in 0..DAEMONS {
+            if let Some(next) = state.take(Step::Report(c, h), FREE, without) {
+                *state = next;
+            }
+        }
+    }
+}
+
+/// Removes the crashed from the view, brings its holders up, and asks them.
+fn retry(mut state: State, claimants_live: bool) -> Option<&'static str> {
+    let crashed: Vec<_> = (0..DAEMONS)
+        .filter(|&h| state.holders[h].crashed)
+        .map(views::id)
+        .collect();
+    let view = state
+        .view(state.latest)
+        .view
+        .without_members(&crashed, Default::default());
+    let holders = view.holders(PARTITION);
+    if holders.members.is_empty() {
+        return None;
+    }
+    for &id in &holders.members {
+        let mut pull = Pull::new(&view, PARTITION);
+        while let Progress::Pending(missing) = pull.progress(state.now_ms()) {
+            for source in missing {
+                let from = Rc::make_mut(&mut state.holders[views::index(source)]);
+                from.partition.seal(view.number);
+                match from.crashed {
+                    true => pull.note_gone(source),
+                    false => pull.take(source, from.partition.page(None)),
+                }
+            }
+        }
+        let transfer = match pull.progress(state.now_ms()) {
+            Progress::Whole(transfer) | Progress::Lost(transfer) => transfer,
+            Progress::Pending(_) => return Some("a pull does not end"),
+        };
+        let holder = Rc::make_mut(&mut state.holders[views::index(id)]);
+        holder.partition.open(view.number, transfer);
+    }
+    judge(&mut state, view.number, &holders.members, claimants_live)
+}
+
+fn judge(
+    state: &mut State,
+    view: ViewNumber,
+    holders: &[wisteriapoint_types::MemberId],
+    claimants_live: bool,
+) -> Option<&'static str> {
+    let mut tally = Tally::new(holders.len(), holders.len() / 2 + 1);
+    let mut decision = Decision::Wait;
+    for &id in holders {
+        let now_ms = state.now_ms();
+        let holder = Rc::make_mut(&mut state.holders[views::index(id)]);
+        let answer = holder.partition.ask(now_ms, &ask(RETRY, view.0));
+        if decision == Decision::Wait {
+            decision = tally.count(Some(answer));
+        }
+    }
+    let may_run = state
+        .claimants
+        .iter()
+        .any(|claimant| matches!(claimant.phase, Phase::Won | Phase::Answered));
+    match decision {
+        Decision::Dispatch if may_run => Some("a retry runs what has run"),
+        Decision::Dispatch | Decision::Settled(_) | Decision::Lost => None,
+        Decision::Release if !claimants_live && !tally.claimants().is_empty() => None,
+        _ => Some("a retry gets no final answer"),
+    }
+}
--- /dev/null
+++ b/crates/spec/src/step.rs
@@ -0,0 +1,405 @@
+//! The steps of the model.
+
+use std::fmt;
+use std::rc::Rc;
+
+use wisteriapoint_claim::{
+    Age, Answer, CLOCK_SKEW_MS, Decision, Partition, Progress, Pull, Report, Tally, Transfer,
+};
+use wisteriapoint_types::ViewNumber;
+
+use crate::rule::Rule;
+use crate::state::{Bounds, CLAIMANTS, Claimant, HORIZON_MS, Phase, State, ask, key, outcome};
+use crate::views::{self, DAEMONS, Derived};
+
+/// One thing that can happen; daemons and claimants go by index.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// The clock moves on.
+    Tick,
+    /// The next view is proposed and taken; the flag says that earlier views are dropped.
+    ViewChange(bool),
+    /// A holder crashes.
+    Crash(usize),
+    /// A holder learns of a view, seals the sources in a set of bits, takes their claims
+    /// and opens.
+    Open(usize, u64, u8),
+    /// A claimant starts with a view.
+    Start(usize, u64),
+    /// A claimant's ask arrives at a holder.
+    Ask(usize, usize),
+    /// A claimant gives up waiting for a holder.
+    GiveUp(usize, usize),
+    /// A claimant that won dispatches and is answered.
+    Dispatch(usize),
+    /// A claimant that won finds no endpoint, releases its claim and says not-run.
+    Refuse(usize),
+    /// A claimant's report arrives at a holder.
+    Report(usize, usize),
+    /// A holder releases a claim whose claimant it takes for gone.
+    TakeOver(usize, usize),
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let holder = |index: &usize| index + 1;
+        let claimant = |index: &usize| ["A", "B"][*index];
+        match self {
+            Self::Tick => write!(f, "the clock moves on"),
+            Self::ViewChange(false) => write!(f, "the view changes"),
+            Self::ViewChange(true) => write!(f, "the view changes and drops earlier views"),
+            Self::Crash(h) => write!(f, "holder {} crashes", holder(h)),
+            Self::Open(h, view, sources) => {
+                write!(f, "holder {} opens in view {view} from", holder(h))?;
+                let sources = (0..DAEMONS).filter(|source| sources & (1 << source) != 0);
+                sources
+                    .into_iter()
+                    .try_for_each(|source| write!(f, " {}", holder(&source)))
+            }
+            Self::Start(c, view) => write!(f, "claimant {} starts in view {view}", claimant(c)),
+            Self::Ask(c, h) => write!(f, "claimant {} asks holder {}", claimant(c), holder(h)),
+            Self::GiveUp(c, h) => {
+                write!(f, "claimant {} gives up holder {}", claimant(c), holder(h))
+            }
+            Self::Dispatch(c) => write!(f, "claimant {} dispatches", claimant(c)),
+            Self::Refuse(c) => write!(f, "claimant {} says not-run", claimant(c)),
+            Self::Report(c, h) => {
+                write!(
+                    f,
+                    "claimant {} reports to holder {}",
+                    claimant(c),
+                    holder(h)
+                )
+            }
+            Self::TakeOver(h, c) => {
+                write!(
+                    f,
+                    "holder {} releases the claim of {}",
+                    holder(h),
+                    claimant(c)
+                )
+            }
+        }
+    }
+}
+
+impl State {
+    /// All steps that can be taken next, and where they lead; steps without effect are
+    /// left out.
+    pub fn steps(&self, bounds: Bounds, without: Option<Rule>) -> Vec<(Step, Self)> {
+        let mut steps = vec![Step::Tick, Step::ViewChange(false), Step::ViewChange(true)];
+        for h in 0..DAEMONS {
+            steps.push(Step::Crash(h));
+            let opened = self.holders[h].partition.opened().0;
+            for view in opened.max(1) + 1..=self.latest {
+                steps.extend((0..1 << DAEMONS).map(|sources| Step::Open(h, view, sources)));
+            }
+        }
+        for c in 0..CLAIMANTS {
+            steps.extend((1..=self.latest).map(|view| Step::Start(c, view)));
+            steps.extend([Step::Dispatch(c), Step::Refuse(c)]);
+            for h in 0..DAEMONS {
+                steps.extend([Step::Ask(c, h), Step::GiveUp(c, h)]);
+                steps.extend([Step::Report(c, h), Step::TakeOver(h, c)]);
+            }
+        }
+        let taken = steps.into_iter().filter_map(|step| {
+            let next = self.take(step, bounds, without)?;
+            (next != *self).then_some((step, next))
+        });
+        taken.collect()
+    }
+
+    /// The state after a step, if it can be taken.
+    pub fn take(&self, step: Step, bounds: Bounds, without: Option<Rule>) -> Option<Self> {
+        let mut next = self.clone();
+        let taken = match step {
+            Step::Tick => next.tick(bounds),
+            Step::ViewChange(drop) => next.change_view(bounds, drop, without),
+            Step::Crash(h) => next.crash(h, bounds),
+            Step::Open(h, view, sources) => next.open(h, view, sources, without),
+            Step::Start(c, view) => next.start(c, view, bounds, without),
+            Step::Ask(c, h) => next.ask(c, h, bounds, without),
+            Step::GiveUp(c, h) => next.give_up(c, h, bounds, without),
+            Step::Dispatch(c) => next.dispatch(c, without),
+            Step::Refuse(c) => next.refuse(c),
+            Step::Report(c, h) => next.report(c, h, bounds),
+            Step::TakeOver(h, c) => next.take_over(h, c, without),
+        };
+        taken.then_some(next)
+    }
+
+    fn tick(&mut self, bounds: Bounds) -> bool {
+        self.time += 1;
+        self.time <= bounds.ticks
+    }
+
+    fn change_view(&mut self, bounds: Bounds, drop: bool, without: Option<Rule>) -> bool {
+        let view = self.view(self.latest);
+        let holders = &view.holders;
+        let is_open = |id: &&_| {
+            let holder = &self.holders[views::index(**id)];
+            holder.partition.is_open(view.view.number)
+        };
+        let open = holders.members.iter().filter(is_open).count();
+        let may_drop = open >= holders.majority() || without == Some(Rule::KeepEarlier);
+        let oldest = self.oldest[self.latest as usize - 1];
+        self.latest += 1;
+        if self.latest > bounds.views || (drop && !may_drop) {
+            return false;
+        }
+        self.oldest[self.latest as usize - 1] = if drop { self.latest - 1 } else { oldest };
+        true
+    }
+
+    fn crash(&mut self, h: usize, bounds: Bounds) -> bool {
+        self.crashes += 1;
+        let holder = Rc::make_mut(&mut self.holders[h]);
+        let was_alive = !holder.crashed;
+        // A holder that crashed never answers again, so nothing else of it counts.
+        *holder = Default::default();
+        holder.crashed = true;
+        was_alive && self.crashes <= bounds.crashes
+    }
+
+    fn open(&mut self, h: usize, number: u64, sources: u8, without: Option<Rule>) -> bool {
+        let derived = self.view(number);
+        let view = derived.view.number;
+        let holds = derived.holders.members.contains(&views::id(h));
+        let holder = &self.holders[h];
+        if holder.crashed || !holds || holder.partition.opened() >= view {
+            return false;
+        }
+        let transfer = match without {
+            Some(Rule::Transfer) if sources == 0 => Transfer::default(),
+            Some(Rule::Transfer) => return false,
+            _ => match self.collect(h, derived, sources, without) {
+                Some(transfer) => transfer,
+                None => return false,
+            },
+        };
+        let holder = Rc::make_mut(&mut self.holders[h]);
+        holder.partition.seal(view);
+        holder.partition.open(view, transfer);
+        true
+    }
+
+    /// Pulls from just the sources that are needed, or gives none.
+    fn collect(
+        &mut self,
+        h: usize,
+        derived: &Derived,
+        sources: u8,
+        without: Option<Rule>,
+    ) -> Option<Transfer> {
+        let view = derived.view.number;
+        let mut pull = derived.pull.clone();
+        for source in 0..DAEMONS {
+            let is_source = sources & (1 << source) != 0;
+            match without {
+                _ if self.holders[source].crashed => pull.note_gone(views::id(source)),
+                Some(Rule::ProofOfLoss) if !is_source && source != h => {
+                    pull.note_gone(views::id(source));
+                }
+                _ => {}
+            }
+        }
+        for source in (0..DAEMONS).filter(|source| sources & (1 << source) != 0) {
+            if self.holders[source].crashed || !is_missing(&pull, source) {
+                return None;
+            }
+            let from = Rc::make_mut(&mut self.holders[source]);
+            if without != Some(Rule::Seal) {
+                from.partition.seal(view);
+            }
+            let mut page = from.partition.page(None);
+            if without == Some(Rule::OpenSource) {
+                page.opened = ViewNumber(view.0 - 1);
+            }
+            pull.take(views::id(source), page);
+        }
+        let now_ms = self.now_ms();
+        match pull.progress(now_ms) {
+            Progress::Pending(_) => None,
+            Progress::Whole(transfer) => Some(transfer),
+            Progress::Lost(mut transfer) => {
+                match without {
+                    Some(Rule::Distrust) => transfer.lost_at_ms = None,
+                    Some(Rule::ClockSkew) => {
+                        transfer.lost_at_ms = now_ms.checked_sub(2 * CLOCK_SKEW_MS);
+                    }
+                    _ => {}
+                }
+                Some(transfer)
+            }
+        }
+    }
+
+    fn start(&mut self, c: usize, number: u64, bounds: Bounds, without: Option<Rule>) -> bool {
+        let is_turn = match c {
+            0 => number <= bounds.first_start,
+            _ => number >= bounds.retry_start && self.claimants[0].phase != Phase::Idle,
+        };
+        let age = Age::new(self.now_ms(), &key(), HORIZON_MS);
+        if !is_turn || self.claimants[c].phase != Phase::Idle || age != Age::Valid {
+            return false;
+        }
+        let holders = &self.view(number).holders;
+        let majority = match without {
+            Some(Rule::Majority) => 1,
+            _ => holders.majority(),
+        };
+        self.claimants[c] = Claimant {
+            view: number,
+            phase: Phase::Asking,
+            tally: Some(Tally::new(holders.members.len(), majority)),
+            ..Claimant::default()
+        };
+        true
+    }
+
+    fn ask(&mut self, c: usize, h: usize, bounds: Bounds, without: Option<Rule>) -> bool {
+        let view = self.claimants[c].view;
+        let is_counted = self.claimants[c].answered & (1 << h) != 0;
+        match self.claimants[c].phase {
+            Phase::Idle => return false,
+            Phase::Asking if !is_counted => {}
+            // The message is late or a repeat, and its answer is lost.
+            _ => self.losses += 1,
+        }
+        if self.holders[h].crashed || self.losses > bounds.losses {
+            return false;
+        }
+        let before = self.holders[h].partition.clone();
+        let holders = &self.view(view).holders;
+        if !holders.members.contains(&views::id(h)) {
+            return false;
+        }
+        let now_ms = self.now_ms();
+        let holder = Rc::make_mut(&mut self.holders[h]);
+        let answer = holder.partition.ask(now_ms, &ask(c, view));
+        let changed = holder.partition != before;
+        self.count(c, h, Some(answer), without) || changed
+    }
+
+    fn give_up(&mut self, c: usize, h: usize, bounds: Bounds, without: Option<Rule>) -> bool {
+        let view = self.claimants[c].view;
+        if self.claimants[c].phase != Phase::Asking {
+            return false;
+        }
+        if !self.holders[h].crashed {
+            self.losses += 1;
+        }
+        let holders = &self.view(view).holders;
+        let asked = holders.members.contains(&views::id(h));
+        asked && self.losses <= bounds.losses && self.count(c, h, None, without)
+    }
+
+    fn count(&mut self, c: usize, h: usize, answer: Option<Answer>, without: Option<Rule>) -> bool {
+        let claimant = &mut self.claimants[c];
+        let bit = 1 << h;
+        let Some(tally) = &mut claimant.tally else {
+            return false;
+        };
+        if claimant.phase != Phase::Asking || claimant.answered & bit != 0 {
+            return false;
+        }
+        claimant.answered |= bit;
+        match tally.count(answer) {
+            Decision::Wait => return true,
+            Decision::Dispatch => claimant.phase = Phase::Won,
+            Decision::Release if without == Some(Rule::MayHaveRun) => {
+                claimant.phase = Phase::Released;
+                self.say_not_run(c);
+            }
+            _ => claimant.phase = Phase::Released,
+        }
+        // The count is over; equal states are merged.
+        self.claimants[c].tally = None;
+        self.claimants[c].answered = 0;
+        true
+    }
+
+    fn say_not_run(&mut self, c: usize) {
+        self.claimants[c].said_not_run = true;
+        let others = self.claimants.iter().enumerate();
+        let mut others = others.filter(|(other, _)| *other != c);
+        let may_run = others.any(|(_, other)| matches!(other.phase, Phase::Won | Phase::Answered));
+        self.false_not_run |= may_run || self.claimants[c].dispatched;
+    }
+
+    fn dispatch(&mut self, c: usize, without: Option<Rule>) -> bool {
+        let claimant = &mut self.claimants[c];
+        let again = without == Some(Rule::NotRunIsFinal) && claimant.said_not_run;
+        if claimant.phase != Phase::Won && !(again && claimant.phase == Phase::Released) {
+            return false;
+        }
+        claimant.phase = Phase::Answered;
+        claimant.dispatched = true;
+        self.false_not_run |= claimant.said_not_run;
+        true
+    }
+
+    fn refuse(&mut self, c: usize) -> bool {
+        if self.claimants[c].phase != Phase::Won {
+            return false;
+        }
+        self.claimants[c].phase = Phase::Released;
+        self.say_not_run(c);
+        true
+    }
+
+    fn report(&mut self, c: usize, h: usize, bounds: Bounds) -> bool {
+        let settled = match self.claimants[c].phase {
+            Phase::Answered => Some(outcome(c)),
+            Phase::Released => None,
+            _ => return false,
+        };
+        let report = Report {
+            ask: ask(c, self.claimants[c].view),
+            settled,
+        };
+        let before = self.holders[h].partition.clone();
+        let delivered = self.deliver(h, &report) && self.holders[h].partition != before;
+        self.claimants[c].reports += 1;
+        delivered && self.claimants[c].reports <= bounds.reports
+    }
+
+    fn take_over(&mut self, h: usize, c: usize, without: Option<Rule>) -> bool {
+        let is_asked = without == Some(Rule::OwnRelease);
+        if !is_asked || self.claimants[c].phase == Phase::Idle || self.latest < 2 {
+            return false;
+        }
+        let report = Report {
+            ask: ask(c, self.claimants[c].view),
+            settled: None,
+        };
+        self.deliver(h, &report)
+    }
+
+    fn deliver(&mut self, h: usize, report: &Report) -> bool {
+        let now_ms = self.now_ms();
+        let holder = Rc::make_mut(&mut self.holders[h]);
+        if holder.crashed {
+            return false;
+        }
+        let before = recorded(&holder.partition);
+        holder.partition.report(now_ms, report);
+        let changed = before.is_some() && before != recorded(&holder.partition);
+        self.changed_outcome |= changed;
+        true
+    }
+}
+
+fn is_missing(pull: &Pull, source: usize) -> bool {
+    match pull.progress(0) {
+        Progress::Pending(missing) => missing.contains(&views::id(source)),
+        _ => false,
+    }
+}
+
+fn recorded(partition: &Partition) -> Option<wisteriapoint_claim::Settled> {
+    let page = partition.page(None);
+    let record = page.transfer.records.get(&key())?;
+    record.settled().cloned()
+}
--- /dev/null
+++ b/crates/spec/src/views.rs
@@ -0,0 +1,100 @@
+//! The views of the model.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::OnceLock;
+
+use wisteriapoint_claim::Pull;
+use wisteriapoint_membership::{Holders, Member, View};
+use wisteriapoint_types::{FailureDomain, MemberId, Nonce, PartitionKey, Region, VmName};
+
+/// Daemons of the model.
+pub const DAEMONS: usize = 4;
+
+/// The partition of the model's key.
+pub const PARTITION: PartitionKey = PartitionKey(0);
+
+/// Views of the model.
+pub const VIEWS: usize = 3;
+
+/// A view and what follows from it.
+#[derive(Debug)]
+pub struct Derived {
+    /// The view.
+    pub view: View,
+    /// The holders of the model's partition.
+    pub holders: Holders,
+    /// A pull that has just begun.
+    pub pull: Pull,
+}
+
+/// The view with a number, whose record goes back to an earlier one.
+pub fn derived(number: u64, oldest: u64) -> &'static Derived {
+    static ALL: OnceLock<Vec<Derived>> = OnceLock::new();
+    let all = ALL.get_or_init(|| {
+        let numbers = 1..=VIEWS as u64;
+        let pairs =
+            numbers.flat_map(|number| (1..=VIEWS as u64).map(move |oldest| (number, oldest)));
+        pairs
+            .map(|(number, oldest)| derive(number, oldest))
+            .collect()
+    });
+    &all[(number as usize - 1) * VIEWS + oldest as usize - 1]
+}
+
+fn derive(number: u64, oldest: u64) -> Derived {
+    let mut view = first();
+    while view.number.0 < number {
+        view = next(&view);
+    }
+    view.earlier.retain(|earlier| earlier.number.0 >= oldest);
+    Derived {
+        holders: view.holders(PARTITION),
+        pull: Pull::new(&view, PARTITION),
+        view,
+    }
+}
+
+/// Makes the daemon with an index.
+pub fn member(index: usize) -> Member {
+    let name = format!("vm-{}", index + 1);
+    Member {
+        id: id(index),
+        vm: VmName::new(name.clone()),
+        failure_domain: FailureDomain::new(name),
+        region: Region::new("region"),
+        peer_address: SocketAddr::from((Ipv4Addr::LOCALHOST, index as u16 + 1)),
+        admin_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+    }
+}
+
+/// The id of the daemon with an index.
+pub fn id(index: usize) -> MemberId {
+    MemberId(index as u64 + 1)
+}
+
+/// The index of the daemon with an id.
+pub fn index(id: MemberId) -> usize {
+    id.0 as usize - 1
+}
+
+/// The first view: the daemons 1, 2 and 3.
+fn first() -> View {
+    let joined = (0..3).fold(View::default(), |view, index| {
+        view.with_member(member(index), Nonce(0))
+    });
+    let mut first = View::default().with_member(member(0), Nonce(0));
+    first.members = joined.members;
+    first
+}
+
+/// The view after another: daemon 4 replaces daemon 1, then daemon 2 leaves.
+fn next(view: &View) -> View {
+    let mut next = match view.number.0 {
+        1 => view.without_members(&[id(0)], Nonce(0)),
+        _ => view.without_members(&[id(1)], Nonce(0)),
+    };
+    if view.number.0 == 1 {
+        next.members.push(member(3));
+    }
+    next
+}
--- a/crates/wisteriapoint/src/daemon/control/members.rs
+++ b/crates/wisteriapoint/src/daemon/control/members.rs
@@ -12,10 +12,10 @@
             return;
         }
         log::info!("view {} with {} members", view.number, view.members.len());
-        self.holder.open(view.number);
         self.shared.metrics.view_number.set(view.number.0 as i64);
         self.shared.metrics.members.set(view.members.len() as i64);
         self.snapshot.view = Arc::new(view);
         self.publish();
+        self.start_transfer();
     }
 }
--- a/crates/wisteriapoint/src/daemon/control/mod.rs
+++ b/crates/wisteriapoint/src/daemon/control/mod.rs
@@ -11,11 +11,11 @@
 
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
-use wisteriapoint_claim::Holder;
+use wisteriapoint_claim::{Holder, Transfer};
 use wisteriapoint_membership::View;
 use wisteriapoint_platform::{Entry, VmEntry};
 use wisteriapoint_rollout::{Coordinator, Sample, SampleKey, StepId};
-use wisteriapoint_types::{ServiceName, WeightVersion};
+use wisteriapoint_types::{PartitionKey, ServiceName, ViewNumber, WeightVersion};
 
 use super::message::{Question, Reply};
 use super::snapshot::Snapshot;
@@ -33,6 +33,10 @@
     Question(Box<Question>, oneshot::Sender<Reply>),
     /// The view, as the platform has it.
     View(View),
+    /// All claims of a partition, collected for a view.
+    Open(ViewNumber, PartitionKey, Transfer),
+    /// All partitions of this daemon are open in a view.
+    Transferred(ViewNumber),
     /// Records of services, as the platform has them.
     Services(Vec<Entry>),
     /// Published weight versions, as the platform has them.
@@ -51,6 +55,7 @@
     snapshot: Snapshot,
     versions: BTreeMap<ServiceName, WeightVersion>,
     holder: Holder,
+    transferred: ViewNumber,
     coordinator: Coordinator,
     running_samples: usize,
     ticks: u64,
@@ -65,6 +70,7 @@
             snapshot: Snapshot::default(),
             versions: Default::default(),
             holder: Holder::new(),
+            transferred: ViewNumber::default(),
             coordinator: Coordinator::new(),
             running_samples: 0,
             ticks: 0,
@@ -90,6 +96,8 @@
         match command {
             Command::Question(question, reply) => self.answer(*question, reply),
             Command::View(view) => self.take_view(view),
+            Command::Open(view, key, transfer) => self.holder.open(view, key, transfer),
+            Command::Transferred(view) => self.transferred = view,
             Command::Services(entries) => self.take_services(&entries),
             Command::Weights(entries) => self.take_weights(&entries),
             Command::Vms(vms) => self.take_vms(vms),
@@ -101,6 +109,8 @@
         let reply = match question {
             Question::Claim(ask) => self.answer_claim(&ask),
             Question::Report(report) => self.answer_report(&report),
+            Question::Seal { source, seal } => self.answer_seal(source, &seal),
+            Question::Transferred(view) => self.answer_transferred(view),
             Question::Put { id, spec, cursor } => self.answer_put(id, spec, &cursor),
             Question::Pull {
                 id,
--- a/crates/wisteriapoint/src/daemon/message.rs
+++ b/crates/wisteriapoint/src/daemon/message.rs
@@ -1,9 +1,9 @@
 //! Messages between daemons.
 
 use serde::{Deserialize, Serialize};
-use wisteriapoint_claim::{Answer, Ask, Report};
+use wisteriapoint_claim::{Answer, Ask, Page, Report, Seal};
 use wisteriapoint_rollout::{Cursor, Pulled, Sample, StepId, StepSpec, Task};
-use wisteriapoint_types::WeightVersion;
+use wisteriapoint_types::{MemberId, ViewNumber, WeightVersion};
 
 /// What one daemon asks of another; each may be repeated.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -12,6 +12,15 @@
     Claim(Ask),
     /// To a holder: what became of a claim.
     Report(Report),
+    /// To a holder of an earlier view: a partition's claims.
+    Seal {
+        /// The run of the daemon that is meant.
+        source: MemberId,
+        /// What to seal.
+        seal: Seal,
+    },
+    /// To any member: whether all its partitions are open in a view.
+    Transferred(ViewNumber),
     /// To a coordinator: a step.
     Put {
         /// Name of the step.
@@ -43,6 +52,10 @@
     Claim(Answer),
     /// To [`Question::Report`].
     Noted,
+    /// To [`Question::Seal`]; none if the run that was meant is over.
+    Page(Option<Page>),
+    /// To [`Question::Transferred`].
+    Transferred(bool),
     /// To [`Question::Put`].
     Put(Result<(), wisteriapoint_rollout::Error>),
     /// To [`Question::Pull`].
--- a/crates/wisteriapoint/src/daemon/mod.rs
+++ b/crates/wisteriapoint/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 pub mod snapshot;
 pub mod start;
 pub mod traffic;
+pub mod transfer;
 pub mod weights;
 
 pub use shared::Shared;
--- a/crates/wisteriapoint/src/daemon/platform.rs
+++ b/crates/wisteriapoint/src/daemon/platform.rs
@@ -10,6 +10,7 @@
 
 use super::Shared;
 use super::control::Command;
+use super::transfer;
 
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -33,6 +34,7 @@
     if view.member(shared.me.id).is_some() {
         return Ok(tell(shared, view).await);
     }
+    let view = transfer::without_earlier(shared, view).await;
     let next = view.with_member(shared.me.clone(), Nonce(rand::random()));
     let value = serde_json::to_vec(&next).map_err(malformed)?;
     match store.compare_and_swap(keys::VIEW, index, value).await? {
@@ -52,9 +54,11 @@
         if view.member(shared.me.id).is_none() {
             return Ok(());
         }
+        let view = transfer::without_earlier(shared, view).await;
         let next = view.without_members(&[shared.me.id], Nonce(rand::random()));
         let value = serde_json::to_vec(&next).map_err(malformed)?;
         if store.compare_and_swap(keys::VIEW, index, value).await? {
+            transfer::hand_over(shared, next).await;
             return Ok(());
         }
     }
--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -107,10 +107,15 @@
         let method = outgoing.method.as_str().as_bytes();
         let digest = Digest::new(&[method, outgoing.path.as_bytes(), &outgoing.body]);
         let horizon_ms = document.retry_horizon_s * 1_000;
-        let claim = match claims::claim(&self.shared, key, digest, horizon_ms).await {
+        let begun = Instant::now();
+        let claimed = claims::claim(&self.shared, key, digest, horizon_ms, limit).await;
+        let limit = limit.saturating_sub(begun.elapsed());
+        let claim = match claimed {
             Claimed::Won(claim) => claim,
             Claimed::Settled(Settled::Ran(recorded)) => return Ok(recorded),
-            Claimed::Settled(Settled::MayHaveRun) => return Err(lost()),
+            Claimed::Settled(Settled::MayHaveRun) | Claimed::Lost => return Err(lost()),
+            Claimed::Expired => return Err(expired()),
+            Claimed::Future => return Err(future()),
             Claimed::Mismatch => return Err(mismatch()),
             Claimed::Busy => return Err(busy()),
         };
@@ -118,13 +123,9 @@
             .dispatch(&document.service, router, outgoing, limit)
             .await;
         match &result {
-            Ok(recorded) => {
-                claim
-                    .settle(&self.shared, Settled::Ran(recorded.clone()))
-                    .await
-            }
-            Err(problem) if problem.verdict.may_repeat(false) => claim.release(&self.shared).await,
-            Err(_) => claim.settle(&self.shared, Settled::MayHaveRun).await,
+            Ok(recorded) => claim.settle(Settled::Ran(recorded.clone())).await,
+            Err(problem) if problem.verdict.may_repeat(false) => claim.release().await,
+            Err(_) => claim.settle(Settled::MayHaveRun).await,
         }
         result
     }
@@ -229,11 +230,27 @@
     Problem::not_run(422, "key-mismatch", "the key belongs to another request")
 }
 
-fn busy() -> Problem {
+fn expired() -> Problem {
+    Problem::may_have_run(
+        410,
+        "key-expired",
+        "the key is older than the retry horizon",
+    )
+}
+
+fn future() -> Problem {
     Problem::not_run(
+        400,
+        "key-in-future",
+        "the key's time of issue lies in the future",
+    )
+}
+
+fn busy() -> Problem {
+    Problem::may_have_run(
         409,
         "key-busy",
-        "another attempt with this key is in progress",
+        "another attempt with this key may be in progress",
     )
     .with_retry_after_ms(BUSY_RETRY_AFTER_MS)
 }
--- a/crates/wisteriapoint/src/metrics.rs
+++ b/crates/wisteriapoint/src/metrics.rs
@@ -22,6 +22,10 @@
     pub members: IntGauge,
     /// Claims kept for other daemons and this one.
     pub claims: IntGauge,
+    /// Partitions of claims that are open in the latest view.
+    pub open_partitions: IntGauge,
+    /// Transfers of a partition's claims, by result.
+    pub transfers: IntCounterVec,
 }
 
 impl Metrics {
@@ -58,6 +62,15 @@
             view_number: IntGauge::new("wisteriapoint_view_number", "Number of the view")?,
             members: IntGauge::new("wisteriapoint_members", "Members of the view")?,
             claims: IntGauge::new("wisteriapoint_claims", "Claims kept")?,
+            open_partitions: IntGauge::new(
+                "wisteriapoint_open_partitions",
+                "Partitions of claims that are open",
+            )?,
+            transfers: counter(
+                "transfers_total",
+                "Transfers of a partition's claims",
+                &["result"],
+            )?,
             registry,
         };
         metrics.register()?;
@@ -82,7 +95,9 @@
         registry.register(Box::new(self.platform_calls.clone()))?;
         registry.register(Box::new(self.view_number.clone()))?;
         registry.register(Box::new(self.members.clone()))?;
-        registry.register(Box::new(self.claims.clone()))
+        registry.register(Box::new(self.claims.clone()))?;
+        registry.register(Box::new(self.open_partitions.clone()))?;
+        registry.register(Box::new(self.transfers.clone()))
     }
 }
 
