--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -18,10 +18,14 @@
     Connect(reqwest::Error),
     #[error("the endpoint did not answer whole: {0}")]
     Broken(Box<str>),
+    #[error("the endpoint answered with status {0}")]
+    Status(u16),
     #[error("the endpoint did not answer in time")]
     Timeout,
     #[error("the endpoint takes no new work")]
     Draining,
+    #[error("the endpoint can't go on with the completion")]
+    CannotResume,
     #[error("the endpoint answered another request")]
     Crossed,
     #[error("the answer exceeds {bound_bytes} bytes")]
@@ -61,6 +65,21 @@
         matches!(self.kind, Kind::Draining)
     }
 
+    /// Whether the endpoint can't go on with what another one began.
+    pub fn is_resume_refused(&self) -> bool {
+        matches!(self.kind, Kind::CannotResume)
+    }
+
+    /// Whether the endpoint declined, which is no fault of it.
+    pub fn is_refusal(&self) -> bool {
+        self.is_draining() || self.is_resume_refused()
+    }
+
+    /// Whether the endpoint broke off before the end of its answer.
+    pub fn is_broken(&self) -> bool {
+        matches!(self.kind, Kind::Broken(_))
+    }
+
     /// Whether the deadline passed.
     pub fn is_timeout(&self) -> bool {
         matches!(self.kind, Kind::Timeout)
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -82,13 +82,17 @@
         })
     }
 
-    /// This view without the earlier ones, once their claims have been transferred.
-    pub fn without_earlier(&self) -> Self {
-        Self {
-            earlier: Vec::new(),
-            former: Vec::new(),
-            ..self.clone()
-        }
+    /// This view without the records of views that no transfer needs any more.
+    pub fn without_views_before(mut self, number: ViewNumber) -> Self {
+        self.earlier.retain(|earlier| earlier.number >= number);
+        let earlier = &self.earlier;
+        let is_needed = |old: &Member| {
+            earlier
+                .iter()
+                .any(|earlier| earlier.members.contains(&old.id))
+        };
+        self.former.retain(is_needed);
+        self
     }
 
     /// The next view with a daemon added; an earlier run on the same VM is removed.
@@ -106,7 +110,7 @@
         self.next(members, nonce)
     }
 
-    fn next(&self, members: Vec<Member>, nonce: Nonce) -> Self {
+    pub(crate) fn next(&self, members: Vec<Member>, nonce: Nonce) -> Self {
         let mut earlier = self.earlier.clone();
         if self.number > ViewNumber(0) {
             earlier.push(Earlier {
--- a/crates/wisteriapoint/src/daemon/mod.rs
+++ b/crates/wisteriapoint/src/daemon/mod.rs
@@ -2,13 +2,18 @@
 
 pub mod claims;
 pub mod control;
+pub mod exchange;
 pub mod generate;
 pub mod message;
 pub mod platform;
+pub mod probe;
 pub mod rollouts;
+pub mod sample;
+pub mod score;
 pub mod shared;
 pub mod snapshot;
 pub mod start;
+pub mod strikes;
 pub mod traffic;
 pub mod transfer;
 pub mod weights;
--- a/crates/wisteriapoint/src/daemon/start.rs
+++ b/crates/wisteriapoint/src/daemon/start.rs
@@ -6,27 +6,30 @@
 use std::thread;
 use std::time::Duration;
 
-use salvo::server::ServerHandle;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::{self, Runtime};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep};
+use tokio::time::{sleep, timeout};
 use wisteriapoint_gateway::Clients;
 use wisteriapoint_membership::Member;
-use wisteriapoint_peer::Client;
-use wisteriapoint_platform::{HttpStore, keys};
+use wisteriapoint_peer::{Client, Datagrams};
+use wisteriapoint_platform::{Budgeted, HttpStore};
 use wisteriapoint_settings::VmSettings;
 use wisteriapoint_types::MemberId;
 
 use super::control::{COMMANDS, Command, Control};
-use super::message::{Question, Reply};
+use super::message::{Question, Reply, ServiceStrike};
+use super::platform::Watch;
 use super::shared::Clock;
-use super::{Shared, platform, traffic, weights};
+use super::{Shared, exchange, platform, strikes, traffic, weights};
+use crate::Error;
+use crate::http::{self, Serving};
 use crate::metrics::Metrics;
-use crate::{Error, http};
 
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(1);
+const STRIKES: usize = 16;
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 
 /// The addresses that a daemon listens on.
@@ -46,8 +49,7 @@
     settings: VmSettings,
     addresses: Addresses,
     shared: Arc<Shared>,
-    store: HttpStore,
-    servers: [ServerHandle; 2],
+    servers: [Serving; 2],
     traffic: Option<Runtime>,
     control: Option<oneshot::Sender<()>>,
 }
@@ -67,36 +69,47 @@
             admin: admin.local_addr()?,
             peer: peer.local_addr()?,
         };
+        let datagrams = Arc::new(Datagrams::new(UdpSocket::bind(addresses.peer).await?));
         let runtime = traffic_runtime(settings.traffic_threads)?;
         let (commands, receiver) = mpsc::channel(COMMANDS);
+        let (strikes_in, others_strikes) = mpsc::channel(STRIKES);
         let (published, changes) = watch::channel(());
         let store = HttpStore::new(&settings.platform_url)?;
+        let store = Budgeted::new(store, settings.platform_calls_per_s);
         let shared = Arc::new(Shared {
             me: member(&settings, addresses),
             snapshot: Default::default(),
             routers: Default::default(),
             control: commands,
+            strikes: strikes_in,
             traffic: runtime.handle().clone(),
             peers: Client::new(),
             clients: Clients::new()?,
             metrics: Metrics::new().map_err(std::io::Error::other)?,
             draining: false.into(),
+            leaving: false.into(),
+            lease: None.into(),
+            refusing: false.into(),
             in_flight: 0.into(),
-            store: store.clone(),
+            store,
             clock: Clock::new(),
         });
-        let control = Control::new(Arc::clone(&shared), published);
-        let stop_control = start_control(control, receiver, &shared, &store, &settings)?;
+        let control = Control::new(
+            Arc::clone(&shared),
+            published,
+            Arc::clone(&datagrams),
+            settings.seed_peers.clone(),
+        );
+        let stop_control = start_control(control, receiver, &shared, datagrams, &settings)?;
         let servers = [
-            http::serve(&runtime, service, http::service_router(&shared))?,
-            http::serve(&runtime, admin, http::admin_router(&shared))?,
+            Serving::new(&runtime, service, http::service_router(&shared))?,
+            Serving::new(&runtime, admin, http::admin_router(&shared))?,
         ];
-        start_traffic(&runtime, &shared, peer, changes);
+        start_traffic(&runtime, &shared, peer, changes, others_strikes);
         Ok(Self {
             settings,
             addresses,
             shared,
-            store,
             servers,
             traffic: Some(runtime),
             control: Some(stop_control),
@@ -120,19 +133,27 @@
         }
     }
 
-    /// Stops gracefully: takes no new requests, ends those in flight, leaves the view.
+    /// Stops gracefully.
+    ///
+    /// Readiness goes off first. While the balancer's lag lasts, requests are accepted
+    /// as ever; then they are refused, those in flight end, and the daemon leaves the
+    /// view. Only the drain limit cuts requests.
     pub async fn stop(mut self) {
         self.shared.draining.store(true, Ordering::Release);
         log::info!("draining");
         sleep(Duration::from_millis(self.settings.drain_wait_ms)).await;
-        let [service, admin] = &self.servers;
-        service.stop_graceful(None);
-        self.wait_for_requests().await;
-        let left = platform::leave(&self.shared, &self.store);
-        if !matches!(tokio::time::timeout(LEAVE_TIMEOUT, left).await, Ok(Ok(()))) {
+        self.shared.refusing.store(true, Ordering::SeqCst);
+        let limit = Duration::from_secs(self.settings.drain_limit_s);
+        if timeout(limit, self.end_requests()).await.is_err() {
+            log::warn!("requests were still in flight at the drain limit");
+        }
+        let left = platform::leave(&self.shared);
+        if !matches!(timeout(LEAVE_TIMEOUT, left).await, Ok(Ok(()))) {
             log::warn!("the platform did not take the leave; the lease will lapse");
         }
-        admin.stop_graceful(None);
+        let [_, admin] = &mut self.servers;
+        // Connections of operators that stay open are cut.
+        let _ = timeout(ADMIN_TIMEOUT, admin.stop()).await;
         self.end_threads();
         log::info!("stopped");
     }
@@ -142,11 +163,13 @@
         self.end_threads();
     }
 
-    async fn wait_for_requests(&self) {
-        let limit = Instant::now() + Duration::from_secs(self.settings.drain_limit_s);
-        while self.shared.in_flight.load(Ordering::Acquire) > 0 && Instant::now() < limit {
+    /// Waits for requests in flight, then for their answers to be sent.
+    async fn end_requests(&mut self) {
+        while self.shared.in_flight.load(Ordering::SeqCst) > 0 {
             sleep(POLL_PAUSE).await;
         }
+        let [service, _] = &mut self.servers;
+        service.stop().await;
     }
 
     fn end_threads(&mut self) {
@@ -186,7 +209,7 @@
     control: Control,
     receiver: mpsc::Receiver<Command>,
     shared: &Arc<Shared>,
-    store: &HttpStore,
+    datagrams: Arc<Datagrams>,
     settings: &VmSettings,
 ) -> Result<oneshot::Sender<()>, Error> {
     let runtime = runtime::Builder::new_current_thread()
@@ -194,17 +217,14 @@
         .build()?;
     let (stop, stopped) = oneshot::channel::<()>();
     let shared = Arc::clone(shared);
-    let store = store.clone();
     let ttl = Duration::from_secs(settings.lease_ttl_s);
     let run = async move {
-        tokio::spawn(platform::join(Arc::clone(&shared), store.clone()));
-        tokio::spawn(platform::keep_lease(
-            Arc::clone(&shared),
-            store.clone(),
-            ttl,
-        ));
-        tokio::spawn(platform::poll_vms(Arc::clone(&shared), store.clone()));
-        watch_all(&shared, &store);
+        for watch in [Watch::View, Watch::Services, Watch::Weights, Watch::Leases] {
+            tokio::spawn(watch.run(Arc::clone(&shared)));
+        }
+        tokio::spawn(platform::keep_lease(Arc::clone(&shared), ttl));
+        tokio::spawn(platform::poll_vms(Arc::clone(&shared)));
+        tokio::spawn(exchange::receive(Arc::clone(&shared), datagrams));
         tokio::select! {
             () = control.run(receiver) => {}
             _ = stopped => {}
@@ -216,25 +236,12 @@
     Ok(stop)
 }
 
-fn watch_all(shared: &Arc<Shared>, store: &HttpStore) {
-    let watch = |prefix, command: fn(Vec<_>) -> Option<Command>| {
-        tokio::spawn(platform::watch(
-            Arc::clone(shared),
-            store.clone(),
-            prefix,
-            command,
-        ));
-    };
-    watch(keys::VIEW, platform::view_command);
-    watch(keys::SERVICES, |entries| Some(Command::Services(entries)));
-    watch(keys::WEIGHTS, |entries| Some(Command::Weights(entries)));
-}
-
 fn start_traffic(
     runtime: &Runtime,
     shared: &Arc<Shared>,
     peer: TcpListener,
     changes: watch::Receiver<()>,
+    others_strikes: mpsc::Receiver<Vec<ServiceStrike>>,
 ) {
     let answering = Arc::clone(shared);
     let answer = move |question: Question| {
@@ -247,6 +254,7 @@
     runtime.spawn(wisteriapoint_peer::serve(peer, answer));
     runtime.spawn(traffic::follow(Arc::clone(shared), changes));
     runtime.spawn(traffic::tick(Arc::clone(shared)));
+    runtime.spawn(strikes::run(Arc::clone(shared), others_strikes));
     runtime.spawn(traffic::poll_loads(Arc::clone(shared)));
     runtime.spawn(weights::run(Arc::clone(shared)));
 }
--- a/crates/wisteriapoint/src/daemon/transfer.rs
+++ b/crates/wisteriapoint/src/daemon/transfer.rs
@@ -35,11 +35,15 @@
     });
 }
 
-/// The view without its earlier ones, if all their claims have been transferred.
-pub async fn without_earlier(shared: &Arc<Shared>, view: View) -> View {
-    if view.earlier.is_empty() {
-        return view;
+/// Drops from a proposed view the records of views whose claims have been transferred.
+pub async fn trim(shared: &Arc<Shared>, held: &View, next: View) -> View {
+    match held.earlier.is_empty() || !is_transferred(shared, held).await {
+        true => next,
+        false => next.without_views_before(held.number),
     }
+}
+
+async fn is_transferred(shared: &Arc<Shared>, view: &View) -> bool {
     let asked = view.members.iter().map(|member| async {
         let question = Question::Transferred(view.number);
         let address = member.peer_address;
@@ -48,20 +52,13 @@
         is_open.then_some(member.id)
     });
     let open: BTreeSet<MemberId> = join_all(asked).await.into_iter().flatten().collect();
-    match view.is_transferred(&open) {
-        true => view.without_earlier(),
-        false => view,
-    }
+    view.is_transferred(&open)
 }
 
 /// Waits until the claims of a leaving daemon are with the members of the next view.
 pub async fn hand_over(shared: &Arc<Shared>, next: View) {
     let limit = Instant::now() + HAND_OVER_LIMIT;
-    while Instant::now() < limit {
-        let view = without_earlier(shared, next.clone()).await;
-        if view.earlier.is_empty() {
-            return;
-        }
+    while Instant::now() < limit && !is_transferred(shared, &next).await {
         sleep(RETRY_PAUSE).await;
     }
 }
