--- a/crates/membership/src/change.rs
+++ b/crates/membership/src/change.rs
@@ -15,13 +15,13 @@
     ///
     /// An earlier run of a daemon that joins is removed with it.
     pub fn with_changes(&self, joining: &[Member], leaving: &[MemberId], nonce: Nonce) -> Self {
-        let mut next = self.without_members(leaving, nonce);
+        let mut members = self.members.clone();
+        members.retain(|old| !leaving.contains(&old.id));
         for member in joining {
-            next.members
-                .retain(|old| old.vm != member.vm && old.id != member.id);
-            next.members.push(member.clone());
+            members.retain(|old| old.vm != member.vm && old.id != member.id);
+            members.push(member.clone());
         }
-        next
+        self.next(members, nonce)
     }
 
     /// The member ranked first for a subject; the same as the first of
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,4 +16,4 @@
 pub use change::{STEWARDS, WATCHERS_PER_DOMAIN};
 pub use duty::{HOLDERS, Holders};
 pub use roster::{Patience, Probe, Roster, Step};
-pub use view::{Member, View};
+pub use view::{Earlier, Member, View};
