--- a/crates/wisteriapoint/src/daemon/sample.rs
+++ b/crates/wisteriapoint/src/daemon/sample.rs
@@ -5,6 +5,7 @@
 
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 use wisteriapoint_gateway::{Chunk, CompletionRequest};
 use wisteriapoint_rollout::{Begun, Sample, Task};
 use wisteriapoint_route::Class;
@@ -14,6 +15,7 @@
 use super::generate::{Collected, Sink, generate};
 use super::message::{Generated, Question, Reply};
 
+const CLASS: &str = "rollout";
 const ROLLOUT_PRIORITY: i32 = 10;
 const BEGUN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -60,7 +62,15 @@
     let class = Class::Rollout { trainer };
     let (service, key) = (task.service.clone(), task.key);
     let mut tokens = Tokens::new(Arc::clone(shared), coordinator, task);
+    let begun = Instant::now();
     let ended = generate(shared, &service, class, &request, limit, &mut tokens).await;
+    let outcome = match &ended {
+        _ if tokens.too_old => "too-old",
+        Ok(_) => "answered",
+        Err(problem) => problem.verdict.as_str(),
+    };
+    let metrics = &shared.metrics;
+    metrics.ended(service.as_str(), CLASS, outcome, begun.elapsed());
     match ended {
         _ if tokens.too_old => Generated::TooOld,
         Ok(_) => Generated::Whole(Sample {
--- a/crates/wisteriapoint/src/http/admin.rs
+++ b/crates/wisteriapoint/src/http/admin.rs
@@ -10,6 +10,7 @@
 use wisteriapoint_membership::View;
 use wisteriapoint_types::{MemberId, Revision, ServiceName, VmName, WeightVersion};
 
+use super::explain::{Availability, EndpointState};
 use super::respond;
 use crate::daemon::Shared;
 
@@ -92,10 +93,37 @@
 
     async fn handle(&self, _request: &mut Request, response: &mut Response) {
         respond::set_header(response, "content-type", "text/plain; version=0.0.4");
+        set_gauges(&self.shared);
         response.body(self.shared.metrics.render());
     }
 }
 
+/// Reads what is a state and no event.
+fn set_gauges(shared: &Shared) {
+    let metrics = &shared.metrics;
+    metrics.ready.set(i64::from(not_ready(shared).is_none()));
+    let in_flight = shared.in_flight.load(Ordering::Acquire);
+    metrics.in_flight.set(in_flight as i64);
+    for (name, service) in &shared.snapshot.load().services {
+        let labels = [name.as_str()];
+        let revision = metrics.revision.with_label_values(&labels);
+        revision.set(service.revision.0 as i64);
+        if let Some(version) = service.version {
+            let gauge = metrics.weight_version.with_label_values(&labels);
+            gauge.set(version.0 as i64);
+        }
+    }
+    for (name, router) in shared.routers.load().iter() {
+        let endpoints = EndpointState::all(router);
+        for state in Availability::ALL {
+            let count = endpoints.iter().filter(|endpoint| endpoint.state == state);
+            let labels = [name.as_str(), state.as_str()];
+            let gauge = metrics.endpoints.with_label_values(&labels);
+            gauge.set(count.count() as i64);
+        }
+    }
+}
+
 #[handler]
 impl Health {
     async fn handle(&self, _request: &mut Request, response: &mut Response) {
--- a/crates/wisteriapoint/src/http/arrival.rs
+++ b/crates/wisteriapoint/src/http/arrival.rs
@@ -5,7 +5,7 @@
 use salvo::{Depot, FlowCtrl, Request, Response, handler};
 use wisteriapoint_gateway::Problem;
 
-use super::respond;
+use super::respond::{self, Refused};
 use crate::daemon::Shared;
 
 const STOPPING_RETRY_AFTER_MS: u64 = 1_000;
@@ -40,6 +40,10 @@
                 flow.call_next(request, depot, response).await;
             }
         }
+        if let Some(Refused { kind, verdict }) = response.extensions.get() {
+            let refusals = &self.shared.metrics.refusals;
+            refusals.with_label_values(&[kind, verdict.as_str()]).inc();
+        }
         if self.shared.is_draining() {
             respond::set_header(response, "connection", "close");
         }
--- a/crates/wisteriapoint/src/http/explain.rs
+++ b/crates/wisteriapoint/src/http/explain.rs
@@ -64,6 +64,9 @@
 }
 
 impl Availability {
+    /// All of them.
+    pub const ALL: [Self; 4] = [Self::Open, Self::Full, Self::PassedOver, Self::Leaving];
+
     /// The word in tables and JSON.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -76,6 +79,15 @@
 }
 
 impl EndpointState {
+    /// The endpoints of a router, by name.
+    pub fn all(router: &wisteriapoint_gateway::Router) -> Vec<Self> {
+        let now_ms = router.now_ms();
+        let seats = router.seats();
+        let mut endpoints: Vec<Self> = seats.iter().map(|seat| Self::new(seat, now_ms)).collect();
+        endpoints.sort_by(|one, other| one.endpoint.cmp(&other.endpoint));
+        endpoints
+    }
+
     fn new(seat: &Seat, now_ms: u64) -> Self {
         let state = match seat {
             seat if seat.leaving => Availability::Leaving,
@@ -110,13 +122,7 @@
         let Some(router) = router else {
             return respond::problem(response, &unknown_service(&service));
         };
-        let now_ms = router.now_ms();
-        let seats = router.seats();
-        let mut endpoints: Vec<EndpointState> = seats
-            .iter()
-            .map(|seat| EndpointState::new(seat, now_ms))
-            .collect();
-        endpoints.sort_by(|one, other| one.endpoint.cmp(&other.endpoint));
+        let endpoints = EndpointState::all(&router);
         let open = |endpoint: &&EndpointState| endpoint.state == Availability::Open;
         let candidates = endpoints.iter().filter(open);
         let explanation = Explanation {
--- a/crates/wisteriapoint/src/http/respond.rs
+++ b/crates/wisteriapoint/src/http/respond.rs
@@ -6,6 +6,7 @@
 use serde::de::DeserializeOwned;
 use wisteriapoint_gateway::Problem;
 use wisteriapoint_gateway::problem::VERDICT_HEADER;
+use wisteriapoint_types::Verdict;
 
 /// Writes a JSON answer.
 pub fn json<T: Serialize>(response: &mut Response, body: &T) {
@@ -21,6 +22,15 @@
     }
 }
 
+/// What a refused request was refused for; kept with its answer, for the metrics.
+#[derive(Debug, Clone)]
+pub struct Refused {
+    /// Kind of the problem.
+    pub kind: Box<str>,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+}
+
 /// Writes problem details with the verdict and, if known, the time to come back.
 pub fn problem(response: &mut Response, problem: &Problem) {
     response.status_code(status(problem.status));
@@ -28,6 +38,10 @@
     if let Some(seconds) = problem.retry_after_s() {
         set_header(response, "retry-after", &seconds.to_string());
     }
+    response.extensions.insert(Refused {
+        kind: problem.kind.clone(),
+        verdict: problem.verdict,
+    });
     let body = serde_json::to_vec(problem).unwrap_or_default();
     set_header(response, "content-type", "application/problem+json");
     response.body(body);
--- a/crates/wisteriapoint/src/logging.rs
+++ b/crates/wisteriapoint/src/logging.rs
@@ -12,18 +12,20 @@
 ///
 /// Fails if logging was set up before.
 pub fn init(format: LogFormat, level: log::LevelFilter) -> Result<(), Error> {
+    Ok(dispatch(format, level).chain(std::io::stderr()).apply()?)
+}
+
+/// Formats log lines; other crates are heard from warnings on.
+pub fn dispatch(format: LogFormat, level: log::LevelFilter) -> fern::Dispatch {
     let dispatch = fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
-        .level_for("wisteriapoint", level)
-        .chain(std::io::stderr());
-    let dispatch = match format {
+        .level_for("wisteriapoint", level);
+    match format {
         LogFormat::Plain => dispatch.format(|out, message, record| {
-            out.finish(format_args!(
-                "{} {} {} {message}",
-                now_ms(),
-                record.level(),
-                record.target(),
-            ));
+            // One event is one line, whatever its message holds.
+            let message = message.to_string().replace('\n', "; ");
+            let (at_ms, level, target) = (now_ms(), record.level(), record.target());
+            out.finish(format_args!("{at_ms} {level} {target} {message}"));
         }),
         LogFormat::Json => dispatch.format(|out, message, record| {
             let line = serde_json::json!({
@@ -34,8 +36,7 @@
             });
             out.finish(format_args!("{line}"));
         }),
-    };
-    Ok(dispatch.apply()?)
+    }
 }
 
 fn now_ms() -> u128 {
--- a/crates/wisteriapoint/src/metrics.rs
+++ b/crates/wisteriapoint/src/metrics.rs
@@ -1,8 +1,14 @@
 //! Counters and histograms.
+//!
+//! Labels hold names of services in force and words of this program, nothing that a caller
+//! can make up.
 
+use std::time::Duration;
+
+use prometheus::core::Collector;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// The metrics of one daemon.
@@ -13,6 +19,8 @@
     pub requests: IntCounterVec,
     /// Time to the end of the answer by service and class, in seconds.
     pub request_seconds: HistogramVec,
+    /// Refusals by kind and verdict.
+    pub refusals: IntCounterVec,
     /// Attempts that failed at an endpoint, by service and verdict.
     pub failed_attempts: IntCounterVec,
     /// Calls to the platform by kind and result.
@@ -29,8 +37,22 @@
     pub members: IntGauge,
     /// Claims kept for other daemons and this one.
     pub claims: IntGauge,
+    /// Whether the daemon takes requests, 0 or 1.
+    pub ready: IntGauge,
+    /// Requests in progress.
+    pub in_flight: IntGauge,
+    /// Endpoints by service and state.
+    pub endpoints: IntGaugeVec,
+    /// Revision in force by service.
+    pub revision: IntGaugeVec,
+    /// Published weight version by service.
+    pub weight_version: IntGaugeVec,
 }
 
+const SECONDS_BUCKETS: &[f64] = &[
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0,
+];
+
 impl Metrics {
     /// Makes a registry with all metrics at zero.
     ///
@@ -49,9 +71,11 @@
                 HistogramOpts::new(
                     "wisteriapoint_request_seconds",
                     "Time to the end of the answer",
-                ),
+                )
+                .buckets(SECONDS_BUCKETS.to_vec()),
                 &["service", "class"],
             )?,
+            refusals: counter("refusals_total", "Refusals", &["kind", "verdict"])?,
             failed_attempts: counter(
                 "failed_attempts_total",
                 "Attempts that failed at an endpoint",
@@ -74,12 +98,33 @@
             view_number: IntGauge::new("wisteriapoint_view_number", "Number of the view")?,
             members: IntGauge::new("wisteriapoint_members", "Members of the view")?,
             claims: IntGauge::new("wisteriapoint_claims", "Claims kept")?,
+            ready: IntGauge::new("wisteriapoint_ready", "Whether the daemon takes requests")?,
+            in_flight: IntGauge::new("wisteriapoint_in_flight", "Requests in progress")?,
+            endpoints: gauge("endpoints", "Endpoints", &["service", "state"])?,
+            revision: gauge("revision", "Revision in force", &["service"])?,
+            weight_version: gauge("weight_version", "Published weight version", &["service"])?,
             registry,
         };
         metrics.register()?;
         Ok(metrics)
     }
 
+    /// Counts a request that ended, and the time that it took.
+    pub fn ended(&self, service: &str, class: &str, outcome: &str, elapsed: Duration) {
+        let labels = [service, class, outcome];
+        self.requests.with_label_values(&labels).inc();
+        let seconds = self.request_seconds.with_label_values(&labels[..2]);
+        seconds.observe(elapsed.as_secs_f64());
+    }
+
+    /// Names of all metrics.
+    pub fn names(&self) -> Vec<String> {
+        let collectors = self.collectors();
+        let descriptions = collectors.iter().flat_map(|collector| collector.desc());
+        let names = descriptions.map(|description| description.fq_name.clone());
+        names.collect()
+    }
+
     /// The metrics in the text format of Prometheus.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
@@ -91,20 +136,36 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let registry = &self.registry;
-        registry.register(Box::new(self.requests.clone()))?;
-        registry.register(Box::new(self.request_seconds.clone()))?;
-        registry.register(Box::new(self.failed_attempts.clone()))?;
-        registry.register(Box::new(self.platform_calls.clone()))?;
-        registry.register(Box::new(self.documents.clone()))?;
-        registry.register(Box::new(self.control_bytes.clone()))?;
-        registry.register(Box::new(self.malformed_datagrams.clone()))?;
-        registry.register(Box::new(self.view_number.clone()))?;
-        registry.register(Box::new(self.members.clone()))?;
-        registry.register(Box::new(self.claims.clone()))
+        let mut collectors = self.collectors().into_iter();
+        collectors.try_for_each(|collector| self.registry.register(collector))
+    }
+
+    fn collectors(&self) -> Vec<Box<dyn Collector>> {
+        vec![
+            Box::new(self.requests.clone()),
+            Box::new(self.request_seconds.clone()),
+            Box::new(self.refusals.clone()),
+            Box::new(self.failed_attempts.clone()),
+            Box::new(self.platform_calls.clone()),
+            Box::new(self.documents.clone()),
+            Box::new(self.control_bytes.clone()),
+            Box::new(self.malformed_datagrams.clone()),
+            Box::new(self.view_number.clone()),
+            Box::new(self.members.clone()),
+            Box::new(self.claims.clone()),
+            Box::new(self.ready.clone()),
+            Box::new(self.in_flight.clone()),
+            Box::new(self.endpoints.clone()),
+            Box::new(self.revision.clone()),
+            Box::new(self.weight_version.clone()),
+        ]
     }
 }
 
 fn counter(name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
     IntCounterVec::new(Opts::new(format!("wisteriapoint_{name}"), help), labels)
 }
+
+fn gauge(name: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec, prometheus::Error> {
+    IntGaugeVec::new(Opts::new(format!("wisteriapoint_{name}"), help), labels)
+}
