--- a/crates/wisteriapoint/src/daemon/start.rs
+++ b/crates/wisteriapoint/src/daemon/start.rs
@@ -19,10 +19,10 @@
 use wisteriapoint_types::MemberId;
 
 use super::control::{COMMANDS, Command, Control};
-use super::message::{Question, Reply};
+use super::message::{Question, Reply, ServiceStrike};
 use super::platform::Watch;
 use super::shared::Clock;
-use super::{Shared, exchange, platform, traffic, weights};
+use super::{Shared, exchange, platform, strikes, traffic, weights};
 use crate::Error;
 use crate::http::bounds::Bounds;
 use crate::http::{self, Serving};
@@ -30,6 +30,7 @@
 
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(1);
+const STRIKES: usize = 16;
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 
 /// The addresses that a daemon listens on.
@@ -72,6 +73,7 @@
         let datagrams = Arc::new(Datagrams::new(UdpSocket::bind(addresses.peer).await?));
         let runtime = traffic_runtime(settings.traffic_threads)?;
         let (commands, receiver) = mpsc::channel(COMMANDS);
+        let (strikes_in, others_strikes) = mpsc::channel(STRIKES);
         let (published, changes) = watch::channel(());
         let store = HttpStore::new(&settings.platform_url)?;
         let store = Budgeted::new(store, settings.platform_calls_per_s);
@@ -80,6 +82,7 @@
             snapshot: Default::default(),
             routers: Default::default(),
             control: commands,
+            strikes: strikes_in,
             traffic: runtime.handle().clone(),
             peers: Client::new(),
             clients: Clients::new()?,
@@ -113,7 +116,7 @@
                 Bounds::admin(),
             )?,
         ];
-        start_traffic(&runtime, &shared, peer, changes);
+        start_traffic(&runtime, &shared, peer, changes, others_strikes);
         Ok(Self {
             settings,
             addresses,
@@ -249,6 +252,7 @@
     shared: &Arc<Shared>,
     peer: TcpListener,
     changes: watch::Receiver<()>,
+    others_strikes: mpsc::Receiver<Vec<ServiceStrike>>,
 ) {
     let answering = Arc::clone(shared);
     let answer = move |question: Question| {
@@ -261,6 +265,7 @@
     runtime.spawn(wisteriapoint_peer::serve(peer, answer));
     runtime.spawn(traffic::follow(Arc::clone(shared), changes));
     runtime.spawn(traffic::tick(Arc::clone(shared)));
+    runtime.spawn(strikes::run(Arc::clone(shared), others_strikes));
     runtime.spawn(traffic::poll_loads(Arc::clone(shared)));
     runtime.spawn(weights::run(Arc::clone(shared)));
 }
