Golden files of whole sessions

Nothing showed what an operator, a caller or a trainer sees from end to end.

Redaction by pattern was ruled out, as it hides what it is not meant to; known addresses are replaced by name.

--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -49,9 +49,9 @@
 
     pub(crate) fn of_send(error: reqwest::Error) -> Self {
         match error {
-            error if error.is_connect() => Self::not_run(Kind::Connect(error)),
+            error if error.is_connect() => Self::not_run(Kind::Connect(error.without_url())),
             error if error.is_timeout() => Self::may_have_run(Kind::Timeout),
-            error => Self::may_have_run(Kind::Broken(error.to_string().into())),
+            error => Self::may_have_run(Kind::Broken(error.without_url().to_string().into())),
         }
     }
 
--- a/crates/wisteriapoint/src/cli/service/diff.rs
+++ b/crates/wisteriapoint/src/cli/service/diff.rs
@@ -10,6 +10,7 @@
     TextDiff::from_lines(from, to)
         .unified_diff()
         .context_radius(CONTEXT_LINES)
+        .missing_newline_hint(false)
         .header(from_name, to_name)
         .to_string()
 }
--- /dev/null
+++ b/crates/wisteriapoint/tests/session/mod.rs
@@ -0,0 +1,212 @@
+//! A record of what was typed and sent, and of what came back.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::time::Duration;
+
+use reqwest::{Client, Method, RequestBuilder};
+use tempfile::TempDir;
+use wisteriapoint::daemon::Addresses;
+
+use crate::fleet::{Fleet, until};
+
+const DATE: &str = "Thu, 01 Jan 2026 00:00:00 GMT";
+const SHOWN_HEADERS: [&str; 5] = [
+    "content-type",
+    "retry-after",
+    "wisteriapoint-verdict",
+    "wisteriapoint-replayed",
+    "allow",
+];
+
+/// A session; addresses, dates and view numbers stand under fixed names in its text.
+pub(crate) struct Session {
+    text: String,
+    folder: TempDir,
+    platform_url: String,
+    service_url: String,
+    names: Vec<(String, String)>,
+    view: String,
+    client: Client,
+}
+
+impl Session {
+    pub(crate) fn new(fleet: &Fleet) -> Self {
+        let first = fleet.daemons[0].addresses();
+        let view = fleet.daemons[0].shared().snapshot.load().view.number;
+        let mut session = Self {
+            text: String::new(),
+            folder: tempfile::tempdir().unwrap(),
+            platform_url: format!("http://{}", fleet.running.address),
+            service_url: format!("http://{}", first.service),
+            names: Vec::new(),
+            view: format!("{view:>6} "),
+            client: Client::builder().no_proxy().build().unwrap(),
+        };
+        for (index, daemon) in fleet.daemons.iter().enumerate() {
+            session.name(daemon.addresses().admin, &format!("ADMIN-{}", index + 1));
+        }
+        session
+    }
+
+    /// Shows an address under a name, and takes the name for it in commands.
+    pub(crate) fn name(&mut self, address: SocketAddr, name: &str) {
+        self.names.push((address.to_string(), name.to_owned()));
+    }
+
+    /// Adds a remark.
+    pub(crate) fn say(&mut self, remark: &str) {
+        writeln!(self.text, "# {remark}\n").unwrap();
+    }
+
+    /// Writes a file of the session.
+    pub(crate) fn write(&self, name: &str, text: &str) {
+        std::fs::write(self.folder.path().join(name), text).unwrap();
+    }
+
+    /// Runs the tool and records what it prints.
+    pub(crate) fn run(&mut self, arguments: &str) {
+        let output = self.output(arguments);
+        let code = output.status.code().unwrap_or(-1);
+        let stdout = self.redacted(&String::from_utf8_lossy(&output.stdout));
+        let stderr = self.redacted(&String::from_utf8_lossy(&output.stderr));
+        writeln!(self.text, "$ wisteriapoint {arguments}").unwrap();
+        writeln!(self.text, "{stdout}{stderr}exit code {code}\n").unwrap();
+    }
+
+    /// Whether a command succeeds; leaves no record.
+    pub(crate) fn succeeds(&self, arguments: &str) -> bool {
+        self.output(arguments).status.success()
+    }
+
+    fn output(&self, arguments: &str) -> Output {
+        tokio::task::block_in_place(|| self.command(arguments).output().unwrap())
+    }
+
+    /// Starts the tool; its log goes to a file.
+    pub(crate) fn start(&mut self, arguments: &str) -> Child {
+        writeln!(self.text, "$ wisteriapoint {arguments} 2>log &\n").unwrap();
+        let log = std::fs::File::create(self.folder.path().join("log")).unwrap();
+        let mut command = self.command(arguments);
+        command.stdout(Stdio::null()).stderr(log).spawn().unwrap()
+    }
+
+    fn command(&self, arguments: &str) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wisteriapoint"));
+        command
+            .current_dir(self.folder.path())
+            .env("WISTERIAPOINT_PLATFORM_URL", &self.platform_url)
+            .env("USER", "operator");
+        for argument in arguments.split(' ') {
+            let named = self.names.iter().find(|(_, name)| name == argument);
+            command.arg(named.map_or(argument, |(address, _)| address.as_str()));
+        }
+        command
+    }
+
+    /// The addresses that a started daemon wrote.
+    pub(crate) async fn addresses(&self, name: &str) -> Addresses {
+        let path = self.folder.path().join(name);
+        until("the daemon writes its addresses", || async {
+            read_addresses(&path).is_some()
+        })
+        .await;
+        read_addresses(&path).unwrap()
+    }
+
+    /// Waits for a started process.
+    pub(crate) async fn wait(&self, process: &mut Child) -> ExitStatus {
+        loop {
+            if let Some(status) = process.try_wait().unwrap() {
+                return status;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Records the lines of the log with some messages; their time and module are left out.
+    pub(crate) fn logs(&mut self, messages: &[&str]) {
+        let log = std::fs::read_to_string(self.folder.path().join("log")).unwrap();
+        self.text.push_str("$ cat log\n");
+        for line in log.lines() {
+            let line: serde_json::Value = serde_json::from_str(line).unwrap();
+            let message = line["message"].as_str().unwrap();
+            if messages.contains(&message) {
+                writeln!(self.text, "{} {message}", line["level"].as_str().unwrap()).unwrap();
+            }
+        }
+    }
+
+    /// Sends a request to the first daemon and records the answer.
+    pub(crate) async fn send(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) {
+        writeln!(self.text, "> {method} {path}").unwrap();
+        let mut request = self.request(method, path, body);
+        for (name, value) in headers {
+            writeln!(self.text, "> {name}: {value}").unwrap();
+            request = request.header(*name, *value);
+        }
+        if !body.is_empty() {
+            writeln!(self.text, "> {body}").unwrap();
+        }
+        let answer = request.send().await.unwrap();
+        writeln!(self.text, "{}", answer.status()).unwrap();
+        for name in SHOWN_HEADERS {
+            if let Some(value) = answer.headers().get(name) {
+                writeln!(self.text, "{name}: {}", value.to_str().unwrap()).unwrap();
+            }
+        }
+        let body = answer.text().await.unwrap();
+        writeln!(self.text, "\n{}\n", self.redacted(body.trim_end())).unwrap();
+    }
+
+    /// Sends a request and gives the answer; leaves no record.
+    pub(crate) async fn ask(&self, method: &str, path: &str, body: &str) -> serde_json::Value {
+        let answer = self.request(method, path, body).send().await.unwrap();
+        answer.json().await.unwrap()
+    }
+
+    fn request(&self, method: &str, path: &str, body: &str) -> RequestBuilder {
+        let method = Method::from_bytes(method.as_bytes()).unwrap();
+        let url = format!("{}{path}", self.service_url);
+        self.client.request(method, url).body(body.to_owned())
+    }
+
+    /// The whole session.
+    pub(crate) fn text(&self) -> &str {
+        &self.text
+    }
+
+    fn redacted(&self, text: &str) -> String {
+        let is_member = |line: &str| line.ends_with("in service");
+        let lines = text
+            .split_inclusive('\n')
+            .map(|line| match is_member(line.trim_end()) {
+                true => line.replacen(&self.view, "  VIEW ", 1),
+                false => line.to_owned(),
+            });
+        let mut text: String = lines.collect();
+        for (address, name) in &self.names {
+            text = text.replace(address, name);
+        }
+        let mut from = 0;
+        while let Some(at) = text[from..].find(" GMT") {
+            let end = from + at + " GMT".len();
+            text.replace_range(end - DATE.len()..end, DATE);
+            from = end;
+        }
+        text
+    }
+}
+
+fn read_addresses(path: &Path) -> Option<Addresses> {
+    let text = std::fs::read(path).ok()?;
+    serde_json::from_slice(&text).ok()
+}
