Keep names of paths out of other keys of the platform

PUT /v1/weights/..%2Fservices%2Fshopfront, sent by anyone who reaches the service address, was answered 200 and put {"version":9} in the place of the shop's document: the name went decoded into a key, the key into a URL, and the URL's dots were resolved. Weight versions are now taken for models in force alone, and a trainer's name has to be a name. Since names in settings and documents are checked as well, no text from outside reaches a key unchecked; escaping in the client of the platform was weighed and left out, as it would hide such a name and not refuse it.

The test sends four names of services, a plain service and four names of trainers; all are refused with not-run and the document stays.

--- a/crates/wisteriapoint/src/http/bounds.rs
+++ b/crates/wisteriapoint/src/http/bounds.rs
@@ -9,10 +9,13 @@
 use salvo::http::StatusCode;
 use salvo::{FlowCtrl, Request, Response, Router, Server, Service, handler};
 use wisteriapoint_gateway::Problem;
-use wisteriapoint_settings::{ServiceDocument, ServiceKind};
+use wisteriapoint_settings::{ServiceDocument, ServiceKind, is_name};
+use wisteriapoint_types::ServiceName;
 
 use super::plain::KEY_HEADER;
 use super::{DEADLINE_HEADER, respond};
+use crate::daemon::Shared;
+use crate::daemon::generate::unknown_service;
 
 /// Longest deadline that a caller may ask for, in milliseconds.
 pub const MAX_DEADLINE_MS: u64 = 3_600_000;
@@ -173,6 +176,42 @@
     }
 }
 
+/// Checks a name in a path, which may become part of a key.
+///
+/// # Errors
+///
+/// Gives the problem to answer with.
+pub fn check_name(name: &str) -> Result<(), Problem> {
+    match is_name(name) {
+        true => Ok(()),
+        false => {
+            let detail = "a name is 1 to 63 lower-case letters, digits and hyphens";
+            Err(Problem::not_run(400, "malformed-name", detail))
+        }
+    }
+}
+
+/// Checks that weight versions may be published for a service.
+///
+/// The name becomes part of a key of the platform, so it has to be that of a model in force.
+///
+/// # Errors
+///
+/// Gives the problem to answer with.
+pub fn check_publish(shared: &Shared, service: &ServiceName) -> Result<(), Problem> {
+    let snapshot = shared.snapshot.load();
+    let found = snapshot.services.get(service);
+    match found.map(|found| found.document.kind) {
+        Some(ServiceKind::Model) => Ok(()),
+        Some(ServiceKind::Plain) => Err(no_model(service)),
+        None => Err(unknown_service(service)),
+    }
+}
+
+fn no_model(service: &ServiceName) -> Problem {
+    Problem::not_run(400, "no-model", format!("`{service}` is a plain service"))
+}
+
 /// Checks what a completion asks for.
 ///
 /// # Errors
@@ -185,10 +224,7 @@
 ) -> Result<(), Problem> {
     let max_bytes = document.limits.body_bytes;
     match max_tokens {
-        _ if document.kind != ServiceKind::Model => {
-            let detail = format!("`{}` is a plain service", document.service);
-            Err(Problem::not_run(400, "no-model", detail))
-        }
+        _ if document.kind != ServiceKind::Model => Err(no_model(&document.service)),
         _ if prompt.is_empty() => {
             let detail = "`prompt` is empty; send at least one character";
             Err(Problem::not_run(400, "malformed-prompt", detail))
--- a/crates/wisteriapoint/src/http/steps.rs
+++ b/crates/wisteriapoint/src/http/steps.rs
@@ -10,7 +10,7 @@
 use wisteriapoint_rollout::{Cursor, Error, Pulled, StepId, StepSpec};
 use wisteriapoint_types::{TrainerName, WeightVersion};
 
-use super::{MAX_BODY_BYTES, respond};
+use super::{MAX_BODY_BYTES, bounds, respond};
 use crate::daemon::Shared;
 use crate::daemon::message::{Question, Reply};
 
@@ -147,6 +147,7 @@
 
 fn step_id(request: &Request) -> Result<StepId, Problem> {
     let trainer: String = request.param("trainer").unwrap_or_default();
+    bounds::check_name(&trainer)?;
     let step = request.param::<u64>("step");
     let step = step.ok_or_else(|| Problem::not_run(400, "malformed-step", "a step is a number"))?;
     Ok(StepId {
--- a/crates/wisteriapoint/src/http/weights.rs
+++ b/crates/wisteriapoint/src/http/weights.rs
@@ -7,7 +7,7 @@
 use wisteriapoint_platform::{Error, Index, Store, keys};
 use wisteriapoint_types::ServiceName;
 
-use super::{MAX_BODY_BYTES, respond};
+use super::{MAX_BODY_BYTES, bounds, respond};
 use crate::daemon::Shared;
 use crate::record::WeightRecord;
 
@@ -36,6 +36,7 @@
 impl Publish {
     async fn publish(&self, request: &mut Request) -> Result<WeightRecord, Problem> {
         let service = ServiceName::new(request.param::<String>("service").unwrap_or_default());
+        bounds::check_publish(&self.shared, &service)?;
         let record: WeightRecord = respond::read_json(request, MAX_BODY_BYTES).await?;
         let published = raise(&self.shared.store, &service, record).await;
         published.map_err(|error| {
--- a/crates/wisteriapoint/tests/bounds.rs
+++ b/crates/wisteriapoint/tests/bounds.rs
@@ -184,6 +184,44 @@
     assert!(!fixture.fleet.daemons[0].shared().is_draining());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn names_in_paths_reach_no_other_key() {
+    let fixture = fixture().await;
+    let before = fixture
+        .fleet
+        .platform
+        .value("wisteriapoint/services/shopfront");
+    for service in [
+        "..%2Fservices%2Fshopfront",
+        "%2E%2E%2Fview",
+        "none",
+        "Advisor",
+    ] {
+        let path = format!("/v1/weights/{service}");
+        let publish = fixture
+            .request(Method::PUT, &path)
+            .body("{ \"version\": 9 }");
+        assert_refused(publish, 404, "unknown-service").await;
+    }
+    let publish = fixture.request(Method::PUT, "/v1/weights/shopfront");
+    assert_refused(publish.body("{ \"version\": 9 }"), 400, "no-model").await;
+    let after = fixture
+        .fleet
+        .platform
+        .value("wisteriapoint/services/shopfront");
+    assert_eq!(before, after);
+    let long = "t".repeat(64);
+    for trainer in ["a%2Fb", "Trainer", "-a", &long] {
+        let path = format!("/v1/steps/{trainer}/1");
+        assert_refused(
+            fixture.request(Method::PUT, &path).body("{}"),
+            400,
+            "malformed-name",
+        )
+        .await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn values_at_their_bounds_are_accepted() {
     let fixture = fixture().await;
