Pages for callers and trainers, their examples run by a test

There was no page that tells what to send, what every refusal means and when a retry is safe. docs/callers.md and docs/trainers.md now have eleven examples with curl; a test reads the command lines, sends them in the order of the page through a daemon to stand-ins and compares status, headers, the names of all fields and every value that the page does not cut. Options that the reader does not know stop the test.

--- /dev/null
+++ b/crates/wisteriapoint/tests/pages.rs
@@ -0,0 +1,245 @@
+//! The examples of the pages for callers and trainers are run as they stand.
+//!
+//! The command lines are read and sent by a library, so that no machine needs curl.
+
+mod fleet;
+
+use std::collections::BTreeSet;
+
+use fleet::{Fleet, document, revision, until};
+use reqwest::header::HeaderMap;
+use reqwest::{Client, Method, StatusCode};
+use serde_json::{Value, json};
+use wisteriapoint_stand_in::{Engine, EngineSettings, PlainService, Running, serve};
+
+/// One command line and what the page says of its answer.
+struct Example {
+    method: Method,
+    url: String,
+    headers: Vec<(String, String)>,
+    body: Option<String>,
+    status: StatusCode,
+    shown_headers: Vec<(String, String)>,
+    shown_body: Option<Value>,
+}
+
+fn blocks<'a>(page: &'a str, language: &str) -> Vec<&'a str> {
+    let fence = format!("```{language}\n");
+    let rest = page.split(fence.as_str()).skip(1);
+    rest.map(|block| block.split("```").next().unwrap())
+        .collect()
+}
+
+fn examples(page: &str, url: &str) -> Vec<Example> {
+    let commands = blocks(page, "sh");
+    let answers = blocks(page, "http");
+    assert_eq!(commands.len(), answers.len(), "each command has its answer");
+    let pairs = commands.iter().zip(answers);
+    pairs
+        .map(|(command, answer)| example(&command.replace("$WISTERIAPOINT", url), answer))
+        .collect()
+}
+
+fn example(command: &str, answer: &str) -> Example {
+    let (head, shown_body) = answer.split_once("\n\n").unwrap_or((answer, ""));
+    let mut lines = head.lines();
+    let status = lines.next().unwrap().split(' ').nth(1).unwrap();
+    let mut example = Example {
+        method: Method::GET,
+        url: String::new(),
+        headers: Vec::new(),
+        body: None,
+        status: status.parse().unwrap(),
+        shown_headers: lines.map(header).collect(),
+        shown_body: serde_json::from_str(shown_body).ok(),
+    };
+    assert_eq!(
+        example.shown_body.is_none(),
+        shown_body.trim().is_empty(),
+        "{answer}"
+    );
+    let mut words = words(command).into_iter();
+    assert_eq!(words.next().as_deref(), Some("curl"));
+    let mut method = None;
+    while let Some(word) = words.next() {
+        match word.as_str() {
+            "-N" => {}
+            "-X" => method = words.next(),
+            "-H" => example.headers.push(header(&words.next().unwrap())),
+            "-d" => example.body = words.next(),
+            option if option.starts_with('-') => panic!("{option} is not read here"),
+            url => example.url = url.to_owned(),
+        }
+    }
+    let default = if example.body.is_some() {
+        "POST"
+    } else {
+        "GET"
+    };
+    example.method = method.as_deref().unwrap_or(default).parse().unwrap();
+    example
+}
+
+fn header(line: &str) -> (String, String) {
+    let (name, value) = line.split_once(": ").unwrap();
+    (name.to_owned(), value.to_owned())
+}
+
+/// Splits a command line at spaces outside of quotes.
+fn words(command: &str) -> Vec<String> {
+    let mut words = Vec::new();
+    let mut word = String::new();
+    let mut quote = None;
+    for c in command.replace("\\\n", " ").chars() {
+        match (quote, c) {
+            (Some(open), c) if c == open => quote = None,
+            (None, '\'' | '"') => quote = Some(c),
+            (None, c) if c.is_whitespace() => {
+                if !word.is_empty() {
+                    words.push(std::mem::take(&mut word));
+                }
+            }
+            (_, c) => word.push(c),
+        }
+    }
+    words
+}
+
+/// Names of all fields, those of objects inside included; lists count by their first element.
+fn fields(value: &Value, path: &str, found: &mut BTreeSet<String>) {
+    match value {
+        Value::Object(object) => {
+            for (name, value) in object {
+                let path = format!("{path}.{name}");
+                fields(value, &path, found);
+                found.insert(path);
+            }
+        }
+        Value::Array(elements) => {
+            if let Some(first) = elements.first() {
+                fields(first, &format!("{path}[]"), found);
+            }
+        }
+        _ => {}
+    }
+}
+
+async fn run(client: &Client, example: Example) {
+    let mut request = client.request(example.method.clone(), &example.url);
+    for (name, value) in &example.headers {
+        request = request.header(name, value);
+    }
+    if let Some(body) = &example.body {
+        request = request.body(body.clone());
+    }
+    let answer = request.send().await.unwrap();
+    let what = format!("{} {}", example.method, example.url);
+    assert_eq!(answer.status(), example.status, "{what}");
+    assert_headers(&what, &example.shown_headers, answer.headers());
+    let text = answer.text().await.unwrap();
+    if let Some(shown) = example.shown_body {
+        let body: Value = serde_json::from_str(&text).unwrap();
+        assert_body(&what, &shown, &body);
+    }
+}
+
+fn assert_headers(what: &str, shown: &[(String, String)], headers: &HeaderMap) {
+    for (name, value) in shown {
+        let found = headers.get(name).and_then(|found| found.to_str().ok());
+        assert_eq!(found, Some(value.as_str()), "{what}: {name}");
+    }
+}
+
+/// Compares a body with the one on the page: all fields, and all values that are not cut there.
+fn assert_body(what: &str, shown: &Value, body: &Value) {
+    let (mut expected, mut found) = (BTreeSet::new(), BTreeSet::new());
+    fields(shown, "", &mut expected);
+    fields(body, "", &mut found);
+    found.retain(|path| !path.starts_with(".samples[]"));
+    assert_eq!(expected, found, "{what}");
+    for (name, value) in shown.as_object().unwrap() {
+        let is_cut = value.to_string().contains('…') || name == "samples";
+        assert!(
+            is_cut || body[name] == *value,
+            "{what}: {name} is {}",
+            body[name]
+        );
+    }
+}
+
+struct Fixture {
+    fleet: Fleet,
+    client: Client,
+    _running: [Running; 2],
+}
+
+async fn fixture() -> Fixture {
+    let fleet = Fleet::start(&["dk-east-a"]).await;
+    let shop = serve::on_loopback(PlainService::new().router())
+        .await
+        .unwrap();
+    let engine = Engine::new(EngineSettings::default());
+    let engine = serve::on_loopback(engine.router()).await.unwrap();
+    let model = json!({
+        "service": "advisor-lm", "owner": "advisor team", "kind": "model",
+        "endpoints": [{
+            "endpoint": "advisor-1", "address": engine.address,
+            "failure_domain": "dk-east-a", "vm": "advisor-vm-1",
+        }],
+    });
+    fleet
+        .apply(&document("shopfront", shop.address, 5_000))
+        .await;
+    fleet.apply(&model.to_string()).await;
+    let daemon = &fleet.daemons[0];
+    fleet
+        .until("both services are in force", |_| {
+            revision(daemon, "shopfront").is_some() && revision(daemon, "advisor-lm").is_some()
+        })
+        .await;
+    Fixture {
+        client: Client::builder().no_proxy().build().unwrap(),
+        fleet,
+        _running: [shop, engine],
+    }
+}
+
+impl Fixture {
+    fn examples(&self, page: &str) -> Vec<Example> {
+        let url = format!("http://{}", self.fleet.daemons[0].addresses().service);
+        examples(page, &url)
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_callers_page() {
+    let fixture = fixture().await;
+    let examples = fixture.examples(include_str!("../../../docs/callers.md"));
+    assert_eq!(examples.len(), 7);
+    for example in examples {
+        run(&fixture.client, example).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_trainers_page() {
+    let fixture = fixture().await;
+    let examples = fixture.examples(include_str!("../../../docs/trainers.md"));
+    assert_eq!(examples.len(), 4);
+    for example in examples {
+        let is_whole_step = example.url.ends_with("advisor-trainer/1/pull");
+        if is_whole_step {
+            until("the step is whole", || async {
+                let pull = fixture.client.post(&example.url);
+                let body = example.body.clone().unwrap();
+                let answer = pull.body(body).send().await.unwrap();
+                let pulled: Value = answer.json().await.unwrap();
+                pulled["samples"]
+                    .as_array()
+                    .is_some_and(|samples| samples.len() == 4)
+            })
+            .await;
+        }
+        run(&fixture.client, example).await;
+    }
+}
