Golden files of help and JSON output; a test of the wait for an edit

The wait for an edit to be in force everywhere had no test that it names a daemon that lags, the JSON output and the exit codes had none at all, and a list gave up at the platform's first refusal. Now a list is tried again like the other reads; a view with a silent member shows that the wait ends with exit code 6 and its name, and that an older revision counts as lagging; help texts with their examples and codes, and JSON of results and errors, are golden files; the commented examples pass the check of the real binary; 20 requests leave no line in a daemon's log.

--- a/crates/wisteriapoint/src/cli/service/mod.rs
+++ b/crates/wisteriapoint/src/cli/service/mod.rs
@@ -132,7 +132,7 @@
             Action::Get { service, to } => {
                 show::get(&store, &service, to.as_deref(), until, output).await
             }
-            Action::List => show::list(&store, output).await,
+            Action::List => show::list(&store, until, output).await,
             Action::History { service, revision } => {
                 let revision = revision.map(Revision);
                 show::history(&store, &service, revision, until, output).await
--- a/crates/wisteriapoint/src/cli/service/show.rs
+++ b/crates/wisteriapoint/src/cli/service/show.rs
@@ -42,10 +42,9 @@
     })
 }
 
-pub(super) async fn list<S: Store>(store: &S, output: Output) -> Result<(), Error> {
-    let (entries, _) = store.list(keys::SERVICES, None, Duration::ZERO).await?;
+pub(super) async fn list<S: Store>(store: &S, until: Instant, output: Output) -> Result<(), Error> {
     let mut rows = Vec::new();
-    for entry in &entries {
+    for entry in &store::list(store, until).await? {
         let name = entry.key.strip_prefix(keys::SERVICES).unwrap_or(&entry.key);
         let (record, _) = store::parse(entry)?;
         rows.push(Row {
--- a/crates/wisteriapoint/src/cli/service/store.rs
+++ b/crates/wisteriapoint/src/cli/service/store.rs
@@ -1,5 +1,6 @@
 //! Reads of service records, again and again while the platform does not answer.
 
+use std::future::Future;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
@@ -45,14 +46,28 @@
     until: Instant,
 ) -> Result<Option<(ServiceRecord, Index)>, Error> {
     let key = keys::service(service);
+    let entry = retried(until, || store.get(&key)).await?;
+    entry.map(|entry| parse(&entry)).transpose()
+}
+
+/// Reads the entries of all services.
+pub(super) async fn list<S: Store>(store: &S, until: Instant) -> Result<Vec<Entry>, Error> {
+    let listed = retried(until, || store.list(keys::SERVICES, None, Duration::ZERO));
+    Ok(listed.await?.0)
+}
+
+async fn retried<T, F>(until: Instant, call: impl Fn() -> F) -> Result<T, PlatformError>
+where
+    F: Future<Output = Result<T, PlatformError>>,
+{
     let mut pauses = Pauses::new(until);
     loop {
-        let error = match store.get(&key).await {
-            Ok(entry) => return entry.map(|entry| parse(&entry)).transpose(),
+        let error = match call().await {
+            Ok(value) => return Ok(value),
             Err(error) => error,
         };
         if is_final(&error) || !pauses.pause().await {
-            return Err(error.into());
+            return Err(error);
         }
     }
 }
--- a/crates/wisteriapoint/tests/edits.rs
+++ b/crates/wisteriapoint/tests/edits.rs
@@ -1,12 +1,16 @@
 //! Operators' edits: races, lost answers, outages of the platform, bounds.
 
+mod fleet;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use fleet::{Fleet, revision};
 use tokio::time::{Instant, sleep};
 use wisteriapoint::Error;
 use wisteriapoint::cli::service::apply::{Applied, Edit, apply, compare};
+use wisteriapoint::cli::service::wait;
 use wisteriapoint::record::{MAX_RECORD_BYTES, ServiceRecord};
 use wisteriapoint_platform::{
     Entry, Error as PlatformError, HttpStore, Index, Lease, Store, VmEntry,
@@ -336,3 +340,58 @@
     assert!(compared.dry_run && compared.change.contains("+    \"deadline_ms\": 2,"));
     assert_eq!(fixture.platform.calls().writes, 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wait_names_the_daemons_that_lag() {
+    let fleet = Fleet::start(&["dk-east-a"]).await;
+    fleet.apply(&document(1)).await;
+    let daemon = &fleet.daemons[0];
+    fleet
+        .until("in force", |_| revision(daemon, "shopfront").is_some())
+        .await;
+    // Another platform, whose view has a member more, which does not answer.
+    let other = fixture().await;
+    let applied = put(&other.store, &document(1), None).await.unwrap();
+    let view = fleet.platform.value("wisteriapoint/view").unwrap();
+    let mut view: serde_json::Value = serde_json::from_slice(&view).unwrap();
+    let write = async |view: &serde_json::Value, index| {
+        let value = view.to_string().into_bytes();
+        let written = other
+            .store
+            .compare_and_swap("wisteriapoint/view", index, value);
+        assert!(written.await.unwrap());
+    };
+    write(&view, Index(0)).await;
+    let until = Instant::now() + PATIENCE;
+    let members = wait::in_force(&other.store, &applied, until).await.unwrap();
+    assert_eq!(members.in_force.len(), 1);
+
+    let mut silent = view["members"][0].clone();
+    silent["id"] = 7.into();
+    silent["vm"] = "entry-9".into();
+    silent["admin_address"] = "127.0.0.1:1".into();
+    view["members"].as_array_mut().unwrap().push(silent);
+    let entry = other
+        .store
+        .get("wisteriapoint/view")
+        .await
+        .unwrap()
+        .unwrap();
+    write(&view, entry.index).await;
+    let until = Instant::now() + Duration::from_millis(500);
+    let error = wait::in_force(&other.store, &applied, until)
+        .await
+        .unwrap_err();
+    assert_eq!(error.to_string(), "revision 1 is not in force on entry-9");
+    assert_eq!(error.exit_code(), 6);
+
+    let later = put(&other.store, &document(2), None).await.unwrap();
+    let until = Instant::now() + Duration::from_millis(500);
+    let error = wait::in_force(&other.store, &later, until)
+        .await
+        .unwrap_err();
+    assert!(
+        error.to_string().ends_with("on entry-0, entry-9"),
+        "{error}"
+    );
+}
--- a/crates/wisteriapoint/tests/session/mod.rs
+++ b/crates/wisteriapoint/tests/session/mod.rs
@@ -45,6 +45,7 @@
             view: format!("{view:>6} "),
             client: Client::builder().no_proxy().build().unwrap(),
         };
+        session.name(fleet.running.address, "PLATFORM");
         for (index, daemon) in fleet.daemons.iter().enumerate() {
             session.name(daemon.addresses().admin, &format!("ADMIN-{}", index + 1));
         }
@@ -126,6 +127,12 @@
         }
     }
 
+    /// Lines in the log of a started process, without those about views.
+    pub(crate) fn log_lines(&self) -> usize {
+        let log = std::fs::read_to_string(self.folder.path().join("log")).unwrap();
+        log.lines().filter(|line| !line.contains("view")).count()
+    }
+
     /// Records the lines of the log with some messages; their time and module are left out.
     pub(crate) fn logs(&mut self, messages: &[&str]) {
         let log = std::fs::read_to_string(self.folder.path().join("log")).unwrap();
--- a/crates/wisteriapoint/tests/sessions.rs
+++ b/crates/wisteriapoint/tests/sessions.rs
@@ -68,6 +68,8 @@
     session.run("service edit shopfront --set limits.queue_length=9 --author kirsten --wait");
     session.run("service apply theirs.json --dry-run");
     session.run("service history shopfront");
+    session.run("service history shopfront --revision 1");
+    session.run("service history shopfront --revision 9");
     session.run("service list");
     session.run("service get other");
     session.run("status --all --admin ADMIN-1");
@@ -75,6 +77,44 @@
     insta::assert_snapshot!(session.text());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn output_as_json() {
+    let fleet = Fleet::start(&["dk-east-a"]).await;
+    let mut session = Session::new(&fleet);
+    let text = document("shopfront", "127.0.0.1:1".parse().unwrap(), 5_000);
+    session.write("faulty.json", &text.replace("5000", "0"));
+    session.run("check --document faulty.json --output json");
+    session.write("shopfront.json", &text);
+    session.run("check --document shopfront.json --output json");
+    session.run("service apply shopfront.json --output json");
+    session.write("mine.json", &text.replace("5000", "3000"));
+    session.run("service apply mine.json --from 7 --output json");
+    session.run("service get other --output json");
+    session.run("ready --admin ADMIN-1 --output json");
+    insta::assert_snapshot!(session.text());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn help_and_examples() {
+    let fleet = Fleet::start(&["dk-east-a"]).await;
+    let mut session = Session::new(&fleet);
+    session.run("--help");
+    session.run("service --help");
+    session.run("service apply --help");
+    session.run("status --help");
+    session.run("service get Shop/Front");
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+    for (place, services) in [
+        ("dk-east", ["advisor-lm", "shopfront"]),
+        ("hu-central", ["draft-llm", "quote-portal"]),
+    ] {
+        let [model, plain] = services.map(|service| format!("{folder}/{place}/{service}.json"));
+        let command = format!("check --settings {folder}/{place}/vm.json --document {model}");
+        assert!(session.succeeds(&format!("{command} --document {plain}")));
+    }
+    insta::assert_snapshot!(session.text());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_answered() {
     let fleet = Fleet::start(&["dk-east-a"]).await;
@@ -276,11 +316,21 @@
     })
     .await;
     session.run("ready --admin ADMIN");
-    plain.set_delay(Duration::from_millis(600));
     let url = format!("http://{}{HOLD}", addresses.service);
+    let lines = session.log_lines();
+    for _ in 0..20 {
+        let answer = reqwest::Client::new()
+            .post(&url)
+            .body("strap 7")
+            .send()
+            .await;
+        assert!(answer.unwrap().status().is_success());
+    }
+    assert_eq!(session.log_lines(), lines, "requests leave no lines");
+    plain.set_delay(Duration::from_millis(600));
     let hold = reqwest::Client::new().post(url).body("strap 7").send();
     let hold = tokio::spawn(hold);
-    until("the request runs", || async { plain.total_runs() == 1 }).await;
+    until("the request runs", || async { plain.total_runs() == 21 }).await;
     session.run("drain --admin ADMIN");
     session.run("ready --admin ADMIN");
     let answer = hold.await.unwrap().unwrap();
