--- a/crates/capacity/src/claims.rs
+++ b/crates/capacity/src/claims.rs
@@ -3,13 +3,15 @@
 use std::time::Instant;
 
 use uuid::Uuid;
-use wisteriapoint_claim::{Ask, Holder, Recorded, Report, Settled};
-use wisteriapoint_types::{Digest, MemberId, Nonce, RequestKey, ViewNumber};
+use wisteriapoint_claim::{Ask, Holder, Recorded, Report, Settled, Transfer};
+use wisteriapoint_types::key::PARTITIONS;
+use wisteriapoint_types::{Digest, MemberId, Nonce, PartitionKey, RequestKey, ViewNumber};
 
 use crate::process::memory_bytes;
 use crate::slope::Slope;
 
 const SIZES: [usize; 3] = [10_000, 100_000, 400_000];
+const VIEW: ViewNumber = ViewNumber(1);
 const ANSWER_BYTES: usize = 256;
 
 pub(crate) fn measure() -> Vec<Slope> {
@@ -23,7 +25,10 @@
     for size in SIZES {
         let before = memory_bytes();
         let mut holder = Holder::new();
-        holder.open(ViewNumber(1));
+        holder.learn(VIEW);
+        for partition in 0..PARTITIONS {
+            holder.open(VIEW, PartitionKey(partition), Transfer::default());
+        }
         let begun = Instant::now();
         for number in 0..size as u64 {
             settle(&mut holder, number);
@@ -40,21 +45,21 @@
 fn settle(holder: &mut Holder, number: u64) {
     let key = RequestKey::new(Uuid::now_v7().to_string());
     let ask = Ask {
-        view: ViewNumber(1),
-        key: key.clone(),
+        view: VIEW,
+        key,
         digest: Digest::new(&[&number.to_le_bytes()]),
         claimant: MemberId(1),
         nonce: Nonce(number),
         horizon_ms: 3_600_000,
     };
     holder.ask(0, &ask);
-    holder.report(&Report {
-        key,
-        nonce: Nonce(number),
+    let report = Report {
+        ask,
         settled: Some(Settled::Ran(Recorded {
             status: 200,
             content_type: "application/json".into(),
             body: vec![b'x'; ANSWER_BYTES],
         })),
-    });
+    };
+    holder.report(0, &report);
 }
--- a/crates/wisteriapoint/src/daemon/start.rs
+++ b/crates/wisteriapoint/src/daemon/start.rs
@@ -24,6 +24,7 @@
 use super::shared::Clock;
 use super::{Shared, exchange, platform, strikes, traffic, weights};
 use crate::Error;
+use crate::http::bounds::Bounds;
 use crate::http::{self, Serving};
 use crate::metrics::Metrics;
 
@@ -102,8 +103,18 @@
         );
         let stop_control = start_control(control, receiver, &shared, datagrams, &settings)?;
         let servers = [
-            Serving::new(&runtime, service, http::service_router(&shared))?,
-            Serving::new(&runtime, admin, http::admin_router(&shared))?,
+            Serving::new(
+                &runtime,
+                service,
+                http::service_router(&shared),
+                Bounds::service(),
+            )?,
+            Serving::new(
+                &runtime,
+                admin,
+                http::admin_router(&shared),
+                Bounds::admin(),
+            )?,
         ];
         start_traffic(&runtime, &shared, peer, changes, others_strikes);
         Ok(Self {
