Prove that "not run" is true at each stage that refuses

Cause: three refusals were false before. A deadline that passed after an idempotent attempt had gone out was answered not-run. A repeat of a key whose first attempt was still running was answered not-run. A caller who went away in mid-hold took the claim's settlement along, since the handler's future is dropped with the connection.

Change: tests compare each refusal with the endpoint's own count: unknown service, malformed, too large, deadline over, queue full, deadline passed in the queue, endpoint draining, connect refused and timed out, closed, cut, silent and too large answers, key of another request, key in use, answer not kept.

The test of a single dispatch first passed without its mechanism, because one endpoint alone was passed over until the deadline; it has two now and fails.

Ruled out: a deadline that passes during the connect stays may-have-run, since the HTTP library reports one timeout for both.

--- /dev/null
+++ b/crates/wisteriapoint/tests/verdicts.rs
@@ -0,0 +1,307 @@
+//! Refusals: "not run" is true, at each stage that can refuse.
+
+mod deployment;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use deployment::{Deployment, client, hold, plain_document, until, verdict};
+use futures_util::future::join_all;
+use reqwest::Response;
+use tokio::net::TcpListener;
+use wisteriapoint_stand_in::{Act, Arrival, PlainService, Running, Scripted, serve};
+
+/// A service that counts its runs, behind one daemon.
+struct Shop {
+    service: PlainService,
+    deployment: Deployment,
+    _running: Running,
+}
+
+impl Shop {
+    async fn start(document: fn(String) -> String) -> Self {
+        let service = PlainService::new();
+        let running = serve::on_loopback(service.router()).await.unwrap();
+        let document = document(plain_document(&[running.address]));
+        Self {
+            service,
+            deployment: Deployment::start(1, &[document]).await,
+            _running: running,
+        }
+    }
+
+    async fn hold(&self, key: &str) -> Response {
+        self.deployment.hold(0, key).send().await.unwrap()
+    }
+
+    async fn hold_within(&self, key: &str, limit_ms: u64) -> Response {
+        let request = self.deployment.hold(0, key);
+        let request = request.header("wisteriapoint-deadline-ms", limit_ms);
+        request.send().await.unwrap()
+    }
+}
+
+/// One request at a time, one waiting, small bodies.
+fn narrow(document: String) -> String {
+    let limits = r#""limits": { "queue_length": 1, "body_bytes": 100 }, "owner""#;
+    document
+        .replace("\"owner\"", limits)
+        .replace("\"vm\"", "\"max_concurrency\": 1, \"vm\"")
+}
+
+fn same(document: String) -> String {
+    document
+}
+
+type Script = fn(&Arrival) -> Act;
+
+async fn scripted(act: Script) -> (Scripted, Deployment) {
+    let server = Scripted::start(act).await.unwrap();
+    let deployment = Deployment::start(1, &[plain_document(&[server.address])]).await;
+    (server, deployment)
+}
+
+fn assert_refused(response: &Response, status: u16, expected: &str, stage: &str) {
+    let found = (response.status().as_u16(), verdict(response));
+    assert_eq!(found, (status, expected), "{stage}");
+}
+
+#[tokio::test]
+async fn refusals_before_a_dispatch_have_run_nothing() {
+    let shop = Shop::start(narrow).await;
+    let service = |path: &str| shop.deployment.url(0, path);
+
+    let unknown = hold(&service("/v1/services/none/stock/hold"), "a")
+        .send()
+        .await;
+    assert_refused(&unknown.unwrap(), 404, "not-run", "unknown service");
+
+    let large = shop
+        .deployment
+        .hold(0, "b")
+        .body("x".repeat(101))
+        .send()
+        .await;
+    assert_refused(&large.unwrap(), 413, "not-run", "body too large");
+
+    let late = shop.hold_within("c", 0).await;
+    assert_refused(&late, 504, "not-run", "deadline over");
+
+    let malformed = client()
+        .post(service("/v1/completions"))
+        .body("{")
+        .send()
+        .await;
+    assert_refused(&malformed.unwrap(), 400, "not-run", "malformed");
+
+    assert_eq!(shop.service.total_runs(), 0);
+}
+
+#[tokio::test]
+async fn refusals_from_the_queue_have_run_nothing() {
+    let shop = Shop::start(narrow).await;
+    shop.service.set_delay(Duration::from_secs(600));
+    let first = shop.deployment.hold(0, "first");
+    let first = first.header("wisteriapoint-deadline-ms", "600000").send();
+    let _first = tokio::spawn(first);
+    until("the first one runs", || async {
+        shop.service.total_runs() == 1
+    })
+    .await;
+    let keys = ["a", "b", "c"];
+    let responses = join_all(keys.map(|key| shop.hold_within(key, 1_000))).await;
+    let mut statuses: Vec<u16> = responses.iter().map(|r| r.status().as_u16()).collect();
+    statuses.sort_unstable();
+    // One waits until its deadline; for the others the queue is full.
+    assert_eq!(statuses, [503, 503, 504]);
+    for response in &responses {
+        assert_eq!(verdict(response), "not-run");
+        assert!(response.headers().contains_key("retry-after"));
+    }
+    assert_eq!(shop.service.total_runs(), 1);
+}
+
+#[tokio::test]
+async fn an_endpoint_that_declines_has_run_nothing() {
+    let shop = Shop::start(same).await;
+    shop.service.set_draining(true);
+    for key in ["a", "b"] {
+        let refused = shop.hold(key).await;
+        assert_refused(&refused, 503, "not-run", "endpoint draining");
+    }
+    assert_eq!(shop.service.total_runs(), 0);
+    shop.service.set_draining(false);
+    until("the endpoint is back", || async {
+        shop.hold("a").await.status() == 200
+    })
+    .await;
+    assert_eq!(shop.service.runs()["a"], 1);
+}
+
+#[tokio::test]
+async fn a_refused_connection_has_run_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let deployment = Deployment::start(1, &[plain_document(&[address])]).await;
+    let request = deployment.hold(0, "a");
+    let refused = request.header("wisteriapoint-deadline-ms", "500").send();
+    assert_eq!(verdict(&refused.await.unwrap()), "not-run");
+}
+
+#[tokio::test]
+async fn whatever_was_handed_to_a_connection_may_have_run_and_goes_out_once() {
+    let cases: [(&str, Script); 4] = [
+        ("closed", |_| Act::Close(String::new())),
+        ("cut", |arrival| {
+            Act::Close(arrival.answer("200 OK", "whole").replace("whole", "who"))
+        }),
+        ("silent", |_| Act::Keep(String::new())),
+        ("too large", |arrival| {
+            Act::Keep(arrival.answer("200 OK", &"x".repeat(5 << 20)))
+        }),
+    ];
+    for (name, act) in cases {
+        // The repeat of a key is told, not sent.
+        for keys in [&[""][..], &["a", "a"]] {
+            // A second endpoint is there, so that only the verdict keeps a repeat from it.
+            let servers = [
+                Scripted::start(act).await.unwrap(),
+                Scripted::start(act).await.unwrap(),
+            ];
+            let document = plain_document(&[servers[0].address, servers[1].address]);
+            let deployment = Deployment::start(1, &[document]).await;
+            for key in keys {
+                let request = match *key {
+                    "" => client().post(deployment.url(0, "/v1/services/shopfront/stock/hold")),
+                    key => deployment.hold(0, key),
+                };
+                let request = request.header("wisteriapoint-deadline-ms", "700");
+                let response = request.send().await.unwrap();
+                assert_eq!(verdict(&response), "may-have-run", "{name} {key}");
+            }
+            let arrivals = servers.each_ref().map(|server| server.arrivals().len());
+            assert_eq!(arrivals[0] + arrivals[1], 1, "{name}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_after_an_attempt_that_may_have_run_does_not_say_not_run() {
+    let (server, deployment) = scripted(|_| Act::Close(String::new())).await;
+    let url = deployment.url(0, "/v1/services/shopfront/catalogue/straps");
+    let request = client().get(url).header("wisteriapoint-deadline-ms", "500");
+    let response = request.send().await.unwrap();
+    assert!(!server.arrivals().is_empty());
+    assert_refused(&response, 504, "may-have-run", "deadline after an attempt");
+}
+
+#[tokio::test]
+async fn the_time_left_shrinks_from_attempt_to_attempt() {
+    let (server, deployment) = scripted(|arrival| match arrival.number {
+        0 => Act::Close(String::new()),
+        _ => Act::Keep(arrival.answer("200 OK", "straps")),
+    })
+    .await;
+    let url = deployment.url(0, "/v1/services/shopfront/catalogue/straps");
+    let request = client()
+        .get(url)
+        .header("wisteriapoint-deadline-ms", "9000");
+    assert_eq!(request.send().await.unwrap().status(), 200);
+    let arrivals = server.arrivals();
+    let left: Vec<u64> = arrivals
+        .iter()
+        .map(|arrival| arrival.header("wisteriapoint-deadline-ms").parse().unwrap())
+        .collect();
+    assert!(
+        left.len() == 2 && left[0] <= 9_000 && left[1] < left[0],
+        "{left:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_repeat_gets_the_recorded_answer_and_is_told_so() {
+    let shop = Shop::start(same).await;
+    let first = shop.hold("a").await;
+    assert!(!first.headers().contains_key("wisteriapoint-replayed"));
+    let first = first.text().await.unwrap();
+    let second = shop.hold("a").await;
+    assert_eq!(second.headers()["wisteriapoint-replayed"], "true");
+    assert_eq!(second.text().await.unwrap(), first);
+    let other = shop.deployment.hold(0, "a").body("strap 8").send().await;
+    assert_refused(&other.unwrap(), 422, "not-run", "key of another request");
+    assert_eq!(shop.service.runs()["a"], 1);
+}
+
+#[tokio::test]
+async fn a_caller_who_goes_away_leaves_no_claim_open() {
+    let shop = Shop::start(same).await;
+    shop.service.set_delay(Duration::from_millis(500));
+    let sent = tokio::spawn(shop.deployment.hold(0, "a").send());
+    until("the hold runs", || async { shop.service.total_runs() == 1 }).await;
+    let during = shop.hold("a").await;
+    assert_refused(&during, 409, "may-have-run", "another attempt in progress");
+    sent.abort();
+    until("nothing is in flight", || async {
+        shop.deployment.in_flight(0) == 0
+    })
+    .await;
+    let repeat = shop.hold("a").await;
+    assert_eq!(repeat.status(), 200);
+    assert_eq!(repeat.headers()["wisteriapoint-replayed"], "true");
+    assert_eq!(shop.service.runs()["a"], 1);
+}
+
+#[tokio::test]
+async fn an_answer_too_large_to_keep_is_given_once() {
+    let (server, deployment) =
+        scripted(|arrival| Act::Keep(arrival.answer("200 OK", &"x".repeat(100_000)))).await;
+    let first = deployment.hold(0, "a").send().await.unwrap();
+    assert_eq!(first.text().await.unwrap().len(), 100_000);
+    let repeat = deployment.hold(0, "a").send().await.unwrap();
+    assert_refused(&repeat, 409, "may-have-run", "answer not kept");
+    assert_eq!(server.arrivals().len(), 1);
+}
+
+#[tokio::test]
+async fn a_redirect_reaches_the_caller_with_its_place() {
+    let (server, deployment) = scripted(|arrival| {
+        let found = "302 Found\r\nlocation: /elsewhere\r\nset-cookie: basket=7";
+        Act::Keep(arrival.answer(found, ""))
+    })
+    .await;
+    let policy = reqwest::redirect::Policy::none();
+    let caller = reqwest::Client::builder().no_proxy().redirect(policy);
+    let url = deployment.url(0, "/v1/services/shopfront/catalogue/old");
+    let request = caller.build().unwrap().get(url);
+    let response = request.header("cookie", "basket=6").send().await.unwrap();
+    assert_eq!(response.status(), 302);
+    assert_eq!(response.headers()["location"], "/elsewhere");
+    assert_eq!(response.headers()["set-cookie"], "basket=7");
+    let arrivals = server.arrivals();
+    assert_eq!(arrivals.len(), 1);
+    assert_eq!(arrivals[0].header("cookie"), "basket=6");
+}
+
+#[tokio::test]
+async fn a_connect_that_times_out_has_run_nothing() {
+    // A listener whose queue is full answers no further connects.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut held = Vec::new();
+    while let Ok(Ok(stream)) = tokio::time::timeout(
+        Duration::from_millis(300),
+        tokio::net::TcpStream::connect(address),
+    )
+    .await
+    {
+        held.push(stream);
+    }
+    let deployment = Deployment::start(1, &[plain_document(&[address])]).await;
+    // The deadline leaves time for one attempt to connect, not for a second one.
+    let request = deployment.hold(0, "a");
+    let refused = request.header("wisteriapoint-deadline-ms", "1500").send();
+    assert_eq!(verdict(&refused.await.unwrap()), "not-run");
+}
