--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -173,11 +173,7 @@
             StatusCode::OK | StatusCode::CONFLICT if request.resume.is_some() => {
                 return Err(Failure::may_have_run(Kind::CannotResume));
             }
-            status => {
-                return Err(Failure::may_have_run(Kind::Broken(
-                    status.to_string().into(),
-                )));
-            }
+            status => return Err(Failure::may_have_run(Kind::Status(status.as_u16()))),
         }
         Ok(Generation {
             events: Box::pin(response.bytes_stream()).eventsource(),
--- a/crates/stand-in/src/engine.rs
+++ b/crates/stand-in/src/engine.rs
@@ -12,6 +12,8 @@
 use wisteriapoint_types::{WeightVersion, hash64};
 use wisteriapoint_weights::{Fence, Order};
 
+use crate::order_faults::{Fate, OrderFaults};
+
 /// How an engine behaves.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -64,8 +66,10 @@
     resumed: u64,
     cancelled: u64,
     tokens: u64,
-    break_after: Option<u32>,
+    break_after: Arc<Mutex<Option<u32>>>,
     orders: Vec<Order>,
+    order_faults: OrderFaults,
+    version_before: WeightVersion,
 }
 
 #[derive(Debug, Deserialize)]
@@ -155,7 +159,13 @@
 
     /// Breaks the next completion's stream off after so many tokens.
     pub fn break_next_after(&self, tokens: u32) {
-        self.lock().break_after = Some(tokens);
+        *lock(&self.lock().break_after) = Some(tokens);
+    }
+
+    /// Shares with another engine which completion is the next one to break.
+    pub fn share_break(&self, other: &Self) {
+        let shared = Arc::clone(&other.lock().break_after);
+        self.lock().break_after = shared;
     }
 
     /// Sets the version that it serves, as an order would.
@@ -168,13 +178,18 @@
         self.lock().orders.clone()
     }
 
+    /// Sets what goes wrong with weight orders.
+    pub fn set_order_faults(&self, faults: OrderFaults) {
+        self.lock().order_faults = faults;
+    }
+
     /// The text that a prompt's completion has.
     pub fn expected_text(prompt: &str, max_tokens: u32) -> String {
         (0..max_tokens).map(|index| token(prompt, index)).collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     async fn generate(self, completion: Completion, mut sender: BodySender) {
@@ -185,7 +200,7 @@
             return;
         }
         self.lock().running += 1;
-        let break_after = self.lock().break_after.take();
+        let break_after = lock(&self.lock().break_after).take();
         self.send_tokens(&completion, break_after, &mut sender)
             .await;
         self.lock().running -= 1;
@@ -247,6 +262,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn token(prompt: &str, index: u32) -> String {
     format!("{:04x}.{index} ", hash64(0, prompt.as_bytes()) & 0xffff)
 }
@@ -320,9 +339,11 @@
     }
 
     fn status(&self, response: &mut Response) {
-        let state = self.0.lock();
+        let mut state = self.0.lock();
+        let (version, before) = (state.version, state.version_before);
+        let version = state.order_faults.reported(version, before);
         let status = serde_json::json!({
-            "version": state.version,
+            "version": version,
             "running": state.running,
             "waiting": state.waiting,
             "draining": state.draining,
@@ -345,6 +366,14 @@
             return;
         }
         sleep(Duration::from_millis(self.0.settings.load_ms)).await;
-        self.0.lock().version = order.version;
+        let mut state = self.0.lock();
+        let fate = state.order_faults.next();
+        if fate != Fate::Fails {
+            state.version_before = state.version;
+            state.version = order.version;
+        }
+        if fate != Fate::Works {
+            response.status_code(StatusCode::INTERNAL_SERVER_ERROR);
+        }
     }
 }
--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -15,6 +15,7 @@
 use wisteriapoint_platform::VmEntry;
 
 const SWEEP_PAUSE: Duration = Duration::from_millis(100);
+const FIRST_INDEX: u64 = 1;
 const MAX_VALUE_BYTES: usize = 1 << 20;
 
 /// What goes wrong.
@@ -58,6 +59,7 @@
     vms: Vec<VmEntry>,
     faults: Faults,
     calls: Calls,
+    waiting: u32,
     window: Option<(Instant, u32)>,
 }
 
@@ -84,7 +86,9 @@
 impl Platform {
     /// Makes an empty platform without faults.
     pub fn new() -> Self {
-        Self::default()
+        let platform = Self::default();
+        platform.lock().index = FIRST_INDEX;
+        platform
     }
 
     /// Sets what goes wrong.
@@ -102,6 +106,11 @@
         self.lock().calls
     }
 
+    /// Blocking queries that wait now.
+    pub fn waiting(&self) -> u32 {
+        self.lock().waiting
+    }
+
     /// The value of a key.
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         self.lock().rows.get(key).map(|row| row.value.clone())
@@ -196,7 +205,7 @@
         written
             .chain(removed.map(|(_, &index)| index))
             .max()
-            .unwrap_or(1)
+            .unwrap_or(FIRST_INDEX)
     }
 }
 
@@ -271,6 +280,7 @@
     }
 
     async fn wait_for_change(&self, key: &str, since: u64, wait: Duration) {
+        let _waiting = Waiting::new(&self.0);
         let until = Instant::now() + wait;
         loop {
             let changed = self.0.changed.notified();
@@ -321,6 +331,22 @@
     }
 }
 
+/// Counts a blocking query while it waits.
+struct Waiting<'a>(&'a Platform);
+
+impl<'a> Waiting<'a> {
+    fn new(platform: &'a Platform) -> Self {
+        platform.lock().waiting += 1;
+        Self(platform)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.lock().waiting -= 1;
+    }
+}
+
 fn write_row(state: &mut State, key: &str, request: &Request, body: Vec<u8>) -> bool {
     let row = state.rows.get(key);
     let modified = row.map_or(0, |row| row.modified);
--- a/crates/wisteriapoint/src/daemon/generate.rs
+++ b/crates/wisteriapoint/src/daemon/generate.rs
@@ -4,21 +4,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 use wisteriapoint_gateway::{Attempts, Chunk, CompletionRequest, Failure, Permit, Problem, Router};
-use wisteriapoint_rollout::{Sample, Span, Task};
+use wisteriapoint_rollout::Span;
 use wisteriapoint_route::{Class, Demand};
-use wisteriapoint_types::{Digest, ServiceName, hash64};
+use wisteriapoint_types::{Digest, EndpointName, ServiceName, hash64};
 
 use super::Shared;
-use super::message::Reply;
 
 const PREFIX_BYTES: usize = 256;
-const ROLLOUT_PRIORITY: i32 = 10;
 
 /// Where the tokens of a completion go.
 pub trait Sink {
+    /// Takes the news that an engine will now generate.
+    fn begin(&mut self, _endpoint: &EndpointName) {}
+
+    /// The engines that others are better than.
+    fn avoid(&self) -> &[EndpointName] {
+        &[]
+    }
+
     /// Takes some tokens; gives whether more are wanted.
     fn take(&mut self, chunk: Chunk) -> impl Future<Output = bool> + Send;
 
@@ -83,6 +88,7 @@
     let router = router.ok_or_else(|| unknown_service(service))?;
     let deadline = Instant::now() + limit;
     let mut demand = demand(&router, class, request, limit);
+    demand.tried = router.keys(sink.avoid());
     let mut request = request.clone();
     let mut attempts = Attempts::new(true);
     loop {
@@ -98,12 +104,13 @@
         let verdict = failure.verdict().as_str();
         let failed = &shared.metrics.failed_attempts;
         failed.with_label_values(&[service.as_str(), verdict]).inc();
-        if !attempts.note(&failure) {
+        let allowed = attempts.note(&failure);
+        if !allowed || !(failure.is_refusal() || router.may_retry()) {
             return Err(attempts.problem(&failure));
         }
         if failure.is_resume_refused() && sink.reset() {
             request.resume = None;
-            demand.tried.clear();
+            demand.tried = router.keys(sink.avoid());
         }
         sleep(attempts.pause()).await;
     }
@@ -117,6 +124,7 @@
     sink: &mut S,
 ) -> Result<Ended, Failure> {
     let mut tokens = 0;
+    sink.begin(&permit.target().endpoint);
     let started = shared
         .clients
         .generate(permit.target(), request, limit)
@@ -155,6 +163,7 @@
         failure if failure.is_draining() => permit.drained(),
         failure if failure.is_refusal() => permit.refused(),
         failure if failure.is_timeout() => drop(permit),
+        failure if failure.is_broken() => permit.crashed(),
         _ => permit.failed(),
     }
 }
@@ -179,46 +188,3 @@
         format!("there is no service `{service}`"),
     )
 }
-
-/// Generates a sample on this daemon and replies to the coordinator.
-pub fn spawn_sample(shared: Arc<Shared>, task: Task, reply: oneshot::Sender<Reply>) {
-    if shared.is_draining() {
-        // The asker may have given up; then nobody needs the reply.
-        let _ = reply.send(Reply::Stopping);
-        return;
-    }
-    let runtime = shared.traffic.clone();
-    let in_flight = shared.begin();
-    runtime.spawn(async move {
-        let _in_flight = in_flight;
-        let sample = sample(&shared, task).await;
-        // The coordinator may have given up; then it has asked another daemon.
-        let _ = reply.send(Reply::Generated(sample));
-    });
-}
-
-async fn sample(shared: &Arc<Shared>, task: Task) -> Option<Sample> {
-    let service = &task.spec.service;
-    let document = Arc::clone(&shared.snapshot.load().services.get(service)?.document);
-    let limit = Duration::from_millis(document.rollouts.sample_deadline_ms);
-    let request = CompletionRequest {
-        model: service.as_str().into(),
-        prompt: task.prompt.clone(),
-        max_tokens: task.spec.max_tokens,
-        stream: true,
-        priority: ROLLOUT_PRIORITY,
-        resume: None,
-    };
-    let trainer = hash64(0, task.id.trainer.as_str().as_bytes());
-    let class = Class::Rollout { trainer };
-    let mut collected = Collected::default();
-    generate(shared, service, class, &request, limit, &mut collected)
-        .await
-        .ok()?;
-    Some(Sample {
-        key: task.key,
-        text: collected.text.into(),
-        spans: collected.spans,
-        score: None,
-    })
-}
--- a/crates/wisteriapoint/src/daemon/message.rs
+++ b/crates/wisteriapoint/src/daemon/message.rs
@@ -1,9 +1,12 @@
 //! Messages between daemons.
 
 use serde::{Deserialize, Serialize};
+use wisteriapoint_catalog::{Summary, Update};
 use wisteriapoint_claim::{Answer, Ask, Report};
-use wisteriapoint_rollout::{Cursor, Pulled, Sample, StepId, StepSpec, Task};
-use wisteriapoint_types::WeightVersion;
+use wisteriapoint_membership::View;
+use wisteriapoint_rollout::{AttemptKey, Begun, Cursor, Pulled, Sample, StepId, StepSpec, Task};
+use wisteriapoint_route::Strike;
+use wisteriapoint_types::{MemberId, ServiceName, ViewNumber, WeightVersion};
 
 /// What one daemon asks of another; each may be repeated.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -31,9 +34,48 @@
         version: WeightVersion,
         /// Most samples to hand over.
         limit: u32,
+        /// Longest wait for the first sample, in milliseconds.
+        wait_ms: u64,
     },
     /// To any daemon: generate a sample.
-    Generate(Task),
+    Generate {
+        /// The coordinator that asks.
+        coordinator: MemberId,
+        /// The sample.
+        task: Task,
+    },
+    /// To a coordinator: an attempt has its first tokens.
+    Begun {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// Where and by which version.
+        begun: Begun,
+    },
+    /// To a daemon that generates a sample: it is no longer wanted.
+    Cancel {
+        /// The coordinator that asked for it.
+        coordinator: MemberId,
+        /// The attempt.
+        attempt: AttemptKey,
+    },
+    /// To any daemon: whether its control answers.
+    Ping,
+    /// To any daemon: whether it hears a member.
+    Probe(MemberId),
+    /// To any daemon: what it knows beyond this.
+    Sync {
+        /// The asker's view.
+        view: ViewNumber,
+        /// What the asker knows.
+        known: Summary,
+    },
+    /// To any daemon: something that it may not know.
+    Offer {
+        /// The view.
+        view: Option<View>,
+        /// Configuration.
+        update: Update,
+    },
 }
 
 /// The answer to a [`Question`].
@@ -41,14 +83,67 @@
 pub enum Reply {
     /// To [`Question::Claim`].
     Claim(Answer),
-    /// To [`Question::Report`].
+    /// To a [`Question`] that needs no answer.
     Noted,
     /// To [`Question::Put`].
     Put(Result<(), wisteriapoint_rollout::Error>),
     /// To [`Question::Pull`].
     Pulled(Result<Pulled, wisteriapoint_rollout::Error>),
-    /// To [`Question::Generate`]; none if it failed.
-    Generated(Option<Sample>),
+    /// To [`Question::Generate`].
+    Generated(Generated),
+    /// To [`Question::Ping`].
+    Pong {
+        /// Whether the daemon is stopping.
+        stopping: bool,
+    },
+    /// To [`Question::Probe`].
+    Heard(bool),
+    /// To [`Question::Sync`].
+    Synced(Synced),
     /// The daemon is stopping.
     Stopping,
 }
+
+/// How an attempt at a sample ended.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Generated {
+    /// With the whole sample.
+    Whole(Sample),
+    /// Given up, because its tokens came from a version that is too old.
+    TooOld,
+    /// Without a sample.
+    Failed,
+}
+
+/// What a daemon knows beyond the asker.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Synced {
+    /// The view, if it is newer.
+    pub view: Option<View>,
+    /// Newer configuration.
+    pub update: Update,
+    /// Whether the answering daemon has read the configuration at least once.
+    pub configured: bool,
+    /// Whether the asker knows something newer.
+    pub behind: bool,
+}
+
+/// What a daemon tells a few others every second, as one datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The sender's view.
+    pub view: ViewNumber,
+    /// Hash of the sender's configuration.
+    pub sum: u64,
+    /// Recent crashes of endpoints and the requests that ran there.
+    pub strikes: Vec<ServiceStrike>,
+}
+
+/// A strike against a request, and the service that it was sent to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceStrike {
+    /// The service.
+    pub service: ServiceName,
+    /// The strike.
+    pub strike: Strike,
+}
--- a/crates/wisteriapoint/src/daemon/shared.rs
+++ b/crates/wisteriapoint/src/daemon/shared.rs
@@ -5,18 +5,18 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use wisteriapoint_gateway::{Clients, Router};
 use wisteriapoint_membership::Member;
 use wisteriapoint_peer::Client;
-use wisteriapoint_platform::HttpStore;
+use wisteriapoint_platform::{Budgeted, HttpStore, Lease};
 use wisteriapoint_types::{MemberId, ServiceName};
 
 use super::control::Command;
-use super::message::{Question, Reply};
+use super::message::{Question, Reply, ServiceStrike};
 use super::snapshot::Snapshot;
 use crate::metrics::Metrics;
 
@@ -31,6 +31,8 @@
     pub routers: ArcSwap<BTreeMap<ServiceName, Router>>,
     /// Commands to control.
     pub control: mpsc::Sender<Command>,
+    /// Strikes of other daemons, for the routers.
+    pub strikes: mpsc::Sender<Vec<ServiceStrike>>,
     /// The traffic threads.
     pub traffic: Handle,
     /// Calls to other daemons.
@@ -38,11 +40,15 @@
     /// Calls to endpoints.
     pub clients: Clients,
     /// The platform.
-    pub store: HttpStore,
+    pub store: Budgeted<HttpStore>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Whether a stop was asked for.
     pub draining: AtomicBool,
+    /// Whether the daemon is about to leave the view, and its lease with it.
+    pub leaving: AtomicBool,
+    /// The VM's lease, as long as it is held.
+    pub lease: ArcSwapOption<Lease>,
     /// Whether new requests are refused.
     pub refusing: AtomicBool,
     /// Requests in progress.
