--- /dev/null
+++ b/crates/wisteriapoint/tests/drain.rs
@@ -0,0 +1,285 @@
+//! A planned stop cuts no request.
+
+mod deployment;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use deployment::{
+    Deployment, PATIENCE, PROMPT, client, completion, hold, model_document, plain_document,
+    read_stream, until, verdict,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
+use wisteriapoint::daemon::message::{Generated, Question, Reply};
+use wisteriapoint_membership::View;
+use wisteriapoint_platform::keys;
+use wisteriapoint_rollout::{AttemptKey, Cursor, SampleKey, StepId, StepSpec, Task};
+use wisteriapoint_stand_in::platform::Faults;
+use wisteriapoint_stand_in::{
+    Act, Engine, EngineSettings, PlainService, Running, Scripted, Trainer, serve,
+};
+use wisteriapoint_types::{MemberId, ServiceName, TrainerName, WeightVersion};
+
+/// Both services behind daemons that stop slowly enough to be watched.
+struct Services {
+    engine: Engine,
+    shop: PlainService,
+    documents: [String; 2],
+    _running: [Running; 2],
+}
+
+impl Services {
+    async fn start() -> Self {
+        let engine = Engine::new(EngineSettings {
+            tokens_per_s: 50.0,
+            ..EngineSettings::default()
+        });
+        let shop = PlainService::new();
+        let running = [
+            serve::on_loopback(engine.router()).await.unwrap(),
+            serve::on_loopback(shop.router()).await.unwrap(),
+        ];
+        let shops = plain_document(&[running[1].address]);
+        let documents = [
+            model_document(&[running[0].address]),
+            shops.replace("\"vm\"", "\"max_concurrency\": 1, \"vm\""),
+        ];
+        Self {
+            engine,
+            shop,
+            documents,
+            _running: running,
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 << 10).unwrap();
+    socket.connect(address).await.unwrap()
+}
+
+#[tokio::test]
+async fn a_stop_lets_requests_end_and_refuses_new_ones_only_after_the_lag() {
+    let services = Services::start().await;
+    let mut deployment = Deployment::start_with(2, &services.documents, 2_000).await;
+    services.shop.set_delay(Duration::from_secs(1));
+    let completions = deployment.url(0, "/v1/completions");
+    let holds = deployment.url(0, "/v1/services/shopfront/stock/hold");
+    let stream = tokio::spawn(completion(&completions, 200, true).send());
+    let whole = tokio::spawn(completion(&completions, 150, false).send());
+    let running = tokio::spawn(hold(&holds, "running").send());
+    let queued = tokio::spawn(hold(&holds, "queued").send());
+    until("all are under way", || async {
+        deployment.in_flight(0) >= 6 && services.engine.running() == 2
+    })
+    .await;
+
+    let daemon = deployment.daemons.remove(0);
+    let ready = format!("http://{}/ready", daemon.addresses().admin);
+    let id = daemon.shared().me.id;
+    let stopped = tokio::spawn(daemon.stop());
+    until("readiness is off", || async {
+        client().get(&ready).send().await.unwrap().status() == 503
+    })
+    .await;
+    let late = completion(&completions, 1, false).send().await.unwrap();
+    assert_eq!(late.status(), 200);
+    assert_eq!(late.headers()["connection"], "close");
+    until("new requests are refused", || async {
+        let refused = completion(&completions, 1, false).send().await.unwrap();
+        assert_eq!(refused.headers()["connection"], "close");
+        refused.status() == 503 && verdict(&refused) == "not-run"
+    })
+    .await;
+
+    let (text, last) = read_stream(&stream.await.unwrap().unwrap().text().await.unwrap());
+    assert_eq!(text, Engine::expected_text(PROMPT, 200));
+    assert_eq!(last, "data: [DONE]");
+    let whole: serde_json::Value = whole.await.unwrap().unwrap().json().await.unwrap();
+    let expected = Engine::expected_text(PROMPT, 150);
+    assert_eq!(whole["choices"][0]["text"], expected.as_str());
+    for held in [running, queued] {
+        assert_eq!(held.await.unwrap().unwrap().status(), 200);
+    }
+    stopped.await.unwrap();
+    let view = deployment.platform.value(keys::VIEW).unwrap();
+    let view: View = serde_json::from_slice(&view).unwrap();
+    assert!(view.member(id).is_none() && view.members.len() == 1);
+}
+
+#[tokio::test]
+async fn a_stop_while_the_platform_is_down_or_hangs_cuts_no_request() {
+    let down = Faults {
+        down: true,
+        ..Faults::default()
+    };
+    let hangs = Faults {
+        slow_ms: 600_000,
+        ..Faults::default()
+    };
+    let services = Services::start().await;
+    for faults in [down, hangs] {
+        let mut deployment = Deployment::start(1, &services.documents).await;
+        let stream = deployment.completion(0, 100, true).send().await.unwrap();
+        deployment.platform.set_faults(faults);
+        let stopped = deployment.daemons.remove(0).stop();
+        timeout(PATIENCE, stopped).await.expect("the stop ends");
+        let (text, last) = read_stream(&stream.text().await.unwrap());
+        assert_eq!(text, Engine::expected_text(PROMPT, 100));
+        assert_eq!(last, "data: [DONE]");
+    }
+}
+
+#[tokio::test]
+async fn a_long_poll_in_flight_gets_its_answer() {
+    let services = Services::start().await;
+    let mut deployment = Deployment::start(1, &services.documents).await;
+    let daemon = deployment.daemons.remove(0);
+    let shared = Arc::clone(daemon.shared());
+    let url = format!("http://{}", daemon.addresses().service);
+    let mut trainer = Trainer::new("trainer-1", vec![url]).unwrap();
+    let spec = StepSpec {
+        service: ServiceName::new("advisor-lm"),
+        prompts: vec![PROMPT.into()],
+        samples_per_prompt: 1,
+        max_tokens: 10_000,
+        staleness_versions: 1,
+        scorer: None,
+    };
+    trainer.put(1, &spec, &Cursor::default()).await;
+    let polling = tokio::spawn(async move { trainer.pull(1, &Cursor::default()).await });
+    until("the poll is in flight", || async {
+        services.engine.running() == 1 && shared.in_flight.load(Ordering::SeqCst) >= 2
+    })
+    .await;
+    let stopped = tokio::spawn(daemon.stop());
+    let pulled = polling.await.unwrap().expect("the poll was cut");
+    assert!(!pulled.complete);
+    // The sample would take minutes; nothing but the drain limit ends it.
+    stopped.abort();
+}
+
+#[tokio::test]
+async fn a_stop_waits_until_a_slow_caller_has_read_the_answer() {
+    const BODY_BYTES: usize = 4 << 20;
+    let shop =
+        Scripted::start(|arrival| Act::Keep(arrival.answer("200 OK", &"x".repeat(BODY_BYTES))));
+    let shop = shop.await.unwrap();
+    let mut deployment = Deployment::start(1, &[plain_document(&[shop.address])]).await;
+    let daemon = deployment.daemons.remove(0);
+    let mut caller = connect(daemon.addresses().service).await;
+    caller
+        .write_all(b"GET /v1/services/shopfront/catalogue/all HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    let mut head = [0; 12];
+    caller.read_exact(&mut head).await.unwrap();
+    let mut stopped = tokio::spawn(daemon.stop());
+    let early = timeout(Duration::from_secs(2), &mut stopped).await;
+    assert!(early.is_err(), "the stop ended before the answer was read");
+    let mut body = Vec::new();
+    caller.read_to_end(&mut body).await.unwrap();
+    assert!(body.len() > BODY_BYTES);
+    stopped.await.unwrap();
+}
+
+#[tokio::test]
+async fn a_request_that_arrives_slowly_is_counted_from_its_first_bytes() {
+    let services = Services::start().await;
+    let mut deployment = Deployment::start(1, &services.documents).await;
+    let daemon = deployment.daemons.remove(0);
+    let shared = Arc::clone(daemon.shared());
+    let mut caller = connect(daemon.addresses().service).await;
+    let body = format!(r#"{{"model":"advisor-lm","prompt":"{PROMPT}","max_tokens":1}}"#);
+    let (first, rest) = body.split_at(20);
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n{first}",
+        body.len()
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    until("the request is counted", || async {
+        shared.in_flight.load(Ordering::SeqCst) == 1
+    })
+    .await;
+    let stopped = tokio::spawn(daemon.stop());
+    until("new requests are refused", || async {
+        shared.is_refusing()
+    })
+    .await;
+    caller.write_all(rest.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    stopped.await.unwrap();
+}
+
+#[tokio::test]
+async fn an_idle_connection_does_not_hold_a_stop_up() {
+    let services = Services::start().await;
+    let mut deployment = Deployment::start(1, &services.documents).await;
+    let daemon = deployment.daemons.remove(0);
+    let mut caller = connect(daemon.addresses().service).await;
+    caller
+        .write_all(b"GET /none HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    let mut head = [0; 12];
+    caller.read_exact(&mut head).await.unwrap();
+    daemon.stop().await;
+    let mut rest = Vec::new();
+    caller.read_to_end(&mut rest).await.unwrap();
+}
+
+#[tokio::test]
+async fn samples_for_other_daemons_end_and_further_ones_are_handed_back() {
+    let services = Services::start().await;
+    let mut deployment = Deployment::start(1, &services.documents).await;
+    let daemon = deployment.daemons.remove(0);
+    let shared = Arc::clone(daemon.shared());
+    let asking = Arc::clone(&shared);
+    let begun = tokio::spawn(async move {
+        let limit = Duration::from_secs(30);
+        asking.ask_self(generate(60), limit).await
+    });
+    until("the sample is under way", || async {
+        services.engine.running() == 1
+    })
+    .await;
+    let stopped = tokio::spawn(daemon.stop());
+    until("the daemon drains", || async { shared.is_draining() }).await;
+    let limit = Duration::from_secs(5);
+    let further = shared.ask_self(generate(1), limit).await;
+    assert!(matches!(further, Some(Reply::Stopping)), "{further:?}");
+    let sample = match begun.await.unwrap() {
+        Some(Reply::Generated(Generated::Whole(sample))) => sample,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(*sample.text, Engine::expected_text(PROMPT, 60));
+    stopped.await.unwrap();
+}
+
+fn generate(max_tokens: u32) -> Question {
+    let task = Task {
+        id: StepId {
+            trainer: TrainerName::new("trainer-1"),
+            step: 1,
+        },
+        key: SampleKey { group: 0, index: 0 },
+        attempt: AttemptKey(u64::from(max_tokens)),
+        service: ServiceName::new("advisor-lm"),
+        prompt: PROMPT.into(),
+        max_tokens,
+        expected_tokens: max_tokens,
+        oldest_version: WeightVersion(0),
+        avoid: Vec::new(),
+    };
+    Question::Generate {
+        coordinator: MemberId(1),
+        task,
+    }
+}
