Pass paths as they were sent; refuse keys that are none

Cause: the path below a service was decoded and then sent, so that an escaped question mark became a query and the endpoint got another request than the caller had made. Dot segments and backslashes were resolved by the HTTP client after the route had been looked up: a PUT of /catalogue/../stock/hold counted as idempotent and could be sent twice. A key that was empty or no ASCII text was taken as no key, so that its repeats were not recognised.

Change: the raw path goes to the endpoint, the decoded one to the look-up of the route. Paths that a client would rewrite are refused as malformed, not run; so are such keys. Ruled out: to normalise the path ourselves, since then the endpoint would again get something that the caller did not send.

--- a/crates/wisteriapoint/src/http/mod.rs
+++ b/crates/wisteriapoint/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod completions;
 mod events;
 pub mod explain;
+mod path;
 pub mod plain;
 pub mod respond;
 pub mod steps;
--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -12,7 +12,7 @@
 use wisteriapoint_settings::ServiceDocument;
 use wisteriapoint_types::{Digest, RequestKey, ServiceName};
 
-use super::{limit, respond};
+use super::{limit, path, respond};
 use crate::daemon::Shared;
 use crate::daemon::claims::{self, Claimed};
 use crate::daemon::generate::{end_failed, unknown_service};
@@ -89,9 +89,9 @@
         };
         let router = self.shared.routers.load().get(service).cloned();
         let router = router.ok_or_else(|| unknown_service(service))?;
-        let key = key(request);
+        let key = key(request)?;
         let outgoing = outgoing(&document, request).await?;
-        let route = document.route(&outgoing.path);
+        let route = document.route(&path::decoded(request));
         let deadline_ms = route.and_then(|route| route.deadline_ms);
         let limit = limit(request, deadline_ms.unwrap_or(document.deadline_ms));
         match key {
@@ -200,29 +200,31 @@
     Digest::new(&[method, outgoing.path.as_bytes(), &outgoing.body])
 }
 
-fn key(request: &Request) -> Option<RequestKey> {
-    let value = request.headers().get(KEY_HEADER)?;
-    value.to_str().ok().map(RequestKey::new)
+/// The caller's key, if there is one.
+fn key(request: &Request) -> Result<Option<RequestKey>, Problem> {
+    let Some(value) = request.headers().get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() => Ok(Some(RequestKey::new(text))),
+        _ => Err(malformed_key()),
+    }
 }
 
 async fn outgoing(
     document: &ServiceDocument,
     request: &mut Request,
 ) -> Result<PlainRequest, Problem> {
-    let rest = request.param::<String>("path").unwrap_or_default();
-    let path = match request.uri().query() {
-        Some(query) => format!("/{rest}?{query}"),
-        None => format!("/{rest}"),
-    };
+    let path = path::sent(request)?;
     let method = request.method().clone();
-    let body = respond::read_body(request, document.limits.body_bytes as usize).await?;
-    let idempotent = match document.route(&path) {
+    let idempotent = match document.route(&path::decoded(request)) {
         Some(route) => route.idempotent,
         None => method.is_idempotent(),
     };
+    let body = respond::read_body(request, document.limits.body_bytes as usize).await?;
     Ok(PlainRequest {
         method,
-        path: path.into(),
+        path,
         headers: end_to_end(request.headers()),
         body,
         idempotent,
@@ -264,6 +266,10 @@
     )
 }
 
+fn malformed_key() -> Problem {
+    Problem::not_run(400, "malformed-key", "the key is empty or no ASCII text")
+}
+
 fn mismatch() -> Problem {
     Problem::not_run(422, "key-mismatch", "the key belongs to another request")
 }
--- a/crates/wisteriapoint/tests/verdicts.rs
+++ b/crates/wisteriapoint/tests/verdicts.rs
@@ -8,7 +8,8 @@
 use deployment::{Deployment, client, hold, plain_document, until, verdict};
 use futures_util::future::join_all;
 use reqwest::Response;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use wisteriapoint_stand_in::{Act, Arrival, PlainService, Running, Scripted, serve};
 
 /// A service that counts its runs, behind one daemon.
@@ -305,3 +306,67 @@
     let refused = request.header("wisteriapoint-deadline-ms", "1500").send();
     assert_eq!(verdict(&refused.await.unwrap()), "not-run");
 }
+
+/// Sends a request whose path no client library has touched.
+async fn send_raw(deployment: &Deployment, method: &str, path: &str, header: &str) -> String {
+    let address = deployment.daemons[0].addresses().service;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = format!(
+        "{method} /v1/services/shopfront{path} HTTP/1.1\r\nhost: a\r\n{header}connection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer
+}
+
+#[tokio::test]
+async fn a_path_reaches_the_endpoint_as_it_was_sent() {
+    let (server, deployment) = scripted(|arrival| Act::Keep(arrival.answer("200 OK", ""))).await;
+    for path in ["/catalogue/a%3Fb%2Fc%20d?x=%20y", "/catalogue//a/", "/"] {
+        let answer = send_raw(&deployment, "GET", path, "").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let arrivals = server.arrivals();
+        let line = arrivals.last().unwrap().head.lines().next().unwrap();
+        assert_eq!(line, format!("GET {path} HTTP/1.1"));
+    }
+}
+
+#[tokio::test]
+async fn a_path_in_disguise_does_not_make_a_request_idempotent() {
+    let (server, deployment) = scripted(|_| Act::Close(String::new())).await;
+    for path in [
+        "/catalogue/../stock/hold",
+        "/catalogue/%2E%2e/stock/hold",
+        "/catalogue/.%2e/stock/hold",
+        "/catalogue\\..\\stock/hold",
+    ] {
+        let answer = send_raw(&deployment, "PUT", path, "").await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+        assert!(
+            answer.contains("wisteriapoint-verdict: not-run"),
+            "{answer}"
+        );
+    }
+    assert_eq!(server.arrivals().len(), 0);
+    let answer = send_raw(&deployment, "PUT", "/stock/%68old", "").await;
+    assert!(
+        answer.contains("wisteriapoint-verdict: may-have-run"),
+        "{answer}"
+    );
+    assert_eq!(server.arrivals().len(), 1);
+}
+
+#[tokio::test]
+async fn a_key_that_is_no_key_is_refused() {
+    let shop = Shop::start(same).await;
+    for header in ["idempotency-key: \r\n", "idempotency-key: k\u{e9}\r\n"] {
+        let answer = send_raw(&shop.deployment, "POST", "/stock/hold", header).await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+        assert!(
+            answer.contains("wisteriapoint-verdict: not-run"),
+            "{answer}"
+        );
+    }
+    assert_eq!(shop.service.total_runs(), 0);
+}
