--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -60,6 +60,21 @@
         self.verdict
     }
 
+    /// Short name of the kind of failure, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self.kind {
+            Kind::Setup(_) => "setup",
+            Kind::Connect(_) => "connect",
+            Kind::Broken(_) => "broken",
+            Kind::Timeout => "timeout",
+            Kind::Draining => "draining",
+            Kind::Status(_) => "status",
+            Kind::CannotResume => "cannot-resume",
+            Kind::Crossed => "crossed",
+            Kind::TooLarge { .. } => "too-large",
+        }
+    }
+
     /// Whether the endpoint said that it takes no new work.
     pub fn is_draining(&self) -> bool {
         matches!(self.kind, Kind::Draining)
--- a/crates/wisteriapoint/src/daemon/generate.rs
+++ b/crates/wisteriapoint/src/daemon/generate.rs
@@ -11,6 +11,7 @@
 use wisteriapoint_types::{Digest, EndpointName, ServiceName, hash64};
 
 use super::Shared;
+use super::attempt::{count_failed, end_failed};
 
 const PREFIX_BYTES: usize = 256;
 
@@ -101,9 +102,7 @@
             Ok(ended) => return Ok(ended),
             Err(failure) => failure,
         };
-        let verdict = failure.verdict().as_str();
-        let failed = &shared.metrics.failed_attempts;
-        failed.with_label_values(&[service.as_str(), verdict]).inc();
+        count_failed(shared, service, &failure);
         let allowed = attempts.note(&failure);
         if !allowed || !(failure.is_refusal() || router.may_retry()) {
             return Err(attempts.problem(&failure));
@@ -157,17 +156,6 @@
     }
 }
 
-/// Ends a permit after a failure of its endpoint.
-pub fn end_failed(permit: Permit, failure: &Failure) {
-    match failure {
-        failure if failure.is_draining() => permit.drained(),
-        failure if failure.is_refusal() => permit.refused(),
-        failure if failure.is_timeout() => drop(permit),
-        failure if failure.is_broken() => permit.crashed(),
-        _ => permit.failed(),
-    }
-}
-
 fn demand(router: &Router, class: Class, request: &CompletionRequest, limit: Duration) -> Demand {
     let prompt = request.prompt.as_bytes();
     let prefix = &prompt[..prompt.len().min(PREFIX_BYTES)];
--- a/crates/wisteriapoint/src/daemon/mod.rs
+++ b/crates/wisteriapoint/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! One daemon: its threads and what they share.
 
+pub mod attempt;
 pub mod claims;
 pub mod control;
 pub mod exchange;
--- a/crates/wisteriapoint/src/daemon/score.rs
+++ b/crates/wisteriapoint/src/daemon/score.rs
@@ -12,8 +12,8 @@
 use wisteriapoint_route::Demand;
 
 use super::Shared;
+use super::attempt::end_failed;
 use super::control::Command;
-use super::generate::end_failed;
 
 const SCORE_PATH: &str = "/score";
 const SCORE_LIMIT: Duration = Duration::from_secs(60);
--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -14,8 +14,9 @@
 
 use super::{limit, path, respond};
 use crate::daemon::Shared;
+use crate::daemon::attempt::{count_failed, end_failed};
 use crate::daemon::claims::{self, Claimed};
-use crate::daemon::generate::{end_failed, unknown_service};
+use crate::daemon::generate::unknown_service;
 
 /// Header that carries the caller's key.
 pub const KEY_HEADER: &str = "idempotency-key";
@@ -183,9 +184,7 @@
                 Err(failure) => failure,
             };
             end_failed(permit, &failure);
-            let verdict = failure.verdict().as_str();
-            let failed = &self.shared.metrics.failed_attempts;
-            failed.with_label_values(&[service.as_str(), verdict]).inc();
+            count_failed(&self.shared, service, &failure);
             let allowed = attempts.note(&failure);
             if !allowed || !(failure.is_refusal() || router.may_retry()) {
                 return Err(attempts.problem(&failure));
--- a/crates/wisteriapoint/src/metrics.rs
+++ b/crates/wisteriapoint/src/metrics.rs
@@ -13,7 +13,7 @@
     pub requests: IntCounterVec,
     /// Time to the end of the answer by service and class, in seconds.
     pub request_seconds: HistogramVec,
-    /// Attempts that failed at an endpoint, by service and verdict.
+    /// Attempts that failed at an endpoint, by service, verdict and kind of failure.
     pub failed_attempts: IntCounterVec,
     /// Calls to the platform by kind and result.
     pub platform_calls: IntCounterVec,
@@ -55,7 +55,7 @@
             failed_attempts: counter(
                 "failed_attempts_total",
                 "Attempts that failed at an endpoint",
-                &["service", "verdict"],
+                &["service", "verdict", "kind"],
             )?,
             platform_calls: counter(
                 "platform_calls_total",
--- a/crates/wisteriapoint/tests/verdicts.rs
+++ b/crates/wisteriapoint/tests/verdicts.rs
@@ -370,3 +370,22 @@
     }
     assert_eq!(shop.service.total_runs(), 0);
 }
+
+#[tokio::test]
+async fn an_answer_to_another_request_is_dropped_and_counted() {
+    let (_server, deployment) = scripted(|_| {
+        Act::Keep(wisteriapoint_stand_in::scripted::answer(
+            "another",
+            "200 OK",
+            "not yours",
+        ))
+    })
+    .await;
+    let response = deployment.hold(0, "a").send().await.unwrap();
+    assert_refused(&response, 502, "may-have-run", "crossed");
+    assert!(!response.text().await.unwrap().contains("not yours"));
+    let metrics = deployment.daemons[0].shared().metrics.render();
+    let counted = "wisteriapoint_failed_attempts_total\
+        {kind=\"crossed\",service=\"shopfront\",verdict=\"may-have-run\"} 1\n";
+    assert!(metrics.contains(counted), "{metrics}");
+}
