--- a/crates/wisteriapoint/src/daemon/control/members.rs
+++ b/crates/wisteriapoint/src/daemon/control/members.rs
@@ -16,7 +16,6 @@
             return;
         }
         log::info!("view {} with {} members", view.number, view.members.len());
-        self.holder.open(view.number);
         self.shared.metrics.view_number.set(view.number.0 as i64);
         self.shared.metrics.members.set(view.members.len() as i64);
         self.shared
@@ -24,6 +23,7 @@
             .retain(|address| view.members.iter().any(|m| m.peer_address == address));
         self.snapshot.view = Arc::new(view);
         self.publish();
+        self.start_transfer();
         self.relay.spread();
     }
 
--- a/crates/wisteriapoint/src/daemon/message.rs
+++ b/crates/wisteriapoint/src/daemon/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use wisteriapoint_catalog::{Summary, Update};
-use wisteriapoint_claim::{Answer, Ask, Report};
+use wisteriapoint_claim::{Answer, Ask, Page, Report, Seal};
 use wisteriapoint_membership::View;
 use wisteriapoint_rollout::{AttemptKey, Begun, Cursor, Pulled, Sample, StepId, StepSpec, Task};
 use wisteriapoint_route::Strike;
@@ -15,6 +15,15 @@
     Claim(Ask),
     /// To a holder: what became of a claim.
     Report(Report),
+    /// To a holder of an earlier view: a partition's claims.
+    Seal {
+        /// The run of the daemon that is meant.
+        source: MemberId,
+        /// What to seal.
+        seal: Seal,
+    },
+    /// To any member: whether all its partitions are open in a view.
+    Transferred(ViewNumber),
     /// To a coordinator: a step.
     Put {
         /// Name of the step.
@@ -85,6 +94,10 @@
     Claim(Answer),
     /// To a [`Question`] that needs no answer.
     Noted,
+    /// To [`Question::Seal`]; none if the run that was meant is over.
+    Page(Option<Page>),
+    /// To [`Question::Transferred`].
+    Transferred(bool),
     /// To [`Question::Put`].
     Put(Result<(), wisteriapoint_rollout::Error>),
     /// To [`Question::Pull`].
--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -137,10 +137,13 @@
     ) -> Result<Answer, Problem> {
         let deadline = Instant::now() + limit;
         let horizon_ms = document.retry_horizon_s * 1_000;
-        let claim = match claims::claim(&self.shared, key, digest(outgoing), horizon_ms).await {
+        let claimed = claims::claim(&self.shared, key, digest(outgoing), horizon_ms, limit).await;
+        let claim = match claimed {
             Claimed::Won(claim) => claim,
             Claimed::Settled(Settled::Ran(recorded)) => return Ok(Answer::Replayed(recorded)),
-            Claimed::Settled(Settled::MayHaveRun) => return Err(lost()),
+            Claimed::Settled(Settled::MayHaveRun) | Claimed::Lost => return Err(lost()),
+            Claimed::Expired => return Err(expired()),
+            Claimed::Future => return Err(future()),
             Claimed::Mismatch => return Err(mismatch()),
             Claimed::Busy => return Err(busy()),
         };
@@ -149,9 +152,9 @@
             .dispatch(&document.service, router, outgoing, left)
             .await;
         match &result {
-            Ok(answer) => claim.settle(&self.shared, settled(answer)).await,
-            Err(problem) if problem.verdict.may_repeat(false) => claim.release(&self.shared).await,
-            Err(_) => claim.settle(&self.shared, Settled::MayHaveRun).await,
+            Ok(answer) => claim.settle(settled(answer)).await,
+            Err(problem) if problem.verdict.may_repeat(false) => claim.release().await,
+            Err(_) => claim.settle(Settled::MayHaveRun).await,
         }
         result.map(Answer::Fresh)
     }
@@ -273,11 +276,27 @@
     Problem::not_run(422, "key-mismatch", "the key belongs to another request")
 }
 
+fn expired() -> Problem {
+    Problem::may_have_run(
+        410,
+        "key-expired",
+        "the key is older than the retry horizon",
+    )
+}
+
+fn future() -> Problem {
+    Problem::not_run(
+        400,
+        "key-in-future",
+        "the key's time of issue lies in the future",
+    )
+}
+
 fn busy() -> Problem {
     Problem::may_have_run(
         409,
         "key-busy",
-        "another attempt with this key is in progress",
+        "another attempt with this key may be in progress",
     )
     .with_retry_after_ms(BUSY_RETRY_AFTER_MS)
 }
