--- a/crates/wisteriapoint/src/http/mod.rs
+++ b/crates/wisteriapoint/src/http/mod.rs
@@ -6,6 +6,7 @@
 pub mod completions;
 mod events;
 pub mod explain;
+mod path;
 pub mod plain;
 pub mod respond;
 pub mod steps;
--- a/crates/wisteriapoint/src/metrics.rs
+++ b/crates/wisteriapoint/src/metrics.rs
@@ -21,7 +21,7 @@
     pub request_seconds: HistogramVec,
     /// Refusals by kind and verdict.
     pub refusals: IntCounterVec,
-    /// Attempts that failed at an endpoint, by service and verdict.
+    /// Attempts that failed at an endpoint, by service, verdict and kind of failure.
     pub failed_attempts: IntCounterVec,
     /// Calls to the platform by kind and result.
     pub platform_calls: IntCounterVec,
@@ -83,7 +83,7 @@
             failed_attempts: counter(
                 "failed_attempts_total",
                 "Attempts that failed at an endpoint",
-                &["service", "verdict"],
+                &["service", "verdict", "kind"],
             )?,
             platform_calls: counter(
                 "platform_calls_total",
