Estimate peers by report age; take turns; return to endpoints slowly

Cause and change: each daemon filled a returned endpoint alone, so an endpoint now starts with one request of each daemon and the limit grows with answers. Stale reports pulled all daemons to the same endpoint: what a report says beyond its mean now fades over the time that requests take, and among near equals the longest unused is taken, as in round robin. Requests given up late now teach the speed, and an unmeasured endpoint takes one request at a time, which ends the late answers on slow endpoints.

--- a/crates/experiment/src/policy/mod.rs
+++ b/crates/experiment/src/policy/mod.rs
@@ -69,7 +69,7 @@
             simulate(scenario, variant, seed, daemons.map(make).collect())
         }
         Variant::Now => {
-            let make = |daemon| Now::new(&places, of_daemon(daemon));
+            let make = |daemon| Now::new(&places, daemon, scenario.daemons, of_daemon(daemon));
             simulate(scenario, variant, seed, daemons.map(make).collect())
         }
         Variant::Oracle => simulate(scenario, variant, seed, vec![Oracle::new(&places)]),
--- a/crates/experiment/src/policy/now.rs
+++ b/crates/experiment/src/policy/now.rs
@@ -5,9 +5,9 @@
 use slotmap::SecondaryMap;
 use wisteriapoint_route::{
     Admission, Class, Demand, EndpointKey, Load, Outcome, Pool, Reason, Refusal, Seat, Strike,
-    TicketKey, Woken,
+    Subset, TicketKey, Woken,
 };
-use wisteriapoint_types::FailureDomain;
+use wisteriapoint_types::{FailureDomain, MemberId};
 
 use super::scenario::Kind;
 use super::variant::{Ask, End, Order, Place, Policy};
@@ -27,13 +27,17 @@
 
 impl Now {
     /// Makes the variant.
-    pub fn new(places: &[Place], seed: u64) -> Self {
+    pub fn new(places: &[Place], daemon: usize, daemons: usize, seed: u64) -> Self {
         let mut pool = Pool::new(QUEUE_LENGTH, seed);
+        let members = (0..daemons as u64).map(MemberId).collect();
+        let subset = Subset::new(MemberId(daemon as u64), members, places.len());
         let mut indices = SecondaryMap::new();
         let mut keys = Vec::new();
         for (index, place) in places.iter().enumerate() {
             let name = format!("endpoint-{index}");
-            let key = pool.insert(Seat::new(&name, &domain(place.failure_domain), place.slots));
+            let mut seat = Seat::new(&name, &domain(place.failure_domain), place.slots);
+            seat.owned = subset.owns(&seat.endpoint);
+            let key = pool.insert(seat);
             indices.insert(key, index);
             keys.push(key);
         }
--- a/crates/experiment/src/policy/simulation.rs
+++ b/crates/experiment/src/policy/simulation.rs
@@ -50,6 +50,7 @@
     endpoints: Vec<Endpoint>,
     pub(crate) requests: Vec<Request>,
     events: BTreeMap<(u64, u64), Event>,
+    next_ms: Vec<f64>,
     sequence: u64,
     now_ms: u64,
     arrivals: SmallRng,
@@ -83,6 +84,7 @@
             endpoints: places(scenario).into_iter().map(endpoint).collect(),
             requests: Vec::new(),
             events: BTreeMap::new(),
+            next_ms: vec![0.0; scenario.streams.len()],
             sequence: 0,
             now_ms: 0,
             arrivals: SmallRng::seed_from_u64(seed),
@@ -169,7 +171,10 @@
         self.begin(request);
         let rate = stream.load * self.scenario.tokens_per_second() / stream.mean_tokens();
         let gap_s = -(1.0 - self.arrivals.random::<f64>()).ln() / rate;
-        self.after((gap_s * 1_000.0) as u64, Event::Next(index));
+        // Fractions of a millisecond add up, so that the rate holds.
+        let next_ms = self.next_ms[index].max(stream.from_ms as f64) + gap_s * 1_000.0;
+        self.next_ms[index] = next_ms;
+        self.at((next_ms as u64).max(self.now_ms), Event::Next(index));
     }
 
     fn draw(&mut self, stream: &Stream) -> Request {
--- /dev/null
+++ b/crates/experiment/tests/targets.rs
@@ -0,0 +1,68 @@
+//! Targets of the policy, on fixed seeds.
+
+use std::path::Path;
+
+use wisteriapoint_experiment::policy::{Scenario, Variant, run};
+use wisteriapoint_experiment::report::Run;
+
+const SEEDS: u64 = 10;
+
+fn scenario(name: &str) -> Scenario {
+    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+    Scenario::read(&directory.join(format!("{name}.json"))).expect("the scenario is readable")
+}
+
+fn runs(name: &str, variant: Variant) -> Vec<Run> {
+    let scenario = scenario(name);
+    (1..=SEEDS)
+        .map(|seed| run(&scenario, variant, seed))
+        .collect()
+}
+
+fn figure(run: &Run, name: &str) -> f64 {
+    run.figures[name]
+}
+
+fn unanswered(run: &Run) -> f64 {
+    figure(run, "missed") + figure(run, "refused")
+}
+
+#[test]
+fn no_deadline_is_missed_where_the_oracle_misses_none() {
+    let oracle = runs("slow-third", Variant::Oracle);
+    let now = runs("slow-third", Variant::Now);
+    let mut compared = 0;
+    for (oracle, now) in oracle.iter().zip(&now) {
+        if unanswered(oracle) == 0.0 {
+            compared += 1;
+            assert_eq!(unanswered(now), 0.0, "seed {}", now.seed);
+        }
+    }
+    assert!(compared > 0, "the oracle misses deadlines on every seed");
+}
+
+#[test]
+fn goodput_holds_at_half_again_the_capacity() {
+    let full = runs("overload-100", Variant::Now);
+    let over = runs("overload-150", Variant::Now);
+    for (full, over) in full.iter().zip(&over) {
+        let kept = figure(over, "goodput_tokens_per_s") / figure(full, "goodput_tokens_per_s");
+        assert!(kept >= 0.95, "seed {}: {kept}", over.seed);
+    }
+}
+
+#[test]
+fn a_crashing_request_costs_at_most_two_endpoints_and_no_answer() {
+    for run in runs("crashing-request", Variant::Now) {
+        assert!(figure(&run, "endpoints_lost") <= 2.0, "seed {}", run.seed);
+        assert_eq!(unanswered(&run), 0.0, "seed {}", run.seed);
+    }
+}
+
+#[test]
+fn a_run_depends_on_its_seed_alone() {
+    let scenario = scenario("crash");
+    let figures = |seed| run(&scenario, Variant::Now, seed).figures;
+    assert_eq!(figures(3), figures(3));
+    assert_ne!(figures(3), figures(4));
+}
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -123,9 +123,11 @@
         for endpoint in document.endpoints.iter().filter(used) {
             let key = inner.key(endpoint);
             let earlier = inner.targets.insert(key, endpoint.into());
+            let owned = inner.owns(&endpoint.endpoint);
             let moved = earlier.is_some_and(|earlier| earlier.address != endpoint.address);
             if let Some(seat) = inner.pool.seat_mut(key) {
                 seat.max_concurrency = endpoint.max_concurrency;
+                seat.owned = owned;
             }
             inner.set_leave(key, |leave| {
                 leave.vm_is_leaving = leaving.contains(&endpoint.vm);
@@ -273,6 +275,11 @@
         }
     }
 
+    fn owns(&self, endpoint: &EndpointName) -> bool {
+        let subset = self.subset.as_ref();
+        subset.is_none_or(|subset| subset.owns(endpoint))
+    }
+
     fn remove_absent(&mut self, names: &BTreeSet<&EndpointName>) {
         let absent: Vec<EndpointKey> = self
             .pool
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -1,13 +1,14 @@
 //! Choice of an endpoint for one request.
 
-use rand::RngExt;
-use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 use wisteriapoint_types::hash64;
 
 use crate::{Demand, EndpointKey, Seat};
 
-const CHOICES: usize = 2;
+/// Safety of the expected time of an answer against its deadline.
+const LATE_MARGIN: f64 = 1.1;
+/// How much worse than the best an endpoint may be to be chosen in its turn.
+const NEAR_RATIO: f64 = 1.1;
 /// How much worse than the best an endpoint may be to be chosen for its prefix cache.
 const AFFINITY_RATIO: f64 = 1.5;
 
@@ -37,7 +38,7 @@
 impl Chooser<'_> {
     /// Power of two choices among the best that have room; among those that are nearly as
     /// good, the one that a prompt's beginning leads to.
-    pub(crate) fn choose(&self, demand: &Demand, random: &mut SmallRng) -> Choice {
+    pub(crate) fn choose(&self, demand: &Demand) -> Choice {
         let candidates = self.candidates(demand);
         let Some(first) = candidates.first() else {
             return Choice::Wait;
@@ -45,9 +46,9 @@
         if first.tier & LATE != 0 && self.could_be_in_time(demand) {
             return Choice::Wait;
         }
-        match demand.prefix {
-            Some(prefix) => Choice::Take(self.affine(&candidates, prefix)),
-            None => Choice::Take(least_of_some(&candidates, random)),
+        match self.best(&candidates, demand.prefix) {
+            Some(key) => Choice::Take(key),
+            None => Choice::Wait,
         }
     }
 
@@ -57,7 +58,9 @@
         let mut best = u8::MAX;
         let mut candidates = Vec::new();
         for (key, seat) in self.seats {
-            if !seat.is_open(self.now_ms) || !seat.has_room(self.now_ms, rollout) {
+            if !seat.is_open(self.now_ms)
+                || !seat.has_room(self.now_ms, rollout, self.default_ms_per_token)
+            {
                 continue;
             }
             let tier = self.tier(key, seat, demand);
@@ -88,8 +91,9 @@
     }
 
     fn is_late(&self, seat: &Seat, demand: &Demand) -> bool {
-        let service_ms = f64::from(demand.cost_tokens) * seat.speed(self.default_ms_per_token);
-        self.now_ms as f64 + service_ms > demand.deadline_ms as f64
+        let service_ms =
+            f64::from(demand.cost_tokens) * seat.best_speed(self.now_ms, self.default_ms_per_token);
+        self.now_ms as f64 + service_ms * LATE_MARGIN > demand.deadline_ms as f64
     }
 
     /// Whether an endpoint without room would still be in time.
@@ -98,26 +102,26 @@
         open.any(|seat| !self.is_late(seat, demand))
     }
 
-    fn affine(&self, candidates: &[Candidate], prefix: u64) -> EndpointKey {
+    /// Among the candidates that are nearly as good as the best, the one that a prompt's
+    /// beginning leads to, or else the one that has waited longest for a request.
+    fn best(&self, candidates: &[Candidate], prefix: Option<u64>) -> Option<EndpointKey> {
         let scores = candidates.iter().map(|candidate| candidate.score);
-        let bound = scores.fold(f64::INFINITY, f64::min) * AFFINITY_RATIO;
-        let near = candidates.iter().filter(|c| c.score <= bound);
-        let weight = |c: &&Candidate| hash64(self.seats[c.key].hash, &prefix.to_le_bytes());
-        near.max_by_key(weight).unwrap_or(&candidates[0]).key
+        let least = scores.fold(f64::INFINITY, f64::min);
+        let near = |ratio: f64| {
+            let bound = least * ratio;
+            candidates
+                .iter()
+                .filter(move |c| c.score <= bound)
+                .map(|c| c.key)
+        };
+        match prefix {
+            Some(prefix) => near(AFFINITY_RATIO)
+                .max_by_key(|&key| hash64(self.seats[key].hash, &prefix.to_le_bytes())),
+            None => near(NEAR_RATIO).min_by_key(|&key| self.seats[key].used_at),
+        }
     }
 }
 
 const AVOIDED: u8 = 1;
 const TRIED: u8 = 2;
 const LATE: u8 = 4;
-
-fn least_of_some(candidates: &[Candidate], random: &mut SmallRng) -> EndpointKey {
-    let mut best = candidates[random.random_range(0..candidates.len())];
-    for _ in 1..CHOICES {
-        let other = candidates[random.random_range(0..candidates.len())];
-        if other.score < best.score {
-            best = other;
-        }
-    }
-    best.key
-}
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,7 +1,7 @@
 //! The endpoints of one service and the requests that wait for them or run there.
 
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use slotmap::SlotMap;
 
 use crate::choice::{Choice, Chooser};
@@ -22,6 +22,8 @@
 const LOOK_AHEAD: usize = 16;
 /// One endpoint in so many may be kept for a suspect.
 const SOLO_DIVISOR: usize = 4;
+/// Number of the first dispatch; an endpoint starts with a random lower one.
+const FIRST_DISPATCH: u64 = 1 << 32;
 const TOKEN_SHARE_SMOOTHING: f64 = 0.02;
 
 /// A waiting request that may now be dispatched, or is refused.
@@ -65,6 +67,8 @@
     suspects: Suspects,
     retries: RetryBudget,
     token_share: f64,
+    answers: u64,
+    dispatches: u64,
     random: SmallRng,
 }
 
@@ -82,6 +86,8 @@
             suspects: Suspects::default(),
             retries: RetryBudget::new(DEFAULT_RETRY_RATIO),
             token_share: 1.0,
+            answers: 0,
+            dispatches: FIRST_DISPATCH,
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -97,7 +103,9 @@
     }
 
     /// Adds an endpoint.
-    pub fn insert(&mut self, seat: Seat) -> EndpointKey {
+    pub fn insert(&mut self, mut seat: Seat) -> EndpointKey {
+        // Daemons that start together take the endpoints in different orders.
+        seat.used_at = self.random.random_range(0..FIRST_DISPATCH);
         self.seats.insert(seat)
     }
 
@@ -159,7 +167,7 @@
         if demand.tried.is_empty() {
             self.retries.deposit();
         }
-        match self.standing(&demand) {
+        match self.standing(now_ms, &demand) {
             Standing::Quarantined => {
                 Admission::Refuse(self.refusal(now_ms, Reason::Quarantined, &demand))
             }
@@ -220,10 +228,15 @@
             since_ms: now_ms,
         };
         let ticket = self.tickets.insert(Ticket { demand, state });
-        self.seats[endpoint].occupy(now_ms);
+        self.occupy(now_ms, endpoint);
         Dispatch { ticket, endpoint }
     }
 
+    fn occupy(&mut self, now_ms: u64, endpoint: EndpointKey) {
+        self.dispatches += 1;
+        self.seats[endpoint].occupy(now_ms, self.dispatches);
+    }
+
     /// Takes back a waiting request.
     pub fn withdraw(&mut self, ticket: TicketKey) {
         let state = self.tickets.get(ticket).map(|held| held.state);
@@ -260,16 +273,19 @@
         let Some(held) = self.tickets.get(ticket) else {
             return Vec::new();
         };
-        let endpoint = match held.state {
-            State::Running { endpoint, .. } | State::Preempted { endpoint } => endpoint,
+        let (endpoint, since_ms) = match held.state {
+            State::Running { endpoint, since_ms } => (endpoint, since_ms),
+            State::Preempted { endpoint } => (endpoint, now_ms),
             State::Queued(_) | State::Solo => return Vec::new(),
         };
+        let expected_tokens = (f64::from(held.demand.cost_tokens) * self.token_share).max(1.0);
+        let bound_ms_per_token = now_ms.saturating_sub(since_ms) as f64 / expected_tokens;
         let digest = held.demand.digest;
         let cost_tokens = held.demand.cost_tokens;
         self.forget(ticket);
         self.preempted.retain(|&other| other != ticket);
         if let Some(seat) = self.seats.get_mut(endpoint) {
-            seat.release(now_ms, outcome);
+            seat.release(now_ms, outcome, bound_ms_per_token);
             let alone = seat.reserved == Some(ticket);
             if alone {
                 seat.reserved = None;
@@ -278,13 +294,15 @@
                 (Outcome::Crashed, Some(digest)) => {
                     self.suspects.strike(now_ms, digest, &seat.endpoint, alone);
                 }
-                (Outcome::Answered { .. }, Some(digest)) => self.suspects.acquit(digest),
+                (Outcome::Answered { .. }, Some(digest)) => self.suspects.acquit(now_ms, digest),
                 _ => {}
             }
         }
         if let Outcome::Answered { tokens, .. } = outcome {
             let share = f64::from(tokens) / f64::from(cost_tokens.max(1));
-            self.token_share += TOKEN_SHARE_SMOOTHING * (share.min(1.0) - self.token_share);
+            self.answers += 1;
+            let weight = (1.0 / self.answers as f64).max(TOKEN_SHARE_SMOOTHING);
+            self.token_share += weight * (share.min(1.0) - self.token_share);
         }
         self.wake(now_ms)
     }
@@ -304,7 +322,7 @@
     fn wake_solo(&mut self, now_ms: u64, woken: &mut Vec<Woken>) {
         for ticket in self.solo.clone() {
             let demand = &self.tickets[ticket].demand;
-            let endpoint = match self.standing(demand) {
+            let endpoint = match self.standing(now_ms, demand) {
                 Standing::Quarantined => Err(self.refusal(now_ms, Reason::Quarantined, demand)),
                 _ if demand.deadline_ms <= now_ms => {
                     Err(self.refusal(now_ms, Reason::Deadline, demand))
@@ -358,7 +376,7 @@
         if demand.class.is_rollout() {
             self.queue.advance(place);
         }
-        self.seats[endpoint].occupy(now_ms);
+        self.occupy(now_ms, endpoint);
         self.tickets[ticket].state = State::Running {
             endpoint,
             since_ms: now_ms,
@@ -369,7 +387,8 @@
     fn any_room(&self, now_ms: u64, class: Class) -> bool {
         let rollout = class.is_rollout();
         let mut open = self.seats.values().filter(|seat| seat.is_open(now_ms));
-        open.any(|seat| seat.has_room(now_ms, rollout))
+        let default = self.default_ms_per_token();
+        open.any(|seat| seat.has_room(now_ms, rollout, default))
     }
 
     /// Marks the youngest rollouts in flight for cancellation, one for each waiting caller.
@@ -403,8 +422,10 @@
         self.tickets.len()
     }
 
-    fn standing(&self, demand: &Demand) -> Standing {
-        let standing = demand.digest.map(|digest| self.suspects.standing(digest));
+    fn standing(&self, now_ms: u64, demand: &Demand) -> Standing {
+        let standing = demand
+            .digest
+            .map(|digest| self.suspects.standing(now_ms, digest));
         standing.unwrap_or(Standing::Clean)
     }
 
@@ -412,9 +433,9 @@
         let chooser = Chooser {
             seats: &self.seats,
             now_ms,
-            default_ms_per_token: self.mean_ms_per_token(),
+            default_ms_per_token: self.default_ms_per_token(),
         };
-        chooser.choose(demand, &mut self.random)
+        chooser.choose(demand)
     }
 
     /// Reserves an endpoint for a suspect and starts it there once it is empty.
@@ -430,7 +451,7 @@
         if self.seats[endpoint].in_flight > 0 {
             return None;
         }
-        self.seats[endpoint].occupy(now_ms);
+        self.occupy(now_ms, endpoint);
         self.tickets[ticket].state = State::Running {
             endpoint,
             since_ms: now_ms,
@@ -449,25 +470,34 @@
         let free = open().filter(|(_, seat)| seat.reserved.is_none());
         let (key, _) = free.min_by_key(|(_, seat)| {
             let struck = self.suspects.has_struck(digest, &seat.endpoint);
-            (struck, seat.in_flight + seat.peers(now_ms) as u32)
+            (
+                struck,
+                !seat.owned,
+                seat.in_flight + seat.peers(now_ms) as u32,
+            )
         })?;
         self.seats[key].reserved = Some(ticket);
         Some(key)
     }
 
-    fn mean_ms_per_token(&self) -> f64 {
-        let measured = || self.seats.values().filter(|seat| seat.ms_per_token > 0.0);
-        match measured().count() {
-            0 => 0.0,
-            count => measured().map(|seat| seat.ms_per_token).sum::<f64>() / count as f64,
+    /// Time for one token that an endpoint without measurement is given credit for, that
+    /// of the fastest; 0 if none is measured.
+    fn default_ms_per_token(&self) -> f64 {
+        let measured = self.seats.values().map(|seat| seat.ms_per_token);
+        let least = measured
+            .filter(|&speed| speed > 0.0)
+            .fold(f64::INFINITY, f64::min);
+        match least {
+            least if least.is_finite() => least,
+            _ => 0.0,
         }
     }
 
     /// Time until the queue before a new request of a class is dispatched, in milliseconds.
     fn wait_ms(&self, now_ms: u64, class: Class) -> f64 {
-        let mean = self.mean_ms_per_token();
+        let default = self.default_ms_per_token();
         let open = self.seats.values().filter(|seat| seat.is_open(now_ms));
-        let rates = open.map(|seat| match seat.speed(mean) {
+        let rates = open.map(|seat| match seat.best_speed(now_ms, default) {
             speed if speed > 0.0 => seat.share(now_ms) / speed,
             _ => 0.0,
         });
@@ -480,10 +510,10 @@
 
     /// Expected time of a request on the fastest open endpoint, in milliseconds.
     fn service_ms(&self, now_ms: u64, demand: &Demand) -> f64 {
-        let mean = self.mean_ms_per_token();
+        let default = self.default_ms_per_token();
         let open = self.seats.values().filter(|seat| seat.is_open(now_ms));
         let fastest = open
-            .map(|seat| seat.speed(mean))
+            .map(|seat| seat.speed(now_ms, default))
             .fold(f64::INFINITY, f64::min);
         match fastest {
             speed if speed.is_finite() => f64::from(demand.cost_tokens) * self.token_share * speed,
--- a/crates/route/src/seat.rs
+++ b/crates/route/src/seat.rs
@@ -10,8 +10,11 @@
 }
 
 const SPEED_SMOOTHING: f64 = 0.1;
+const SPEED_HALF_LIFE_MS: f64 = 600_000.0;
 const OWN_SMOOTHING_MS: f64 = 1_000.0;
-const REPORT_HALF_LIFE_MS: f64 = 2_000.0;
+const PEERS_SMOOTHING: f64 = 0.1;
+const SERVICE_SMOOTHING: f64 = 0.1;
+const DEFAULT_SERVICE_MS: f64 = 500.0;
 const EJECTION_MS: u64 = 1_000;
 const MAX_EJECTION_DOUBLINGS: u32 = 5;
 /// Time for a token above which an endpoint counts as congested, as a multiple of its best.
@@ -70,15 +73,22 @@
     pub ejected_until_ms: u64,
     /// Measured time for one token, in milliseconds; 0 if not measured.
     pub ms_per_token: f64,
+    /// Whether this daemon alone, of all, runs crash suspects there.
+    pub owned: bool,
     pub(crate) hash: u64,
     pub(crate) reserved: Option<TicketKey>,
     limit: f64,
     failures: u32,
     failed_at_ms: u64,
     best_ms_per_token: f64,
+    measured_at_ms: u64,
     own_mean: f64,
     own_at_ms: u64,
     peers: f64,
+    peers_mean: f64,
+    service_ms: f64,
+    /// Number of the pool's dispatches when this endpoint got its last.
+    pub(crate) used_at: u64,
 }
 
 impl Seat {
@@ -93,15 +103,20 @@
             load: Load::default(),
             ejected_until_ms: 0,
             ms_per_token: 0.0,
+            owned: true,
             hash: hash64(0, endpoint.as_bytes()),
             reserved: None,
             limit: f64::from(max_concurrency),
             failures: 0,
             failed_at_ms: 0,
             best_ms_per_token: 0.0,
+            measured_at_ms: 0,
             own_mean: 0.0,
             own_at_ms: 0,
             peers: 0.0,
+            peers_mean: 0.0,
+            service_ms: DEFAULT_SERVICE_MS,
+            used_at: 0,
         }
     }
 
@@ -110,10 +125,12 @@
         (self.limit as u32).clamp(1, self.max_concurrency.max(1))
     }
 
-    /// Requests of other daemons there, estimated; an old report counts less.
+    /// Requests of other daemons there, estimated; what an old report says beyond the mean
+    /// counts less, the older it is against the time that requests take.
     pub fn peers(&self, now_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.load.at_ms) as f64;
-        self.peers * (-age_ms / REPORT_HALF_LIFE_MS).exp2()
+        let weight = (-age_ms / self.service_ms).exp();
+        self.peers_mean + weight * (self.peers - self.peers_mean)
     }
 
     pub(crate) fn is_open(&self, now_ms: u64) -> bool {
@@ -126,23 +143,42 @@
         left.min(self.limit).max(1.0)
     }
 
-    pub(crate) fn has_room(&self, now_ms: u64, rollout: bool) -> bool {
+    /// Whether one more request fits; an endpoint that is not measured beside others that
+    /// are takes one at a time.
+    pub(crate) fn has_room(&self, now_ms: u64, rollout: bool, default_ms_per_token: f64) -> bool {
         let headroom = match rollout {
             true => f64::from(self.max_concurrency / HEADROOM_DIVISOR),
             false => 0.0,
         };
+        let unmeasured = self.ms_per_token == 0.0 && default_ms_per_token > 0.0;
         let share = match self.failures {
-            0 => (self.share(now_ms) - headroom).max(1.0),
+            0 if !unmeasured => (self.share(now_ms) - headroom).max(1.0),
             _ => 1.0,
         };
         self.reserved.is_none() && f64::from(self.in_flight) + 1.0 <= share
     }
 
-    /// Time for one token where it is not measured yet, by that of the others.
-    pub(crate) fn speed(&self, default_ms_per_token: f64) -> f64 {
-        match self.ms_per_token {
+    /// Mean time for one token, with the waiting in the endpoint; that of the others where
+    /// it is not measured. An old measurement of a slow endpoint fades, so that it is tried
+    /// again.
+    pub(crate) fn speed(&self, now_ms: u64, default_ms_per_token: f64) -> f64 {
+        self.faded(now_ms, self.ms_per_token, default_ms_per_token)
+    }
+
+    /// Time for one token without waiting in the endpoint.
+    pub(crate) fn best_speed(&self, now_ms: u64, default_ms_per_token: f64) -> f64 {
+        self.faded(now_ms, self.best_ms_per_token, default_ms_per_token)
+    }
+
+    fn faded(&self, now_ms: u64, measured: f64, default: f64) -> f64 {
+        match measured {
+            measured if measured > default && default > 0.0 => {
+                let age_ms = now_ms.saturating_sub(self.measured_at_ms) as f64;
+                let weight = (-age_ms / SPEED_HALF_LIFE_MS).exp2();
+                default + weight * (measured - default)
+            }
             measured if measured > 0.0 => measured,
-            _ => default_ms_per_token,
+            _ => default,
         }
     }
 
@@ -150,21 +186,33 @@
     pub(crate) fn score(&self, now_ms: u64, default_ms_per_token: f64) -> f64 {
         let queued = f64::from(self.in_flight) + self.peers(now_ms);
         let fill = queued / f64::from(self.max_concurrency.max(1));
-        self.speed(default_ms_per_token) * (1.0 + fill)
+        self.speed(now_ms, default_ms_per_token) * (1.0 + fill)
     }
 
-    pub(crate) fn occupy(&mut self, now_ms: u64) {
+    pub(crate) fn occupy(&mut self, now_ms: u64, dispatch: u64) {
         self.note_own(now_ms);
+        self.used_at = dispatch;
         self.in_flight += 1;
     }
 
-    pub(crate) fn release(&mut self, now_ms: u64, outcome: Outcome) {
+    /// Ends a request; `bound_ms_per_token` is what its time says if it was given up.
+    pub(crate) fn release(&mut self, now_ms: u64, outcome: Outcome, bound_ms_per_token: f64) {
         self.note_own(now_ms);
         self.in_flight = self.in_flight.saturating_sub(1);
         match outcome {
-            Outcome::Answered { elapsed_ms, tokens } => self.learn(elapsed_ms, tokens),
+            Outcome::Answered { elapsed_ms, tokens } => self.learn(now_ms, elapsed_ms, tokens),
+            Outcome::Cancelled => self.learn_at_least(now_ms, bound_ms_per_token),
             Outcome::Failed | Outcome::Crashed => self.eject(now_ms),
-            Outcome::Refused | Outcome::Cancelled => {}
+            Outcome::Refused => {}
+        }
+    }
+
+    /// A request that was given up late shows an endpoint to be slow, or to hang.
+    fn learn_at_least(&mut self, now_ms: u64, bound_ms_per_token: f64) {
+        if bound_ms_per_token > self.ms_per_token {
+            self.ms_per_token = bound_ms_per_token;
+            self.best_ms_per_token = self.best_ms_per_token.max(bound_ms_per_token);
+            self.measured_at_ms = now_ms;
         }
     }
 
@@ -173,6 +221,7 @@
         self.load = load;
         let reported = f64::from(load.running + load.waiting);
         self.peers = (reported - self.own_mean).max(0.0);
+        self.peers_mean += PEERS_SMOOTHING * (self.peers - self.peers_mean);
         if load.at_ms > self.failed_at_ms {
             self.failures = 0;
             self.ejected_until_ms = self.ejected_until_ms.min(now_ms);
@@ -186,8 +235,10 @@
         self.own_at_ms = now_ms;
     }
 
-    fn learn(&mut self, elapsed_ms: u64, tokens: u32) {
+    fn learn(&mut self, now_ms: u64, elapsed_ms: u64, tokens: u32) {
         self.failures = 0;
+        self.measured_at_ms = now_ms;
+        self.service_ms += SERVICE_SMOOTHING * (elapsed_ms.max(1) as f64 - self.service_ms);
         let sample = elapsed_ms.max(1) as f64 / f64::from(tokens.max(1));
         match self.ms_per_token {
             known if known > 0.0 => {
@@ -195,13 +246,12 @@
             }
             _ => {
                 self.ms_per_token = sample;
-                self.best_ms_per_token = sample;
             }
         }
         self.best_ms_per_token = match sample {
-            sample if sample < self.best_ms_per_token => sample,
+            sample if sample < self.best_ms_per_token || self.best_ms_per_token == 0.0 => sample,
             // A slow rise forgets a best that no longer holds.
-            _ => self.best_ms_per_token * 1.001,
+            _ => self.best_ms_per_token * 1.01,
         };
         self.limit = match sample {
             sample if sample > CONGESTION_RATIO * self.best_ms_per_token => {
@@ -219,6 +269,8 @@
             self.ejected_until_ms = now_ms + (EJECTION_MS << doublings);
             self.failures += 1;
         }
+        // All daemons come back to it at once; each starts with one request.
+        self.limit = 1.0;
         self.failed_at_ms = now_ms;
     }
 }
--- a/crates/route/src/subset.rs
+++ b/crates/route/src/subset.rs
@@ -29,6 +29,11 @@
         endpoints.iter().filter(used).copied().collect()
     }
 
+    /// Whether the endpoint prefers this daemon to all others.
+    pub fn owns(&self, endpoint: &EndpointName) -> bool {
+        self.members.is_empty() || self.rank(endpoint) == 0
+    }
+
     /// Number of daemons that the endpoint prefers to this one.
     fn rank(&self, endpoint: &EndpointName) -> usize {
         let seed = hash64(0, endpoint.as_str().as_bytes());
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -54,6 +54,7 @@
     pub fn strike(&mut self, now_ms: u64, digest: Digest, endpoint: &EndpointName, alone: bool) {
         self.forget(now_ms);
         let strikes = self.records.entry(digest).or_default();
+        strikes.retain(|held| held.at_ms + FORGET_MS > now_ms);
         match strikes.iter_mut().find(|held| held.endpoint == *endpoint) {
             Some(held) => {
                 held.at_ms = held.at_ms.max(now_ms);
@@ -72,16 +73,17 @@
     }
 
     /// Clears a suspect that ran to its end; a quarantined request stays so.
-    pub fn acquit(&mut self, digest: Digest) {
-        if self.standing(digest) == Standing::Suspect {
+    pub fn acquit(&mut self, now_ms: u64, digest: Digest) {
+        if self.standing(now_ms, digest) == Standing::Suspect {
             self.records.remove(&digest);
         }
     }
 
-    /// How a request is treated.
-    pub fn standing(&self, digest: Digest) -> Standing {
+    /// How a request is treated; strikes are forgotten after ten minutes.
+    pub fn standing(&self, now_ms: u64, digest: Digest) -> Standing {
         match self.records.get(&digest) {
             None => Standing::Clean,
+            Some(strikes) if latest_ms(strikes) + FORGET_MS <= now_ms => Standing::Clean,
             Some(strikes) if strikes.iter().any(|held| held.alone) => Standing::Quarantined,
             Some(_) => Standing::Suspect,
         }
