Test the routing policy as a pure value

Fourteen tests of the pool and eight of suspects and subsets: refusals and their Retry-After, precedence and preemption, fair shares of trainers by tokens, the share of retries, strikes and their exchange, coverage of subsets, and a property test in which a random sequence of steps must leave in_flight equal to the dispatches held and must lose no ticket. One expectation was wrong when it was written, that a crashed endpoint takes two requests at once after a fresh report: it starts with one, so the test uses a third endpoint and keeps its count.

--- /dev/null
+++ b/crates/route/tests/pool.rs
@@ -0,0 +1,405 @@
+//! Choice, limits, order and bookkeeping of the pool.
+
+use proptest::prelude::*;
+use wisteriapoint_route::{
+    Admission, Class, Demand, Dispatch, EndpointKey, Load, Outcome, Pool, Reason, Seat, TicketKey,
+};
+use wisteriapoint_types::{Digest, FailureDomain};
+
+const QUEUE_LENGTH: usize = 4;
+const ROLLOUT: Class = Class::Rollout { trainer: 1 };
+
+/// Name, failure domain and slots of each endpoint.
+type Seats = &'static [(&'static str, &'static str, u32)];
+
+fn pool(seats: &[(&str, &str, u32)]) -> (Pool, Vec<EndpointKey>) {
+    let mut pool = Pool::new(QUEUE_LENGTH, 1);
+    let keys = seats
+        .iter()
+        .map(|&(endpoint, failure_domain, slots)| {
+            pool.insert(Seat::new(endpoint, failure_domain, slots))
+        })
+        .collect();
+    (pool, keys)
+}
+
+fn go(admission: Admission) -> Dispatch {
+    match admission {
+        Admission::Go(dispatch) => dispatch,
+        other => panic!("expected a dispatch, got {other:?}"),
+    }
+}
+
+fn wait(admission: Admission) -> TicketKey {
+    match admission {
+        Admission::Wait(ticket) => ticket,
+        other => panic!("expected a ticket, got {other:?}"),
+    }
+}
+
+fn answered(elapsed_ms: u64, tokens: u32) -> Outcome {
+    Outcome::Answered { elapsed_ms, tokens }
+}
+
+/// Lets an endpoint answer once, so that its speed is known.
+fn measure(pool: &mut Pool, key: EndpointKey, ms_per_token: u64) {
+    let others: Vec<EndpointKey> = pool.seats().map(|(other, _)| other).collect();
+    let tried = others.into_iter().filter(|&other| other != key).collect();
+    let demand = Demand {
+        tried,
+        ..Demand::caller(1_000_000)
+    };
+    let dispatch = go(pool.admit(0, demand));
+    assert_eq!(dispatch.endpoint, key);
+    pool.finish(0, dispatch.ticket, answered(ms_per_token, 1));
+}
+
+#[test]
+fn refusals() {
+    let cases: [(&str, Seats, u64, usize, Reason); 3] = [
+        ("no endpoint", &[], 1_000, 0, Reason::NoEndpoint),
+        ("deadline passed", &[("e", "a", 1)], 10, 0, Reason::Deadline),
+        (
+            "queue full",
+            &[("e", "a", 1)],
+            1_000,
+            1 + QUEUE_LENGTH,
+            Reason::QueueFull,
+        ),
+    ];
+    for (name, seats, deadline_ms, earlier, reason) in cases {
+        let (mut pool, _) = pool(seats);
+        for _ in 0..earlier {
+            pool.admit(10, Demand::caller(1_000));
+        }
+        match pool.admit(10, Demand::caller(deadline_ms)) {
+            Admission::Refuse(refusal) => {
+                assert_eq!(refusal.reason, reason, "{name}");
+                assert!(refusal.retry_after_ms > 0, "{name}");
+            }
+            other => panic!("{name}: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_request_that_would_wait_past_its_deadline_is_refused_at_once() {
+    let (mut pool, keys) = pool(&[("e", "a", 1)]);
+    measure(&mut pool, keys[0], 100);
+    go(pool.admit(0, Demand::caller(10_000)));
+    wait(pool.admit(0, Demand::caller(10_000)));
+    wait(pool.admit(0, Demand::caller(10_000)));
+    let refusal = match pool.admit(0, Demand::caller(250)) {
+        Admission::Refuse(refusal) => refusal,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(refusal.reason, Reason::Deadline);
+    let in_line_ms = 200 + 100 - 250;
+    assert!(refusal.retry_after_ms >= in_line_ms);
+}
+
+#[test]
+fn a_longer_queue_gives_a_longer_retry_after() {
+    let after = |waiting: usize| {
+        let mut pool = Pool::new(waiting, 1);
+        let key = pool.insert(Seat::new("e", "a", 1));
+        measure(&mut pool, key, 500);
+        go(pool.admit(0, Demand::caller(1_000_000)));
+        for _ in 0..waiting {
+            wait(pool.admit(0, Demand::caller(1_000_000)));
+        }
+        match pool.admit(0, Demand::caller(1_000_000)) {
+            Admission::Refuse(refusal) => refusal.retry_after_ms,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert!(after(8) >= 2 * after(2));
+}
+
+#[test]
+fn leaving_and_failed_endpoints_get_no_new_work() {
+    let (mut pool, keys) = pool(&[("e", "a", 8), ("f", "b", 8)]);
+    pool.seat_mut(keys[0]).expect("it is there").leaving = true;
+    for _ in 0..4 {
+        assert_eq!(go(pool.admit(0, Demand::caller(1_000))).endpoint, keys[1]);
+    }
+    pool.seat_mut(keys[0]).expect("it is there").leaving = false;
+    let dispatch = go(pool.admit(0, Demand::caller(1_000)));
+    assert_eq!(dispatch.endpoint, keys[0]);
+    pool.finish(0, dispatch.ticket, Outcome::Failed);
+    assert_eq!(go(pool.admit(0, Demand::caller(1_000))).endpoint, keys[1]);
+}
+
+#[test]
+fn a_fresh_report_ends_an_ejection() {
+    let (mut pool, keys) = pool(&[("e", "a", 8)]);
+    let dispatch = go(pool.admit(0, Demand::caller(1_000)));
+    pool.finish(0, dispatch.ticket, Outcome::Failed);
+    wait(pool.admit(1, Demand::caller(1_000)));
+    let load = Load {
+        running: 0,
+        waiting: 0,
+        at_ms: 2,
+    };
+    pool.report(2, keys[0], load);
+    assert_eq!(pool.wake(2).len(), 1);
+}
+
+#[test]
+fn a_retry_goes_to_another_failure_domain_and_endpoint_first() {
+    let (mut pool, keys) = pool(&[("e", "a", 8), ("f", "a", 8), ("g", "b", 8)]);
+    let retry = |tried: &[usize], avoid: &str| Demand {
+        tried: tried.iter().map(|&index| keys[index]).collect(),
+        avoid: Some(FailureDomain::new(avoid)),
+        ..Demand::caller(1_000)
+    };
+    assert_eq!(go(pool.admit(0, retry(&[0], "a"))).endpoint, keys[2]);
+    assert_eq!(go(pool.admit(0, retry(&[0, 2], "a"))).endpoint, keys[1]);
+    assert_eq!(go(pool.admit(0, retry(&[0, 1], "b"))).endpoint, keys[2]);
+}
+
+#[test]
+fn a_long_request_avoids_an_endpoint_that_would_be_late() {
+    let (mut pool, keys) = pool(&[("fast", "a", 1), ("slow", "b", 8)]);
+    measure(&mut pool, keys[0], 5);
+    measure(&mut pool, keys[1], 20);
+    let long = |tokens| Demand {
+        cost_tokens: tokens,
+        ..Demand::caller(3_000)
+    };
+    assert_eq!(go(pool.admit(0, long(200))).endpoint, keys[0]);
+    wait(pool.admit(0, long(200)));
+}
+
+#[test]
+fn load_of_other_daemons_takes_room() {
+    let (mut pool, keys) = pool(&[("e", "a", 8)]);
+    for at_ms in 0..100 {
+        let load = Load {
+            running: 8,
+            waiting: 0,
+            at_ms,
+        };
+        pool.report(at_ms, keys[0], load);
+    }
+    go(pool.admit(100, Demand::caller(1_000)));
+    wait(pool.admit(100, Demand::caller(1_000)));
+}
+
+#[test]
+fn one_prefix_keeps_to_one_endpoint_until_it_is_loaded() {
+    let (mut pool, keys) = pool(&[("e", "a", 8), ("f", "a", 8), ("g", "a", 8)]);
+    for &key in &keys {
+        measure(&mut pool, key, 5);
+    }
+    let demand = || Demand {
+        prefix: Some(7),
+        ..Demand::caller(10_000)
+    };
+    let chosen: Vec<EndpointKey> = (0..12)
+        .map(|_| go(pool.admit(0, demand())).endpoint)
+        .collect();
+    let home = chosen[0];
+    assert!(chosen[..4].iter().all(|&key| key == home));
+    assert!(chosen.iter().any(|&key| key != home));
+}
+
+#[test]
+fn callers_go_before_rollouts_and_by_deadline() {
+    let (mut pool, _) = pool(&[("e", "a", 1)]);
+    let running = go(pool.admit(0, Demand::caller(90_000)));
+    let rollout = wait(pool.admit(0, Demand::rollout(1, 90_000)));
+    let late = wait(pool.admit(0, Demand::caller(80_000)));
+    let early = wait(pool.admit(0, Demand::caller(70_000)));
+    let mut order = Vec::new();
+    let mut current = running.ticket;
+    for _ in 0..3 {
+        let woken = pool.finish(0, current, answered(1, 1));
+        assert_eq!(woken.len(), 1);
+        current = woken[0].ticket;
+        order.push(current);
+    }
+    assert_eq!(order, [early, late, rollout]);
+}
+
+#[test]
+fn a_waiting_caller_preempts_the_youngest_rollout() {
+    let (mut pool, _) = pool(&[("e", "a", 2)]);
+    let old = go(pool.admit(0, Demand::rollout(1, 90_000)));
+    let young = go(pool.admit(5, Demand::rollout(1, 90_000)));
+    assert!(pool.take_preempted().is_empty());
+    let caller = wait(pool.admit(10, Demand::caller(5_000)));
+    assert_eq!(pool.take_preempted(), [young.ticket]);
+    assert!(pool.take_preempted().is_empty());
+    let woken = pool.finish(11, young.ticket, Outcome::Cancelled);
+    assert_eq!(woken[0].ticket, caller);
+    assert_eq!(woken[0].endpoint, Ok(old.endpoint));
+}
+
+#[test]
+fn trainers_share_by_tokens() {
+    let cases = [("equal", 100, 100), ("one asks for long answers", 100, 300)];
+    for (name, first_tokens, second_tokens) in cases {
+        let mut pool = Pool::new(1_000, 1);
+        pool.insert(Seat::new("e", "a", 1));
+        let mut current = go(pool.admit(0, Demand::rollout(9, 1_000_000))).ticket;
+        let mut owners = Vec::new();
+        for (trainer, tokens) in [(1, first_tokens), (2, second_tokens)] {
+            for _ in 0..200 {
+                let demand = Demand {
+                    cost_tokens: tokens,
+                    ..Demand::rollout(trainer, 1_000_000)
+                };
+                owners.push((wait(pool.admit(0, demand)), trainer, tokens));
+            }
+        }
+        let mut served = [0_u32; 3];
+        for _ in 0..120 {
+            current = pool.finish(0, current, answered(1, 1))[0].ticket;
+            let &(_, trainer, tokens) = owners
+                .iter()
+                .find(|(ticket, _, _)| *ticket == current)
+                .expect("it was queued");
+            served[trainer as usize] += tokens;
+        }
+        let difference = served[1].abs_diff(served[2]);
+        assert!(difference <= 2 * second_tokens, "{name}: {served:?}");
+    }
+}
+
+#[test]
+fn retries_stay_within_their_share() {
+    for (ratio, most) in [(0.0, 0), (0.1, 101), (0.5, 501)] {
+        let (mut pool, _) = pool(&[("e", "a", 1)]);
+        for _ in 0..1_000 {
+            pool.may_retry();
+        }
+        pool.set_retry_ratio(ratio);
+        let mut retries = 0;
+        for _ in 0..1_000 {
+            pool.admit(0, Demand::caller(1_000));
+            retries += usize::from(pool.may_retry());
+        }
+        assert!(retries <= most, "{ratio}: {retries}");
+        assert!(retries + 2 >= most, "{ratio}: {retries}");
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Admit {
+        rollout: bool,
+        deadline_ms: u64,
+        digest: u8,
+    },
+    Finish {
+        index: usize,
+        outcome: usize,
+    },
+    Withdraw {
+        index: usize,
+    },
+    Report {
+        seat: usize,
+        running: u32,
+    },
+    Leave {
+        seat: usize,
+        leaving: bool,
+    },
+    Pass {
+        ms: u64,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (any::<bool>(), 1..5_000_u64, 0..4_u8).prop_map(|(rollout, deadline_ms, digest)| {
+            Step::Admit { rollout, deadline_ms, digest }
+        }),
+        4 => (any::<usize>(), 0..5_usize).prop_map(|(index, outcome)| Step::Finish { index, outcome }),
+        1 => any::<usize>().prop_map(|index| Step::Withdraw { index }),
+        1 => (0..3_usize, 0..12_u32).prop_map(|(seat, running)| Step::Report { seat, running }),
+        1 => (0..3_usize, any::<bool>()).prop_map(|(seat, leaving)| Step::Leave { seat, leaving }),
+        2 => (0..2_000_u64).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+fn outcome(index: usize) -> Outcome {
+    [
+        answered(20, 1),
+        Outcome::Refused,
+        Outcome::Failed,
+        Outcome::Crashed,
+        Outcome::Cancelled,
+    ][index]
+}
+
+proptest! {
+    #[test]
+    fn nothing_leaks(steps in prop::collection::vec(step(), 1..200)) {
+        let (mut pool, keys) = pool(&[("e", "a", 2), ("f", "b", 2), ("g", "c", 3)]);
+        let mut now_ms = 0;
+        let mut waiting: Vec<TicketKey> = Vec::new();
+        let mut running: Vec<Dispatch> = Vec::new();
+        for step in steps {
+            let mut woken = Vec::new();
+            match step {
+                Step::Admit { rollout, deadline_ms, digest } => {
+                    let class = if rollout { ROLLOUT } else { Class::Caller };
+                    let demand = Demand {
+                        class,
+                        digest: Some(Digest(digest.into())),
+                        ..Demand::caller(now_ms + deadline_ms)
+                    };
+                    match pool.admit(now_ms, demand) {
+                        Admission::Go(dispatch) => running.push(dispatch),
+                        Admission::Wait(ticket) => waiting.push(ticket),
+                        Admission::Refuse(_) => {}
+                    }
+                }
+                Step::Finish { index, outcome: end } if !running.is_empty() => {
+                    let dispatch = running.swap_remove(index % running.len());
+                    woken = pool.finish(now_ms, dispatch.ticket, outcome(end));
+                }
+                Step::Withdraw { index } if !waiting.is_empty() => {
+                    pool.withdraw(waiting.swap_remove(index % waiting.len()));
+                }
+                Step::Report { seat, running } => {
+                    let load = Load { running, waiting: 0, at_ms: now_ms };
+                    pool.report(now_ms, keys[seat], load);
+                }
+                Step::Leave { seat, leaving } => {
+                    pool.seat_mut(keys[seat]).expect("it is there").leaving = leaving;
+                }
+                Step::Pass { ms } => {
+                    now_ms += ms;
+                    woken = pool.wake(now_ms);
+                }
+                Step::Finish { .. } | Step::Withdraw { .. } => {}
+            }
+            for call in woken {
+                let place = waiting.iter().position(|&ticket| ticket == call.ticket);
+                waiting.swap_remove(place.expect("only waiting requests are called"));
+                if let Ok(endpoint) = call.endpoint {
+                    running.push(Dispatch { ticket: call.ticket, endpoint });
+                }
+            }
+            for preempted in pool.take_preempted() {
+                prop_assert!(running.iter().any(|dispatch| dispatch.ticket == preempted));
+            }
+            for &key in &keys {
+                let here = running.iter().filter(|dispatch| dispatch.endpoint == key).count();
+                prop_assert_eq!(pool.seat(key).expect("it is there").in_flight as usize, here);
+                prop_assert!(here <= pool.seat(key).expect("it is there").max_concurrency as usize);
+            }
+            prop_assert_eq!(pool.tickets(), running.len() + waiting.len());
+        }
+        now_ms += 1_000_000;
+        for call in pool.wake(now_ms) {
+            waiting.retain(|&ticket| ticket != call.ticket);
+            prop_assert!(call.endpoint.is_err(), "its deadline has passed");
+        }
+        prop_assert!(waiting.is_empty(), "a ticket is lost");
+    }
+}
--- /dev/null
+++ b/crates/route/tests/suspects.rs
@@ -0,0 +1,202 @@
+//! Requests that crash endpoints, and the share of endpoints that a daemon uses.
+
+use std::collections::BTreeMap;
+
+use wisteriapoint_route::{
+    Admission, Demand, Dispatch, EndpointKey, Load, Outcome, Pool, Reason, Seat, Standing, Subset,
+    Suspects,
+};
+use wisteriapoint_types::{Digest, EndpointName, MemberId};
+
+const BAD: Digest = Digest(1);
+const INNOCENT: Digest = Digest(2);
+
+fn pool(count: usize) -> Pool {
+    let mut pool = Pool::new(16, 1);
+    for index in 0..count {
+        pool.insert(Seat::new(&format!("e{index}"), "a", 2));
+    }
+    pool
+}
+
+fn demand(digest: Digest) -> Demand {
+    Demand {
+        digest: Some(digest),
+        ..Demand::caller(1_000_000)
+    }
+}
+
+fn go(pool: &mut Pool, now_ms: u64, digest: Digest) -> Dispatch {
+    match pool.admit(now_ms, demand(digest)) {
+        Admission::Go(dispatch) => dispatch,
+        other => panic!("expected a dispatch, got {other:?}"),
+    }
+}
+
+fn crash(pool: &mut Pool, now_ms: u64, digest: Digest) -> EndpointKey {
+    let dispatch = go(pool, now_ms, digest);
+    pool.finish(now_ms, dispatch.ticket, Outcome::Crashed);
+    dispatch.endpoint
+}
+
+#[test]
+fn two_endpoints_are_lost_and_the_third_attempt_is_refused() {
+    let mut pool = pool(4);
+    let first = crash(&mut pool, 0, BAD);
+    let second = crash(&mut pool, 10, BAD);
+    assert_ne!(first, second);
+    match pool.admit(20, demand(BAD)) {
+        Admission::Refuse(refusal) => assert_eq!(refusal.reason, Reason::Quarantined),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_suspect_runs_alone_and_is_cleared_by_its_answer() {
+    let mut pool = pool(3);
+    let crashed = crash(&mut pool, 0, INNOCENT);
+    let now_ms = 5_000;
+    let back = Load {
+        at_ms: now_ms,
+        ..Load::default()
+    };
+    pool.report(now_ms, crashed, back);
+    let alone = go(&mut pool, now_ms, INNOCENT);
+    // The crashed endpoint starts with one request.
+    for other in 10..13 {
+        let beside = go(&mut pool, now_ms, Digest(other));
+        assert_ne!(beside.endpoint, alone.endpoint);
+    }
+    assert!(matches!(
+        pool.admit(now_ms, demand(Digest(13))),
+        Admission::Wait(_)
+    ));
+    let answered = Outcome::Answered {
+        elapsed_ms: 10,
+        tokens: 1,
+    };
+    assert_eq!(pool.finish(now_ms, alone.ticket, answered).len(), 1);
+    assert!(pool.strikes(now_ms).is_empty());
+}
+
+#[test]
+fn a_suspect_waits_until_its_endpoint_is_empty() {
+    let mut pool = pool(1);
+    crash(&mut pool, 0, INNOCENT);
+    let now_ms = 5_000;
+    let busy = go(&mut pool, now_ms, Digest(9));
+    let Admission::Wait(suspect) = pool.admit(now_ms, demand(INNOCENT)) else {
+        panic!("the endpoint is busy");
+    };
+    assert!(matches!(
+        pool.admit(now_ms, demand(Digest(10))),
+        Admission::Wait(_)
+    ));
+    let woken = pool.finish(now_ms, busy.ticket, Outcome::Cancelled);
+    assert_eq!(woken.len(), 1);
+    assert_eq!(woken[0].ticket, suspect);
+}
+
+/// Index of the endpoint, whether the request was alone, and when, in milliseconds.
+type Strikes = &'static [(usize, bool, u64)];
+
+#[test]
+fn standings() {
+    let endpoints = ["e", "f"].map(EndpointName::new);
+    let cases: [(&str, Strikes, Standing); 5] = [
+        ("none", &[], Standing::Clean),
+        ("one beside others", &[(0, false, 0)], Standing::Suspect),
+        (
+            "a failure domain lost",
+            &[(0, false, 0), (1, false, 0)],
+            Standing::Suspect,
+        ),
+        (
+            "beside others, then alone",
+            &[(0, false, 0), (1, true, 5)],
+            Standing::Quarantined,
+        ),
+        (
+            "alone on the only endpoint",
+            &[(0, false, 0), (0, true, 5)],
+            Standing::Quarantined,
+        ),
+    ];
+    for (name, strikes, standing) in cases {
+        let mut suspects = Suspects::default();
+        for &(endpoint, alone, at_ms) in strikes {
+            suspects.strike(at_ms, BAD, &endpoints[endpoint], alone);
+        }
+        assert_eq!(suspects.standing(10, BAD), standing, "{name}");
+        assert_eq!(suspects.standing(10, INNOCENT), Standing::Clean, "{name}");
+        assert_eq!(
+            suspects.standing(10_000_000, BAD),
+            Standing::Clean,
+            "{name}, forgotten"
+        );
+    }
+}
+
+#[test]
+fn strikes_reach_other_daemons() {
+    let mut one = pool(4);
+    let mut other = pool(4);
+    crash(&mut one, 0, BAD);
+    other.learn_strikes(100, &one.strikes(0));
+    crash(&mut other, 100, BAD);
+    one.learn_strikes(200, &other.strikes(100));
+    for pool in [&mut one, &mut other] {
+        match pool.admit(200, demand(BAD)) {
+            Admission::Refuse(refusal) => assert_eq!(refusal.reason, Reason::Quarantined),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(one.strikes(10_000_000).is_empty());
+}
+
+#[test]
+fn records_stay_bounded() {
+    let mut suspects = Suspects::default();
+    let endpoint = EndpointName::new("e");
+    for number in 0..10_000 {
+        suspects.strike(number, Digest(number.into()), &endpoint, false);
+    }
+    assert!(suspects.export(10_000, u64::MAX).len() <= 4_096);
+    assert_eq!(suspects.standing(10_000, Digest(9_999)), Standing::Suspect);
+}
+
+#[test]
+fn subsets_cover_every_endpoint_and_stay_near_their_size() {
+    let names: Vec<EndpointName> = (0..900)
+        .map(|index| EndpointName::new(format!("engine-{index}")))
+        .collect();
+    let all: Vec<&EndpointName> = names.iter().collect();
+    let members: Vec<MemberId> = (0..76).map(MemberId).collect();
+    let mut users: BTreeMap<&EndpointName, usize> = BTreeMap::new();
+    let mut owners: BTreeMap<&EndpointName, usize> = BTreeMap::new();
+    for &me in &members {
+        let subset = Subset::new(me, members.clone(), 96);
+        let used = subset.select(&all);
+        assert!(used.len() <= 2 * 96, "{} endpoints", used.len());
+        for name in used {
+            *users.entry(name).or_default() += 1;
+            *owners.entry(name).or_default() += usize::from(subset.owns(name));
+        }
+    }
+    assert_eq!(users.len(), names.len());
+    assert!(users.values().all(|&count| count >= 8));
+    assert!(owners.values().all(|&count| count == 1));
+}
+
+#[test]
+fn a_lost_daemon_moves_only_its_own_endpoints() {
+    let names: Vec<EndpointName> = (0..400)
+        .map(|index| EndpointName::new(format!("engine-{index}")))
+        .collect();
+    let all: Vec<&EndpointName> = names.iter().collect();
+    let members: Vec<MemberId> = (0..40).map(MemberId).collect();
+    let me = MemberId(3);
+    let before = Subset::new(me, members.clone(), 40).select(&all);
+    let after = Subset::new(me, members[..39].to_vec(), 40).select(&all);
+    assert!(before.iter().all(|name| after.contains(name)));
+}
