--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -207,6 +207,19 @@
         self.lock().targets.values().cloned().collect()
     }
 
+    /// What the policy knows of the endpoints now.
+    pub fn seats(&self) -> Vec<Seat> {
+        let inner = self.lock();
+        inner.pool.seats().map(|(_, seat)| seat.clone()).collect()
+    }
+
+    /// The keys of those endpoints that are in service, for [`Demand::tried`].
+    pub fn keys(&self, endpoints: &[EndpointName]) -> Vec<EndpointKey> {
+        let inner = self.lock();
+        let keys = endpoints.iter();
+        keys.filter_map(|endpoint| inner.find(endpoint)).collect()
+    }
+
     /// Waits for the right to dispatch.
     ///
     /// # Errors
--- a/crates/wisteriapoint/src/daemon/control/mod.rs
+++ b/crates/wisteriapoint/src/daemon/control/mod.rs
@@ -3,23 +3,27 @@
 mod claims;
 mod configuration;
 mod members;
+mod relay;
 mod rollouts;
 
-use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
+use wisteriapoint_catalog::{Catalog, Update};
 use wisteriapoint_claim::Holder;
-use wisteriapoint_membership::View;
-use wisteriapoint_platform::{Entry, VmEntry};
-use wisteriapoint_rollout::{Coordinator, Sample, SampleKey, StepId};
-use wisteriapoint_types::{ServiceName, WeightVersion};
+use wisteriapoint_membership::{Member, Patience, Probe, Roster, View};
+use wisteriapoint_peer::Datagrams;
+use wisteriapoint_rollout::{AttemptKey, ScoreTask};
+use wisteriapoint_types::MemberId;
 
-use super::message::{Question, Reply};
+use self::relay::Relay;
+use self::rollouts::{Pull, Rollouts};
+use super::message::{Digest, Generated, Question, Reply, ServiceStrike};
 use super::snapshot::Snapshot;
-use super::{Shared, generate};
+use super::{Shared, probe};
 
 /// Commands that control may have waiting.
 pub const COMMANDS: usize = 4_096;
@@ -31,16 +35,29 @@
 pub enum Command {
     /// A question from a peer or from this daemon's traffic.
     Question(Box<Question>, oneshot::Sender<Reply>),
-    /// The view, as the platform has it.
+    /// A view, from the platform or a peer.
     View(View),
-    /// Records of services, as the platform has them.
-    Services(Vec<Entry>),
-    /// Published weight versions, as the platform has them.
-    Weights(Vec<Entry>),
-    /// The platform's list of VMs.
-    Vms(Vec<VmEntry>),
-    /// A sample is finished, or its generation failed.
-    Finished(StepId, SampleKey, Option<Sample>),
+    /// Configuration, from the platform or a peer that has read it.
+    Update(Update),
+    /// The leases that the platform lists; none if it does not answer.
+    Leases(Option<Vec<Member>>),
+    /// The result of a probe.
+    Probed(MemberId, Probe),
+    /// A datagram from a peer.
+    Digest(SocketAddr, Digest),
+    /// Strikes against requests.
+    Strikes {
+        /// The recent ones that this daemon knows, newest first.
+        recent: Vec<ServiceStrike>,
+        /// Those that no other daemon knows yet.
+        fresh: Vec<ServiceStrike>,
+    },
+    /// An exchange with a peer has ended.
+    Exchanged(SocketAddr),
+    /// An attempt at a sample has ended.
+    Finished(AttemptKey, Generated),
+    /// A sample has its score, or will not get one.
+    Scored(Box<ScoreTask>, Option<f64>),
 }
 
 /// State that only the control thread touches.
@@ -49,24 +66,31 @@
     shared: Arc<Shared>,
     published: watch::Sender<()>,
     snapshot: Snapshot,
-    versions: BTreeMap<ServiceName, WeightVersion>,
+    catalog: Catalog,
+    roster: Roster,
+    relay: Relay,
     holder: Holder,
-    coordinator: Coordinator,
-    running_samples: usize,
+    rollouts: Rollouts,
     ticks: u64,
 }
 
 impl Control {
     /// Makes the state of a daemon that knows nothing yet.
-    pub fn new(shared: Arc<Shared>, published: watch::Sender<()>) -> Self {
+    pub fn new(
+        shared: Arc<Shared>,
+        published: watch::Sender<()>,
+        datagrams: Arc<Datagrams>,
+        seed_peers: Vec<SocketAddr>,
+    ) -> Self {
         Self {
             shared,
             published,
             snapshot: Snapshot::default(),
-            versions: Default::default(),
+            catalog: Catalog::new(),
+            roster: Roster::new(Patience::default()),
+            relay: Relay::new(datagrams, seed_peers),
             holder: Holder::new(),
-            coordinator: Coordinator::new(),
-            running_samples: 0,
+            rollouts: Rollouts::new(),
             ticks: 0,
         }
     }
@@ -90,10 +114,14 @@
         match command {
             Command::Question(question, reply) => self.answer(*question, reply),
             Command::View(view) => self.take_view(view),
-            Command::Services(entries) => self.take_services(&entries),
-            Command::Weights(entries) => self.take_weights(&entries),
-            Command::Vms(vms) => self.take_vms(vms),
-            Command::Finished(id, key, sample) => self.finish_sample(&id, key, sample),
+            Command::Update(update) => self.take_update(update),
+            Command::Leases(leases) => self.take_leases(leases),
+            Command::Probed(id, probe) => self.roster.take_probe(id, probe),
+            Command::Digest(from, digest) => self.take_digest(from, digest),
+            Command::Strikes { recent, fresh } => self.take_strikes(recent, fresh),
+            Command::Exchanged(with) => self.relay.end_exchange(with),
+            Command::Finished(attempt, generated) => self.finish_attempt(attempt, generated),
+            Command::Scored(task, score) => self.take_score(&task, score),
         }
     }
 
@@ -107,11 +135,30 @@
                 cursor,
                 version,
                 limit,
-            } => self.answer_pull(&id, &cursor, version, limit),
-            Question::Generate(task) => {
-                let shared = Arc::clone(&self.shared);
-                return generate::spawn_sample(shared, task, sender);
+                wait_ms,
+            } => {
+                let pull = Pull {
+                    id,
+                    cursor,
+                    version,
+                    limit: limit as usize,
+                };
+                return self.answer_pull(pull, wait_ms, sender);
             }
+            Question::Ping => Reply::Pong {
+                stopping: self.shared.is_draining(),
+            },
+            Question::Probe(id) => return probe::spawn_answer(&self.shared, id, sender),
+            Question::Sync { view, known } => self.answer_sync(view, &known),
+            Question::Offer { view, update } => self.answer_offer(view, update),
+            Question::Generate { coordinator, task } => {
+                return self.generate(coordinator, task, sender);
+            }
+            Question::Begun { attempt, begun } => self.answer_begun(attempt, begun),
+            Question::Cancel {
+                coordinator,
+                attempt,
+            } => self.answer_cancel(coordinator, attempt),
         };
         // The asker may have given up; then nobody needs the reply.
         let _ = sender.send(reply);
@@ -120,7 +167,9 @@
     fn tick(&mut self) {
         self.ticks += 1;
         self.tick_claims();
-        self.start_samples();
+        self.tick_members();
+        self.tick_relay();
+        self.tick_rollouts();
     }
 
     fn publish(&mut self) {
--- a/crates/wisteriapoint/src/daemon/shared.rs
+++ b/crates/wisteriapoint/src/daemon/shared.rs
@@ -5,18 +5,18 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use wisteriapoint_gateway::{Clients, Router};
 use wisteriapoint_membership::Member;
 use wisteriapoint_peer::Client;
-use wisteriapoint_platform::HttpStore;
+use wisteriapoint_platform::{Budgeted, HttpStore, Lease};
 use wisteriapoint_types::{MemberId, ServiceName};
 
 use super::control::Command;
-use super::message::{Question, Reply};
+use super::message::{Question, Reply, ServiceStrike};
 use super::snapshot::Snapshot;
 use crate::metrics::Metrics;
 
@@ -31,6 +31,8 @@
     pub routers: ArcSwap<BTreeMap<ServiceName, Router>>,
     /// Commands to control.
     pub control: mpsc::Sender<Command>,
+    /// Strikes of other daemons, for the routers.
+    pub strikes: mpsc::Sender<Vec<ServiceStrike>>,
     /// The traffic threads.
     pub traffic: Handle,
     /// Calls to other daemons.
@@ -38,11 +40,17 @@
     /// Calls to endpoints.
     pub clients: Clients,
     /// The platform.
-    pub store: HttpStore,
+    pub store: Budgeted<HttpStore>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Whether a stop was asked for.
     pub draining: AtomicBool,
+    /// Whether the daemon is about to leave the view, and its lease with it.
+    pub leaving: AtomicBool,
+    /// The VM's lease, as long as it is held.
+    pub lease: ArcSwapOption<Lease>,
+    /// Whether new requests are refused.
+    pub refusing: AtomicBool,
     /// Requests in progress.
     pub in_flight: AtomicUsize,
     /// The daemon's wall clock.
@@ -84,14 +92,17 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
 impl Shared {
     /// Counts a request in progress.
+    ///
+    /// One order over this count and `refusing` makes a stop see every request that
+    /// found it not refusing.
     pub fn begin(self: &Arc<Self>) -> InFlight {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
         InFlight(Arc::clone(self))
     }
 
@@ -100,6 +111,11 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Whether new requests are refused.
+    pub fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::SeqCst)
+    }
+
     /// Asks a member, this daemon included; none if no answer came.
     pub async fn ask(&self, id: MemberId, question: Question, limit: Duration) -> Option<Reply> {
         if id == self.me.id {
