--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -18,10 +18,14 @@
     Connect(reqwest::Error),
     #[error("the endpoint did not answer whole: {0}")]
     Broken(Box<str>),
+    #[error("the endpoint answered with status {0}")]
+    Status(u16),
     #[error("the endpoint did not answer in time")]
     Timeout,
     #[error("the endpoint takes no new work")]
     Draining,
+    #[error("the endpoint can't go on with the completion")]
+    CannotResume,
     #[error("the endpoint answered another request")]
     Crossed,
     #[error("the answer exceeds {bound_bytes} bytes")]
@@ -45,9 +49,9 @@
 
     pub(crate) fn of_send(error: reqwest::Error) -> Self {
         match error {
-            error if error.is_connect() => Self::not_run(Kind::Connect(error)),
+            error if error.is_connect() => Self::not_run(Kind::Connect(error.without_url())),
             error if error.is_timeout() => Self::may_have_run(Kind::Timeout),
-            error => Self::may_have_run(Kind::Broken(error.to_string().into())),
+            error => Self::may_have_run(Kind::Broken(error.without_url().to_string().into())),
         }
     }
 
@@ -56,11 +60,41 @@
         self.verdict
     }
 
+    /// Short name of the kind of failure, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self.kind {
+            Kind::Setup(_) => "setup",
+            Kind::Connect(_) => "connect",
+            Kind::Broken(_) => "broken",
+            Kind::Timeout => "timeout",
+            Kind::Draining => "draining",
+            Kind::Status(_) => "status",
+            Kind::CannotResume => "cannot-resume",
+            Kind::Crossed => "crossed",
+            Kind::TooLarge { .. } => "too-large",
+        }
+    }
+
     /// Whether the endpoint said that it takes no new work.
     pub fn is_draining(&self) -> bool {
         matches!(self.kind, Kind::Draining)
     }
 
+    /// Whether the endpoint can't go on with what another one began.
+    pub fn is_resume_refused(&self) -> bool {
+        matches!(self.kind, Kind::CannotResume)
+    }
+
+    /// Whether the endpoint declined, which is no fault of it.
+    pub fn is_refusal(&self) -> bool {
+        self.is_draining() || self.is_resume_refused()
+    }
+
+    /// Whether the endpoint broke off before the end of its answer.
+    pub fn is_broken(&self) -> bool {
+        matches!(self.kind, Kind::Broken(_))
+    }
+
     /// Whether the deadline passed.
     pub fn is_timeout(&self) -> bool {
         matches!(self.kind, Kind::Timeout)
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -19,6 +19,8 @@
     TooLong { length_bytes: usize },
     #[error("the peer speaks protocol version {version}")]
     Version { version: u8 },
+    #[error("a message is malformed: {count} bytes follow it")]
+    Trailing { count: usize },
     #[error("a message is malformed: {0}")]
     Malformed(#[from] postcard::Error),
 }
@@ -35,6 +37,11 @@
         matches!(self.0, Kind::Connect(_))
     }
 
+    /// Whether nothing listens at the peer's address.
+    pub fn is_refused(&self) -> bool {
+        matches!(&self.0, Kind::Connect(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Whether the peer took too long.
     pub fn is_timeout(&self) -> bool {
         matches!(self.0, Kind::Timeout)
@@ -44,7 +51,10 @@
     pub fn is_malformed(&self) -> bool {
         matches!(
             self.0,
-            Kind::Malformed(_) | Kind::TooLong { .. } | Kind::Version { .. }
+            Kind::Malformed(_)
+                | Kind::Trailing { .. }
+                | Kind::TooLong { .. }
+                | Kind::Version { .. }
         )
     }
 }
--- a/crates/stand-in/src/engine.rs
+++ b/crates/stand-in/src/engine.rs
@@ -28,6 +28,8 @@
     pub checks_fencing: bool,
     /// A prompt that holds this text crashes the engine.
     pub crash_mark: Option<String>,
+    /// Whether it goes on with completions that another engine began.
+    pub resumes: bool,
 }
 
 impl Default for EngineSettings {
@@ -38,6 +40,7 @@
             load_ms: 100,
             checks_fencing: true,
             crash_mark: None,
+            resumes: true,
         }
     }
 }
@@ -57,8 +60,13 @@
     running: u32,
     waiting: u32,
     draining: bool,
+    refused: u64,
     crashed: bool,
     started: u64,
+    resumed: u64,
+    cancelled: u64,
+    tokens: u64,
+    break_after: Arc<Mutex<Option<u32>>>,
     orders: Vec<Order>,
     order_faults: OrderFaults,
     swapped: Option<(WeightVersion, Instant)>,
@@ -68,6 +76,20 @@
 struct Completion {
     prompt: String,
     max_tokens: u32,
+    resume: Option<Resume>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Resume {
+    text: String,
+    tokens: u32,
+    version: WeightVersion,
+}
+
+impl Completion {
+    fn done_tokens(&self) -> u32 {
+        self.resume.as_ref().map_or(0, |resume| resume.tokens)
+    }
 }
 
 impl Engine {
@@ -115,6 +137,47 @@
         self.lock().started
     }
 
+    /// Number of completions that it declined.
+    pub fn refused(&self) -> u64 {
+        self.lock().refused
+    }
+
+    /// Number of completions that another engine had begun.
+    pub fn resumed(&self) -> u64 {
+        self.lock().resumed
+    }
+
+    /// Number of completions whose caller went away.
+    pub fn cancelled(&self) -> u64 {
+        self.lock().cancelled
+    }
+
+    /// Number of completions running.
+    pub fn running(&self) -> u32 {
+        self.lock().running
+    }
+
+    /// Number of tokens sent.
+    pub fn tokens(&self) -> u64 {
+        self.lock().tokens
+    }
+
+    /// Breaks the next completion's stream off after so many tokens.
+    pub fn break_next_after(&self, tokens: u32) {
+        *lock(&self.lock().break_after) = Some(tokens);
+    }
+
+    /// Shares with another engine which completion is the next one to break.
+    pub fn share_break(&self, other: &Self) {
+        let shared = Arc::clone(&other.lock().break_after);
+        self.lock().break_after = shared;
+    }
+
+    /// Sets the version that it serves, as an order would.
+    pub fn set_version(&self, version: WeightVersion) {
+        self.lock().version = version;
+    }
+
     /// The orders received.
     pub fn orders(&self) -> Vec<Order> {
         self.lock().orders.clone()
@@ -125,18 +188,13 @@
         self.lock().order_faults = faults;
     }
 
-    /// Requests that run now.
-    pub fn running(&self) -> u32 {
-        self.lock().running
-    }
-
     /// The text that a prompt's completion has.
     pub fn expected_text(prompt: &str, max_tokens: u32) -> String {
         (0..max_tokens).map(|index| token(prompt, index)).collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     async fn generate(self, completion: Completion, mut sender: BodySender) {
@@ -147,22 +205,55 @@
             return;
         }
         self.lock().running += 1;
+        let break_after = lock(&self.lock().break_after).take();
+        self.send_tokens(&completion, break_after, &mut sender)
+            .await;
+        self.lock().running -= 1;
+    }
+
+    async fn send_tokens(
+        &self,
+        completion: &Completion,
+        break_after: Option<u32>,
+        sender: &mut BodySender,
+    ) {
         let pause = Duration::from_secs_f64(1.0 / self.settings.tokens_per_s);
-        for index in 0..completion.max_tokens {
+        for index in completion.done_tokens()..completion.max_tokens {
             sleep(pause).await;
             let (version, crashed) = {
                 let state = self.lock();
                 (state.version, state.crashed)
             };
-            let event = event(&token(&completion.prompt, index), version);
-            if crashed || sender.send_data(event).await.is_err() {
+            if crashed || break_after == Some(index) {
                 sender.send_error(std::io::Error::other("the engine crashed"));
-                self.lock().running -= 1;
                 return;
             }
+            let event = event(&token(&completion.prompt, index), version);
+            if sender.send_data(event).await.is_err() {
+                self.lock().cancelled += 1;
+                return;
+            }
+            self.lock().tokens += 1;
         }
+        // A caller that is gone needs no end.
         let _ = sender.send_data("data: [DONE]\n\n").await;
-        self.lock().running -= 1;
+    }
+
+    /// Whether it can go on where another engine stopped.
+    fn can_resume(&self, completion: &Completion) -> bool {
+        let expected = Self::expected_text(&completion.prompt, completion.done_tokens());
+        match &completion.resume {
+            None => true,
+            Some(resume) => {
+                self.settings.resumes && resume.version == self.version() && resume.text == expected
+            }
+        }
+    }
+
+    fn declines(&self) -> bool {
+        let mut state = self.lock();
+        state.refused += u64::from(state.draining);
+        state.draining
     }
 
     fn accept(&self, order: &Order) -> bool {
@@ -176,6 +267,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn token(prompt: &str, index: u32) -> String {
     format!("{:04x}.{index} ", hash64(0, prompt.as_bytes()) & 0xffff)
 }
@@ -216,7 +311,7 @@
             let id = id.clone();
             response.headers_mut().insert("x-request-id", id);
         }
-        if self.0.lock().draining {
+        if self.0.declines() {
             response.status_code(StatusCode::SERVICE_UNAVAILABLE);
             let _ = response.add_header("x-draining", "true", true);
             return;
@@ -230,14 +325,20 @@
             return;
         };
         let completion: Completion = completion;
+        if !self.0.can_resume(&completion) {
+            response.status_code(StatusCode::CONFLICT);
+            return;
+        }
         let mark = self.0.settings.crash_mark.as_deref();
         let crashes = mark.is_some_and(|mark| completion.prompt.contains(mark));
         {
             let mut state = self.0.lock();
             state.started += 1;
+            state.resumed += u64::from(completion.resume.is_some());
             state.crashed |= crashes;
         }
         let _ = response.add_header("content-type", "text/event-stream", true);
+        let _ = response.add_header("x-resumed-tokens", completion.done_tokens(), true);
         let sender = response.channel();
         tokio::spawn(self.0.clone().generate(completion, sender));
     }
--- a/crates/stand-in/src/plain.rs
+++ b/crates/stand-in/src/plain.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use salvo::http::{Method, StatusCode};
 use salvo::{Request, Response, Router, handler};
 use tokio::time::sleep;
 
@@ -16,6 +17,8 @@
 #[derive(Debug, Default)]
 struct State {
     delay: Duration,
+    draining: bool,
+    refused: u64,
     runs: BTreeMap<String, u32>,
 }
 
@@ -30,6 +33,21 @@
         self.lock().delay = delay;
     }
 
+    /// Says whether it takes no new work.
+    pub fn set_draining(&self, draining: bool) {
+        self.lock().draining = draining;
+    }
+
+    /// Number of requests that it declined.
+    pub fn refused(&self) -> u64 {
+        self.lock().refused
+    }
+
+    /// Number of requests run.
+    pub fn total_runs(&self) -> u32 {
+        self.lock().runs.values().sum()
+    }
+
     /// How often each idempotency key ran.
     pub fn runs(&self) -> BTreeMap<String, u32> {
         self.lock().runs.clone()
@@ -40,6 +58,13 @@
         Router::with_path("{**path}").goal(Api(self.clone()))
     }
 
+    fn declines(&self, is_probe: bool) -> bool {
+        let mut state = self.lock();
+        let declines = state.draining;
+        state.refused += u64::from(declines && !is_probe);
+        declines
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -58,6 +83,15 @@
         if let Some(id) = headers.get("x-request-id").cloned() {
             response.headers_mut().insert("x-request-id", id);
         }
+        let is_probe = request.method() == Method::HEAD;
+        if self.0.declines(is_probe) {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            let _ = response.add_header("x-draining", "true", true);
+            return;
+        }
+        if is_probe {
+            return;
+        }
         let key = request.headers().get("idempotency-key");
         let key = key.and_then(|key| key.to_str().ok()).map(str::to_owned);
         let path = request.uri().path().to_owned();
--- a/crates/wisteriapoint/src/daemon/control/mod.rs
+++ b/crates/wisteriapoint/src/daemon/control/mod.rs
@@ -13,15 +13,15 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 use wisteriapoint_catalog::{Catalog, Update};
-use wisteriapoint_claim::Holder;
+use wisteriapoint_claim::{Holder, Transfer};
 use wisteriapoint_membership::{Member, Patience, Probe, Roster, View};
 use wisteriapoint_peer::Datagrams;
 use wisteriapoint_rollout::{AttemptKey, ScoreTask};
-use wisteriapoint_types::MemberId;
+use wisteriapoint_types::{MemberId, PartitionKey, ViewNumber};
 
 use self::relay::Relay;
 use self::rollouts::{Pull, Rollouts};
-use super::message::{Digest, Generated, Question, Reply};
+use super::message::{Digest, Generated, Question, Reply, ServiceStrike};
 use super::snapshot::Snapshot;
 use super::{Shared, probe};
 
@@ -37,6 +37,10 @@
     Question(Box<Question>, oneshot::Sender<Reply>),
     /// A view, from the platform or a peer.
     View(View),
+    /// All claims of a partition, collected for a view.
+    Open(ViewNumber, PartitionKey, Transfer),
+    /// All partitions of this daemon are open in a view.
+    Transferred(ViewNumber),
     /// Configuration, from the platform or a peer that has read it.
     Update(Update),
     /// The leases that the platform lists; none if it does not answer.
@@ -45,6 +49,13 @@
     Probed(MemberId, Probe),
     /// A datagram from a peer.
     Digest(SocketAddr, Digest),
+    /// Strikes against requests.
+    Strikes {
+        /// The recent ones that this daemon knows, newest first.
+        recent: Vec<ServiceStrike>,
+        /// Those that no other daemon knows yet.
+        fresh: Vec<ServiceStrike>,
+    },
     /// An exchange with a peer has ended.
     Exchanged(SocketAddr),
     /// An attempt at a sample has ended.
@@ -63,6 +74,7 @@
     roster: Roster,
     relay: Relay,
     holder: Holder,
+    transferred: ViewNumber,
     rollouts: Rollouts,
     ticks: u64,
 }
@@ -83,6 +95,7 @@
             roster: Roster::new(Patience::default()),
             relay: Relay::new(datagrams, seed_peers),
             holder: Holder::new(),
+            transferred: ViewNumber::default(),
             rollouts: Rollouts::new(),
             ticks: 0,
         }
@@ -107,10 +120,13 @@
         match command {
             Command::Question(question, reply) => self.answer(*question, reply),
             Command::View(view) => self.take_view(view),
+            Command::Open(view, key, transfer) => self.holder.open(view, key, transfer),
+            Command::Transferred(view) => self.transferred = view,
             Command::Update(update) => self.take_update(update),
             Command::Leases(leases) => self.take_leases(leases),
             Command::Probed(id, probe) => self.roster.take_probe(id, probe),
             Command::Digest(from, digest) => self.take_digest(from, digest),
+            Command::Strikes { recent, fresh } => self.take_strikes(recent, fresh),
             Command::Exchanged(with) => self.relay.end_exchange(with),
             Command::Finished(attempt, generated) => self.finish_attempt(attempt, generated),
             Command::Scored(task, score) => self.take_score(&task, score),
@@ -121,6 +137,8 @@
         let reply = match question {
             Question::Claim(ask) => self.answer_claim(&ask),
             Question::Report(report) => self.answer_report(&report),
+            Question::Seal { source, seal } => self.answer_seal(source, &seal),
+            Question::Transferred(view) => self.answer_transferred(view),
             Question::Put { id, spec, cursor } => self.answer_put(id, spec, &cursor),
             Question::Pull {
                 id,
--- a/crates/wisteriapoint/src/daemon/generate.rs
+++ b/crates/wisteriapoint/src/daemon/generate.rs
@@ -4,15 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::Instant;
-use wisteriapoint_gateway::{Chunk, CompletionRequest, Failure, Permit, Problem, Router};
+use tokio::time::{Instant, sleep};
+use wisteriapoint_gateway::{Attempts, Chunk, CompletionRequest, Failure, Permit, Problem, Router};
 use wisteriapoint_rollout::Span;
 use wisteriapoint_route::{Class, Demand};
 use wisteriapoint_types::{Digest, EndpointName, ServiceName, hash64};
 
 use super::Shared;
+use super::attempt::{count_failed, end_failed};
 
-const ATTEMPTS: usize = 3;
 const PREFIX_BYTES: usize = 256;
 
 /// Where the tokens of a completion go.
@@ -60,8 +60,20 @@
     }
 }
 
+/// How a completion ended that did not fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// It is whole.
+    Whole,
+    /// The sink wanted no more.
+    GivenUp,
+}
+
 /// Generates a completion into a sink, on another engine if one fails.
 ///
+/// A stream that broke goes on where it stopped, on an engine with the same weight
+/// version. If none can, it restarts whole, unless the sink has passed tokens on.
+///
 /// # Errors
 ///
 /// The problem is the final answer to the caller.
@@ -72,38 +84,44 @@
     request: &CompletionRequest,
     limit: Duration,
     sink: &mut S,
-) -> Result<(), Problem> {
+) -> Result<Ended, Problem> {
     let router = shared.routers.load().get(service).cloned();
     let router = router.ok_or_else(|| unknown_service(service))?;
     let deadline = Instant::now() + limit;
     let mut demand = demand(&router, class, request, limit);
     demand.tried = router.keys(sink.avoid());
-    let mut attempt = 1;
+    let mut request = request.clone();
+    let mut attempts = Attempts::new(true);
     loop {
-        let permit = router.acquire(demand.clone()).await?;
+        let permit = router.acquire(demand.clone()).await;
+        let permit = permit.map_err(|refusal| attempts.problem(refusal))?;
         demand.tried.push(permit.key());
         demand.avoid = Some(permit.target().failure_domain.clone());
         let left = deadline.saturating_duration_since(Instant::now());
-        let Err(failure) = attempt_once(shared, permit, request, left, sink).await else {
-            return Ok(());
+        let failure = match attempt_once(shared, permit, &mut request, left, sink).await {
+            Ok(ended) => return Ok(ended),
+            Err(failure) => failure,
         };
-        let verdict = failure.verdict().as_str();
-        let failed = &shared.metrics.failed_attempts;
-        failed.with_label_values(&[service.as_str(), verdict]).inc();
-        if attempt >= ATTEMPTS || !sink.reset() {
-            return Err(Problem::from(&failure));
+        count_failed(shared, service, &failure);
+        let allowed = attempts.note(&failure);
+        if !allowed || !(failure.is_refusal() || router.may_retry()) {
+            return Err(attempts.problem(&failure));
+        }
+        if failure.is_resume_refused() && sink.reset() {
+            request.resume = None;
+            demand.tried = router.keys(sink.avoid());
         }
-        attempt += 1;
+        sleep(attempts.pause()).await;
     }
 }
 
 async fn attempt_once<S: Sink + Send>(
     shared: &Arc<Shared>,
     permit: Permit,
-    request: &CompletionRequest,
+    request: &mut CompletionRequest,
     limit: Duration,
     sink: &mut S,
-) -> Result<(), Failure> {
+) -> Result<Ended, Failure> {
     let mut tokens = 0;
     sink.begin(&permit.target().endpoint);
     let started = shared
@@ -121,13 +139,14 @@
         match generation.next().await {
             Ok(Some(chunk)) => {
                 tokens += chunk.tokens;
+                request.advance(&chunk);
                 if !sink.take(chunk).await {
-                    return Ok(());
+                    return Ok(Ended::GivenUp);
                 }
             }
             Ok(None) => {
                 permit.answered(tokens);
-                return Ok(());
+                return Ok(Ended::Whole);
             }
             Err(failure) => {
                 end_failed(permit, &failure);
@@ -137,15 +156,6 @@
     }
 }
 
-/// Ends a permit after a failure of its endpoint.
-pub fn end_failed(permit: Permit, failure: &Failure) {
-    match failure {
-        failure if failure.is_draining() => permit.refused(),
-        failure if failure.is_timeout() => drop(permit),
-        _ => permit.failed(),
-    }
-}
-
 fn demand(router: &Router, class: Class, request: &CompletionRequest, limit: Duration) -> Demand {
     let prompt = request.prompt.as_bytes();
     let prefix = &prompt[..prompt.len().min(PREFIX_BYTES)];
--- a/crates/wisteriapoint/src/daemon/message.rs
+++ b/crates/wisteriapoint/src/daemon/message.rs
@@ -2,10 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 use wisteriapoint_catalog::{Summary, Update};
-use wisteriapoint_claim::{Answer, Ask, Report};
+use wisteriapoint_claim::{Answer, Ask, Page, Report, Seal};
 use wisteriapoint_membership::View;
 use wisteriapoint_rollout::{AttemptKey, Begun, Cursor, Pulled, Sample, StepId, StepSpec, Task};
-use wisteriapoint_types::{MemberId, ViewNumber, WeightVersion};
+use wisteriapoint_route::Strike;
+use wisteriapoint_types::{MemberId, ServiceName, ViewNumber, WeightVersion};
 
 /// What one daemon asks of another; each may be repeated.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -14,6 +15,15 @@
     Claim(Ask),
     /// To a holder: what became of a claim.
     Report(Report),
+    /// To a holder of an earlier view: a partition's claims.
+    Seal {
+        /// The run of the daemon that is meant.
+        source: MemberId,
+        /// What to seal.
+        seal: Seal,
+    },
+    /// To any member: whether all its partitions are open in a view.
+    Transferred(ViewNumber),
     /// To a coordinator: a step.
     Put {
         /// Name of the step.
@@ -91,6 +101,10 @@
     Claim(Answer),
     /// To a [`Question`] that needs no answer.
     Noted,
+    /// To [`Question::Seal`]; none if the run that was meant is over.
+    Page(Option<Page>),
+    /// To [`Question::Transferred`].
+    Transferred(bool),
     /// To [`Question::Put`].
     Put(Result<(), wisteriapoint_rollout::Error>),
     /// To [`Question::Pull`].
@@ -135,10 +149,21 @@
 }
 
 /// What a daemon tells a few others every second, as one datagram.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
     /// The sender's view.
     pub view: ViewNumber,
     /// Hash of the sender's configuration.
     pub sum: u64,
+    /// Recent crashes of endpoints and the requests that ran there.
+    pub strikes: Vec<ServiceStrike>,
+}
+
+/// A strike against a request, and the service that it was sent to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceStrike {
+    /// The service.
+    pub service: ServiceName,
+    /// The strike.
+    pub strike: Strike,
 }
--- a/crates/wisteriapoint/src/daemon/mod.rs
+++ b/crates/wisteriapoint/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! One daemon: its threads and what they share.
 
+pub mod attempt;
 pub mod claims;
 pub mod control;
 pub mod exchange;
@@ -13,7 +14,9 @@
 pub mod shared;
 pub mod snapshot;
 pub mod start;
+pub mod strikes;
 pub mod traffic;
+pub mod transfer;
 pub mod weights;
 
 pub use shared::Shared;
--- a/crates/wisteriapoint/src/daemon/sample.rs
+++ b/crates/wisteriapoint/src/daemon/sample.rs
@@ -15,6 +15,7 @@
 use super::generate::{Collected, Sink, generate};
 use super::message::{Generated, Question, Reply};
 
+const CLASS: &str = "rollout";
 const ROLLOUT_PRIORITY: i32 = 10;
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -55,12 +56,21 @@
         max_tokens: task.max_tokens,
         stream: true,
         priority: ROLLOUT_PRIORITY,
+        resume: None,
     };
     let trainer = hash64(0, task.id.trainer.as_str().as_bytes());
     let class = Class::Rollout { trainer };
     let (service, key) = (task.service.clone(), task.key);
     let mut tokens = Tokens::new(Arc::clone(shared), coordinator, task);
+    let begun = Instant::now();
     let ended = generate(shared, &service, class, &request, limit, &mut tokens).await;
+    let outcome = match &ended {
+        _ if tokens.too_old => "too-old",
+        Ok(_) => "answered",
+        Err(problem) => problem.verdict.as_str(),
+    };
+    let metrics = &shared.metrics;
+    metrics.ended(service.as_str(), CLASS, outcome, begun.elapsed());
     match ended {
         _ if tokens.too_old => Generated::TooOld,
         Ok(_) => Generated::Whole(Sample {
--- a/crates/wisteriapoint/src/daemon/start.rs
+++ b/crates/wisteriapoint/src/daemon/start.rs
@@ -6,12 +6,11 @@
 use std::thread;
 use std::time::Duration;
 
-use salvo::server::ServerHandle;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::{self, Runtime};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep};
+use tokio::time::{sleep, timeout};
 use wisteriapoint_gateway::Clients;
 use wisteriapoint_membership::Member;
 use wisteriapoint_peer::{Client, Datagrams};
@@ -20,14 +19,18 @@
 use wisteriapoint_types::MemberId;
 
 use super::control::{COMMANDS, Command, Control};
-use super::message::{Question, Reply};
+use super::message::{Question, Reply, ServiceStrike};
 use super::platform::Watch;
 use super::shared::Clock;
-use super::{Shared, exchange, platform, traffic, weights};
+use super::{Shared, exchange, platform, strikes, traffic, weights};
+use crate::Error;
+use crate::http::bounds::Bounds;
+use crate::http::{self, Serving};
 use crate::metrics::Metrics;
-use crate::{Error, http};
 
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(1);
+const STRIKES: usize = 16;
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 
 /// The addresses that a daemon listens on.
@@ -47,7 +50,7 @@
     settings: VmSettings,
     addresses: Addresses,
     shared: Arc<Shared>,
-    servers: [ServerHandle; 2],
+    servers: [Serving; 2],
     traffic: Option<Runtime>,
     control: Option<oneshot::Sender<()>>,
 }
@@ -70,6 +73,7 @@
         let datagrams = Arc::new(Datagrams::new(UdpSocket::bind(addresses.peer).await?));
         let runtime = traffic_runtime(settings.traffic_threads)?;
         let (commands, receiver) = mpsc::channel(COMMANDS);
+        let (strikes_in, others_strikes) = mpsc::channel(STRIKES);
         let (published, changes) = watch::channel(());
         let store = HttpStore::new(&settings.platform_url)?;
         let store = Budgeted::new(store, settings.platform_calls_per_s);
@@ -78,11 +82,15 @@
             snapshot: Default::default(),
             routers: Default::default(),
             control: commands,
+            strikes: strikes_in,
             traffic: runtime.handle().clone(),
             peers: Client::new(),
             clients: Clients::new()?,
             metrics: Metrics::new().map_err(std::io::Error::other)?,
             draining: false.into(),
+            leaving: false.into(),
+            lease: None.into(),
+            refusing: false.into(),
             in_flight: 0.into(),
             store,
             clock: Clock::new(),
@@ -95,10 +103,20 @@
         );
         let stop_control = start_control(control, receiver, &shared, datagrams, &settings)?;
         let servers = [
-            http::serve(&runtime, service, http::service_router(&shared))?,
-            http::serve(&runtime, admin, http::admin_router(&shared))?,
+            Serving::new(
+                &runtime,
+                service,
+                http::service_router(&shared),
+                Bounds::service(),
+            )?,
+            Serving::new(
+                &runtime,
+                admin,
+                http::admin_router(&shared),
+                Bounds::admin(),
+            )?,
         ];
-        start_traffic(&runtime, &shared, peer, changes);
+        start_traffic(&runtime, &shared, peer, changes, others_strikes);
         Ok(Self {
             settings,
             addresses,
@@ -126,19 +144,27 @@
         }
     }
 
-    /// Stops gracefully: takes no new requests, ends those in flight, leaves the view.
+    /// Stops gracefully.
+    ///
+    /// Readiness goes off first. While the balancer's lag lasts, requests are accepted
+    /// as ever; then they are refused, those in flight end, and the daemon leaves the
+    /// view. Only the drain limit cuts requests.
     pub async fn stop(mut self) {
         self.shared.draining.store(true, Ordering::Release);
         log::info!("draining");
         sleep(Duration::from_millis(self.settings.drain_wait_ms)).await;
-        let [service, admin] = &self.servers;
-        service.stop_graceful(None);
-        self.wait_for_requests().await;
-        let left = platform::leave(&self.shared, &self.shared.store);
-        if !matches!(tokio::time::timeout(LEAVE_TIMEOUT, left).await, Ok(Ok(()))) {
+        self.shared.refusing.store(true, Ordering::SeqCst);
+        let limit = Duration::from_secs(self.settings.drain_limit_s);
+        if timeout(limit, self.end_requests()).await.is_err() {
+            log::warn!("requests were still in flight at the drain limit");
+        }
+        let left = platform::leave(&self.shared);
+        if !matches!(timeout(LEAVE_TIMEOUT, left).await, Ok(Ok(()))) {
             log::warn!("the platform did not take the leave; the lease will lapse");
         }
-        admin.stop_graceful(None);
+        let [_, admin] = &mut self.servers;
+        // Connections of operators that stay open are cut.
+        let _ = timeout(ADMIN_TIMEOUT, admin.stop()).await;
         self.end_threads();
         log::info!("stopped");
     }
@@ -148,11 +174,13 @@
         self.end_threads();
     }
 
-    async fn wait_for_requests(&self) {
-        let limit = Instant::now() + Duration::from_secs(self.settings.drain_limit_s);
-        while self.shared.in_flight.load(Ordering::Acquire) > 0 && Instant::now() < limit {
+    /// Waits for requests in flight, then for their answers to be sent.
+    async fn end_requests(&mut self) {
+        while self.shared.in_flight.load(Ordering::SeqCst) > 0 {
             sleep(POLL_PAUSE).await;
         }
+        let [service, _] = &mut self.servers;
+        service.stop().await;
     }
 
     fn end_threads(&mut self) {
@@ -224,6 +252,7 @@
     shared: &Arc<Shared>,
     peer: TcpListener,
     changes: watch::Receiver<()>,
+    others_strikes: mpsc::Receiver<Vec<ServiceStrike>>,
 ) {
     let answering = Arc::clone(shared);
     let answer = move |question: Question| {
@@ -236,6 +265,7 @@
     runtime.spawn(wisteriapoint_peer::serve(peer, answer));
     runtime.spawn(traffic::follow(Arc::clone(shared), changes));
     runtime.spawn(traffic::tick(Arc::clone(shared)));
+    runtime.spawn(strikes::run(Arc::clone(shared), others_strikes));
     runtime.spawn(traffic::poll_loads(Arc::clone(shared)));
     runtime.spawn(weights::run(Arc::clone(shared)));
 }
--- /dev/null
+++ b/crates/wisteriapoint/tests/claims.rs
@@ -0,0 +1,231 @@
+//! A request that is not idempotent runs at most once, whatever happens to the daemons.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, document, members, until};
+use uuid::Uuid;
+use wisteriapoint::daemon::Daemon;
+use wisteriapoint_stand_in::platform::Faults;
+use wisteriapoint_stand_in::{PlainService, Running, serve};
+
+const DOMAINS: [&str; 3] = ["dk-east-a", "dk-east-b", "dk-east-c"];
+const KEYS: usize = 24;
+const DEADLINE_MS: u64 = 20_000;
+
+/// What a caller gets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Got {
+    status: u16,
+    verdict: String,
+    body: String,
+}
+
+struct Shop {
+    fleet: Fleet,
+    plain: PlainService,
+    _running: Running,
+}
+
+impl Shop {
+    async fn start() -> Self {
+        let fleet = Fleet::start(&DOMAINS).await;
+        let plain = PlainService::new();
+        let running = serve::on_loopback(plain.router()).await.unwrap();
+        let text = document("shopfront", running.address, DEADLINE_MS);
+        let revision = fleet.apply(&text).await;
+        fleet
+            .until("the document is in force", |fleet| {
+                let in_force = |daemon| fleet::revision(daemon, "shopfront") == Some(revision);
+                fleet.daemons.iter().all(in_force)
+            })
+            .await;
+        let shop = Self {
+            fleet,
+            plain,
+            _running: running,
+        };
+        shop.open().await;
+        shop
+    }
+
+    /// Waits until every partition is open at all its holders.
+    async fn open(&self) {
+        self.fleet
+            .until("all partitions are open", |fleet| {
+                fleet.daemons.iter().all(|daemon| {
+                    let shared = daemon.shared();
+                    let held = shared.snapshot.load().view.held_by(shared.me.id).count();
+                    shared.metrics.open_partitions.get() == held as i64
+                })
+            })
+            .await;
+    }
+
+    async fn hold(&self, daemon: usize, key: &str) -> Got {
+        hold(&self.fleet.daemons[daemon], key).await
+    }
+
+    async fn view_of(&self, count: usize) {
+        self.fleet
+            .until("the view has changed", |fleet| {
+                fleet.daemons.iter().all(|daemon| members(daemon) == count)
+            })
+            .await;
+    }
+
+    fn runs(&self, key: &str) -> u32 {
+        self.plain.runs().get(key).copied().unwrap_or(0)
+    }
+}
+
+async fn hold(daemon: &Daemon, key: &str) -> Got {
+    let address = daemon.addresses().service;
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    let sent = client
+        .post(format!("http://{address}/v1/services/shopfront/stock/hold"))
+        .header("idempotency-key", key)
+        .body(key.to_owned())
+        .send();
+    let Ok(answer) = sent.await else {
+        return Got {
+            status: 0,
+            verdict: String::new(),
+            body: String::new(),
+        };
+    };
+    let verdict = answer.headers().get("wisteriapoint-verdict");
+    Got {
+        status: answer.status().as_u16(),
+        verdict: verdict
+            .map_or("", |verdict| verdict.to_str().unwrap())
+            .to_owned(),
+        body: answer.text().await.unwrap_or_default(),
+    }
+}
+
+fn keys() -> Vec<String> {
+    (0..KEYS).map(|_| Uuid::now_v7().to_string()).collect()
+}
+
+#[tokio::test]
+async fn the_same_key_on_two_daemons_runs_once() {
+    let shop = Shop::start().await;
+    shop.plain.set_delay(Duration::from_millis(200));
+    for key in keys().iter().take(6) {
+        let (one, two) = tokio::join!(shop.hold(0, key), shop.hold(1, key));
+        assert_eq!((one.status, one.clone()), (200, two));
+        assert_eq!(shop.runs(key), 1);
+    }
+}
+
+#[tokio::test]
+async fn a_retry_after_a_holder_died_gets_the_recorded_answer() {
+    let mut shop = Shop::start().await;
+    let keys = keys();
+    let mut first = Vec::new();
+    for key in &keys {
+        first.push(shop.hold(0, key).await);
+    }
+    shop.fleet.daemons.remove(2).kill();
+    for (key, first) in keys.iter().zip(&first).take(KEYS / 2) {
+        assert_eq!(shop.hold(1, key).await, *first);
+    }
+    shop.view_of(2).await;
+    for (key, first) in keys.iter().zip(&first) {
+        assert_eq!(
+            (first.status, shop.hold(1, key).await),
+            (200, first.clone())
+        );
+        assert_eq!(shop.runs(key), 1);
+    }
+}
+
+#[tokio::test]
+async fn a_retry_after_the_claimant_died_is_told_may_have_run() {
+    let mut shop = Shop::start().await;
+    shop.plain.set_delay(Duration::from_secs(2));
+    let key = Uuid::now_v7().to_string();
+    let address = shop.fleet.daemons.remove(0);
+    let first = async {
+        let sent = tokio::time::timeout(Duration::from_secs(30), hold(&address, &key));
+        tokio::pin!(sent);
+        let run = until("the request runs", || async { shop.runs(&key) == 1 });
+        tokio::select! {
+            _ = &mut sent => panic!("the answer came before the claimant died"),
+            () = run => {}
+        }
+    };
+    first.await;
+    address.kill();
+    let retry = shop.hold(0, &key).await;
+    assert_eq!((retry.status, &*retry.verdict), (409, "may-have-run"));
+    shop.view_of(2).await;
+    let retry = shop.hold(1, &key).await;
+    assert_eq!((retry.status, &*retry.verdict), (409, "may-have-run"));
+    assert_eq!(shop.runs(&key), 1);
+}
+
+#[tokio::test]
+async fn a_retry_after_daemons_joined_gets_the_recorded_answer() {
+    let mut shop = Shop::start().await;
+    let keys = keys();
+    let mut first = Vec::new();
+    for key in &keys {
+        first.push(shop.hold(0, key).await);
+    }
+    for domain in ["dk-east-a", "dk-east-b", "dk-east-c"] {
+        shop.fleet.add(domain, Vec::new()).await;
+    }
+    shop.view_of(6).await;
+    for daemon in shop.fleet.daemons.drain(..2).collect::<Vec<_>>() {
+        daemon.stop().await;
+    }
+    shop.view_of(4).await;
+    shop.fleet
+        .until("the new daemons have the document", |fleet| {
+            let in_force = |daemon| fleet::revision(daemon, "shopfront").is_some();
+            fleet.daemons.iter().all(in_force)
+        })
+        .await;
+    for (number, (key, first)) in keys.iter().zip(&first).enumerate() {
+        let retry = shop.hold(1 + number % 3, key).await;
+        assert_eq!((first.status, retry), (200, first.clone()));
+        assert_eq!(shop.runs(key), 1);
+    }
+}
+
+#[tokio::test]
+async fn claims_go_on_while_the_platform_is_down() {
+    let shop = Shop::start().await;
+    shop.fleet.platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    for key in &keys() {
+        let first = shop.hold(0, key).await;
+        assert_eq!((first.status, shop.hold(2, key).await), (200, first));
+        assert_eq!(shop.runs(key), 1);
+    }
+}
+
+#[tokio::test]
+async fn keys_issued_before_a_loss_never_run_and_later_ones_do() {
+    let mut shop = Shop::start().await;
+    let before = keys();
+    shop.fleet.daemons.remove(0).kill();
+    shop.fleet.daemons.remove(0).kill();
+    shop.view_of(1).await;
+    shop.open().await;
+    for key in &before {
+        let got = shop.hold(0, key).await;
+        assert_eq!((got.status, &*got.verdict), (409, "may-have-run"));
+        assert_eq!(shop.runs(key), 0);
+    }
+    until("keys issued after the loss run", || async {
+        let key = Uuid::now_v7().to_string();
+        shop.hold(0, &key).await.status == 200
+    })
+    .await;
+}
