--- a/crates/experiment/src/rollouts/mod.rs
+++ b/crates/experiment/src/rollouts/mod.rs
@@ -5,11 +5,14 @@
 
 mod engine;
 mod fifo;
+mod figures;
+mod scenario;
 mod simulation;
 
 use crate::report::Run;
 
-pub use simulation::{Scenario, Variant, run};
+pub use scenario::{Scenario, Variant};
+pub use simulation::run;
 
 /// Runs all variants of a scenario with the seeds from 1 on.
 pub fn run_all(scenario: &Scenario, seeds: u64) -> Vec<Run> {
--- a/crates/experiment/src/rollouts/simulation.rs
+++ b/crates/experiment/src/rollouts/simulation.rs
@@ -13,6 +13,8 @@
 
 use super::engine::{Engine, Request};
 use super::fifo::Fifo;
+use super::figures::Figures;
+use super::scenario::{Scenario, Variant};
 use crate::report::Run;
 
 const TICK_MS: u64 = 250;
@@ -22,76 +24,6 @@
 const WINDOW_BEFORE: usize = 64;
 const PULL_LIMIT: usize = 1 << 16;
 
-/// What a run is made of; times are those of the virtual clock.
-#[derive(Debug, Clone)]
-pub struct Scenario {
-    /// Name in the report.
-    pub name: &'static str,
-    /// Engines; their speeds are spread over 1:4.
-    pub engines: usize,
-    /// Prompts of a step, with eight samples each.
-    pub prompts: usize,
-    /// Steps of a run.
-    pub steps: u64,
-    /// Share of prompts whose samples are about as long as may be.
-    pub long_prompts: f64,
-    /// Mean time between slow spells of the fleet's engines, in milliseconds; 0 for none.
-    pub spell_every_ms: u64,
-    /// Length of a slow spell, in milliseconds.
-    pub spell_ms: u64,
-    /// Time that the trainer works on a step, in milliseconds.
-    pub train_ms: u64,
-    /// Time that an engine takes to load a version, in milliseconds.
-    pub load_ms: u64,
-    /// Staleness bound.
-    pub staleness_versions: u64,
-}
-
-impl Scenario {
-    /// Groups of long samples, engines with slow spells, new weights about every 3 minutes.
-    pub fn stragglers() -> Self {
-        Self {
-            name: "straggler groups",
-            engines: 12,
-            prompts: 96,
-            steps: 8,
-            long_prompts: 0.04,
-            spell_every_ms: 60_000,
-            spell_ms: 90_000,
-            train_ms: 180_000,
-            load_ms: 6_000,
-            staleness_versions: 1,
-        }
-    }
-}
-
-/// A policy.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Variant {
-    /// By number, round robin over the engines, all of them full.
-    Baseline,
-    /// By number, the better of two engines, 64 samples in flight.
-    Before,
-    /// The coordinator, with no dispatch to an engine that loads a version.
-    NowWaiting,
-    /// The coordinator.
-    Now,
-}
-
-impl Variant {
-    /// All, in the order of the report.
-    pub const ALL: [Self; 4] = [Self::Baseline, Self::Before, Self::NowWaiting, Self::Now];
-
-    fn name(self) -> &'static str {
-        match self {
-            Self::Baseline => "baseline",
-            Self::Before => "before",
-            Self::NowWaiting => "now, waiting for swaps",
-            Self::Now => "now",
-        }
-    }
-}
-
 enum Source {
     Fifo(Fifo),
     Coordinator(Box<Coordinator>),
@@ -121,21 +53,6 @@
     choices: SmallRng,
 }
 
-#[derive(Debug, Default)]
-struct Figures {
-    idle_ms: u64,
-    ages: Vec<u64>,
-    made_tokens: BTreeMap<u64, f64>,
-    delivered_tokens: f64,
-    wave_ms: u64,
-}
-
-impl Figures {
-    fn count(&mut self, request: &Request) {
-        *self.made_tokens.entry(request.step).or_default() += request.done;
-    }
-}
-
 /// Runs one variant with one seed.
 pub fn run(scenario: &Scenario, variant: Variant, seed: u64) -> Run {
     let mut simulation = Simulation::new(scenario, variant, seed);
@@ -477,38 +394,11 @@
     }
 
     fn report(self, seed: u64) -> Run {
-        let Figures {
-            idle_ms,
-            mut ages,
-            made_tokens,
-            delivered_tokens,
-            wave_ms,
-        } = self.figures;
-        ages.sort_unstable();
-        let made_tokens: f64 = made_tokens
-            .range(..=self.scenario.steps)
-            .map(|(_, t)| t)
-            .sum();
-        let mean = ages.iter().sum::<u64>() as f64 / ages.len().max(1) as f64;
-        let p99 = ages.get(ages.len() * 99 / 100).copied().unwrap_or_default();
         Run {
             scenario: self.scenario.name.into(),
             variant: self.variant.name().into(),
             seed,
-            figures: BTreeMap::from([
-                ("idle_share", idle_ms as f64 / self.now_ms as f64),
-                (
-                    "step_s",
-                    self.now_ms as f64 / 1_000.0 / self.scenario.steps as f64,
-                ),
-                ("age_mean_versions", mean),
-                ("age_p99_versions", p99 as f64),
-                (
-                    "wasted_share",
-                    (1.0 - delivered_tokens / made_tokens).max(0.0),
-                ),
-                ("wave_s", wave_ms as f64 / 1_000.0),
-            ]),
+            figures: self.figures.named(self.now_ms, self.scenario.steps),
         }
     }
 }
--- /dev/null
+++ b/crates/rollout/src/coordinator/attempts.rs
@@ -0,0 +1,175 @@
+//! Start and end of attempts.
+
+use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
+
+use super::Coordinator;
+use super::fleet::Fleet;
+use super::state::{State, Step};
+use crate::attempt::Attempt;
+use crate::error::{Error, Kind};
+use crate::{AttemptKey, Cursor, StepId, Task};
+
+impl Coordinator {
+    pub(super) fn next_task(&mut self, now_ms: u64) -> Option<Task> {
+        let is_next = |step: &Step| !step.waiting.is_empty() && self.has_room(&step.spec.service);
+        let waiting = self.steps.iter().filter(|(_, step)| is_next(step));
+        let next = waiting.min_by_key(|(id, _)| (self.shares.get(&id.trainer), id.step));
+        let id = next?.0.clone();
+        let index = self.steps.get(&id)?.waiting.first()?.index;
+        let step = self.steps.get(&id)?;
+        let fleet = self.fleets.get(&step.spec.service);
+        let oldest = step.oldest_start(now_ms);
+        let avoid = fleet.map(|fleet| fleet.older_than(now_ms, oldest));
+        Some(self.dispatch(now_ms, &id, index, avoid.unwrap_or_default()))
+    }
+
+    /// Starts an attempt at a sample that waits or runs.
+    pub(super) fn dispatch(
+        &mut self,
+        now_ms: u64,
+        id: &StepId,
+        index: u32,
+        avoid: Vec<EndpointName>,
+    ) -> Task {
+        self.last_attempt += 1;
+        let attempt = AttemptKey(self.last_attempt);
+        let step = self.steps.get_mut(id).expect("a step with this sample");
+        let expected_tokens = step.expected_tokens(index, &self.lengths);
+        step.start(index, attempt);
+        step.started_tokens += u64::from(expected_tokens);
+        self.shares.charge(&id.trainer, expected_tokens);
+        let fleet = self.fleets.entry(step.spec.service.clone()).or_default();
+        fleet.in_flight += 1;
+        self.attempts.insert(
+            attempt,
+            Attempt {
+                id: id.clone(),
+                index,
+                service: step.spec.service.clone(),
+                dispatched_ms: now_ms,
+                begun: None,
+                reported: None,
+                expected_tokens,
+            },
+        );
+        Task {
+            id: id.clone(),
+            key: step.spec.key(index),
+            attempt,
+            service: step.spec.service.clone(),
+            prompt: step.prompt(index).into(),
+            max_tokens: step.spec.max_tokens,
+            expected_tokens,
+            oldest_version: step.oldest_start(now_ms),
+            avoid,
+        }
+    }
+
+    pub(super) fn take_cursor(
+        &mut self,
+        now_ms: u64,
+        id: &StepId,
+        cursor: &Cursor,
+    ) -> Result<(), Error> {
+        let step = self.steps.get_mut(id).ok_or(Kind::UnknownStep)?;
+        step.touched_ms = now_ms;
+        let needless = step.take_cursor(cursor, &self.lengths)?;
+        self.cancel(needless);
+        Ok(())
+    }
+
+    /// Sends back all that is too old for a trainer at `version`.
+    pub(super) fn take_version(&mut self, now_ms: u64, id: &StepId, version: WeightVersion) {
+        let Some(step) = self.steps.get_mut(id) else {
+            return;
+        };
+        if step.version == version {
+            return;
+        }
+        step.version = version;
+        step.version_since_ms = now_ms;
+        let seen = (version, now_ms);
+        let known = self.versions.entry(id.trainer.clone()).or_insert(seen);
+        match *known {
+            (known, since_ms) if known == version => step.version_since_ms = since_ms,
+            _ => *known = seen,
+        }
+        step.drop_stale(version, &self.lengths);
+        let oldest = step.oldest_version();
+        let attempts = self.attempts.iter();
+        let stale: Vec<AttemptKey> = attempts
+            .filter(|(_, attempt)| attempt.id == *id && attempt.is_older_than(oldest))
+            .map(|(&key, _)| key)
+            .collect();
+        for key in stale {
+            self.give_up(key);
+        }
+    }
+
+    /// Cancels an attempt whose sample could not be handed over.
+    pub(super) fn give_up(&mut self, key: AttemptKey) {
+        self.detach(key);
+        self.cancelled.push(key);
+    }
+
+    /// Takes an attempt from its sample, which waits again if that was its last.
+    pub(super) fn detach(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.remove_attempt(key) else {
+            return;
+        };
+        self.shares
+            .correct(&attempt.id.trainer, attempt.expected_tokens, 0);
+        let Some(step) = self.steps.get_mut(&attempt.id) else {
+            return;
+        };
+        let State::Running(attempts) = step.state(attempt.index) else {
+            return;
+        };
+        let left: Vec<AttemptKey> = attempts
+            .iter()
+            .copied()
+            .filter(|&other| other != key)
+            .collect();
+        match left {
+            left if left.is_empty() => _ = step.again(attempt.index, &self.lengths),
+            left => _ = step.set(attempt.index, State::Running(left)),
+        }
+    }
+
+    pub(super) fn has_room(&self, service: &ServiceName) -> bool {
+        self.fleets.get(service).is_none_or(Fleet::has_room)
+    }
+
+    pub(super) fn refuse(&mut self, now_ms: u64, key: AttemptKey) {
+        if let Some(attempt) = self.attempts.get(&key)
+            && let Some(fleet) = self.fleets.get_mut(&attempt.service)
+        {
+            fleet.window.refused(now_ms);
+        }
+    }
+
+    pub(super) fn remove_attempt(&mut self, key: AttemptKey) -> Option<Attempt> {
+        let attempt = self.attempts.remove(&key)?;
+        if let Some(fleet) = self.fleets.get_mut(&attempt.service) {
+            fleet.in_flight = fleet.in_flight.saturating_sub(1);
+        }
+        Some(attempt)
+    }
+
+    pub(super) fn cancel(&mut self, attempts: impl IntoIterator<Item = AttemptKey>) {
+        for key in attempts {
+            if let Some(attempt) = self.remove_attempt(key) {
+                let trainer = &attempt.id.trainer;
+                self.shares.correct(trainer, attempt.expected_tokens, 0);
+            }
+            self.cancelled.push(key);
+        }
+    }
+}
+
+impl Attempt {
+    fn is_older_than(&self, oldest: WeightVersion) -> bool {
+        let begun = self.begun.as_ref();
+        begun.is_some_and(|(begun, _)| begun.version < oldest)
+    }
+}
