--- a/crates/rollout/src/coordinator/hedge.rs
+++ b/crates/rollout/src/coordinator/hedge.rs
@@ -1,5 +1,7 @@
 //! Second copies of stragglers.
 
+use std::collections::BTreeMap;
+
 use wisteriapoint_types::{EndpointName, ServiceName};
 
 use super::Coordinator;
@@ -42,13 +44,20 @@
     }
 
     fn stragglers(&self, now_ms: u64) -> Vec<Straggler> {
+        let fleets = self.fleets.iter();
+        let fast: BTreeMap<&ServiceName, f64> = fleets
+            .filter_map(|(service, fleet)| Some((service, fleet.speeds.fast()?)))
+            .collect();
         let attempts = self.attempts.values();
         attempts
-            .filter_map(|attempt| self.straggler(now_ms, attempt))
+            .filter_map(|attempt| {
+                let fast = *fast.get(&attempt.service)?;
+                self.straggler(now_ms, attempt, fast)
+            })
             .collect()
     }
 
-    fn straggler(&self, now_ms: u64, attempt: &Attempt) -> Option<Straggler> {
+    fn straggler(&self, now_ms: u64, attempt: &Attempt, fast: f64) -> Option<Straggler> {
         let step = self.steps.get(&attempt.id)?;
         let is_alone = matches!(step.state(attempt.index),
             State::Running(attempts) if attempts.len() < MAX_COPIES);
@@ -56,7 +65,6 @@
             return None;
         }
         let speeds = &self.fleets.get(&attempt.service)?.speeds;
-        let fast = speeds.fast()?;
         let expected = f64::from(step.expected_tokens(attempt.index, &self.lengths));
         let max_tokens = f64::from(step.spec.max_tokens);
         let length = Length {
