--- a/crates/wisteriapoint/src/daemon/mod.rs
+++ b/crates/wisteriapoint/src/daemon/mod.rs
@@ -15,6 +15,7 @@
 pub mod start;
 pub mod strikes;
 pub mod traffic;
+pub mod transfer;
 pub mod weights;
 
 pub use shared::Shared;
--- a/crates/wisteriapoint/src/daemon/platform.rs
+++ b/crates/wisteriapoint/src/daemon/platform.rs
@@ -12,6 +12,7 @@
 
 use super::Shared;
 use super::control::Command;
+use super::transfer;
 use crate::record::{ServiceRecord, WeightRecord};
 
 const WATCH_WAIT: Duration = Duration::from_secs(30);
@@ -23,7 +24,7 @@
 pub fn spawn_proposal(shared: &Arc<Shared>, next: View) {
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
-        let proposed = propose(&shared.store, next).await;
+        let proposed = propose(&shared, next).await;
         count(&shared, "propose", proposed.is_ok());
         if let Ok(view) = proposed {
             // Control is gone only when the daemon stops.
@@ -33,11 +34,13 @@
 }
 
 /// Writes a view if the platform holds the one before it; gives the view that it holds.
-async fn propose<S: Store>(store: &S, next: View) -> Result<View, Error> {
+async fn propose(shared: &Arc<Shared>, next: View) -> Result<View, Error> {
+    let store = &shared.store;
     let (held, index) = read_view(store).await?;
     if held.number.0 + 1 != next.number.0 {
         return Ok(held);
     }
+    let next = transfer::trim(shared, &held, next).await;
     let value = serde_json::to_vec(&next).map_err(malformed)?;
     match store.compare_and_swap(keys::VIEW, index, value).await {
         Ok(true) => Ok(next),
@@ -65,8 +68,10 @@
             return Ok(());
         }
         let next = view.without_members(&[shared.me.id], Nonce(rand::random()));
+        let next = transfer::trim(shared, &view, next).await;
         let value = serde_json::to_vec(&next).map_err(malformed)?;
         if store.compare_and_swap(keys::VIEW, index, value).await? {
+            transfer::hand_over(shared, next).await;
             return Ok(());
         }
     }
--- a/crates/wisteriapoint/src/metrics.rs
+++ b/crates/wisteriapoint/src/metrics.rs
@@ -37,6 +37,10 @@
     pub members: IntGauge,
     /// Claims kept for other daemons and this one.
     pub claims: IntGauge,
+    /// Partitions of claims that are open in the latest view.
+    pub open_partitions: IntGauge,
+    /// Transfers of a partition's claims, by result.
+    pub transfers: IntCounterVec,
     /// Whether the daemon takes requests, 0 or 1.
     pub ready: IntGauge,
     /// Requests in progress.
@@ -98,6 +102,15 @@
             view_number: IntGauge::new("wisteriapoint_view_number", "Number of the view")?,
             members: IntGauge::new("wisteriapoint_members", "Members of the view")?,
             claims: IntGauge::new("wisteriapoint_claims", "Claims kept")?,
+            open_partitions: IntGauge::new(
+                "wisteriapoint_open_partitions",
+                "Partitions of claims that are open",
+            )?,
+            transfers: counter(
+                "transfers_total",
+                "Transfers of a partition's claims",
+                &["result"],
+            )?,
             ready: IntGauge::new("wisteriapoint_ready", "Whether the daemon takes requests")?,
             in_flight: IntGauge::new("wisteriapoint_in_flight", "Requests in progress")?,
             endpoints: gauge("endpoints", "Endpoints", &["service", "state"])?,
@@ -153,6 +166,8 @@
             Box::new(self.view_number.clone()),
             Box::new(self.members.clone()),
             Box::new(self.claims.clone()),
+            Box::new(self.open_partitions.clone()),
+            Box::new(self.transfers.clone()),
             Box::new(self.ready.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.endpoints.clone()),
