--- a/crates/experiment/src/report.rs
+++ b/crates/experiment/src/report.rs
@@ -85,13 +85,18 @@
         .filter_map(|run| run.figures.get(name).copied())
         .collect();
     let spread = Spread::of(&values);
-    match spread {
-        Spread {
-            least, greatest, ..
-        } if least == greatest => format!("{least:.4}"),
-        _ => format!(
-            "{:.4} ({:.4} to {:.4})",
-            spread.median, spread.least, spread.greatest
-        ),
+    let [least, median, greatest] = [spread.least, spread.median, spread.greatest].map(number);
+    match least == greatest {
+        true => least,
+        false => format!("{median} ({least} to {greatest})"),
+    }
+}
+
+/// A number with four digits or more.
+fn number(value: f64) -> String {
+    match value {
+        whole if whole.fract() == 0.0 => format!("{:.0}", whole.abs()),
+        large if large >= 100.0 => format!("{large:.0}"),
+        small => format!("{small:.4}"),
     }
 }
--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -22,6 +22,8 @@
     Status(u16),
     #[error("the endpoint did not answer in time")]
     Timeout,
+    #[error("the request made way for a caller's")]
+    Preempted,
     #[error("the endpoint takes no new work")]
     Draining,
     #[error("the endpoint can't go on with the completion")]
@@ -55,6 +57,16 @@
         }
     }
 
+    /// The failure of a request that was broken off to make way for a caller's.
+    pub fn preempted() -> Self {
+        Self::may_have_run(Kind::Preempted)
+    }
+
+    /// Whether the request made way for a caller's.
+    pub fn is_preempted(&self) -> bool {
+        matches!(self.kind, Kind::Preempted)
+    }
+
     /// Whether the request may have run.
     pub fn verdict(&self) -> Verdict {
         self.verdict
--- a/crates/gateway/tests/router.rs
+++ b/crates/gateway/tests/router.rs
@@ -51,6 +51,9 @@
     tokio::spawn(async move { acquire(&router, LONG).await })
 }
 
+/// A way to end a permit.
+type End = fn(Permit);
+
 /// Lets the other tasks run.
 async fn settle() {
     sleep(Duration::from_millis(1)).await;
@@ -58,7 +61,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn each_end_of_a_permit_calls_the_next_in_line() {
-    let ends: [(&str, fn(Permit)); 3] = [
+    let ends: [(&str, End); 3] = [
         ("answered", |permit| permit.answered(1)),
         ("refused", Permit::refused),
         ("dropped", drop),
--- a/crates/wisteriapoint/src/daemon/generate.rs
+++ b/crates/wisteriapoint/src/daemon/generate.rs
@@ -101,10 +101,16 @@
             Ok(ended) => return Ok(ended),
             Err(failure) => failure,
         };
+        if failure.is_preempted() {
+            demand.tried.pop();
+            demand.avoid = None;
+            continue;
+        }
         let verdict = failure.verdict().as_str();
         let failed = &shared.metrics.failed_attempts;
         failed.with_label_values(&[service.as_str(), verdict]).inc();
-        if !attempts.note(&failure) || !router.may_retry() {
+        let is_free = failure.is_refusal();
+        if !attempts.note(&failure) || !(is_free || router.may_retry()) {
             return Err(attempts.problem(&failure));
         }
         if failure.is_resume_refused() && sink.reset() {
@@ -116,17 +122,18 @@
 
 async fn attempt_once<S: Sink + Send>(
     shared: &Arc<Shared>,
-    permit: Permit,
+    mut permit: Permit,
     request: &mut CompletionRequest,
     limit: Duration,
     sink: &mut S,
 ) -> Result<Ended, Failure> {
     let mut tokens = 0;
-    sink.begin(&permit.target().endpoint);
-    let started = shared
-        .clients
-        .generate(permit.target(), request, limit)
-        .await;
+    let target = permit.target().clone();
+    sink.begin(&target.endpoint);
+    let started = tokio::select! {
+        started = shared.clients.generate(&target, request, limit) => started,
+        () = permit.preempted() => return Err(Failure::preempted()),
+    };
     let mut generation = match started {
         Ok(generation) => generation,
         Err(failure) => {
@@ -135,7 +142,11 @@
         }
     };
     loop {
-        match generation.next().await {
+        let next = tokio::select! {
+            next = generation.next() => next,
+            () = permit.preempted() => return Err(Failure::preempted()),
+        };
+        match next {
             Ok(Some(chunk)) => {
                 tokens += chunk.tokens;
                 request.advance(&chunk);
--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -186,7 +186,8 @@
             let verdict = failure.verdict().as_str();
             let failed = &self.shared.metrics.failed_attempts;
             failed.with_label_values(&[service.as_str(), verdict]).inc();
-            if !attempts.note(&failure) || !router.may_retry() {
+            let is_free = failure.is_refusal();
+            if !attempts.note(&failure) || !(is_free || router.may_retry()) {
                 return Err(attempts.problem(&failure));
             }
         }
