Raise no suspicion when a failure domain is lost

After the loss of a failure domain each request in flight there ran alone, and some passed their deadline while they waited for an empty endpoint. Endpoints of one failure domain that crash within 100 ms now raise no suspicion against requests that ran on only one of them; a request that ran on several keeps its strikes, and a strike alone always counts.

Seen to fail: the new tests without the pardon, without the look at the failure domain, and with the pardon given to copies of one request.

--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -3,6 +3,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use slotmap::SlotMap;
+use wisteriapoint_types::EndpointName;
 
 use crate::choice::{Choice, Chooser};
 use crate::queue::{Place, Queue};
@@ -16,6 +17,8 @@
 const MIN_RETRY_AFTER_MS: u64 = 100;
 const MAX_RETRY_AFTER_MS: u64 = 60_000;
 const QUARANTINE_RETRY_AFTER_MS: u64 = 600_000;
+/// Time within which crashes in one failure domain count as one event, in milliseconds.
+const TOGETHER_MS: u64 = 100;
 const STRIKE_EXPORT_MS: u64 = 60_000;
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 /// Waiting requests that one wake looks at beyond those that it dispatches.
@@ -65,6 +68,7 @@
     preempted: Vec<TicketKey>,
     preempting: usize,
     suspects: Suspects,
+    crashes: Vec<(u64, EndpointKey)>,
     retries: RetryBudget,
     token_share: f64,
     answers: u64,
@@ -84,6 +88,7 @@
             preempted: Vec::new(),
             preempting: 0,
             suspects: Suspects::default(),
+            crashes: Vec::new(),
             retries: RetryBudget::new(DEFAULT_RETRY_RATIO),
             token_share: 1.0,
             answers: 0,
@@ -293,6 +298,7 @@
             match (outcome, digest) {
                 (Outcome::Crashed, Some(digest)) => {
                     self.suspects.strike(now_ms, digest, &seat.endpoint, alone);
+                    self.pardon_crashed_together(now_ms, endpoint);
                 }
                 (Outcome::Answered { .. }, Some(digest)) => self.suspects.acquit(now_ms, digest),
                 _ => {}
@@ -307,6 +313,24 @@
         self.wake(now_ms)
     }
 
+    /// Endpoints of one failure domain that crash together were not crashed by a request.
+    fn pardon_crashed_together(&mut self, now_ms: u64, endpoint: EndpointKey) {
+        self.crashes
+            .retain(|&(at_ms, other)| at_ms + TOGETHER_MS > now_ms && other != endpoint);
+        self.crashes.push((now_ms, endpoint));
+        let failure_domain = self.seats[endpoint].failure_domain.clone();
+        let recent = self.crashes.iter();
+        let together: Vec<EndpointName> = recent
+            .filter_map(|&(_, other)| self.seats.get(other))
+            .filter(|seat| seat.failure_domain == failure_domain)
+            .map(|seat| seat.endpoint.clone())
+            .collect();
+        if together.len() > 1 {
+            let since_ms = now_ms.saturating_sub(TOGETHER_MS);
+            self.suspects.pardon(since_ms, &together);
+        }
+    }
+
     /// Gives the waiting requests that may go now; to be called when anything changed.
     pub fn wake(&mut self, now_ms: u64) -> Vec<Woken> {
         let mut woken = Vec::new();
@@ -327,7 +351,11 @@
                 _ if demand.deadline_ms <= now_ms => {
                     Err(self.refusal(now_ms, Reason::Deadline, demand))
                 }
-                _ => match self.start_solo(now_ms, ticket) {
+                Standing::Clean => {
+                    self.requeue(ticket);
+                    continue;
+                }
+                Standing::Suspect => match self.start_solo(now_ms, ticket) {
                     Some(endpoint) => Ok(endpoint),
                     None => continue,
                 },
@@ -340,6 +368,14 @@
         }
     }
 
+    /// Puts a suspect that is cleared in line with the others.
+    fn requeue(&mut self, ticket: TicketKey) {
+        self.solo.retain(|&other| other != ticket);
+        self.unreserve(ticket);
+        let held = &mut self.tickets[ticket];
+        held.state = State::Queued(self.queue.push(ticket, &held.demand));
+    }
+
     fn wake_class(&mut self, now_ms: u64, class: Class, woken: &mut Vec<Woken>) {
         let mut passed_over = 0;
         loop {
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -79,6 +79,20 @@
         }
     }
 
+    /// Takes back strikes since `since_ms` at endpoints that crashed together, since no
+    /// single request crashed them all; a request that ran on several of them keeps its own.
+    pub fn pardon(&mut self, since_ms: u64, endpoints: &[EndpointName]) {
+        let is_of_crash = |held: &Held| {
+            !held.alone && held.at_ms >= since_ms && endpoints.contains(&held.endpoint)
+        };
+        self.records.retain(|_, strikes| {
+            if strikes.iter().filter(|held| is_of_crash(held)).count() == 1 {
+                strikes.retain(|held| !is_of_crash(held));
+            }
+            !strikes.is_empty()
+        });
+    }
+
     /// How a request is treated; strikes are forgotten after ten minutes.
     pub fn standing(&self, now_ms: u64, digest: Digest) -> Standing {
         match self.records.get(&digest) {
--- a/crates/route/tests/suspects.rs
+++ b/crates/route/tests/suspects.rs
@@ -200,3 +200,34 @@
     let after = Subset::new(me, members[..39].to_vec(), 40).select(&all);
     assert!(before.iter().all(|name| after.contains(name)));
 }
+
+#[test]
+fn the_loss_of_a_failure_domain_raises_no_suspicion() {
+    let cases = [
+        ("two endpoints at once", "a", 0, true),
+        ("one after the other", "a", 1_000, false),
+        ("two failure domains", "b", 0, false),
+    ];
+    for (name, second_domain, apart_ms, cleared) in cases {
+        let mut pool = Pool::new(16, 1);
+        pool.insert(Seat::new("e", "a", 1));
+        pool.insert(Seat::new("f", second_domain, 1));
+        let first = go(&mut pool, 0, Digest(1));
+        let second = go(&mut pool, 0, Digest(2));
+        pool.finish(0, first.ticket, Outcome::Crashed);
+        pool.finish(apart_ms, second.ticket, Outcome::Crashed);
+        assert_eq!(pool.strikes(apart_ms).is_empty(), cleared, "{name}");
+    }
+}
+
+#[test]
+fn copies_of_one_request_that_crash_two_endpoints_stay_suspect() {
+    let mut pool = Pool::new(16, 1);
+    pool.insert(Seat::new("e", "a", 1));
+    pool.insert(Seat::new("f", "a", 1));
+    let copies = [go(&mut pool, 0, BAD), go(&mut pool, 0, BAD)];
+    for copy in copies {
+        pool.finish(0, copy.ticket, Outcome::Crashed);
+    }
+    assert_eq!(pool.strikes(0).len(), 2);
+}
