--- /dev/null
+++ b/crates/claim/tests/partition.rs
@@ -0,0 +1,135 @@
+//! One partition: pages, late messages, ages of keys.
+
+use wisteriapoint_claim::{
+    Age, Answer, Ask, CLOCK_SKEW_MS, PAGE_BYTES, Partition, Recorded, Report, Settled, Transfer,
+};
+use wisteriapoint_types::{Digest, MemberId, Nonce, RequestKey, ViewNumber};
+
+const VIEW: ViewNumber = ViewNumber(1);
+const HORIZON_MS: u64 = 60_000;
+
+fn open() -> Partition {
+    let mut partition = Partition::new();
+    partition.open(VIEW, Transfer::default());
+    partition
+}
+
+fn ask(key: &str, nonce: u64) -> Ask {
+    Ask {
+        view: VIEW,
+        key: RequestKey::new(key),
+        digest: Digest(1),
+        claimant: MemberId(nonce),
+        nonce: Nonce(nonce),
+        horizon_ms: HORIZON_MS,
+    }
+}
+
+fn ran(body_bytes: usize) -> Settled {
+    Settled::Ran(Recorded {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: vec![7; body_bytes],
+    })
+}
+
+fn report(ask: &Ask, settled: Option<Settled>) -> Report {
+    Report {
+        ask: ask.clone(),
+        settled,
+    }
+}
+
+#[test]
+fn pages_are_bounded_and_whole_together() {
+    let mut source = open();
+    for number in 0..40 {
+        let ask = ask(&format!("order-{number:02}"), number);
+        source.report(0, &report(&ask, Some(ran(PAGE_BYTES / 8))));
+    }
+    let mut collected = Transfer::default();
+    let mut after = None;
+    let mut pages = 0;
+    loop {
+        let page = source.page(after.as_ref());
+        assert!(page.transfer.records.len() <= 8);
+        collected.merge(page.transfer);
+        pages += 1;
+        match page.next {
+            Some(next) => after = Some(next),
+            None => break,
+        }
+    }
+    assert_eq!((pages, collected.records.len()), (5, 40));
+}
+
+#[test]
+fn an_ask_after_its_release_is_not_granted() {
+    let mut partition = open();
+    let late = ask("order", 1);
+    partition.report(0, &report(&late, None));
+    assert_eq!(partition.ask(0, &late), Answer::Released);
+    assert_eq!(partition.ask(0, &ask("order", 2)), Answer::Granted);
+}
+
+#[test]
+fn the_first_outcome_stays() {
+    let mut partition = open();
+    let winner = ask("order", 1);
+    assert_eq!(partition.ask(0, &winner), Answer::Granted);
+    partition.report(0, &report(&winner, Some(ran(1))));
+    partition.report(0, &report(&winner, Some(ran(2))));
+    partition.report(0, &report(&winner, None));
+    assert_eq!(partition.ask(0, &ask("order", 2)), Answer::Settled(ran(1)));
+}
+
+#[test]
+fn a_sealed_partition_refuses_and_a_later_open_answers() {
+    let mut partition = open();
+    partition.seal(ViewNumber(2));
+    let refused = Answer::NotOpen {
+        view: ViewNumber(2),
+    };
+    assert_eq!(partition.ask(0, &ask("order", 1)), refused);
+    partition.open(VIEW, Transfer::default());
+    assert_eq!(partition.ask(0, &ask("order", 1)), refused);
+    partition.open(ViewNumber(2), Transfer::default());
+    assert!(partition.is_open(ViewNumber(2)));
+}
+
+#[test]
+fn ages_of_keys() {
+    // Issued at 100,000 ms.
+    let dated = RequestKey::new("00000001-86a0-7000-8000-000000000000");
+    let opaque = RequestKey::new("order");
+    let issued_ms = 100_000;
+    for (now_ms, key, age) in [
+        (issued_ms - CLOCK_SKEW_MS - 1, &dated, Age::Future),
+        (issued_ms - CLOCK_SKEW_MS, &dated, Age::Valid),
+        (issued_ms + HORIZON_MS, &dated, Age::Valid),
+        (issued_ms + HORIZON_MS + 1, &dated, Age::Expired),
+        (0, &opaque, Age::Valid),
+        (u64::MAX, &opaque, Age::Valid),
+    ] {
+        assert_eq!(Age::new(now_ms, key, HORIZON_MS), age, "{now_ms}");
+    }
+}
+
+#[test]
+fn an_opaque_key_runs_again_once_the_horizon_after_a_loss_has_passed() {
+    let mut partition = Partition::new();
+    let lost = Transfer {
+        lost_at_ms: Some(0),
+        ..Transfer::default()
+    };
+    partition.open(VIEW, lost);
+    let known_since_ms = 2 * CLOCK_SKEW_MS + HORIZON_MS;
+    assert_eq!(
+        partition.ask(known_since_ms, &ask("order", 1)),
+        Answer::Lost
+    );
+    assert_eq!(
+        partition.ask(known_since_ms + 1, &ask("order", 2)),
+        Answer::Granted
+    );
+}
