--- a/crates/wisteriapoint/src/daemon/generate.rs
+++ b/crates/wisteriapoint/src/daemon/generate.rs
@@ -102,6 +102,11 @@
             Ok(ended) => return Ok(ended),
             Err(failure) => failure,
         };
+        if failure.is_preempted() {
+            demand.tried.pop();
+            demand.avoid = None;
+            continue;
+        }
         count_failed(shared, service, &failure);
         let allowed = attempts.note(&failure);
         if !allowed || !(failure.is_refusal() || router.may_retry()) {
@@ -117,17 +122,18 @@
 
 async fn attempt_once<S: Sink + Send>(
     shared: &Arc<Shared>,
-    permit: Permit,
+    mut permit: Permit,
     request: &mut CompletionRequest,
     limit: Duration,
     sink: &mut S,
 ) -> Result<Ended, Failure> {
     let mut tokens = 0;
-    sink.begin(&permit.target().endpoint);
-    let started = shared
-        .clients
-        .generate(permit.target(), request, limit)
-        .await;
+    let target = permit.target().clone();
+    sink.begin(&target.endpoint);
+    let started = tokio::select! {
+        started = shared.clients.generate(&target, request, limit) => started,
+        () = permit.preempted() => return Err(Failure::preempted()),
+    };
     let mut generation = match started {
         Ok(generation) => generation,
         Err(failure) => {
@@ -136,7 +142,11 @@
         }
     };
     loop {
-        match generation.next().await {
+        let next = tokio::select! {
+            next = generation.next() => next,
+            () = permit.preempted() => return Err(Failure::preempted()),
+        };
+        match next {
             Ok(Some(chunk)) => {
                 tokens += chunk.tokens;
                 request.advance(&chunk);
