--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -111,13 +111,17 @@
     }
 
     /// Takes a service document in force and the VMs that are leaving.
+    ///
+    /// Which endpoints are used is worked out before the lock is taken, since that takes
+    /// time in a large service.
     pub fn update(&self, document: &ServiceDocument, leaving: &BTreeSet<VmName>) {
+        let subset = self.lock().subset.clone();
+        let names = used_names(subset.as_ref(), document);
         let mut inner = self.lock();
         inner
             .pool
             .set_queue_length(document.limits.queue_length as usize);
         inner.pool.set_retry_ratio(document.limits.retry_ratio);
-        let names = inner.names(document);
         inner.remove_absent(&names);
         let used = |endpoint: &&Endpoint| names.contains(&endpoint.endpoint);
         for endpoint in document.endpoints.iter().filter(used) {
@@ -278,16 +282,6 @@
         }
     }
 
-    /// Names of the endpoints that this daemon uses.
-    fn names<'a>(&self, document: &'a ServiceDocument) -> BTreeSet<&'a EndpointName> {
-        let endpoints = document.endpoints.iter();
-        let all: Vec<&EndpointName> = endpoints.map(|endpoint| &endpoint.endpoint).collect();
-        match &self.subset {
-            Some(subset) => subset.select(&all).into_iter().collect(),
-            None => all.into_iter().collect(),
-        }
-    }
-
     fn owns(&self, endpoint: &EndpointName) -> bool {
         let subset = self.subset.as_ref();
         subset.is_none_or(|subset| subset.owns(endpoint))
@@ -377,6 +371,19 @@
     }
 }
 
+/// Names of the endpoints that this daemon uses.
+fn used_names<'a>(
+    subset: Option<&Subset>,
+    document: &'a ServiceDocument,
+) -> BTreeSet<&'a EndpointName> {
+    let endpoints = document.endpoints.iter();
+    let all: Vec<&EndpointName> = endpoints.map(|endpoint| &endpoint.endpoint).collect();
+    match subset {
+        Some(subset) => subset.select(&all).into_iter().collect(),
+        None => all.into_iter().collect(),
+    }
+}
+
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let mut inner = self.router.lock();
