--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -24,7 +24,6 @@
 /// Header of an answer that was recorded when the request ran.
 pub const REPLAYED_HEADER: &str = "wisteriapoint-replayed";
 
-const MAX_RECORDED_BYTES: usize = 64 << 10;
 const BUSY_RETRY_AFTER_MS: u64 = 1_000;
 
 /// Handles requests to plain services.
@@ -233,16 +232,13 @@
     })
 }
 
-/// What the holders keep of an answer; one that is too large for them is lost to repeats.
+/// What the holders are told of an answer.
 fn settled(answer: &PlainAnswer) -> Settled {
-    match answer.body.len() {
-        ..=MAX_RECORDED_BYTES => Settled::Ran(Recorded {
-            status: answer.status.as_u16(),
-            content_type: answer.content_type().into(),
-            body: answer.body.to_vec(),
-        }),
-        _ => Settled::MayHaveRun,
-    }
+    Settled::Ran(Recorded {
+        status: answer.status.as_u16(),
+        content_type: answer.content_type().into(),
+        body: answer.body.to_vec(),
+    })
 }
 
 fn write_fresh(response: &mut Response, answer: PlainAnswer) {
