Split the pool by duty; measure subsets with many daemons

Rollouts in flight are kept in order of dispatch, so that naming one for a waiting caller no longer looks at all requests.

--- a/crates/experiment/src/policy/mod.rs
+++ b/crates/experiment/src/policy/mod.rs
@@ -23,6 +23,9 @@
 use before::Before;
 use now::Now;
 use oracle::Oracle;
+use wisteriapoint_route::Subset;
+use wisteriapoint_types::MemberId;
+
 use simulation::{Simulation, places};
 use variant::Policy;
 
@@ -69,7 +72,13 @@
             simulate(scenario, variant, seed, daemons.map(make).collect())
         }
         Variant::Now => {
-            let make = |daemon| Now::new(&places, daemon, scenario.daemons, of_daemon(daemon));
+            let members: Vec<MemberId> = daemons.clone().map(|d| MemberId(d as u64)).collect();
+            let size = scenario.subset.unwrap_or(places.len());
+            let make = |daemon| {
+                let me = MemberId(daemon as u64);
+                let subset = Subset::new(me, members.clone(), size);
+                Now::new(&places, &subset, of_daemon(daemon))
+            };
             simulate(scenario, variant, seed, daemons.map(make).collect())
         }
         Variant::Oracle => simulate(scenario, variant, seed, vec![Oracle::new(&places)]),
--- a/crates/experiment/src/policy/now.rs
+++ b/crates/experiment/src/policy/now.rs
@@ -7,7 +7,7 @@
     Admission, Class, Demand, EndpointKey, Load, Outcome, Pool, Reason, Refusal, Seat, Strike,
     Subset, TicketKey, Woken,
 };
-use wisteriapoint_types::{FailureDomain, MemberId};
+use wisteriapoint_types::{EndpointName, FailureDomain};
 
 use super::scenario::Kind;
 use super::variant::{Ask, End, Order, Place, Policy};
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 pub struct Now {
     pool: Pool,
-    keys: Vec<EndpointKey>,
+    keys: Vec<Option<EndpointKey>>,
     indices: SecondaryMap<EndpointKey, usize>,
     tickets: BTreeMap<usize, TicketKey>,
     requests: SecondaryMap<TicketKey, usize>,
@@ -27,19 +27,24 @@
 
 impl Now {
     /// Makes the variant.
-    pub fn new(places: &[Place], daemon: usize, daemons: usize, seed: u64) -> Self {
+    pub fn new(places: &[Place], subset: &Subset, seed: u64) -> Self {
         let mut pool = Pool::new(QUEUE_LENGTH, seed);
-        let members = (0..daemons as u64).map(MemberId).collect();
-        let subset = Subset::new(MemberId(daemon as u64), members, places.len());
+        let names: Vec<EndpointName> = (0..places.len())
+            .map(|index| EndpointName::new(format!("endpoint-{index}")))
+            .collect();
+        let used = subset.select(&names.iter().collect::<Vec<_>>());
         let mut indices = SecondaryMap::new();
         let mut keys = Vec::new();
-        for (index, place) in places.iter().enumerate() {
-            let name = format!("endpoint-{index}");
-            let mut seat = Seat::new(&name, &domain(place.failure_domain), place.slots);
-            seat.owned = subset.owns(&seat.endpoint);
+        for (index, (place, name)) in places.iter().zip(&names).enumerate() {
+            if !used.contains(&name) {
+                keys.push(None);
+                continue;
+            }
+            let mut seat = Seat::new(name.as_str(), &domain(place.failure_domain), place.slots);
+            seat.owned = subset.owns(name);
             let key = pool.insert(seat);
             indices.insert(key, index);
-            keys.push(key);
+            keys.push(Some(key));
         }
         Self {
             pool,
@@ -96,7 +101,11 @@
             cost_tokens: ask.cost_tokens,
             prefix: ask.prefix,
             digest: Some(ask.digest),
-            tried: ask.tried.iter().map(|&index| self.keys[index]).collect(),
+            tried: ask
+                .tried
+                .iter()
+                .filter_map(|&index| self.keys[index])
+                .collect(),
             avoid: ask
                 .avoid
                 .map(|domain_index| FailureDomain::new(domain(domain_index))),
@@ -172,11 +181,14 @@
             waiting,
             at_ms,
         };
-        self.pool.report(now_ms, self.keys[endpoint], load);
+        if let Some(key) = self.keys[endpoint] {
+            self.pool.report(now_ms, key, load);
+        }
     }
 
     fn set_leaving(&mut self, endpoint: usize) {
-        if let Some(seat) = self.pool.seat_mut(self.keys[endpoint]) {
+        let key = self.keys[endpoint];
+        if let Some(seat) = key.and_then(|key| self.pool.seat_mut(key)) {
             seat.leaving = true;
         }
     }
--- a/crates/experiment/src/policy/scenario.rs
+++ b/crates/experiment/src/policy/scenario.rs
@@ -18,6 +18,8 @@
     pub warm_up_ms: u64,
     /// Number of daemons.
     pub daemons: usize,
+    /// Endpoints that a daemon of the present policy uses; all if it is absent.
+    pub subset: Option<usize>,
     /// The endpoints.
     pub endpoints: Vec<Group>,
     /// How endpoints report their load.
--- a/crates/experiment/src/policy/simulation.rs
+++ b/crates/experiment/src/policy/simulation/mod.rs
@@ -1,15 +1,18 @@
 //! The event loop: arrivals, endpoints, reports and faults on a virtual clock.
 
+mod arrivals;
+mod faults;
+
 use std::collections::BTreeMap;
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use wisteriapoint_types::Digest;
 
-use super::endpoint::{Attempt, Endpoint};
-use super::request::{Request, State};
-use super::scenario::{Fault, Kind, Scenario, Stream};
-use super::variant::{Ask, End, Order, Place, Policy};
+use crate::policy::endpoint::{Attempt, Endpoint};
+use crate::policy::request::{Request, State};
+use crate::policy::scenario::{Fault, Group, Kind, Scenario, Stream};
+use crate::policy::variant::{Ask, End, Order, Place, Policy};
 
 const ATTEMPTS: u32 = 3;
 const TICK_MS: u64 = 50;
@@ -66,7 +69,7 @@
     let groups = scenario.endpoints.iter();
     let all = groups.flat_map(|group| std::iter::repeat_n(group, group.count));
     let numbered = all.enumerate();
-    let place = |(index, group): (usize, &super::scenario::Group)| Place {
+    let place = |(index, group): (usize, &Group)| Place {
         failure_domain: index % 3,
         slots: group.slots,
         ms_per_token: group.ms_per_token,
@@ -161,54 +164,6 @@
         }
     }
 
-    fn next(&mut self, index: usize) {
-        let stream = &self.scenario.streams[index];
-        let until_ms = stream.until_ms.unwrap_or(self.scenario.duration_ms);
-        if self.now_ms >= until_ms {
-            return;
-        }
-        let request = self.draw(stream);
-        self.begin(request);
-        let rate = stream.load * self.scenario.tokens_per_second() / stream.mean_tokens();
-        let gap_s = -(1.0 - self.arrivals.random::<f64>()).ln() / rate;
-        // Fractions of a millisecond add up, so that the rate holds.
-        let next_ms = self.next_ms[index].max(stream.from_ms as f64) + gap_s * 1_000.0;
-        self.next_ms[index] = next_ms;
-        self.at((next_ms as u64).max(self.now_ms), Event::Next(index));
-    }
-
-    fn draw(&mut self, stream: &Stream) -> Request {
-        let tokens = self
-            .arrivals
-            .random_range(stream.least_tokens..=stream.greatest_tokens);
-        let prefix = match stream.prefixes {
-            0 => None,
-            // The square makes some beginnings far more frequent than others.
-            count => Some((self.arrivals.random::<f64>().powi(2) * count as f64) as u64),
-        };
-        let digest = Digest(self.arrivals.random());
-        Request {
-            prefix,
-            prefill_tokens: stream.prefill_tokens,
-            resends: stream.resends,
-            greatest_tokens: stream.greatest_tokens,
-            ..Request::new(
-                stream.kind,
-                self.now_ms,
-                self.now_ms + stream.deadline_ms,
-                tokens,
-                digest,
-            )
-        }
-    }
-
-    fn begin(&mut self, request: Request) {
-        let index = self.requests.len();
-        self.after(request.deadline_ms - self.now_ms, Event::Expire(index));
-        self.requests.push(request);
-        self.arrive(index);
-    }
-
     fn arrive(&mut self, index: usize) {
         if self.requests[index].state != State::Open {
             return;
@@ -411,104 +366,4 @@
         }
         self.after(TICK_MS, Event::Tick);
     }
-
-    /// Daemons tell each other their suspicions.
-    fn gossip(&mut self) {
-        let strikes: Vec<_> = self.policies.iter().flat_map(Policy::export).collect();
-        for policy in &mut self.policies {
-            policy.import(self.now_ms, &strikes);
-        }
-        self.after(GOSSIP_MS, Event::Gossip);
-    }
-
-    fn report(&mut self, index: usize) {
-        let reports = self.scenario.reports;
-        let endpoint = &self.endpoints[index];
-        let heard = Event::Heard {
-            endpoint: index,
-            running: endpoint.running() as u32,
-            waiting: endpoint.waiting() as u32,
-            leaving: endpoint.leaving,
-        };
-        let is_up = endpoint.up;
-        if is_up && !self.random.random_bool(reports.gap_share) {
-            self.after(reports.lag_ms, heard);
-        }
-        self.after(reports.interval_ms, Event::Report(index));
-    }
-
-    fn heard(&mut self, endpoint: usize, running: u32, waiting: u32, leaving: bool) {
-        let at_ms = self.now_ms.saturating_sub(self.scenario.reports.lag_ms);
-        let domain = self.endpoints[endpoint].failure_domain;
-        let heard_by = match self.cut {
-            Some(cut) if cut == domain => self.policies.len().div_ceil(2),
-            _ => self.policies.len(),
-        };
-        for policy in &mut self.policies[..heard_by] {
-            policy.report(at_ms, self.now_ms, endpoint, running, waiting);
-            if leaving {
-                policy.set_leaving(endpoint);
-            }
-        }
-    }
-
-    fn fault(&mut self, index: usize) {
-        match self.scenario.faults[index] {
-            Fault::Crash {
-                endpoint, down_ms, ..
-            } => {
-                self.crash(endpoint);
-                self.after(down_ms, Event::Back(endpoint));
-            }
-            Fault::Domain {
-                failure_domain,
-                down_ms,
-                ..
-            } => {
-                for endpoint in
-                    (0..self.endpoints.len()).filter(|index| index % 3 == failure_domain)
-                {
-                    self.crash(endpoint);
-                    self.after(down_ms, Event::Back(endpoint));
-                }
-            }
-            Fault::Leave {
-                endpoint, grace_ms, ..
-            } => {
-                self.endpoints[endpoint].leaving = true;
-                self.after(grace_ms, Event::Gone(endpoint));
-            }
-            Fault::Cut {
-                failure_domain,
-                cut_ms,
-                ..
-            } => {
-                self.cut = Some(failure_domain);
-                self.after(cut_ms, Event::Healed);
-            }
-            Fault::CrashingRequest { resends, .. } => {
-                let digest = Digest(self.arrivals.random());
-                let request =
-                    Request::new(Kind::Caller, self.now_ms, self.now_ms + TAIL_MS, 1, digest);
-                self.begin(Request {
-                    crashes: true,
-                    resends,
-                    ..request
-                });
-            }
-        }
-    }
-
-    fn crash_by(&mut self, attempt: Attempt) {
-        if let Some(target) = self.current_endpoint(attempt) {
-            self.crashed_by_request += 1;
-            self.crash(target);
-        }
-    }
-
-    fn crash(&mut self, endpoint: usize) {
-        for attempt in self.endpoints[endpoint].crash() {
-            self.after(CONNECT_MS, Event::Failed(attempt, End::Crashed));
-        }
-    }
 }
--- /dev/null
+++ b/crates/route/src/pool/estimate.rs
@@ -0,0 +1,77 @@
+//! How long requests will wait and take, and what a refusal says of it.
+
+use super::Pool;
+use crate::{Class, Demand, Reason, Refusal};
+
+const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
+const MIN_RETRY_AFTER_MS: u64 = 100;
+const MAX_RETRY_AFTER_MS: u64 = 60_000;
+const QUARANTINE_RETRY_AFTER_MS: u64 = 600_000;
+
+impl Pool {
+    /// Time for one token that an endpoint without measurement is given credit for, that
+    /// of the fastest; 0 if none is measured.
+    pub(super) fn default_ms_per_token(&self) -> f64 {
+        let measured = self.seats.values().map(|seat| seat.ms_per_token);
+        let least = measured
+            .filter(|&speed| speed > 0.0)
+            .fold(f64::INFINITY, f64::min);
+        match least {
+            least if least.is_finite() => least,
+            _ => 0.0,
+        }
+    }
+
+    /// Time until the queue before a new request of a class is dispatched, in milliseconds.
+    pub(super) fn wait_ms(&self, now_ms: u64, class: Class) -> f64 {
+        let default = self.default_ms_per_token();
+        let open = self.seats.values().filter(|seat| seat.is_open(now_ms));
+        let rates = open.map(|seat| match seat.best_speed(now_ms, default) {
+            speed if speed > 0.0 => seat.share(now_ms) / speed,
+            _ => 0.0,
+        });
+        let tokens_per_ms: f64 = rates.sum();
+        match tokens_per_ms {
+            rate if rate > 0.0 => self.queue.tokens(class) as f64 * self.token_share / rate,
+            _ => 0.0,
+        }
+    }
+
+    /// Expected time of a request on the fastest open endpoint, in milliseconds.
+    pub(super) fn service_ms(&self, now_ms: u64, demand: &Demand) -> f64 {
+        let default = self.default_ms_per_token();
+        let open = self.seats.values().filter(|seat| seat.is_open(now_ms));
+        let fastest = open
+            .map(|seat| seat.speed(now_ms, default))
+            .fold(f64::INFINITY, f64::min);
+        match fastest {
+            speed if speed.is_finite() => f64::from(demand.cost_tokens) * self.token_share * speed,
+            _ => 0.0,
+        }
+    }
+
+    pub(super) fn is_hopeless(&self, now_ms: u64, demand: &Demand, wait_ms: f64) -> bool {
+        let expected_ms = wait_ms + self.service_ms(now_ms, demand);
+        now_ms as f64 + expected_ms >= demand.deadline_ms as f64
+    }
+
+    pub(super) fn refusal(&self, now_ms: u64, reason: Reason, demand: &Demand) -> Refusal {
+        let allowed_ms = demand.deadline_ms.saturating_sub(now_ms) as f64;
+        let wait_ms = self.wait_ms(now_ms, demand.class);
+        let retry_after_ms = match reason {
+            Reason::NoEndpoint => DEFAULT_RETRY_AFTER_MS,
+            Reason::Quarantined => QUARANTINE_RETRY_AFTER_MS,
+            Reason::QueueFull => wait_ms as u64,
+            Reason::Deadline => {
+                (wait_ms + self.service_ms(now_ms, demand) - allowed_ms).max(0.0) as u64
+            }
+        };
+        Refusal {
+            reason,
+            retry_after_ms: match reason {
+                Reason::Quarantined => retry_after_ms,
+                _ => retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
+            },
+        }
+    }
+}
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool/mod.rs
@@ -1,9 +1,9 @@
 //! The endpoints of one service and the requests that wait for them or run there.
 
-use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
-use slotmap::SlotMap;
-use wisteriapoint_types::EndpointName;
+mod estimate;
+mod solo;
+
+use std::collections::BTreeSet;
 
 use crate::choice::{Choice, Chooser};
 use crate::queue::{Place, Queue};
@@ -12,19 +12,14 @@
     Admission, Class, Demand, Dispatch, EndpointKey, Load, Outcome, Reason, Refusal, RetryBudget,
     Seat, TicketKey,
 };
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use slotmap::SlotMap;
 
-const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
-const MIN_RETRY_AFTER_MS: u64 = 100;
-const MAX_RETRY_AFTER_MS: u64 = 60_000;
-const QUARANTINE_RETRY_AFTER_MS: u64 = 600_000;
-/// Time within which crashes in one failure domain count as one event, in milliseconds.
-const TOGETHER_MS: u64 = 100;
 const STRIKE_EXPORT_MS: u64 = 60_000;
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 /// Waiting requests that one wake looks at beyond those that it dispatches.
 const LOOK_AHEAD: usize = 16;
-/// One endpoint in so many may be kept for a suspect.
-const SOLO_DIVISOR: usize = 4;
 /// Number of the first dispatch; an endpoint starts with a random lower one.
 const FIRST_DISPATCH: u64 = 1 << 32;
 const TOKEN_SHARE_SMOOTHING: f64 = 0.02;
@@ -67,6 +62,8 @@
     solo: Vec<TicketKey>,
     preempted: Vec<TicketKey>,
     preempting: usize,
+    /// Rollouts in flight by the time of their dispatch, in milliseconds.
+    rollouts: BTreeSet<(u64, TicketKey)>,
     suspects: Suspects,
     crashes: Vec<(u64, EndpointKey)>,
     retries: RetryBudget,
@@ -87,6 +84,7 @@
             solo: Vec::new(),
             preempted: Vec::new(),
             preempting: 0,
+            rollouts: BTreeSet::new(),
             suspects: Suspects::default(),
             crashes: Vec::new(),
             retries: RetryBudget::new(DEFAULT_RETRY_RATIO),
@@ -203,22 +201,6 @@
         }
     }
 
-    fn admit_suspect(&mut self, now_ms: u64, demand: Demand) -> Admission {
-        if self.solo.len() >= self.queue_length {
-            return Admission::Refuse(self.refusal(now_ms, Reason::QueueFull, &demand));
-        }
-        let state = State::Solo;
-        let ticket = self.tickets.insert(Ticket { demand, state });
-        self.solo.push(ticket);
-        match self.start_solo(now_ms, ticket) {
-            Some(endpoint) => {
-                self.solo.retain(|&other| other != ticket);
-                Admission::Go(Dispatch { ticket, endpoint })
-            }
-            None => Admission::Wait(ticket),
-        }
-    }
-
     fn enqueue(&mut self, demand: Demand) -> TicketKey {
         let queue = &mut self.queue;
         self.tickets.insert_with_key(|ticket| {
@@ -233,13 +215,22 @@
             since_ms: now_ms,
         };
         let ticket = self.tickets.insert(Ticket { demand, state });
-        self.occupy(now_ms, endpoint);
+        self.run(now_ms, ticket, endpoint);
         Dispatch { ticket, endpoint }
     }
 
-    fn occupy(&mut self, now_ms: u64, endpoint: EndpointKey) {
+    /// Counts a request as in flight.
+    fn run(&mut self, now_ms: u64, ticket: TicketKey, endpoint: EndpointKey) {
         self.dispatches += 1;
         self.seats[endpoint].occupy(now_ms, self.dispatches);
+        let held = &mut self.tickets[ticket];
+        held.state = State::Running {
+            endpoint,
+            since_ms: now_ms,
+        };
+        if held.demand.class.is_rollout() {
+            self.rollouts.insert((now_ms, ticket));
+        }
     }
 
     /// Takes back a waiting request.
@@ -260,16 +251,10 @@
                 self.solo.retain(|&other| other != ticket);
                 self.unreserve(ticket);
             }
-            State::Running { .. } => {}
-            State::Preempted { .. } => self.preempting -= 1,
-        }
-    }
-
-    fn unreserve(&mut self, ticket: TicketKey) {
-        for seat in self.seats.values_mut() {
-            if seat.reserved == Some(ticket) {
-                seat.reserved = None;
+            State::Running { since_ms, .. } => {
+                self.rollouts.remove(&(since_ms, ticket));
             }
+            State::Preempted { .. } => self.preempting -= 1,
         }
     }
 
@@ -313,24 +298,6 @@
         self.wake(now_ms)
     }
 
-    /// Endpoints of one failure domain that crash together were not crashed by a request.
-    fn pardon_crashed_together(&mut self, now_ms: u64, endpoint: EndpointKey) {
-        self.crashes
-            .retain(|&(at_ms, other)| at_ms + TOGETHER_MS > now_ms && other != endpoint);
-        self.crashes.push((now_ms, endpoint));
-        let failure_domain = self.seats[endpoint].failure_domain.clone();
-        let recent = self.crashes.iter();
-        let together: Vec<EndpointName> = recent
-            .filter_map(|&(_, other)| self.seats.get(other))
-            .filter(|seat| seat.failure_domain == failure_domain)
-            .map(|seat| seat.endpoint.clone())
-            .collect();
-        if together.len() > 1 {
-            let since_ms = now_ms.saturating_sub(TOGETHER_MS);
-            self.suspects.pardon(since_ms, &together);
-        }
-    }
-
     /// Gives the waiting requests that may go now; to be called when anything changed.
     pub fn wake(&mut self, now_ms: u64) -> Vec<Woken> {
         let mut woken = Vec::new();
@@ -343,39 +310,6 @@
         woken
     }
 
-    fn wake_solo(&mut self, now_ms: u64, woken: &mut Vec<Woken>) {
-        for ticket in self.solo.clone() {
-            let demand = &self.tickets[ticket].demand;
-            let endpoint = match self.standing(now_ms, demand) {
-                Standing::Quarantined => Err(self.refusal(now_ms, Reason::Quarantined, demand)),
-                _ if demand.deadline_ms <= now_ms => {
-                    Err(self.refusal(now_ms, Reason::Deadline, demand))
-                }
-                Standing::Clean => {
-                    self.requeue(ticket);
-                    continue;
-                }
-                Standing::Suspect => match self.start_solo(now_ms, ticket) {
-                    Some(endpoint) => Ok(endpoint),
-                    None => continue,
-                },
-            };
-            self.solo.retain(|&other| other != ticket);
-            if endpoint.is_err() {
-                self.forget(ticket);
-            }
-            woken.push(Woken { ticket, endpoint });
-        }
-    }
-
-    /// Puts a suspect that is cleared in line with the others.
-    fn requeue(&mut self, ticket: TicketKey) {
-        self.solo.retain(|&other| other != ticket);
-        self.unreserve(ticket);
-        let held = &mut self.tickets[ticket];
-        held.state = State::Queued(self.queue.push(ticket, &held.demand));
-    }
-
     fn wake_class(&mut self, now_ms: u64, class: Class, woken: &mut Vec<Woken>) {
         let mut passed_over = 0;
         loop {
@@ -412,11 +346,7 @@
         if demand.class.is_rollout() {
             self.queue.advance(place);
         }
-        self.occupy(now_ms, endpoint);
-        self.tickets[ticket].state = State::Running {
-            endpoint,
-            since_ms: now_ms,
-        };
+        self.run(now_ms, ticket, endpoint);
         Some(Ok(endpoint))
     }
 
@@ -430,18 +360,12 @@
     /// Marks the youngest rollouts in flight for cancellation, one for each waiting caller.
     fn preempt(&mut self) {
         while self.preempting < self.queue.len(Class::Caller) {
-            let running = self
-                .tickets
-                .iter()
-                .filter_map(|(key, held)| match held.state {
-                    State::Running { endpoint, since_ms } if held.demand.class.is_rollout() => {
-                        Some((since_ms, key, endpoint))
-                    }
-                    _ => None,
-                });
-            let Some((_, ticket, endpoint)) = running.max() else {
+            let Some((_, ticket)) = self.rollouts.pop_last() else {
                 return;
             };
+            let State::Running { endpoint, .. } = self.tickets[ticket].state else {
+                continue;
+            };
             self.tickets[ticket].state = State::Preempted { endpoint };
             self.preempting += 1;
             self.preempted.push(ticket);
@@ -458,13 +382,6 @@
         self.tickets.len()
     }
 
-    fn standing(&self, now_ms: u64, demand: &Demand) -> Standing {
-        let standing = demand
-            .digest
-            .map(|digest| self.suspects.standing(now_ms, digest));
-        standing.unwrap_or(Standing::Clean)
-    }
-
     fn choose(&mut self, now_ms: u64, demand: &Demand) -> Choice {
         let chooser = Chooser {
             seats: &self.seats,
@@ -473,112 +390,4 @@
         };
         chooser.choose(demand)
     }
-
-    /// Reserves an endpoint for a suspect and starts it there once it is empty.
-    fn start_solo(&mut self, now_ms: u64, ticket: TicketKey) -> Option<EndpointKey> {
-        let held = self
-            .seats
-            .iter()
-            .find(|(_, seat)| seat.reserved == Some(ticket));
-        let endpoint = match held.map(|(key, _)| key) {
-            Some(key) if self.seats[key].is_open(now_ms) => key,
-            _ => self.reserve(now_ms, ticket)?,
-        };
-        if self.seats[endpoint].in_flight > 0 {
-            return None;
-        }
-        self.occupy(now_ms, endpoint);
-        self.tickets[ticket].state = State::Running {
-            endpoint,
-            since_ms: now_ms,
-        };
-        Some(endpoint)
-    }
-
-    fn reserve(&mut self, now_ms: u64, ticket: TicketKey) -> Option<EndpointKey> {
-        self.unreserve(ticket);
-        let digest = self.tickets[ticket].demand.digest?;
-        let open = || self.seats.iter().filter(|(_, seat)| seat.is_open(now_ms));
-        let reserved = open().filter(|(_, seat)| seat.reserved.is_some()).count();
-        if reserved >= (open().count() / SOLO_DIVISOR).max(1) {
-            return None;
-        }
-        let free = open().filter(|(_, seat)| seat.reserved.is_none());
-        let (key, _) = free.min_by_key(|(_, seat)| {
-            let struck = self.suspects.has_struck(digest, &seat.endpoint);
-            (
-                struck,
-                !seat.owned,
-                seat.in_flight + seat.peers(now_ms) as u32,
-            )
-        })?;
-        self.seats[key].reserved = Some(ticket);
-        Some(key)
-    }
-
-    /// Time for one token that an endpoint without measurement is given credit for, that
-    /// of the fastest; 0 if none is measured.
-    fn default_ms_per_token(&self) -> f64 {
-        let measured = self.seats.values().map(|seat| seat.ms_per_token);
-        let least = measured
-            .filter(|&speed| speed > 0.0)
-            .fold(f64::INFINITY, f64::min);
-        match least {
-            least if least.is_finite() => least,
-            _ => 0.0,
-        }
-    }
-
-    /// Time until the queue before a new request of a class is dispatched, in milliseconds.
-    fn wait_ms(&self, now_ms: u64, class: Class) -> f64 {
-        let default = self.default_ms_per_token();
-        let open = self.seats.values().filter(|seat| seat.is_open(now_ms));
-        let rates = open.map(|seat| match seat.best_speed(now_ms, default) {
-            speed if speed > 0.0 => seat.share(now_ms) / speed,
-            _ => 0.0,
-        });
-        let tokens_per_ms: f64 = rates.sum();
-        match tokens_per_ms {
-            rate if rate > 0.0 => self.queue.tokens(class) as f64 * self.token_share / rate,
-            _ => 0.0,
-        }
-    }
-
-    /// Expected time of a request on the fastest open endpoint, in milliseconds.
-    fn service_ms(&self, now_ms: u64, demand: &Demand) -> f64 {
-        let default = self.default_ms_per_token();
-        let open = self.seats.values().filter(|seat| seat.is_open(now_ms));
-        let fastest = open
-            .map(|seat| seat.speed(now_ms, default))
-            .fold(f64::INFINITY, f64::min);
-        match fastest {
-            speed if speed.is_finite() => f64::from(demand.cost_tokens) * self.token_share * speed,
-            _ => 0.0,
-        }
-    }
-
-    fn is_hopeless(&self, now_ms: u64, demand: &Demand, wait_ms: f64) -> bool {
-        let expected_ms = wait_ms + self.service_ms(now_ms, demand);
-        now_ms as f64 + expected_ms >= demand.deadline_ms as f64
-    }
-
-    fn refusal(&self, now_ms: u64, reason: Reason, demand: &Demand) -> Refusal {
-        let allowed_ms = demand.deadline_ms.saturating_sub(now_ms) as f64;
-        let wait_ms = self.wait_ms(now_ms, demand.class);
-        let retry_after_ms = match reason {
-            Reason::NoEndpoint => DEFAULT_RETRY_AFTER_MS,
-            Reason::Quarantined => QUARANTINE_RETRY_AFTER_MS,
-            Reason::QueueFull => wait_ms as u64,
-            Reason::Deadline => {
-                (wait_ms + self.service_ms(now_ms, demand) - allowed_ms).max(0.0) as u64
-            }
-        };
-        Refusal {
-            reason,
-            retry_after_ms: match reason {
-                Reason::Quarantined => retry_after_ms,
-                _ => retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
-            },
-        }
-    }
 }
--- /dev/null
+++ b/crates/route/src/pool/solo.rs
@@ -0,0 +1,134 @@
+//! Requests that are suspected of crashing endpoints run alone.
+
+use wisteriapoint_types::EndpointName;
+
+use super::{Pool, State, Ticket, Woken};
+use crate::suspect::Standing;
+use crate::{Admission, Demand, Dispatch, EndpointKey, Reason, TicketKey};
+
+/// Time within which crashes in one failure domain count as one event, in milliseconds.
+const TOGETHER_MS: u64 = 100;
+/// One endpoint in so many may be kept for a suspect.
+const SOLO_DIVISOR: usize = 4;
+
+impl Pool {
+    pub(super) fn admit_suspect(&mut self, now_ms: u64, demand: Demand) -> Admission {
+        if self.solo.len() >= self.queue_length {
+            return Admission::Refuse(self.refusal(now_ms, Reason::QueueFull, &demand));
+        }
+        let state = State::Solo;
+        let ticket = self.tickets.insert(Ticket { demand, state });
+        self.solo.push(ticket);
+        match self.start_solo(now_ms, ticket) {
+            Some(endpoint) => {
+                self.solo.retain(|&other| other != ticket);
+                Admission::Go(Dispatch { ticket, endpoint })
+            }
+            None => Admission::Wait(ticket),
+        }
+    }
+
+    pub(super) fn unreserve(&mut self, ticket: TicketKey) {
+        for seat in self.seats.values_mut() {
+            if seat.reserved == Some(ticket) {
+                seat.reserved = None;
+            }
+        }
+    }
+
+    /// Endpoints of one failure domain that crash together were not crashed by a request.
+    pub(super) fn pardon_crashed_together(&mut self, now_ms: u64, endpoint: EndpointKey) {
+        self.crashes
+            .retain(|&(at_ms, other)| at_ms + TOGETHER_MS > now_ms && other != endpoint);
+        self.crashes.push((now_ms, endpoint));
+        let failure_domain = self.seats[endpoint].failure_domain.clone();
+        let recent = self.crashes.iter();
+        let together: Vec<EndpointName> = recent
+            .filter_map(|&(_, other)| self.seats.get(other))
+            .filter(|seat| seat.failure_domain == failure_domain)
+            .map(|seat| seat.endpoint.clone())
+            .collect();
+        if together.len() > 1 {
+            let since_ms = now_ms.saturating_sub(TOGETHER_MS);
+            self.suspects.pardon(since_ms, &together);
+        }
+    }
+
+    pub(super) fn wake_solo(&mut self, now_ms: u64, woken: &mut Vec<Woken>) {
+        for ticket in self.solo.clone() {
+            let demand = &self.tickets[ticket].demand;
+            let endpoint = match self.standing(now_ms, demand) {
+                Standing::Quarantined => Err(self.refusal(now_ms, Reason::Quarantined, demand)),
+                _ if demand.deadline_ms <= now_ms => {
+                    Err(self.refusal(now_ms, Reason::Deadline, demand))
+                }
+                Standing::Clean => {
+                    self.requeue(ticket);
+                    continue;
+                }
+                Standing::Suspect => match self.start_solo(now_ms, ticket) {
+                    Some(endpoint) => Ok(endpoint),
+                    None => continue,
+                },
+            };
+            self.solo.retain(|&other| other != ticket);
+            if endpoint.is_err() {
+                self.forget(ticket);
+            }
+            woken.push(Woken { ticket, endpoint });
+        }
+    }
+
+    /// Puts a suspect that is cleared in line with the others.
+    pub(super) fn requeue(&mut self, ticket: TicketKey) {
+        self.solo.retain(|&other| other != ticket);
+        self.unreserve(ticket);
+        let held = &mut self.tickets[ticket];
+        held.state = State::Queued(self.queue.push(ticket, &held.demand));
+    }
+
+    pub(super) fn standing(&self, now_ms: u64, demand: &Demand) -> Standing {
+        let standing = demand
+            .digest
+            .map(|digest| self.suspects.standing(now_ms, digest));
+        standing.unwrap_or(Standing::Clean)
+    }
+
+    /// Reserves an endpoint for a suspect and starts it there once it is empty.
+    pub(super) fn start_solo(&mut self, now_ms: u64, ticket: TicketKey) -> Option<EndpointKey> {
+        let held = self
+            .seats
+            .iter()
+            .find(|(_, seat)| seat.reserved == Some(ticket));
+        let endpoint = match held.map(|(key, _)| key) {
+            Some(key) if self.seats[key].is_open(now_ms) => key,
+            _ => self.reserve(now_ms, ticket)?,
+        };
+        if self.seats[endpoint].in_flight > 0 {
+            return None;
+        }
+        self.run(now_ms, ticket, endpoint);
+        Some(endpoint)
+    }
+
+    pub(super) fn reserve(&mut self, now_ms: u64, ticket: TicketKey) -> Option<EndpointKey> {
+        self.unreserve(ticket);
+        let digest = self.tickets[ticket].demand.digest?;
+        let open = || self.seats.iter().filter(|(_, seat)| seat.is_open(now_ms));
+        let reserved = open().filter(|(_, seat)| seat.reserved.is_some()).count();
+        if reserved >= (open().count() / SOLO_DIVISOR).max(1) {
+            return None;
+        }
+        let free = open().filter(|(_, seat)| seat.reserved.is_none());
+        let (key, _) = free.min_by_key(|(_, seat)| {
+            let struck = self.suspects.has_struck(digest, &seat.endpoint);
+            (
+                struck,
+                !seat.owned,
+                seat.in_flight + seat.peers(now_ms) as u32,
+            )
+        })?;
+        self.seats[key].reserved = Some(ticket);
+        Some(key)
+    }
+}
