--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -51,9 +51,9 @@
 
     pub(crate) fn of_send(error: reqwest::Error) -> Self {
         match error {
-            error if error.is_connect() => Self::not_run(Kind::Connect(error)),
+            error if error.is_connect() => Self::not_run(Kind::Connect(error.without_url())),
             error if error.is_timeout() => Self::may_have_run(Kind::Timeout),
-            error => Self::may_have_run(Kind::Broken(error.to_string().into())),
+            error => Self::may_have_run(Kind::Broken(error.without_url().to_string().into())),
         }
     }
 
@@ -72,6 +72,22 @@
         self.verdict
     }
 
+    /// Short name of the kind of failure, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self.kind {
+            Kind::Preempted => "preempted",
+            Kind::Setup(_) => "setup",
+            Kind::Connect(_) => "connect",
+            Kind::Broken(_) => "broken",
+            Kind::Timeout => "timeout",
+            Kind::Draining => "draining",
+            Kind::Status(_) => "status",
+            Kind::CannotResume => "cannot-resume",
+            Kind::Crossed => "crossed",
+            Kind::TooLarge { .. } => "too-large",
+        }
+    }
+
     /// Whether the endpoint said that it takes no new work.
     pub fn is_draining(&self) -> bool {
         matches!(self.kind, Kind::Draining)
--- a/crates/stand-in/src/engine.rs
+++ b/crates/stand-in/src/engine.rs
@@ -8,7 +8,7 @@
 use salvo::{Request, Response, Router, handler};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use wisteriapoint_types::{WeightVersion, hash64};
 use wisteriapoint_weights::{Fence, Order};
 
@@ -60,15 +60,16 @@
     running: u32,
     waiting: u32,
     draining: bool,
+    refused: u64,
     crashed: bool,
     started: u64,
     resumed: u64,
     cancelled: u64,
     tokens: u64,
-    break_after: Option<u32>,
+    break_after: Arc<Mutex<Option<u32>>>,
     orders: Vec<Order>,
     order_faults: OrderFaults,
-    version_before: WeightVersion,
+    swapped: Option<(WeightVersion, Instant)>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -106,6 +107,11 @@
         Router::with_path("{**path}").goal(Api(self.clone()))
     }
 
+    /// How it behaves.
+    pub fn settings(&self) -> &EngineSettings {
+        &self.settings
+    }
+
     /// The version that it serves.
     pub fn version(&self) -> WeightVersion {
         self.lock().version
@@ -131,6 +137,11 @@
         self.lock().started
     }
 
+    /// Number of completions that it declined.
+    pub fn refused(&self) -> u64 {
+        self.lock().refused
+    }
+
     /// Number of completions that another engine had begun.
     pub fn resumed(&self) -> u64 {
         self.lock().resumed
@@ -153,7 +164,13 @@
 
     /// Breaks the next completion's stream off after so many tokens.
     pub fn break_next_after(&self, tokens: u32) {
-        self.lock().break_after = Some(tokens);
+        *lock(&self.lock().break_after) = Some(tokens);
+    }
+
+    /// Shares with another engine which completion is the next one to break.
+    pub fn share_break(&self, other: &Self) {
+        let shared = Arc::clone(&other.lock().break_after);
+        self.lock().break_after = shared;
     }
 
     /// Sets the version that it serves, as an order would.
@@ -177,7 +194,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     async fn generate(self, completion: Completion, mut sender: BodySender) {
@@ -188,7 +205,7 @@
             return;
         }
         self.lock().running += 1;
-        let break_after = self.lock().break_after.take();
+        let break_after = lock(&self.lock().break_after).take();
         self.send_tokens(&completion, break_after, &mut sender)
             .await;
         self.lock().running -= 1;
@@ -233,6 +250,12 @@
         }
     }
 
+    fn declines(&self) -> bool {
+        let mut state = self.lock();
+        state.refused += u64::from(state.draining);
+        state.draining
+    }
+
     fn accept(&self, order: &Order) -> bool {
         let mut state = self.lock();
         state.orders.push(order.clone());
@@ -244,6 +267,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn token(prompt: &str, index: u32) -> String {
     format!("{:04x}.{index} ", hash64(0, prompt.as_bytes()) & 0xffff)
 }
@@ -284,7 +311,7 @@
             let id = id.clone();
             response.headers_mut().insert("x-request-id", id);
         }
-        if self.0.lock().draining {
+        if self.0.declines() {
             response.status_code(StatusCode::SERVICE_UNAVAILABLE);
             let _ = response.add_header("x-draining", "true", true);
             return;
@@ -317,9 +344,12 @@
     }
 
     fn status(&self, response: &mut Response) {
-        let mut state = self.0.lock();
-        let (version, before) = (state.version, state.version_before);
-        let version = state.order_faults.reported(version, before);
+        let state = self.0.lock();
+        let lag = Duration::from_millis(state.order_faults.report_lag_ms);
+        let version = match state.swapped {
+            Some((before, at)) if at.elapsed() < lag => before,
+            _ => state.version,
+        };
         let status = serde_json::json!({
             "version": version,
             "running": state.running,
@@ -347,7 +377,7 @@
         let mut state = self.0.lock();
         let fate = state.order_faults.next();
         if fate != Fate::Fails {
-            state.version_before = state.version;
+            state.swapped = Some((state.version, Instant::now()));
             state.version = order.version;
         }
         if fate != Fate::Works {
--- a/crates/wisteriapoint/src/daemon/generate.rs
+++ b/crates/wisteriapoint/src/daemon/generate.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use wisteriapoint_gateway::{Attempts, Chunk, CompletionRequest, Failure, Permit, Problem, Router};
 use wisteriapoint_rollout::Span;
 use wisteriapoint_route::{Class, Demand};
 use wisteriapoint_types::{Digest, EndpointName, ServiceName, hash64};
 
 use super::Shared;
+use super::attempt::{count_failed, end_failed};
 
 const PREFIX_BYTES: usize = 256;
 
@@ -106,17 +107,16 @@
             demand.avoid = None;
             continue;
         }
-        let verdict = failure.verdict().as_str();
-        let failed = &shared.metrics.failed_attempts;
-        failed.with_label_values(&[service.as_str(), verdict]).inc();
-        let is_free = failure.is_refusal();
-        if !attempts.note(&failure) || !(is_free || router.may_retry()) {
+        count_failed(shared, service, &failure);
+        let allowed = attempts.note(&failure);
+        if !allowed || !(failure.is_refusal() || router.may_retry()) {
             return Err(attempts.problem(&failure));
         }
         if failure.is_resume_refused() && sink.reset() {
             request.resume = None;
-            demand.tried.clear();
+            demand.tried = router.keys(sink.avoid());
         }
+        sleep(attempts.pause()).await;
     }
 }
 
@@ -166,17 +166,6 @@
     }
 }
 
-/// Ends a permit after a failure of its endpoint.
-pub fn end_failed(permit: Permit, failure: &Failure) {
-    match failure {
-        failure if failure.is_draining() => permit.drained(),
-        failure if failure.is_refusal() => permit.refused(),
-        failure if failure.is_timeout() => drop(permit),
-        failure if failure.is_broken() => permit.crashed(),
-        _ => permit.failed(),
-    }
-}
-
 fn demand(router: &Router, class: Class, request: &CompletionRequest, limit: Duration) -> Demand {
     let prompt = request.prompt.as_bytes();
     let prefix = &prompt[..prompt.len().min(PREFIX_BYTES)];
--- a/crates/wisteriapoint/src/http/mod.rs
+++ b/crates/wisteriapoint/src/http/mod.rs
@@ -2,9 +2,11 @@
 
 pub mod admin;
 pub mod arrival;
+pub mod bounds;
 pub mod completions;
 mod events;
 pub mod explain;
+mod path;
 pub mod plain;
 pub mod respond;
 pub mod steps;
@@ -15,18 +17,17 @@
 
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
-use salvo::{Request, Router, Server};
+use salvo::{Request, Router};
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::task::JoinHandle;
 
+use self::bounds::Bounds;
 use crate::Error;
 use crate::daemon::Shared;
 
 pub use wisteriapoint_gateway::client::DEADLINE_HEADER;
 
-const MAX_DEADLINE_MS: u64 = 3_600_000;
-
 /// Largest body of a request to the service address, in bytes.
 pub const MAX_BODY_BYTES: usize = 8 << 20;
 
@@ -43,12 +44,17 @@
     /// # Errors
     ///
     /// Fails if the listener can't be used.
-    pub fn new(runtime: &Runtime, listener: TcpListener, router: Router) -> Result<Self, Error> {
+    pub fn new(
+        runtime: &Runtime,
+        listener: TcpListener,
+        router: Router,
+        bounds: Bounds,
+    ) -> Result<Self, Error> {
         let _guard = runtime.enter();
         let acceptor = TcpAcceptor::try_from(listener)?;
-        let server = Server::new(acceptor);
+        let server = bounds.server(acceptor);
         let handle = server.handle();
-        let ended = runtime.spawn(server.serve(router));
+        let ended = runtime.spawn(server.serve(bounds::service(router)));
         Ok(Self { handle, ended })
     }
 
@@ -64,6 +70,7 @@
 pub fn service_router(shared: &Arc<Shared>) -> Router {
     Router::new()
         .hoop(arrival::Arrival::new(Arc::clone(shared)))
+        .hoop(bounds::CheckHeaders)
         .push(
             Router::with_path("v1/completions")
                 .post(completions::Completions::new(Arc::clone(shared))),
@@ -101,5 +108,5 @@
         .get(DEADLINE_HEADER)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse().ok());
-    Duration::from_millis(asked.unwrap_or(default_ms).min(MAX_DEADLINE_MS))
+    Duration::from_millis(asked.unwrap_or(default_ms).min(bounds::MAX_DEADLINE_MS))
 }
--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -4,18 +4,20 @@
 use std::time::Duration;
 
 use salvo::{Request, Response, handler};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use wisteriapoint_claim::{Recorded, Settled};
 use wisteriapoint_gateway::plain::end_to_end;
+use wisteriapoint_gateway::problem::VERDICT_HEADER;
 use wisteriapoint_gateway::{Attempts, PlainAnswer, PlainRequest, Problem, Router};
 use wisteriapoint_route::Demand;
 use wisteriapoint_settings::ServiceDocument;
-use wisteriapoint_types::{Digest, RequestKey, ServiceName};
+use wisteriapoint_types::{Digest, RequestKey, ServiceName, Verdict};
 
-use super::{limit, respond};
+use super::{bounds, limit, path, respond};
 use crate::daemon::Shared;
+use crate::daemon::attempt::{count_failed, end_failed};
 use crate::daemon::claims::{self, Claimed};
-use crate::daemon::generate::{end_failed, unknown_service};
+use crate::daemon::generate::unknown_service;
 
 /// Header that carries the caller's key.
 pub const KEY_HEADER: &str = "idempotency-key";
@@ -87,11 +89,12 @@
                 .map(|found| Arc::clone(&found.document))
                 .ok_or_else(|| unknown_service(service))?
         };
+        bounds::check_plain(&document)?;
         let router = self.shared.routers.load().get(service).cloned();
         let router = router.ok_or_else(|| unknown_service(service))?;
-        let key = key(request);
+        let key = key(request)?;
         let outgoing = outgoing(&document, request).await?;
-        let route = document.route(&outgoing.path);
+        let route = document.route(&path::decoded(request));
         let deadline_ms = route.and_then(|route| route.deadline_ms);
         let limit = limit(request, deadline_ms.unwrap_or(document.deadline_ms));
         match key {
@@ -136,10 +139,13 @@
     ) -> Result<Answer, Problem> {
         let deadline = Instant::now() + limit;
         let horizon_ms = document.retry_horizon_s * 1_000;
-        let claim = match claims::claim(&self.shared, key, digest(outgoing), horizon_ms).await {
+        let claimed = claims::claim(&self.shared, key, digest(outgoing), horizon_ms, limit).await;
+        let claim = match claimed {
             Claimed::Won(claim) => claim,
             Claimed::Settled(Settled::Ran(recorded)) => return Ok(Answer::Replayed(recorded)),
-            Claimed::Settled(Settled::MayHaveRun) => return Err(lost()),
+            Claimed::Settled(Settled::MayHaveRun) | Claimed::Lost => return Err(lost()),
+            Claimed::Expired => return Err(expired()),
+            Claimed::Future => return Err(future()),
             Claimed::Mismatch => return Err(mismatch()),
             Claimed::Busy => return Err(busy()),
         };
@@ -148,9 +154,9 @@
             .dispatch(&document.service, router, outgoing, left)
             .await;
         match &result {
-            Ok(answer) => claim.settle(&self.shared, settled(answer)).await,
-            Err(problem) if problem.verdict.may_repeat(false) => claim.release(&self.shared).await,
-            Err(_) => claim.settle(&self.shared, Settled::MayHaveRun).await,
+            Ok(answer) => claim.settle(settled(answer)).await,
+            Err(problem) if problem.verdict.may_repeat(false) => claim.release().await,
+            Err(_) => claim.settle(Settled::MayHaveRun).await,
         }
         result.map(Answer::Fresh)
     }
@@ -183,13 +189,12 @@
                 Err(failure) => failure,
             };
             end_failed(permit, &failure);
-            let verdict = failure.verdict().as_str();
-            let failed = &self.shared.metrics.failed_attempts;
-            failed.with_label_values(&[service.as_str(), verdict]).inc();
-            let is_free = failure.is_refusal();
-            if !attempts.note(&failure) || !(is_free || router.may_retry()) {
+            count_failed(&self.shared, service, &failure);
+            let allowed = attempts.note(&failure);
+            if !allowed || !(failure.is_refusal() || router.may_retry()) {
                 return Err(attempts.problem(&failure));
             }
+            sleep(attempts.pause()).await;
         }
     }
 }
@@ -199,29 +204,31 @@
     Digest::new(&[method, outgoing.path.as_bytes(), &outgoing.body])
 }
 
-fn key(request: &Request) -> Option<RequestKey> {
-    let value = request.headers().get(KEY_HEADER)?;
-    value.to_str().ok().map(RequestKey::new)
+/// The caller's key, if there is one.
+fn key(request: &Request) -> Result<Option<RequestKey>, Problem> {
+    let Some(value) = request.headers().get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() => Ok(Some(RequestKey::new(text))),
+        _ => Err(malformed_key()),
+    }
 }
 
 async fn outgoing(
     document: &ServiceDocument,
     request: &mut Request,
 ) -> Result<PlainRequest, Problem> {
-    let rest = request.param::<String>("path").unwrap_or_default();
-    let path = match request.uri().query() {
-        Some(query) => format!("/{rest}?{query}"),
-        None => format!("/{rest}"),
-    };
+    let path = path::sent(request)?;
     let method = request.method().clone();
-    let body = respond::read_body(request, document.limits.body_bytes as usize).await?;
-    let idempotent = match document.route(&path) {
+    let idempotent = match document.route(&path::decoded(request)) {
         Some(route) => route.idempotent,
         None => method.is_idempotent(),
     };
+    let body = respond::read_body(request, document.limits.body_bytes as usize).await?;
     Ok(PlainRequest {
         method,
-        path: path.into(),
+        path,
         headers: end_to_end(request.headers()),
         body,
         idempotent,
@@ -249,6 +256,7 @@
 fn write_replayed(response: &mut Response, recorded: Recorded) {
     response.status_code(respond::status(recorded.status));
     respond::set_header(response, REPLAYED_HEADER, "true");
+    respond::set_header(response, VERDICT_HEADER, Verdict::Ran.as_str());
     if !recorded.content_type.is_empty() {
         respond::set_header(response, "content-type", &recorded.content_type);
     }
@@ -263,15 +271,35 @@
     )
 }
 
+fn malformed_key() -> Problem {
+    Problem::not_run(400, "malformed-key", "the key is empty or no ASCII text")
+}
+
 fn mismatch() -> Problem {
     Problem::not_run(422, "key-mismatch", "the key belongs to another request")
 }
 
+fn expired() -> Problem {
+    Problem::may_have_run(
+        410,
+        "key-expired",
+        "the key is older than the retry horizon",
+    )
+}
+
+fn future() -> Problem {
+    Problem::not_run(
+        400,
+        "key-in-future",
+        "the key's time of issue lies in the future",
+    )
+}
+
 fn busy() -> Problem {
     Problem::may_have_run(
         409,
         "key-busy",
-        "another attempt with this key is in progress",
+        "another attempt with this key may be in progress",
     )
     .with_retry_after_ms(BUSY_RETRY_AFTER_MS)
 }
