Count a holder as gone once the platform lists its VM no more

A VM that is taken away for good refuses no connection: packets to it get lost, so its holders looked merely slow, and a partition that had lost two of three such holders stayed closed for ever. A list that does not name the reader's own VM says nothing. The rule is a pure function of the view with a table of cases; the loop around it is not run by a test.

--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,5 +1,6 @@
 //! The view record.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -69,6 +70,16 @@
         former.is_some_and(|old| self.members.iter().any(|member| member.vm == old.vm))
     }
 
+    /// Former members whose VMs the platform lists no more, so that their runs are over.
+    ///
+    /// The list has to be younger than this view by more than its lag. One that does not
+    /// name `own`, the VM of the daemon that asks, says nothing.
+    pub fn unlisted(&self, own: &VmName, listed: &BTreeSet<VmName>) -> BTreeSet<MemberId> {
+        let former = self.former.iter();
+        let unlisted = former.filter(|old| listed.contains(own) && !listed.contains(&old.vm));
+        unlisted.map(|old| old.id).collect()
+    }
+
     /// The earlier views, oldest first.
     pub fn earlier_views(&self) -> impl Iterator<Item = Self> {
         self.earlier.iter().map(|earlier| Self {
--- a/crates/membership/tests/earlier_views.rs
+++ b/crates/membership/tests/earlier_views.rs
@@ -59,3 +59,19 @@
     assert!(!view.is_transferred(&open(&[3])));
     assert!(view.is_transferred(&open(&[1, 3])));
 }
+
+#[test]
+fn a_former_member_is_over_once_its_vm_is_no_longer_listed() {
+    let second = three().without_members(&[MemberId(1)], Nonce(0));
+    let names = |names: &[&str]| names.iter().copied().map(VmName::new).collect();
+    for (listed, unlisted) in [
+        (names(&["b", "c"]), vec![MemberId(1)]),
+        (names(&["a", "b", "c"]), vec![]),
+        (names(&["b"]), vec![MemberId(1)]),
+        (names(&["c"]), vec![]),
+        (BTreeSet::new(), vec![]),
+    ] {
+        let found = second.unlisted(&VmName::new("b"), &listed);
+        assert_eq!(found, BTreeSet::from_iter(unlisted), "{listed:?}");
+    }
+}
--- a/crates/wisteriapoint/src/daemon/transfer.rs
+++ b/crates/wisteriapoint/src/daemon/transfer.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use futures_util::future::join_all;
 use futures_util::{StreamExt, stream};
 use tokio::time::{Instant, sleep};
 use wisteriapoint_claim::{Page, Progress, Pull, Seal, Transfer};
 use wisteriapoint_membership::View;
+use wisteriapoint_platform::Store;
 use wisteriapoint_types::{MemberId, PartitionKey};
 
 use super::Shared;
@@ -19,18 +21,30 @@
 const TRANSFERRED_TIMEOUT: Duration = Duration::from_millis(500);
 const HAND_OVER_LIMIT: Duration = Duration::from_millis(1_000);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const VM_LIST_LAG: Duration = Duration::from_secs(60);
+const VM_LIST_PAUSE: Duration = Duration::from_secs(5);
 const PULLS_AT_ONCE: usize = 16;
 
+/// A view whose claims are being collected.
+struct Collection {
+    shared: Arc<Shared>,
+    view: Arc<View>,
+    /// Former members whose VMs the platform lists no more.
+    unlisted: ArcSwap<BTreeSet<MemberId>>,
+}
+
 /// Collects the claims of all partitions that this daemon holds in a view.
 pub fn spawn(shared: Arc<Shared>, view: Arc<View>) {
     let traffic = shared.traffic.clone();
+    let collection = Collection {
+        shared,
+        view,
+        unlisted: ArcSwap::default(),
+    };
     traffic.spawn(async move {
-        let held: Vec<PartitionKey> = view.held_by(shared.me.id).collect();
-        stream::iter(held)
-            .for_each_concurrent(PULLS_AT_ONCE, |key| pull(&shared, &view, key))
-            .await;
-        if is_latest(&shared, &view) {
-            tell(&shared, Command::Transferred(view.number)).await;
+        tokio::select! {
+            () = collection.pull_all() => {}
+            () = collection.watch_vms() => {}
         }
     });
 }
@@ -63,26 +77,6 @@
     }
 }
 
-async fn pull(shared: &Arc<Shared>, view: &Arc<View>, key: PartitionKey) {
-    let mut pull = Pull::new(view, key);
-    while is_latest(shared, view) {
-        match pull.progress(shared.clock.now_ms()) {
-            Progress::Pending(missing) => {
-                let sources = missing.into_iter();
-                let asked = sources.map(|id| async move { (id, ask(shared, view, key, id).await) });
-                for (id, answer) in join_all(asked).await {
-                    note(&mut pull, id, answer);
-                }
-            }
-            Progress::Whole(transfer) => return open(shared, view, key, "whole", transfer).await,
-            Progress::Lost(transfer) => return open(shared, view, key, "lost", transfer).await,
-        }
-        if let Progress::Pending(_) = pull.progress(shared.clock.now_ms()) {
-            sleep(RETRY_PAUSE).await;
-        }
-    }
-}
-
 /// What a source said.
 enum Source {
     /// All its pages.
@@ -101,69 +95,106 @@
     }
 }
 
-async fn ask(shared: &Arc<Shared>, view: &View, key: PartitionKey, id: MemberId) -> Source {
-    let mut pages: Vec<Page> = Vec::new();
-    loop {
-        let seal = Seal {
-            view: view.number,
-            partition: key,
-            after: pages.last().and_then(|page| page.next.clone()),
-        };
-        match ask_page(shared, view, id, seal).await {
-            Ok(page) => pages.push(page),
-            Err(source) => return source,
+impl Collection {
+    async fn pull_all(&self) {
+        let held: Vec<PartitionKey> = self.view.held_by(self.shared.me.id).collect();
+        stream::iter(held)
+            .for_each_concurrent(PULLS_AT_ONCE, |key| self.pull(key))
+            .await;
+        if self.is_latest() {
+            self.tell(Command::Transferred(self.view.number)).await;
         }
-        if pages.last().is_some_and(|page| page.next.is_none()) {
-            return Source::Pages(pages);
+    }
+
+    async fn watch_vms(&self) {
+        sleep(VM_LIST_LAG).await;
+        loop {
+            if let Ok(vms) = self.shared.store.vms().await {
+                let listed = vms.into_iter().map(|entry| entry.vm).collect();
+                let unlisted = self.view.unlisted(&self.shared.me.vm, &listed);
+                self.unlisted.store(Arc::new(unlisted));
+            }
+            sleep(VM_LIST_PAUSE).await;
         }
     }
-}
 
-async fn ask_page(
-    shared: &Arc<Shared>,
-    view: &View,
-    id: MemberId,
-    seal: Seal,
-) -> Result<Page, Source> {
-    let question = Question::Seal { source: id, seal };
-    let reply = match view.known(id) {
-        _ if id == shared.me.id => shared.ask_self(question, PAGE_TIMEOUT).await,
-        _ if view.is_replaced(id) => return Err(Source::Gone),
-        None => None,
-        Some(member) => {
-            let called = shared
-                .peers
-                .call(member.peer_address, &question, PAGE_TIMEOUT);
-            match called.await {
-                Err(error) if error.is_refused() => return Err(Source::Gone),
-                called => called.ok(),
+    async fn pull(&self, key: PartitionKey) {
+        let mut pull = Pull::new(&self.view, key);
+        while self.is_latest() {
+            match pull.progress(self.shared.clock.now_ms()) {
+                Progress::Pending(missing) => self.pull_from(&mut pull, key, missing).await,
+                Progress::Whole(transfer) => return self.open(key, "whole", transfer).await,
+                Progress::Lost(transfer) => return self.open(key, "lost", transfer).await,
             }
         }
-    };
-    match reply {
-        Some(Reply::Page(Some(page))) => Ok(page),
-        Some(Reply::Page(None)) => Err(Source::Gone),
-        _ => Err(Source::Silent),
     }
-}
 
-async fn open(
-    shared: &Arc<Shared>,
-    view: &View,
-    key: PartitionKey,
-    result: &str,
-    transfer: Transfer,
-) {
-    let transfers = &shared.metrics.transfers;
-    transfers.with_label_values(&[result]).inc();
-    tell(shared, Command::Open(view.number, key, transfer)).await;
-}
+    async fn pull_from(&self, pull: &mut Pull, key: PartitionKey, missing: Vec<MemberId>) {
+        let sources = missing.into_iter();
+        let asked = sources.map(|id| async move { (id, self.ask(key, id).await) });
+        for (id, answer) in join_all(asked).await {
+            note(pull, id, answer);
+        }
+        if let Progress::Pending(_) = pull.progress(self.shared.clock.now_ms()) {
+            sleep(RETRY_PAUSE).await;
+        }
+    }
 
-async fn tell(shared: &Arc<Shared>, command: Command) {
-    // Control is gone only when the daemon stops.
-    let _ = shared.control.send(command).await;
-}
+    async fn ask(&self, key: PartitionKey, id: MemberId) -> Source {
+        let mut pages: Vec<Page> = Vec::new();
+        loop {
+            let seal = Seal {
+                view: self.view.number,
+                partition: key,
+                after: pages.last().and_then(|page| page.next.clone()),
+            };
+            match self.ask_page(id, seal).await {
+                Ok(page) => pages.push(page),
+                Err(source) => return source,
+            }
+            if pages.last().is_some_and(|page| page.next.is_none()) {
+                return Source::Pages(pages);
+            }
+        }
+    }
+
+    async fn ask_page(&self, id: MemberId, seal: Seal) -> Result<Page, Source> {
+        let shared = &self.shared;
+        let is_over = self.view.is_replaced(id) || self.unlisted.load().contains(&id);
+        let question = Question::Seal { source: id, seal };
+        let reply = match self.view.known(id) {
+            _ if id == shared.me.id => shared.ask_self(question, PAGE_TIMEOUT).await,
+            _ if is_over => return Err(Source::Gone),
+            None => None,
+            Some(member) => {
+                let address = member.peer_address;
+                let called = shared.peers.call(address, &question, PAGE_TIMEOUT);
+                match called.await {
+                    Err(error) if error.is_refused() => return Err(Source::Gone),
+                    called => called.ok(),
+                }
+            }
+        };
+        match reply {
+            Some(Reply::Page(Some(page))) => Ok(page),
+            Some(Reply::Page(None)) => Err(Source::Gone),
+            _ => Err(Source::Silent),
+        }
+    }
 
-fn is_latest(shared: &Arc<Shared>, view: &View) -> bool {
-    shared.snapshot.load().view.number == view.number
+    async fn open(&self, key: PartitionKey, result: &str, transfer: Transfer) {
+        let transfers = &self.shared.metrics.transfers;
+        transfers.with_label_values(&[result]).inc();
+        self.tell(Command::Open(self.view.number, key, transfer))
+            .await;
+    }
+
+    async fn tell(&self, command: Command) {
+        // Control is gone only when the daemon stops.
+        let _ = self.shared.control.send(command).await;
+    }
+
+    fn is_latest(&self) -> bool {
+        self.shared.snapshot.load().view.number == self.view.number
+    }
 }
