--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -22,6 +22,8 @@
     Status(u16),
     #[error("the endpoint did not answer in time")]
     Timeout,
+    #[error("the request made way for a caller's")]
+    Preempted,
     #[error("the endpoint takes no new work")]
     Draining,
     #[error("the endpoint can't go on with the completion")]
@@ -49,17 +51,43 @@
 
     pub(crate) fn of_send(error: reqwest::Error) -> Self {
         match error {
-            error if error.is_connect() => Self::not_run(Kind::Connect(error)),
+            error if error.is_connect() => Self::not_run(Kind::Connect(error.without_url())),
             error if error.is_timeout() => Self::may_have_run(Kind::Timeout),
-            error => Self::may_have_run(Kind::Broken(error.to_string().into())),
+            error => Self::may_have_run(Kind::Broken(error.without_url().to_string().into())),
         }
     }
 
+    /// The failure of a request that was broken off to make way for a caller's.
+    pub fn preempted() -> Self {
+        Self::may_have_run(Kind::Preempted)
+    }
+
+    /// Whether the request made way for a caller's.
+    pub fn is_preempted(&self) -> bool {
+        matches!(self.kind, Kind::Preempted)
+    }
+
     /// Whether the request may have run.
     pub fn verdict(&self) -> Verdict {
         self.verdict
     }
 
+    /// Short name of the kind of failure, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self.kind {
+            Kind::Preempted => "preempted",
+            Kind::Setup(_) => "setup",
+            Kind::Connect(_) => "connect",
+            Kind::Broken(_) => "broken",
+            Kind::Timeout => "timeout",
+            Kind::Draining => "draining",
+            Kind::Status(_) => "status",
+            Kind::CannotResume => "cannot-resume",
+            Kind::Crossed => "crossed",
+            Kind::TooLarge { .. } => "too-large",
+        }
+    }
+
     /// Whether the endpoint said that it takes no new work.
     pub fn is_draining(&self) -> bool {
         matches!(self.kind, Kind::Draining)
