Count allocated bytes in the capacity run

Cause: resident memory hides what the allocator reuses: 10,000 claims seemed to take 131,072 bytes in one run and 4,882,432 in another. Change: a counting allocator in the capacity binary alone.

--- a/crates/capacity/src/claims.rs
+++ b/crates/capacity/src/claims.rs
@@ -7,7 +7,7 @@
 use wisteriapoint_types::key::PARTITIONS;
 use wisteriapoint_types::{Digest, MemberId, Nonce, PartitionKey, RequestKey, ViewNumber};
 
-use crate::process::memory_bytes;
+use crate::process::allocated_bytes;
 use crate::slope::Slope;
 
 const SIZES: [usize; 3] = [10_000, 100_000, 400_000];
@@ -20,10 +20,8 @@
         "claims",
     );
     let mut time = Slope::new("ask and report of one claim, microseconds", "claims held");
-    // Kept to the end, so that no size reuses the memory of another.
-    let mut kept = Vec::new();
     for size in SIZES {
-        let before = memory_bytes();
+        let before = allocated_bytes();
         let mut holder = Holder::new();
         holder.learn(VIEW);
         for partition in 0..PARTITIONS {
@@ -34,10 +32,9 @@
             settle(&mut holder, number);
         }
         let each_us = begun.elapsed().as_secs_f64() * 1e6 / size as f64;
-        let used = memory_bytes().saturating_sub(before);
+        let used = allocated_bytes().saturating_sub(before);
         memory = memory.with_point(size, &[used as f64]);
         time = time.with_point(size, &[each_us]);
-        kept.push(holder);
     }
     vec![memory, time]
 }
--- a/crates/capacity/src/fleet.rs
+++ b/crates/capacity/src/fleet.rs
@@ -10,7 +10,7 @@
 use wisteriapoint_stand_in::{Platform, Running, serve};
 use wisteriapoint_types::{Revision, ServiceName};
 
-use crate::process::{cpu_of_threads, memory_bytes};
+use crate::process::{allocated_bytes, cpu_of_threads};
 use crate::slope::Slope;
 
 const SIZES: [usize; 3] = [8, 32, 96];
@@ -49,7 +49,7 @@
         "time until a change is in force everywhere, ms",
         "digest bytes sent, bytes/s a daemon",
         "control thread's processor time, share of a core a daemon",
-        "resident memory, bytes a daemon",
+        "allocated memory, bytes a daemon",
         "platform reads, calls/s of the whole fleet",
         "platform writes, calls/s of the whole fleet",
         "waiting watches of the whole fleet",
@@ -74,7 +74,7 @@
 }
 
 async fn run(size: usize) -> Figures {
-    let before_bytes = memory_bytes();
+    let before_bytes = allocated_bytes();
     let begun = Instant::now();
     let Ok(fleet) = Fleet::start(size).await else {
         return Figures::default();
@@ -88,7 +88,7 @@
     }
     tokio::time::sleep(QUIET / 4).await;
     fleet.quiet(&mut figures).await;
-    let grown = memory_bytes().saturating_sub(before_bytes);
+    let grown = allocated_bytes().saturating_sub(before_bytes);
     figures.memory_bytes = grown as f64 / size as f64;
     fleet.stop();
     tokio::time::sleep(Duration::from_secs(1)).await;
--- a/crates/capacity/src/process.rs
+++ b/crates/capacity/src/process.rs
@@ -1,9 +1,13 @@
 //! Processor time and memory of this process, from the kernel.
 
+use std::alloc::System;
 use std::fs;
 use std::time::Duration;
 
-const PAGE_BYTES: u64 = 4_096;
+use cap::Cap;
+
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
 
 /// Processor time so far of the threads with a name.
 pub(crate) fn cpu_of_threads(name: &str) -> Duration {
@@ -22,12 +26,7 @@
     Duration::from_nanos(nanoseconds)
 }
 
-/// Resident memory, in bytes.
-pub(crate) fn memory_bytes() -> u64 {
-    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = statm.split_whitespace().nth(1);
-    pages
-        .and_then(|pages| pages.parse::<u64>().ok())
-        .unwrap_or(0)
-        * PAGE_BYTES
+/// Memory that is allocated, in bytes; what the allocator keeps besides does not count.
+pub(crate) fn allocated_bytes() -> u64 {
+    ALLOCATOR.allocated() as u64
 }
--- a/crates/capacity/src/rollouts.rs
+++ b/crates/capacity/src/rollouts.rs
@@ -5,7 +5,7 @@
 use wisteriapoint_rollout::{Coordinator, Cursor, Sample, Span, StepId, StepSpec, Task};
 use wisteriapoint_types::{ServiceName, TrainerName, WeightVersion};
 
-use crate::process::memory_bytes;
+use crate::process::allocated_bytes;
 use crate::slope::Slope;
 
 const SIZES: [u32; 3] = [512, 4_096, 28_672];
@@ -24,20 +24,17 @@
         "control time of one sample from put to pull, microseconds",
         "samples",
     );
-    // Kept to the end, so that no size reuses the memory of another.
-    let mut kept = Vec::new();
     for size in SIZES {
         let mut bytes = Vec::new();
         let mut each_us = Vec::new();
         for _ in 0..REPEATS {
-            let before = memory_bytes();
+            let before = allocated_bytes();
             let begun = Instant::now();
             let mut coordinator = Coordinator::new();
             let id = generate(&mut coordinator, size);
-            bytes.push(memory_bytes().saturating_sub(before) as f64);
+            bytes.push(allocated_bytes().saturating_sub(before) as f64);
             pull(&mut coordinator, &id);
             each_us.push(begun.elapsed().as_secs_f64() * 1e6 / f64::from(size));
-            kept.push(coordinator);
         }
         memory = memory.with_point(size as usize, &bytes);
         time = time.with_point(size as usize, &each_us);
--- a/crates/capacity/src/tokens.rs
+++ b/crates/capacity/src/tokens.rs
@@ -8,7 +8,7 @@
 use wisteriapoint_stand_in::demo::model_document;
 use wisteriapoint_stand_in::{Engine, EngineSettings, Platform, serve};
 
-use crate::process::{cpu_of_threads, memory_bytes};
+use crate::process::{allocated_bytes, cpu_of_threads};
 use crate::slope::Slope;
 
 const STREAMS: [usize; 3] = [8, 64, 256];
@@ -69,7 +69,7 @@
     while daemon.shared().routers.load().is_empty() {
         tokio::time::sleep(READY_PAUSE).await;
     }
-    let before_bytes = memory_bytes();
+    let before_bytes = allocated_bytes();
     let cpu = cpu_of_threads("traffic");
     let begun = Instant::now();
     let url = format!("http://{}/v1/completions", daemon.addresses().service);
@@ -81,7 +81,7 @@
         f64::from(TOKENS) / TOKENS_PER_S / 2.0,
     ))
     .await;
-    let grown = memory_bytes().saturating_sub(before_bytes);
+    let grown = allocated_bytes().saturating_sub(before_bytes);
     let mut whole = 0;
     for call in calls {
         whole += usize::from(call.await.unwrap_or(false));
