--- a/crates/gateway/tests/router.rs
+++ b/crates/gateway/tests/router.rs
@@ -58,7 +58,8 @@
 
 #[tokio::test(start_paused = true)]
 async fn each_end_of_a_permit_calls_the_next_in_line() {
-    let ends: [(&str, fn(Permit)); 3] = [
+    type End = fn(Permit);
+    let ends: [(&str, End); 3] = [
         ("answered", |permit| permit.answered(1)),
         ("refused", Permit::refused),
         ("dropped", drop),
--- a/crates/wisteriapoint/tests/streams.rs
+++ b/crates/wisteriapoint/tests/streams.rs
@@ -3,7 +3,6 @@
 mod deployment;
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use deployment::{Deployment, PROMPT, model_document, read_stream, until, verdict};
 use wisteriapoint_stand_in::{Act, Engine, EngineSettings, Running, Scripted, serve};
