--- a/crates/rollout/src/coordinator/mod.rs
+++ b/crates/rollout/src/coordinator/mod.rs
@@ -1,5 +1,6 @@
 //! The coordinator of trainers' steps.
 
+mod attempts;
 mod fleet;
 mod hedge;
 mod share;
@@ -7,19 +8,19 @@
 
 use std::collections::BTreeMap;
 
-use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
+use wisteriapoint_types::{ServiceName, TrainerName, WeightVersion};
 
 use self::fleet::Fleet;
 use self::share::Shares;
 use self::state::{State, Step};
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, Reported};
 use crate::error::{Error, Kind};
 use crate::length::Lengths;
 use crate::{AttemptKey, Begun, Cursor, Pulled, Sample, ScoreTask, StepId, StepSpec, Task};
 
 /// Time after which a step that its trainer no longer asks for is forgotten, in
 /// milliseconds.
-pub const IDLE_MS: u64 = 300_000;
+pub const IDLE_MS: u64 = 1_200_000;
 
 const MAX_SAMPLES: u32 = 1 << 16;
 
@@ -33,6 +34,7 @@
     fleets: BTreeMap<ServiceName, Fleet>,
     hedged_at_ms: u64,
     shares: Shares,
+    versions: BTreeMap<TrainerName, (WeightVersion, u64)>,
     cancelled: Vec<AttemptKey>,
     to_score: Vec<ScoreTask>,
 }
@@ -69,7 +71,9 @@
             Some(step) if step.spec != spec => return Err(Kind::Conflict.into()),
             Some(_) => {}
             None => {
-                let step = Step::new(spec, now_ms, &self.lengths);
+                let version = self.versions.get(&id.trainer).copied();
+                let version = version.unwrap_or_default();
+                let step = Step::new(spec, now_ms, version, &self.lengths);
                 self.shares.join(&id.trainer);
                 self.steps.insert(id.clone(), step);
             }
@@ -100,13 +104,28 @@
             return;
         };
         let version = begun.version;
+        let fleet = self.fleets.entry(attempt.service.clone()).or_default();
+        fleet.saw(now_ms, &begun.endpoint, version);
         attempt.begun = Some((begun, now_ms));
-        let oldest = self.steps.get(&attempt.id).map(Step::oldest_version);
+        let oldest = self
+            .steps
+            .get(&attempt.id)
+            .map(|step| step.oldest_start(now_ms));
         if oldest.is_some_and(|oldest| version < oldest) {
             self.give_up(key);
         }
     }
 
+    /// Takes the news of how many tokens an attempt has.
+    pub fn progress(&mut self, now_ms: u64, key: AttemptKey, tokens: u32) {
+        if let Some(attempt) = self.attempts.get_mut(&key) {
+            attempt.reported = Some(Reported {
+                at_ms: now_ms,
+                tokens,
+            });
+        }
+    }
+
     /// Takes a finished sample, or none if its generation failed.
     ///
     /// The result of an attempt that is no longer wanted changes nothing.
@@ -205,7 +224,7 @@
         limit: usize,
     ) -> Result<Pulled, Error> {
         self.take_cursor(now_ms, id, cursor)?;
-        self.take_version(id, version);
+        self.take_version(now_ms, id, version);
         let step = self.steps.get(id).ok_or(Kind::UnknownStep)?;
         let samples = step.ready_samples(limit);
         let mut next = cursor.clone();
@@ -227,6 +246,14 @@
 
     /// Forgets steps that their trainers no longer ask for.
     pub fn forget_idle(&mut self, now_ms: u64) {
+        let steps = &self.steps;
+        self.versions.retain(|trainer, (_, since_ms)| {
+            let is_new = now_ms < *since_ms + IDLE_MS;
+            is_new || steps.keys().any(|id| id.trainer == *trainer)
+        });
+        for fleet in self.fleets.values_mut() {
+            fleet.forget(now_ms);
+        }
         let is_idle = |step: &Step| now_ms.saturating_sub(step.touched_ms) >= IDLE_MS;
         let steps = self.steps.iter();
         let idle: Vec<StepId> = steps
@@ -267,144 +294,4 @@
     pub fn is_empty(&self) -> bool {
         self.steps.is_empty()
     }
-
-    fn next_task(&mut self, now_ms: u64) -> Option<Task> {
-        let is_next = |step: &Step| !step.waiting.is_empty() && self.has_room(&step.spec.service);
-        let waiting = self.steps.iter().filter(|(_, step)| is_next(step));
-        let next = waiting.min_by_key(|(id, _)| (self.shares.get(&id.trainer), id.step));
-        let id = next?.0.clone();
-        let index = self.steps.get(&id)?.waiting.first()?.index;
-        Some(self.dispatch(now_ms, &id, index, Vec::new()))
-    }
-
-    /// Starts an attempt at a sample that waits or runs.
-    fn dispatch(&mut self, now_ms: u64, id: &StepId, index: u32, avoid: Vec<EndpointName>) -> Task {
-        self.last_attempt += 1;
-        let attempt = AttemptKey(self.last_attempt);
-        let step = self.steps.get_mut(id).expect("a step with this sample");
-        let expected_tokens = step.expected_tokens(index, &self.lengths);
-        step.start(index, attempt);
-        step.started_tokens += u64::from(expected_tokens);
-        self.shares.charge(&id.trainer, expected_tokens);
-        let fleet = self.fleets.entry(step.spec.service.clone()).or_default();
-        fleet.in_flight += 1;
-        self.attempts.insert(
-            attempt,
-            Attempt {
-                id: id.clone(),
-                index,
-                service: step.spec.service.clone(),
-                dispatched_ms: now_ms,
-                begun: None,
-                expected_tokens,
-            },
-        );
-        Task {
-            id: id.clone(),
-            key: step.spec.key(index),
-            attempt,
-            service: step.spec.service.clone(),
-            prompt: step.prompt(index).into(),
-            max_tokens: step.spec.max_tokens,
-            expected_tokens,
-            oldest_version: step.oldest_version(),
-            avoid,
-        }
-    }
-
-    fn take_cursor(&mut self, now_ms: u64, id: &StepId, cursor: &Cursor) -> Result<(), Error> {
-        let step = self.steps.get_mut(id).ok_or(Kind::UnknownStep)?;
-        step.touched_ms = now_ms;
-        let needless = step.take_cursor(cursor, &self.lengths)?;
-        self.cancel(needless);
-        Ok(())
-    }
-
-    /// Sends back all that is too old for a trainer at `version`.
-    fn take_version(&mut self, id: &StepId, version: WeightVersion) {
-        let Some(step) = self.steps.get_mut(id) else {
-            return;
-        };
-        if step.version == version {
-            return;
-        }
-        step.version = version;
-        step.drop_stale(version, &self.lengths);
-        let oldest = step.oldest_version();
-        let attempts = self.attempts.iter();
-        let stale: Vec<AttemptKey> = attempts
-            .filter(|(_, attempt)| attempt.id == *id && attempt.is_older_than(oldest))
-            .map(|(&key, _)| key)
-            .collect();
-        for key in stale {
-            self.give_up(key);
-        }
-    }
-
-    /// Cancels an attempt whose sample could not be handed over.
-    fn give_up(&mut self, key: AttemptKey) {
-        self.detach(key);
-        self.cancelled.push(key);
-    }
-
-    /// Takes an attempt from its sample, which waits again if that was its last.
-    fn detach(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.remove_attempt(key) else {
-            return;
-        };
-        self.shares
-            .correct(&attempt.id.trainer, attempt.expected_tokens, 0);
-        let Some(step) = self.steps.get_mut(&attempt.id) else {
-            return;
-        };
-        let State::Running(attempts) = step.state(attempt.index) else {
-            return;
-        };
-        let left: Vec<AttemptKey> = attempts
-            .iter()
-            .copied()
-            .filter(|&other| other != key)
-            .collect();
-        match left {
-            left if left.is_empty() => _ = step.again(attempt.index, &self.lengths),
-            left => _ = step.set(attempt.index, State::Running(left)),
-        }
-    }
-
-    fn has_room(&self, service: &ServiceName) -> bool {
-        self.fleets.get(service).is_none_or(Fleet::has_room)
-    }
-
-    fn refuse(&mut self, now_ms: u64, key: AttemptKey) {
-        if let Some(attempt) = self.attempts.get(&key)
-            && let Some(fleet) = self.fleets.get_mut(&attempt.service)
-        {
-            fleet.window.refused(now_ms);
-        }
-    }
-
-    fn remove_attempt(&mut self, key: AttemptKey) -> Option<Attempt> {
-        let attempt = self.attempts.remove(&key)?;
-        if let Some(fleet) = self.fleets.get_mut(&attempt.service) {
-            fleet.in_flight = fleet.in_flight.saturating_sub(1);
-        }
-        Some(attempt)
-    }
-
-    fn cancel(&mut self, attempts: impl IntoIterator<Item = AttemptKey>) {
-        for key in attempts {
-            if let Some(attempt) = self.remove_attempt(key) {
-                let trainer = &attempt.id.trainer;
-                self.shares.correct(trainer, attempt.expected_tokens, 0);
-            }
-            self.cancelled.push(key);
-        }
-    }
-}
-
-impl Attempt {
-    fn is_older_than(&self, oldest: WeightVersion) -> bool {
-        let begun = self.begun.as_ref();
-        begun.is_some_and(|(begun, _)| begun.version < oldest)
-    }
 }
