--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -239,10 +239,7 @@
         match timeout_at(deadline, &mut waiting.called).await {
             Ok(Ok(Ok(endpoint))) => self.lock().permit(self, Dispatch { ticket, endpoint }),
             Ok(Ok(Err(refusal))) => Err(refusal),
-            Ok(Err(_)) | Err(_) => Err(Refusal {
-                reason: Reason::Deadline,
-                retry_after_ms: RETRY_AFTER_MS,
-            }),
+            Ok(Err(_)) | Err(_) => Err(self.lock().pool.expire(self.now_ms(), ticket)),
         }
     }
 
--- a/crates/gateway/tests/router.rs
+++ b/crates/gateway/tests/router.rs
@@ -119,6 +119,25 @@
     assert!(begun.elapsed() <= Duration::from_millis(301));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_late_waiter_learns_when_the_line_before_it_will_be_done() {
+    let router = router(1, 1);
+    let permit = acquire(&router, LONG).await.expect("the endpoint is idle");
+    sleep(Duration::from_secs(2)).await;
+    permit.answered(1);
+    let _permit = acquire(&router, LONG).await.expect("the endpoint is idle");
+    let _line: Vec<_> = (0..10).map(|_| spawn_acquire(&router)).collect();
+    settle().await;
+    let limit = Duration::from_secs(3);
+    let demand = Demand::rollout(1, router.deadline_ms(limit));
+    let refusal = match router.acquire(demand).await {
+        Err(refusal) => refusal,
+        Ok(_) => panic!("ten callers are in line"),
+    };
+    assert_eq!(refusal.reason, Reason::Deadline);
+    assert!(refusal.retry_after_ms >= 10 * 2_000 - 3_000);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_waiting_caller_preempts_a_rollout() {
     let router = router(1, 1);
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -241,6 +241,14 @@
         }
     }
 
+    /// Takes back a waiting request whose deadline has come; gives its refusal.
+    pub fn expire(&mut self, now_ms: u64, ticket: TicketKey) -> Refusal {
+        let demand = self.tickets.get(ticket).map(|held| held.demand.clone());
+        self.withdraw(ticket);
+        let demand = demand.unwrap_or_else(|| Demand::caller(now_ms));
+        self.refusal(now_ms, Reason::Deadline, &demand)
+    }
+
     fn forget(&mut self, ticket: TicketKey) {
         let Some(held) = self.tickets.remove(ticket) else {
             return;
