Count attempts at samples by outcome

Cause: whether samples are overtaken, given up or fail could not be seen from outside, and the test of a trainer that moves on only saw fresh samples, not that the old ones in flight were cancelled.

Change: `wisteriapoint_sample_attempts_total` with the outcomes whole, too-old, failed and cancelled, in the table for operators. The tests of stragglers and of a trainer that moves on read it.

Histograms of sample age were left out: the coordinator knows the age only against the version in a pull, and labels by trainer would not be bounded.

--- a/crates/wisteriapoint/src/daemon/control/rollouts.rs
+++ b/crates/wisteriapoint/src/daemon/control/rollouts.rs
@@ -112,6 +112,7 @@
     pub(super) fn finish_attempt(&mut self, attempt: AttemptKey, generated: Generated) {
         let now_ms = self.shared.clock.now_ms();
         self.rollouts.dispatched.remove(&attempt);
+        self.count_attempt(generated.outcome());
         let coordinator = &mut self.rollouts.coordinator;
         match generated {
             Generated::Whole(sample) => coordinator.finish(now_ms, attempt, Some(sample)),
@@ -182,10 +183,16 @@
         for attempt in self.rollouts.coordinator.take_cancelled() {
             if let Some(task) = self.rollouts.dispatched.remove(&attempt) {
                 task.abort();
+                self.count_attempt("cancelled");
             }
         }
     }
 
+    fn count_attempt(&self, outcome: &str) {
+        let attempts = &self.shared.metrics.sample_attempts;
+        attempts.with_label_values(&[outcome]).inc();
+    }
+
     /// Tells the coordinator of the engines of each service.
     fn take_fleets(&mut self) {
         for (name, service) in &self.snapshot.services {
--- a/crates/wisteriapoint/src/daemon/message.rs
+++ b/crates/wisteriapoint/src/daemon/message.rs
@@ -135,6 +135,17 @@
     Failed,
 }
 
+impl Generated {
+    /// Short name, for metrics.
+    pub fn outcome(&self) -> &'static str {
+        match self {
+            Self::Whole(_) => "whole",
+            Self::TooOld => "too-old",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// What a daemon knows beyond the asker.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Synced {
--- a/crates/wisteriapoint/src/metrics.rs
+++ b/crates/wisteriapoint/src/metrics.rs
@@ -41,6 +41,8 @@
     pub open_partitions: IntGauge,
     /// Transfers of a partition's claims, by result.
     pub transfers: IntCounterVec,
+    /// Attempts at samples of steps that this daemon coordinates, by outcome.
+    pub sample_attempts: IntCounterVec,
     /// Whether the daemon takes requests, 0 or 1.
     pub ready: IntGauge,
     /// Requests in progress.
@@ -111,6 +113,7 @@
                 "Transfers of a partition's claims",
                 &["result"],
             )?,
+            sample_attempts: counter("sample_attempts_total", "Attempts at samples", &["outcome"])?,
             ready: IntGauge::new("wisteriapoint_ready", "Whether the daemon takes requests")?,
             in_flight: IntGauge::new("wisteriapoint_in_flight", "Requests in progress")?,
             endpoints: gauge("endpoints", "Endpoints", &["service", "state"])?,
@@ -168,6 +171,7 @@
             Box::new(self.claims.clone()),
             Box::new(self.open_partitions.clone()),
             Box::new(self.transfers.clone()),
+            Box::new(self.sample_attempts.clone()),
             Box::new(self.ready.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.endpoints.clone()),
--- a/crates/wisteriapoint/tests/rollouts.rs
+++ b/crates/wisteriapoint/tests/rollouts.rs
@@ -145,6 +145,16 @@
     assert_whole(&again, &spec);
 }
 
+/// Attempts at samples with an outcome, on all daemons.
+fn attempts(fleet: &Fleet, outcome: &str) -> u64 {
+    let daemons = fleet.daemons.iter();
+    let counts = daemons.map(|daemon| {
+        let attempts = &daemon.shared().metrics.sample_attempts;
+        attempts.with_label_values(&[outcome]).get()
+    });
+    counts.sum()
+}
+
 fn spans(sample: &Sample) -> Vec<u64> {
     let versions = sample.spans.iter().map(|Span { version, .. }| version.0);
     versions.collect()
@@ -182,6 +192,8 @@
     for sample in &received.samples {
         assert_eq!(spans(sample), [5]);
     }
+    let hopeless = attempts(&fleet, "cancelled");
+    assert!(hopeless >= 4, "all four were cancelled in flight");
 }
 
 #[tokio::test]
@@ -260,4 +272,6 @@
     assert!(slow.started() >= 1);
     let cancelled = || async { slow.running() == 0 };
     until("the straggler is cancelled", cancelled).await;
+    assert!(attempts(&fleet, "cancelled") >= 1);
+    assert!(attempts(&fleet, "whole") >= u64::from(spec.samples()));
 }
