--- a/crates/wisteriapoint/tests/claims.rs
+++ b/crates/wisteriapoint/tests/claims.rs
@@ -22,6 +22,16 @@
     body: String,
 }
 
+impl Got {
+    /// What a retry gets: the same answer, marked as one of a request that has run.
+    fn replayed(&self) -> Self {
+        Self {
+            verdict: "ran".to_owned(),
+            ..self.clone()
+        }
+    }
+}
+
 struct Shop {
     fleet: Fleet,
     plain: PlainService,
@@ -115,7 +125,8 @@
     shop.plain.set_delay(Duration::from_millis(200));
     for key in keys().iter().take(6) {
         let (one, two) = tokio::join!(shop.hold(0, key), shop.hold(1, key));
-        assert_eq!((one.status, one.clone()), (200, two));
+        assert_eq!(one.status, 200);
+        assert!(two == one.replayed() || one == two.replayed());
         assert_eq!(shop.runs(key), 1);
     }
 }
@@ -130,13 +141,13 @@
     }
     shop.fleet.daemons.remove(2).kill();
     for (key, first) in keys.iter().zip(&first).take(KEYS / 2) {
-        assert_eq!(shop.hold(1, key).await, *first);
+        assert_eq!(shop.hold(1, key).await, first.replayed());
     }
     shop.view_of(2).await;
     for (key, first) in keys.iter().zip(&first) {
         assert_eq!(
             (first.status, shop.hold(1, key).await),
-            (200, first.clone())
+            (200, first.replayed())
         );
         assert_eq!(shop.runs(key), 1);
     }
@@ -191,7 +202,7 @@
         .await;
     for (number, (key, first)) in keys.iter().zip(&first).enumerate() {
         let retry = shop.hold(1 + number % 3, key).await;
-        assert_eq!((first.status, retry), (200, first.clone()));
+        assert_eq!((first.status, retry), (200, first.replayed()));
         assert_eq!(shop.runs(key), 1);
     }
 }
@@ -205,7 +216,10 @@
     });
     for key in &keys() {
         let first = shop.hold(0, key).await;
-        assert_eq!((first.status, shop.hold(2, key).await), (200, first));
+        assert_eq!(
+            (first.status, shop.hold(2, key).await),
+            (200, first.replayed())
+        );
         assert_eq!(shop.runs(key), 1);
     }
 }
--- a/crates/wisteriapoint/tests/streams.rs
+++ b/crates/wisteriapoint/tests/streams.rs
@@ -3,7 +3,6 @@
 mod deployment;
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use deployment::{Deployment, PROMPT, model_document, read_stream, until, verdict};
 use wisteriapoint_stand_in::{Act, Engine, EngineSettings, Running, Scripted, serve};
@@ -238,11 +237,13 @@
 }
 
 #[tokio::test]
-async fn a_deadline_beyond_all_bounds_is_taken_as_the_longest() {
+async fn a_deadline_beyond_all_bounds_is_refused() {
     let engines = Engines::start(1, settings(true, 1_000.0)).await;
     let deployment = engines.deployment().await;
     let request = deployment.completion(0, TOKENS, false);
     let request = request.header("wisteriapoint-deadline-ms", u64::MAX.to_string());
-    let response = request.timeout(Duration::from_secs(20)).send().await;
-    assert_eq!(response.unwrap().status(), 200);
+    let response = request.send().await.unwrap();
+    assert_eq!(response.status(), 400);
+    assert_eq!(verdict(&response), "not-run");
+    assert_eq!(engines.sum(Engine::started), 0);
 }
