--- a/crates/wisteriapoint/tests/bounds.rs
+++ b/crates/wisteriapoint/tests/bounds.rs
@@ -113,6 +113,7 @@
         "+5",
         "1.5",
         "5 s",
+        "3600001",
         "99999999999999999999999",
     ] {
         let request = fixture.hold().header("wisteriapoint-deadline-ms", deadline);
