Wait for a majority of holders in the process tests

A claimant stops asking once two of three have granted, so the third may never hold the claim.

Change: the set-up waits until two daemons hold both claims, which is what makes the first daemon the claimant; the checks of the test are as before.

--- a/crates/wisteriapoint/tests/processes.rs
+++ b/crates/wisteriapoint/tests/processes.rs
@@ -158,8 +158,10 @@
         let running = tokio::spawn(self.daemons[0].hold(first).send());
         until("the first hold runs", || async { self.runs(first) == 1 }).await;
         let queued = tokio::spawn(self.daemons[0].hold(waiting).send());
-        until("all daemons hold both claims", || async {
-            self.claims().await == [2, 2, 2]
+        // A claim is won with two of three holders; the third may never be asked.
+        until("most daemons hold both claims", || async {
+            let claims = self.claims().await;
+            claims.iter().filter(|&&claims| claims == 2).count() >= 2
         })
         .await;
         [running, queued]
