--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -7,11 +7,10 @@
 use tokio::time::{Instant, sleep};
 use wisteriapoint_claim::{Recorded, Settled};
 use wisteriapoint_gateway::plain::end_to_end;
-use wisteriapoint_gateway::problem::VERDICT_HEADER;
 use wisteriapoint_gateway::{Attempts, PlainAnswer, PlainRequest, Problem, Router};
 use wisteriapoint_route::Demand;
 use wisteriapoint_settings::ServiceDocument;
-use wisteriapoint_types::{Digest, RequestKey, ServiceName, Verdict};
+use wisteriapoint_types::{Digest, RequestKey, ServiceName};
 
 use super::{bounds, limit, path, respond};
 use crate::daemon::Shared;
@@ -25,7 +24,6 @@
 /// Header of an answer that was recorded when the request ran.
 pub const REPLAYED_HEADER: &str = "wisteriapoint-replayed";
 
-const MAX_RECORDED_BYTES: usize = 64 << 10;
 const BUSY_RETRY_AFTER_MS: u64 = 1_000;
 
 /// Handles requests to plain services.
@@ -235,16 +233,13 @@
     })
 }
 
-/// What the holders keep of an answer; one that is too large for them is lost to repeats.
+/// What the holders are told of an answer.
 fn settled(answer: &PlainAnswer) -> Settled {
-    match answer.body.len() {
-        ..=MAX_RECORDED_BYTES => Settled::Ran(Recorded {
-            status: answer.status.as_u16(),
-            content_type: answer.content_type().into(),
-            body: answer.body.to_vec(),
-        }),
-        _ => Settled::MayHaveRun,
-    }
+    Settled::Ran(Recorded {
+        status: answer.status.as_u16(),
+        content_type: answer.content_type().into(),
+        body: answer.body.to_vec(),
+    })
 }
 
 fn write_fresh(response: &mut Response, answer: PlainAnswer) {
@@ -256,7 +251,6 @@
 fn write_replayed(response: &mut Response, recorded: Recorded) {
     response.status_code(respond::status(recorded.status));
     respond::set_header(response, REPLAYED_HEADER, "true");
-    respond::set_header(response, VERDICT_HEADER, Verdict::Ran.as_str());
     if !recorded.content_type.is_empty() {
         respond::set_header(response, "content-type", &recorded.content_type);
     }
