Keep keys of different services apart

Cause: the claim of a key knew nothing of the service, so the same key, path and body at a second service got the first one's recorded answer and did not run. Change: a claim's key carries the service; the time of issue is read from the text after it. Refusing the second service's key as another request's was ruled out, since callers may well use an order's number at two services.

--- a/crates/types/src/key.rs
+++ b/crates/types/src/key.rs
@@ -3,12 +3,25 @@
 use serde::{Deserialize, Serialize};
 use uuid::{Uuid, Version};
 
-use crate::{PartitionKey, hash64};
+use crate::{PartitionKey, ServiceName, hash64};
 
 /// Number of partitions that idempotency keys are spread over.
 pub const PARTITIONS: u16 = 256;
 
+const SEPARATOR: char = '/';
+
 /// The `Idempotency-Key` that a caller gave its request.
+///
+/// A key belongs to one service; the same text at another service is another key.
+///
+/// ```
+/// use wisteriapoint_types::{RequestKey, ServiceName};
+///
+/// let key = RequestKey::new("0192f0c1-7b2a-7c3d-8e4f-5a6b7c8d9e0f");
+/// let at_shop = key.clone().with_service(&ServiceName::new("shopfront"));
+/// assert_ne!(at_shop, key);
+/// assert_eq!(at_shop.issued_at_ms(), key.issued_at_ms());
+/// ```
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RequestKey(Box<str>);
@@ -19,14 +32,20 @@
         Self(text.into())
     }
 
-    /// The text as the caller sent it.
+    /// The key as one of a service.
+    pub fn with_service(self, service: &ServiceName) -> Self {
+        Self(format!("{service}{SEPARATOR}{}", self.0).into())
+    }
+
+    /// The text, with the service before it.
     pub fn as_str(&self) -> &str {
         &self.0
     }
 
     /// The time of issue in Unix milliseconds, if the key is a UUIDv7.
     pub fn issued_at_ms(&self) -> Option<u64> {
-        let uuid = Uuid::try_parse(&self.0).ok()?;
+        let (_, text) = self.0.split_once(SEPARATOR).unwrap_or(("", &self.0));
+        let uuid = Uuid::try_parse(text).ok()?;
         match uuid.get_version() {
             Some(Version::SortRand) => {
                 let (seconds, nanoseconds) = uuid.get_timestamp()?.to_unix();
--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -98,6 +98,7 @@
         let limit = limit(request, deadline_ms.unwrap_or(document.deadline_ms));
         match key {
             Some(key) if !outgoing.idempotent => {
+                let key = key.with_service(service);
                 self.clone()
                     .pass_claimed(document, router, key, outgoing, limit)
                     .await
--- a/crates/wisteriapoint/tests/verdicts.rs
+++ b/crates/wisteriapoint/tests/verdicts.rs
@@ -394,3 +394,27 @@
         {kind=\"crossed\",service=\"shopfront\",verdict=\"may-have-run\"} 1\n";
     assert!(metrics.contains(counted), "{metrics}");
 }
+
+#[tokio::test]
+async fn the_same_key_at_two_services_means_two_requests() {
+    let services = [PlainService::new(), PlainService::new()];
+    let mut running = Vec::new();
+    let mut documents = Vec::new();
+    for (service, name) in services.iter().zip(["shopfront", "billing"]) {
+        let server = serve::on_loopback(service.router()).await.unwrap();
+        let document = plain_document(&[server.address]);
+        documents.push(document.replace("shopfront", name));
+        running.push(server);
+    }
+    let deployment = Deployment::start(1, &documents).await;
+    for name in ["shopfront", "billing"] {
+        let url = deployment.url(0, &format!("/v1/services/{name}/stock/hold"));
+        let request = client().post(url).header("idempotency-key", "order-17");
+        let answer = request.body("strap 7").send().await.unwrap();
+        assert_eq!(answer.status(), 200);
+        assert!(!answer.headers().contains_key("wisteriapoint-replayed"));
+    }
+    for service in &services {
+        assert_eq!(service.runs()["order-17"], 1);
+    }
+}
