--- a/crates/wisteriapoint/src/http/bounds.rs
+++ b/crates/wisteriapoint/src/http/bounds.rs
@@ -123,7 +123,7 @@
 fn check_headers(headers: &HeaderMap) -> Result<(), Problem> {
     check_header(headers, DEADLINE_HEADER, is_deadline, || {
         let detail = format!(
-            "`{DEADLINE_HEADER}` is malformed; send a whole number up to {MAX_DEADLINE_MS}, once"
+            "`{DEADLINE_HEADER}` is malformed; send a whole number from 1 to {MAX_DEADLINE_MS}, once"
         );
         Problem::not_run(400, "malformed-deadline", detail)
     })?;
@@ -152,7 +152,8 @@
 fn is_deadline(value: &[u8]) -> bool {
     let text = std::str::from_utf8(value).unwrap_or_default();
     let deadline_ms = text.parse::<u64>();
-    value.iter().all(u8::is_ascii_digit) && deadline_ms.is_ok_and(|ms| ms <= MAX_DEADLINE_MS)
+    value.iter().all(u8::is_ascii_digit)
+        && deadline_ms.is_ok_and(|ms| (1..=MAX_DEADLINE_MS).contains(&ms))
 }
 
 fn is_key(value: &[u8]) -> bool {
