--- a/crates/wisteriapoint/src/http/plain.rs
+++ b/crates/wisteriapoint/src/http/plain.rs
@@ -7,10 +7,11 @@
 use tokio::time::{Instant, sleep};
 use wisteriapoint_claim::{Recorded, Settled};
 use wisteriapoint_gateway::plain::end_to_end;
+use wisteriapoint_gateway::problem::VERDICT_HEADER;
 use wisteriapoint_gateway::{Attempts, PlainAnswer, PlainRequest, Problem, Router};
 use wisteriapoint_route::Demand;
 use wisteriapoint_settings::ServiceDocument;
-use wisteriapoint_types::{Digest, RequestKey, ServiceName};
+use wisteriapoint_types::{Digest, RequestKey, ServiceName, Verdict};
 
 use super::{bounds, limit, path, respond};
 use crate::daemon::Shared;
@@ -251,6 +252,7 @@
 fn write_replayed(response: &mut Response, recorded: Recorded) {
     response.status_code(respond::status(recorded.status));
     respond::set_header(response, REPLAYED_HEADER, "true");
+    respond::set_header(response, VERDICT_HEADER, Verdict::Ran.as_str());
     if !recorded.content_type.is_empty() {
         respond::set_header(response, "content-type", &recorded.content_type);
     }
