Refuse to raise a retry horizon; an unanswered step may have been taken

Cause: claims older than the horizon in force are forgotten, so an edit that raised it let keys of that age run again; and a trainer whose coordinator did not answer was told not-run although the step may have been taken. Change: apply refuses a higher horizon than the one in force, as it does a moved home region; no-coordinator says may-have-run. Treating such keys as lost for a while was ruled out for now: peers relay no time of the edit.

--- a/crates/settings/src/check/clash.rs
+++ b/crates/settings/src/check/clash.rs
@@ -7,6 +7,7 @@
 use wisteriapoint_types::Region;
 
 use super::Checker;
+use crate::document::default_retry_horizon_s;
 
 const VM_ADDRESSES: [&str; 3] = ["service_address", "admin_address", "peer_address"];
 
@@ -46,6 +47,27 @@
     }
 }
 
+/// Checks that a retry horizon is not raised.
+pub(crate) fn horizon_raise(checker: &mut Checker<'_>, root: &Value<'_>, previous_s: u64) {
+    let Value::Object(document) = root else {
+        return;
+    };
+    let number = document.get_number("retry_horizon_s");
+    let horizon_s = match number {
+        Some(number) => number.value.parse().unwrap_or(0),
+        None => default_retry_horizon_s(),
+    };
+    if horizon_s > previous_s {
+        let range = number.map_or(document.range, |number| number.range);
+        let message = format!(
+            "`retry_horizon_s` is {previous_s} and can't be raised: claims older than that are \
+             forgotten, and their requests could run twice; write {previous_s} or less, or a \
+             new service"
+        );
+        checker.fault(range, message);
+    }
+}
+
 /// Checks the fields of a VM's settings against each other.
 pub(crate) fn vm_clashes(checker: &mut Checker<'_>, root: &Value<'_>) {
     let Value::Object(settings) = root else {
--- a/crates/settings/src/check/mod.rs
+++ b/crates/settings/src/check/mod.rs
@@ -3,7 +3,7 @@
 mod clash;
 mod value;
 
-pub(crate) use clash::{document_clashes, home_region_change, vm_clashes};
+pub(crate) use clash::{document_clashes, home_region_change, horizon_raise, vm_clashes};
 pub use value::is_name;
 
 use jsonc_parser::ast::{Object, ObjectProp, Value};
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -169,7 +169,7 @@
     10_000
 }
 
-fn default_retry_horizon_s() -> u64 {
+pub(crate) fn default_retry_horizon_s() -> u64 {
     3_600
 }
 
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -6,7 +6,7 @@
 };
 use serde::de::DeserializeOwned;
 
-use crate::check::{Checker, document_clashes, home_region_change, vm_clashes};
+use crate::check::{Checker, document_clashes, home_region_change, horizon_raise, vm_clashes};
 use crate::schema::{DOCUMENT, Field, VM};
 use crate::{Error, Fault, ServiceDocument, VmSettings};
 
@@ -42,6 +42,7 @@
         if let Some(region) = &previous.home_region {
             home_region_change(checker, root, region);
         }
+        horizon_raise(checker, root, previous.retry_horizon_s);
     })
 }
 
--- a/crates/wisteriapoint/src/http/steps.rs
+++ b/crates/wisteriapoint/src/http/steps.rs
@@ -166,7 +166,7 @@
 }
 
 fn no_coordinator() -> Problem {
-    Problem::not_run(
+    Problem::may_have_run(
         503,
         "no-coordinator",
         "the step's coordinator did not answer",
--- a/crates/wisteriapoint/tests/edits.rs
+++ b/crates/wisteriapoint/tests/edits.rs
@@ -313,6 +313,21 @@
     assert_eq!(fixture.platform.calls().writes, 0);
 }
 
+#[tokio::test]
+async fn a_retry_horizon_is_lowered_but_never_raised() {
+    let fixture = fixture().await;
+    let with_horizon = |seconds: u64| {
+        let horizon = format!("\"retry_horizon_s\": {seconds}, \"kind\"");
+        document(1).replace("\"kind\"", &horizon)
+    };
+    for (seconds, accepted) in [(1_800, true), (600, true), (601, false), (600, true)] {
+        let result = put(&fixture.store, &with_horizon(seconds), None).await;
+        assert_eq!(result.is_ok(), accepted, "{seconds}: {result:?}");
+    }
+    let without = put(&fixture.store, &document(1), None).await.unwrap_err();
+    assert!(without.to_string().contains("can't be raised"), "{without}");
+}
+
 #[tokio::test]
 async fn a_home_region_is_set_once_and_a_dry_run_writes_nothing() {
     let fixture = fixture().await;
