Let the weights of idle time and staleness set the reserve of versions

Cause: rollouts.idle_weight and rollouts.staleness_weight had no effect. Change: a new sample begins with a version more in reserve for each time that staleness outweighs idle time, within the step's bound and for the time of a wave; equal weights keep the one version of before.

--- a/crates/experiment/examples/rollouts.rs
+++ b/crates/experiment/examples/rollouts.rs
@@ -24,10 +24,11 @@
 
 fn main() -> Result<(), Box<dyn Error>> {
     let cli = Cli::parse();
-    let runs = run_all(&Scenario::stragglers(), cli.seeds);
+    let mut runs = run_all(&Scenario::stragglers(), cli.seeds);
     if let Some(folder) = &cli.plots {
         plot_idle(folder, &runs)?;
     }
+    runs.extend(run_all(&Scenario::wide_bound(), cli.seeds));
     match cli.table {
         true => print!("{}", report::table(&runs)),
         false => report::print_lines(&runs),
--- a/crates/experiment/src/rollouts/scenario.rs
+++ b/crates/experiment/src/rollouts/scenario.rs
@@ -41,6 +41,17 @@
             staleness_versions: 1,
         }
     }
+
+    /// The same with engines that load slowly and a wide bound, so that fresh samples
+    /// have to be waited for.
+    pub fn wide_bound() -> Self {
+        Self {
+            name: "wide bound",
+            load_ms: 20_000,
+            staleness_versions: 3,
+            ..Self::stragglers()
+        }
+    }
 }
 
 /// A policy.
@@ -54,11 +65,19 @@
     NowWaiting,
     /// The coordinator.
     Now,
+    /// The coordinator where staleness weighs three times as much as idle time.
+    NowFresh,
 }
 
 impl Variant {
     /// All, in the order of the report.
-    pub const ALL: [Self; 4] = [Self::Baseline, Self::Before, Self::NowWaiting, Self::Now];
+    pub const ALL: [Self; 5] = [
+        Self::Baseline,
+        Self::Before,
+        Self::NowWaiting,
+        Self::Now,
+        Self::NowFresh,
+    ];
 
     pub(super) fn name(self) -> &'static str {
         match self {
@@ -66,6 +85,7 @@
             Self::Before => "before",
             Self::NowWaiting => "now, waiting for swaps",
             Self::Now => "now",
+            Self::NowFresh => "now, staleness weighs 3:1",
         }
     }
 }
--- a/crates/experiment/src/rollouts/simulation.rs
+++ b/crates/experiment/src/rollouts/simulation.rs
@@ -92,9 +92,12 @@
         let source = match variant {
             Variant::Baseline => Source::Fifo(Fifo::new(slots)),
             Variant::Before => Source::Fifo(Fifo::new(WINDOW_BEFORE)),
-            Variant::NowWaiting | Variant::Now => {
+            Variant::NowWaiting | Variant::Now | Variant::NowFresh => {
                 let mut coordinator = Coordinator::new();
                 coordinator.set_service(service(), slots, HEDGE_RATIO);
+                if variant == Variant::NowFresh {
+                    coordinator.set_weights(service(), 1.0, 3.0);
+                }
                 Source::Coordinator(Box::new(coordinator))
             }
         };
--- a/crates/rollout/src/coordinator/attempts.rs
+++ b/crates/rollout/src/coordinator/attempts.rs
@@ -17,10 +17,11 @@
         let id = next?.0.clone();
         let index = self.steps.get(&id)?.waiting.first()?.index;
         let step = self.steps.get(&id)?;
-        let fleet = self.fleets.get(&step.spec.service);
-        let oldest = step.oldest_start(now_ms);
-        let avoid = fleet.map(|fleet| fleet.older_than(now_ms, oldest));
-        Some(self.dispatch(now_ms, &id, index, avoid.unwrap_or_default()))
+        let service = step.spec.service.clone();
+        let fleet = self.fleets.entry(service).or_default();
+        let oldest = step.oldest_start(now_ms, fleet.reserve_versions);
+        let avoid = fleet.older_than(now_ms, oldest);
+        Some(self.dispatch(now_ms, &id, index, avoid))
     }
 
     /// Starts an attempt at a sample that waits or runs.
@@ -40,6 +41,7 @@
         self.shares.charge(&id.trainer, expected_tokens);
         let fleet = self.fleets.entry(step.spec.service.clone()).or_default();
         fleet.in_flight += 1;
+        let reserve = fleet.reserve_versions;
         self.attempts.insert(
             attempt,
             Attempt {
@@ -60,7 +62,7 @@
             prompt: step.prompt(index).into(),
             max_tokens: step.spec.max_tokens,
             expected_tokens,
-            oldest_version: step.oldest_start(now_ms),
+            oldest_version: step.oldest_start(now_ms, reserve),
             avoid,
         }
     }
--- a/crates/rollout/src/coordinator/fleet.rs
+++ b/crates/rollout/src/coordinator/fleet.rs
@@ -9,17 +9,41 @@
 
 const VERSION_MEMORY_MS: u64 = 2_000;
 
+const LEAST_RESERVE_VERSIONS: u64 = 1;
+
 /// Speeds, bounds and load of the engines of one service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Fleet {
     pub(super) speeds: Speeds,
     pub(super) window: Window,
     pub(super) in_flight: usize,
     pub(super) hedge_ratio: f64,
+    /// Versions by which a new sample has to be fresher than the bound asks for.
+    pub(super) reserve_versions: u64,
     versions: BTreeMap<EndpointName, (WeightVersion, u64)>,
 }
 
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            speeds: Speeds::default(),
+            window: Window::default(),
+            in_flight: 0,
+            hedge_ratio: 0.0,
+            reserve_versions: LEAST_RESERVE_VERSIONS,
+            versions: BTreeMap::new(),
+        }
+    }
+}
+
 impl Fleet {
+    /// Weighs staleness against trainer idle time: one version in reserve for each time
+    /// that staleness outweighs idle time.
+    pub(super) fn weigh(&mut self, idle_weight: f64, staleness_weight: f64) {
+        let times = (staleness_weight / idle_weight.max(f64::MIN_POSITIVE)).ceil();
+        self.reserve_versions = (times as u64).max(LEAST_RESERVE_VERSIONS);
+    }
+
     pub(super) fn has_room(&self) -> bool {
         self.in_flight < self.window.limit()
     }
--- a/crates/rollout/src/coordinator/mod.rs
+++ b/crates/rollout/src/coordinator/mod.rs
@@ -53,6 +53,15 @@
         fleet.hedge_ratio = hedge_ratio;
     }
 
+    /// Sets how a service's trainers weigh staleness against idle time.
+    ///
+    /// Where staleness weighs more, new samples begin with fresher versions and wait for
+    /// them up to the time of a wave, as far as the step's bound leaves room.
+    pub fn set_weights(&mut self, service: ServiceName, idle_weight: f64, staleness_weight: f64) {
+        let fleet = self.fleets.entry(service).or_default();
+        fleet.weigh(idle_weight, staleness_weight);
+    }
+
     /// Takes a step; the same step may be put again.
     ///
     /// # Errors
@@ -106,11 +115,12 @@
         let version = begun.version;
         let fleet = self.fleets.entry(attempt.service.clone()).or_default();
         fleet.saw(now_ms, &begun.endpoint, version);
+        let reserve = fleet.reserve_versions;
         attempt.begun = Some((begun, now_ms));
         let oldest = self
             .steps
             .get(&attempt.id)
-            .map(|step| step.oldest_start(now_ms));
+            .map(|step| step.oldest_start(now_ms, reserve));
         if oldest.is_some_and(|oldest| version < oldest) {
             self.give_up(key);
         }
--- a/crates/rollout/src/coordinator/state.rs
+++ b/crates/rollout/src/coordinator/state.rs
@@ -78,13 +78,15 @@
 
     /// The oldest version that a new sample may begin with.
     ///
-    /// Where the bound allows it, one version is kept in reserve, since the trainer may
-    /// publish the next before it pulls. Engines that take longer than a wave to follow the
+    /// Where the bound allows it, a version or more are kept in reserve, since the trainer
+    /// may publish the next before it pulls, and fresh samples may be worth a wait. Engines that take longer than a wave to follow the
     /// trainer are used without it.
-    pub(super) fn oldest_start(&self, now_ms: u64) -> WeightVersion {
+    pub(super) fn oldest_start(&self, now_ms: u64, reserve_versions: u64) -> WeightVersion {
         let bound = self.spec.staleness_versions;
         match now_ms.saturating_sub(self.version_since_ms) {
-            age_ms if age_ms < RESERVE_MS => oldest(self.version, bound.saturating_sub(1)),
+            age_ms if age_ms < RESERVE_MS => {
+                oldest(self.version, bound.saturating_sub(reserve_versions))
+            }
             _ => oldest(self.version, bound),
         }
     }
--- a/crates/rollout/tests/freshness.rs
+++ b/crates/rollout/tests/freshness.rs
@@ -93,6 +93,26 @@
     }
 }
 
+#[test]
+fn the_reserve_follows_the_weights() {
+    // Weights of idle time and of staleness, the oldest version for a trainer at 9 whose
+    // bound is 3 versions.
+    for (idle_weight, staleness_weight, oldest) in [
+        (1.0, 1.0, 7),
+        (2.0, 1.0, 7),
+        (1.0, 2.0, 8),
+        (1.0, 2.5, 9),
+        (1.0, 100.0, 9),
+        (0.0, 1.0, 9),
+    ] {
+        let mut coordinator = coordinator(3);
+        coordinator.set_weights(spec(3, 1).service, idle_weight, staleness_weight);
+        pull(&mut coordinator, 9);
+        let task = coordinator.take_tasks(0, 1).remove(0);
+        assert_eq!(task.oldest_version, WeightVersion(oldest));
+    }
+}
+
 #[test]
 fn the_next_step_knows_the_version_of_the_trainer() {
     let mut coordinator = coordinator(1);
--- a/crates/wisteriapoint/src/daemon/control/rollouts.rs
+++ b/crates/wisteriapoint/src/daemon/control/rollouts.rs
@@ -204,9 +204,10 @@
             let in_service =
                 endpoints.filter(|endpoint| !self.snapshot.leaving.contains(&endpoint.vm));
             let requests = in_service.map(|endpoint| endpoint.max_concurrency as usize);
-            let hedge_ratio = document.rollouts.hedge_ratio;
+            let rules = &document.rollouts;
             let coordinator = &mut self.rollouts.coordinator;
-            coordinator.set_service(name.clone(), requests.sum(), hedge_ratio);
+            coordinator.set_service(name.clone(), requests.sum(), rules.hedge_ratio);
+            coordinator.set_weights(name.clone(), rules.idle_weight, rules.staleness_weight);
         }
     }
 }
