Use the field's words for proposers and the state of an endpoint

Cause: steward and seat were metaphors of our own. Change: proposers change the view; the pool keeps an EndpointState for each endpoint; the row of explain is an EndpointReport. No behaviour changes, but for the subject that proposers are ranked by.

--- a/crates/capacity/src/routing.rs
+++ b/crates/capacity/src/routing.rs
@@ -2,7 +2,7 @@
 
 use std::hint::black_box;
 
-use wisteriapoint_route::{Admission, Demand, Outcome, Pool, Seat};
+use wisteriapoint_route::{Admission, Demand, EndpointState, Outcome, Pool};
 
 use crate::slope::Slope;
 use crate::views::timed;
@@ -19,7 +19,7 @@
         let mut pool = Pool::new(64, 1);
         for number in 0..size {
             let domain = format!("domain-{}", number % 3);
-            pool.insert(Seat::new(&format!("engine-{number}"), &domain, 8));
+            pool.insert(EndpointState::new(&format!("engine-{number}"), &domain, 8));
         }
         let mut now_ms = 0;
         let values = timed(|| {
--- a/crates/experiment/src/policy/before.rs
+++ b/crates/experiment/src/policy/before.rs
@@ -15,7 +15,7 @@
 const SMOOTHING: f64 = 0.1;
 
 #[derive(Debug, Clone, Copy)]
-struct Seat {
+struct EndpointState {
     failure_domain: usize,
     slots: u32,
     in_flight: u32,
@@ -28,7 +28,7 @@
 /// A frozen copy of the first policy.
 #[derive(Debug)]
 pub struct Before {
-    seats: Vec<Seat>,
+    endpoints: Vec<EndpointState>,
     queue: BTreeMap<(bool, u64), (usize, Ask)>,
     sequence: u64,
     random: SmallRng,
@@ -37,7 +37,7 @@
 impl Before {
     /// Makes the variant.
     pub fn new(places: &[Place], seed: u64) -> Self {
-        let seat = |place: &Place| Seat {
+        let state = |place: &Place| EndpointState {
             failure_domain: place.failure_domain,
             slots: place.slots,
             in_flight: 0,
@@ -47,7 +47,7 @@
             leaving: false,
         };
         Self {
-            seats: places.iter().map(seat).collect(),
+            endpoints: places.iter().map(state).collect(),
             queue: BTreeMap::new(),
             sequence: 0,
             random: SmallRng::seed_from_u64(seed),
@@ -55,27 +55,29 @@
     }
 
     fn choose(&mut self, now_ms: u64, ask: &Ask) -> Option<usize> {
-        let seats = &self.seats;
-        let is_open = |seat: &Seat| {
-            !seat.leaving && seat.ejected_until_ms <= now_ms && seat.in_flight < seat.slots
+        let endpoints = &self.endpoints;
+        let is_open = |state: &EndpointState| {
+            !state.leaving && state.ejected_until_ms <= now_ms && state.in_flight < state.slots
         };
-        let open: Vec<usize> = (0..seats.len()).filter(|&i| is_open(&seats[i])).collect();
+        let open: Vec<usize> = (0..endpoints.len())
+            .filter(|&i| is_open(&endpoints[i]))
+            .collect();
         let untried = open.iter().copied().filter(|i| !ask.tried.contains(i));
         let untried: Vec<usize> = untried.collect();
         let elsewhere = untried.iter().copied();
-        let elsewhere = elsewhere.filter(|&i| Some(seats[i].failure_domain) != ask.avoid);
+        let elsewhere = elsewhere.filter(|&i| Some(endpoints[i].failure_domain) != ask.avoid);
         let candidates = [elsewhere.collect(), untried, open]
             .into_iter()
             .find(|indices: &Vec<usize>| !indices.is_empty())?;
         let first = candidates[self.random.random_range(0..candidates.len())];
         let second = candidates[self.random.random_range(0..candidates.len())];
-        let better = score(&self.seats[second]) < score(&self.seats[first]);
+        let better = score(&self.endpoints[second]) < score(&self.endpoints[first]);
         Some(if better { second } else { first })
     }
 
     fn place(&mut self, now_ms: u64, request: usize, ask: &Ask) -> Option<Order> {
         let endpoint = self.choose(now_ms, ask)?;
-        self.seats[endpoint].in_flight += 1;
+        self.endpoints[endpoint].in_flight += 1;
         Some(Order::Dispatch { request, endpoint })
     }
 }
@@ -101,17 +103,17 @@
     }
 
     fn finish(&mut self, now_ms: u64, _: usize, endpoint: usize, end: End) -> Vec<Order> {
-        let seat = &mut self.seats[endpoint];
-        seat.in_flight = seat.in_flight.saturating_sub(1);
+        let state = &mut self.endpoints[endpoint];
+        state.in_flight = state.in_flight.saturating_sub(1);
         match end {
             End::Answered { elapsed_ms, tokens } => {
                 let sample = elapsed_ms.max(1) as f64 / f64::from(tokens.max(1));
-                seat.ms_per_token = match seat.ms_per_token {
+                state.ms_per_token = match state.ms_per_token {
                     known if known > 0.0 => known + SMOOTHING * (sample - known),
                     _ => sample,
                 };
             }
-            End::Unreachable | End::Crashed => seat.ejected_until_ms = now_ms + EJECTION_MS,
+            End::Unreachable | End::Crashed => state.ejected_until_ms = now_ms + EJECTION_MS,
             End::Refused | End::Cancelled => {}
         }
         self.wake(now_ms)
@@ -138,11 +140,11 @@
     }
 
     fn report(&mut self, _: u64, _: u64, endpoint: usize, running: u32, waiting: u32) {
-        self.seats[endpoint].reported = running + waiting;
+        self.endpoints[endpoint].reported = running + waiting;
     }
 
     fn set_leaving(&mut self, endpoint: usize) {
-        self.seats[endpoint].leaving = true;
+        self.endpoints[endpoint].leaving = true;
     }
 
     fn may_retry(&mut self) -> bool {
@@ -156,9 +158,9 @@
     fn import(&mut self, _now_ms: u64, _strikes: &[Strike]) {}
 }
 
-fn score(seat: &Seat) -> f64 {
-    let queued = f64::from(seat.in_flight.max(seat.reported));
-    let speed = match seat.ms_per_token {
+fn score(state: &EndpointState) -> f64 {
+    let queued = f64::from(state.in_flight.max(state.reported));
+    let speed = match state.ms_per_token {
         measured if measured > 0.0 => measured,
         _ => 1.0,
     };
--- a/crates/experiment/src/policy/now.rs
+++ b/crates/experiment/src/policy/now.rs
@@ -4,8 +4,8 @@
 
 use slotmap::SecondaryMap;
 use wisteriapoint_route::{
-    Admission, Class, Demand, EndpointKey, Load, Outcome, Pool, Reason, Refusal, Seat, Strike,
-    Subset, TicketKey, Woken,
+    Admission, Class, Demand, EndpointKey, EndpointState, Load, Outcome, Pool, Reason, Refusal,
+    Strike, Subset, TicketKey, Woken,
 };
 use wisteriapoint_types::{EndpointName, FailureDomain};
 
@@ -40,9 +40,10 @@
                 keys.push(None);
                 continue;
             }
-            let mut seat = Seat::new(name.as_str(), &domain(place.failure_domain), place.slots);
-            seat.owned = subset.owns(name);
-            let key = pool.insert(seat);
+            let mut state =
+                EndpointState::new(name.as_str(), &domain(place.failure_domain), place.slots);
+            state.owned = subset.owns(name);
+            let key = pool.insert(state);
             indices.insert(key, index);
             keys.push(Some(key));
         }
@@ -188,8 +189,8 @@
 
     fn set_leaving(&mut self, endpoint: usize) {
         let key = self.keys[endpoint];
-        if let Some(seat) = key.and_then(|key| self.pool.seat_mut(key)) {
-            seat.leaving = true;
+        if let Some(state) = key.and_then(|key| self.pool.endpoint_mut(key)) {
+            state.leaving = true;
         }
     }
 
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -9,8 +9,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 use wisteriapoint_route::{
-    Admission, Demand, Dispatch, EndpointKey, Load, Outcome, Pool, Reason, Refusal, Seat, Strike,
-    Subset, TicketKey, Woken,
+    Admission, Demand, Dispatch, EndpointKey, EndpointState, Load, Outcome, Pool, Reason, Refusal,
+    Strike, Subset, TicketKey, Woken,
 };
 use wisteriapoint_settings::{Endpoint, ServiceDocument};
 use wisteriapoint_types::{EndpointName, FailureDomain, VmName};
@@ -129,9 +129,9 @@
             let earlier = inner.targets.insert(key, endpoint.into());
             let owned = inner.owns(&endpoint.endpoint);
             let moved = earlier.is_some_and(|earlier| earlier.address != endpoint.address);
-            if let Some(seat) = inner.pool.seat_mut(key) {
-                seat.max_concurrency = endpoint.max_concurrency;
-                seat.owned = owned;
+            if let Some(state) = inner.pool.endpoint_mut(key) {
+                state.max_concurrency = endpoint.max_concurrency;
+                state.owned = owned;
             }
             inner.set_leave(key, |leave| {
                 leave.vm_is_leaving = leaving.contains(&endpoint.vm);
@@ -212,9 +212,13 @@
     }
 
     /// What the policy knows of the endpoints now.
-    pub fn seats(&self) -> Vec<Seat> {
+    pub fn endpoints(&self) -> Vec<EndpointState> {
         let inner = self.lock();
-        inner.pool.seats().map(|(_, seat)| seat.clone()).collect()
+        inner
+            .pool
+            .endpoints()
+            .map(|(_, state)| state.clone())
+            .collect()
     }
 
     /// The keys of those endpoints that are in service, for [`Demand::tried`].
@@ -262,16 +266,16 @@
 
 impl Inner {
     fn find(&self, endpoint: &EndpointName) -> Option<EndpointKey> {
-        let mut seats = self.pool.seats();
-        seats
-            .find(|(_, seat)| seat.endpoint == *endpoint)
+        let mut endpoints = self.pool.endpoints();
+        endpoints
+            .find(|(_, state)| state.endpoint == *endpoint)
             .map(|(key, _)| key)
     }
 
     fn key(&mut self, endpoint: &Endpoint) -> EndpointKey {
         match self.find(&endpoint.endpoint) {
             Some(key) => key,
-            None => self.pool.insert(Seat::new(
+            None => self.pool.insert(EndpointState::new(
                 endpoint.endpoint.as_str(),
                 endpoint.failure_domain.as_str(),
                 endpoint.max_concurrency,
@@ -287,8 +291,8 @@
     fn remove_absent(&mut self, names: &BTreeSet<&EndpointName>) {
         let absent: Vec<EndpointKey> = self
             .pool
-            .seats()
-            .filter(|(_, seat)| !names.contains(&seat.endpoint))
+            .endpoints()
+            .filter(|(_, state)| !names.contains(&state.endpoint))
             .map(|(key, _)| key)
             .collect();
         for key in absent {
@@ -302,8 +306,8 @@
         let mut leave = self.leaves.get(key).copied().unwrap_or_default();
         change(&mut leave);
         self.leaves.insert(key, leave);
-        if let Some(seat) = self.pool.seat_mut(key) {
-            seat.leaving = leave.vm_is_leaving || leave.says_draining;
+        if let Some(state) = self.pool.endpoint_mut(key) {
+            state.leaving = leave.vm_is_leaving || leave.says_draining;
         }
     }
 
--- a/crates/membership/src/change.rs
+++ b/crates/membership/src/change.rs
@@ -8,7 +8,7 @@
 pub const WATCHERS_PER_DOMAIN: usize = 2;
 
 /// Daemons that propose changes of the view.
-pub const STEWARDS: usize = 3;
+pub const PROPOSERS: usize = 3;
 
 impl View {
     /// The next view, with some daemons added and some removed.
@@ -47,10 +47,10 @@
     }
 
     /// Rank of a member among those that propose changes; none if it does not.
-    pub fn steward_rank(&self, id: MemberId) -> Option<usize> {
-        let ranked = self.coordinators(b"steward");
+    pub fn proposer_rank(&self, id: MemberId) -> Option<usize> {
+        let ranked = self.coordinators(b"proposer");
         let rank = ranked.iter().position(|&member| member == id)?;
-        (rank < STEWARDS).then_some(rank)
+        (rank < PROPOSERS).then_some(rank)
     }
 }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod roster;
 pub mod view;
 
-pub use change::{STEWARDS, WATCHERS_PER_DOMAIN};
+pub use change::{PROPOSERS, WATCHERS_PER_DOMAIN};
 pub use duty::{HOLDERS, Holders};
 pub use roster::{Patience, Probe, Roster, Step};
 pub use view::{Earlier, Member, View};
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -16,7 +16,7 @@
     /// Time without lease and answer after which it is removed without peers' word, in
     /// milliseconds.
     pub alone_ms: u64,
-    /// Wait before proposing, for each rank among the stewards, in milliseconds.
+    /// Wait before proposing, for each rank among the proposers, in milliseconds.
     pub rank_pause_ms: u64,
 }
 
@@ -45,7 +45,7 @@
     },
 }
 
-/// What the steward is to do.
+/// What the proposer is to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
     /// Probe a member.
@@ -54,7 +54,7 @@
     Propose(View),
 }
 
-/// A steward's knowledge of leases and probes.
+/// A proposer's knowledge of leases and probes.
 ///
 /// A member leaves the view only if its lease is gone and it does not answer, or if it
 /// says that it is stopping. A lapse of all leases at once removes nobody who answers.
@@ -117,7 +117,7 @@
         }
     }
 
-    /// What to do now, for the steward with a rank.
+    /// What to do now, for the proposer with a rank.
     pub fn step(&mut self, now_ms: u64, view: &View, rank: usize, nonce: Nonce) -> Vec<Step> {
         let Some(leases) = self.leases.clone() else {
             return Vec::new();
--- a/crates/membership/tests/roster.rs
+++ b/crates/membership/tests/roster.rs
@@ -138,7 +138,7 @@
 }
 
 #[test]
-fn stewards_propose_in_the_order_of_their_rank() {
+fn proposers_propose_in_the_order_of_their_rank() {
     for rank in 0..3 {
         let mut roster = Roster::new(PATIENCE);
         roster.take_leases(members(1..=4));
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -3,7 +3,7 @@
 use slotmap::SlotMap;
 use wisteriapoint_types::hash64;
 
-use crate::{Demand, EndpointKey, Seat};
+use crate::{Demand, EndpointKey, EndpointState};
 
 /// Safety of the expected time of an answer against its deadline.
 const LATE_MARGIN: f64 = 1.1;
@@ -23,7 +23,7 @@
 
 /// State of the pool that a choice looks at.
 pub(crate) struct Chooser<'a> {
-    pub(crate) seats: &'a SlotMap<EndpointKey, Seat>,
+    pub(crate) endpoints: &'a SlotMap<EndpointKey, EndpointState>,
     pub(crate) now_ms: u64,
     pub(crate) default_ms_per_token: f64,
 }
@@ -57,49 +57,52 @@
         let rollout = demand.class.is_rollout();
         let mut best = u8::MAX;
         let mut candidates = Vec::new();
-        for (key, seat) in self.seats {
-            if !seat.is_open(self.now_ms)
-                || !seat.has_room(self.now_ms, rollout, self.default_ms_per_token)
+        for (key, state) in self.endpoints {
+            if !state.is_open(self.now_ms)
+                || !state.has_room(self.now_ms, rollout, self.default_ms_per_token)
             {
                 continue;
             }
-            let tier = self.tier(key, seat, demand);
+            let tier = self.tier(key, state, demand);
             if tier < best {
                 best = tier;
                 candidates.clear();
             }
             if tier == best {
-                let score = seat.score(self.now_ms, self.default_ms_per_token);
+                let score = state.score(self.now_ms, self.default_ms_per_token);
                 candidates.push(Candidate { key, tier, score });
             }
         }
         candidates
     }
 
-    fn tier(&self, key: EndpointKey, seat: &Seat, demand: &Demand) -> u8 {
+    fn tier(&self, key: EndpointKey, state: &EndpointState, demand: &Demand) -> u8 {
         let mut tier = 0;
-        if demand.avoid.as_ref() == Some(&seat.failure_domain) {
+        if demand.avoid.as_ref() == Some(&state.failure_domain) {
             tier |= AVOIDED;
         }
         if demand.tried.contains(&key) {
             tier |= TRIED;
         }
-        if self.is_late(seat, demand) {
+        if self.is_late(state, demand) {
             tier |= LATE;
         }
         tier
     }
 
-    fn is_late(&self, seat: &Seat, demand: &Demand) -> bool {
-        let service_ms =
-            f64::from(demand.cost_tokens) * seat.best_speed(self.now_ms, self.default_ms_per_token);
+    fn is_late(&self, state: &EndpointState, demand: &Demand) -> bool {
+        let service_ms = f64::from(demand.cost_tokens)
+            * state.best_speed(self.now_ms, self.default_ms_per_token);
         self.now_ms as f64 + service_ms * LATE_MARGIN > demand.deadline_ms as f64
     }
 
     /// Whether an endpoint without room would still be in time.
     fn could_be_in_time(&self, demand: &Demand) -> bool {
-        let mut open = self.seats.values().filter(|seat| seat.is_open(self.now_ms));
-        open.any(|seat| !self.is_late(seat, demand))
+        let mut open = self
+            .endpoints
+            .values()
+            .filter(|state| state.is_open(self.now_ms));
+        open.any(|state| !self.is_late(state, demand))
     }
 
     /// Among the candidates that are nearly as good as the best, the one that a prompt's
@@ -116,8 +119,8 @@
         };
         match prefix {
             Some(prefix) => near(AFFINITY_RATIO)
-                .max_by_key(|&key| hash64(self.seats[key].hash, &prefix.to_le_bytes())),
-            None => near(NEAR_RATIO).min_by_key(|&key| self.seats[key].used_at),
+                .max_by_key(|&key| hash64(self.endpoints[key].hash, &prefix.to_le_bytes())),
+            None => near(NEAR_RATIO).min_by_key(|&key| self.endpoints[key].used_at),
         }
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,10 +2,10 @@
 //! sockets or clock.
 //!
 //! ```
-//! use wisteriapoint_route::{Admission, Demand, Outcome, Pool, Seat};
+//! use wisteriapoint_route::{Admission, Demand, Outcome, Pool, EndpointState};
 //!
 //! let mut pool = Pool::new(16, 1);
-//! let key = pool.insert(Seat::new("shop-1", "dk-east-a", 8));
+//! let key = pool.insert(EndpointState::new("shop-1", "dk-east-a", 8));
 //! let Admission::Go(dispatch) = pool.admit(0, Demand::caller(1_000)) else {
 //!     panic!("an idle endpoint takes the request");
 //! };
@@ -18,7 +18,7 @@
 pub mod pool;
 pub mod queue;
 pub mod retry;
-pub mod seat;
+pub mod state;
 pub mod subset;
 pub mod suspect;
 
@@ -28,6 +28,6 @@
 pub use pool::{Pool, Woken};
 pub use queue::TicketKey;
 pub use retry::RetryBudget;
-pub use seat::{EndpointKey, Load, Outcome, Seat};
+pub use state::{EndpointKey, EndpointState, Load, Outcome};
 pub use subset::Subset;
 pub use suspect::{Standing, Strike, Suspects};
--- a/crates/route/src/pool/estimate.rs
+++ b/crates/route/src/pool/estimate.rs
@@ -12,7 +12,7 @@
     /// Time for one token that an endpoint without measurement is given credit for, that
     /// of the fastest; 0 if none is measured.
     pub(super) fn default_ms_per_token(&self) -> f64 {
-        let measured = self.seats.values().map(|seat| seat.ms_per_token);
+        let measured = self.endpoints.values().map(|state| state.ms_per_token);
         let least = measured
             .filter(|&speed| speed > 0.0)
             .fold(f64::INFINITY, f64::min);
@@ -25,9 +25,12 @@
     /// Time until the queue before a new request of a class is dispatched, in milliseconds.
     pub(super) fn wait_ms(&self, now_ms: u64, class: Class) -> f64 {
         let default = self.default_ms_per_token();
-        let open = self.seats.values().filter(|seat| seat.is_open(now_ms));
-        let rates = open.map(|seat| match seat.best_speed(now_ms, default) {
-            speed if speed > 0.0 => seat.share(now_ms) / speed,
+        let open = self
+            .endpoints
+            .values()
+            .filter(|state| state.is_open(now_ms));
+        let rates = open.map(|state| match state.best_speed(now_ms, default) {
+            speed if speed > 0.0 => state.share(now_ms) / speed,
             _ => 0.0,
         });
         let tokens_per_ms: f64 = rates.sum();
@@ -40,9 +43,12 @@
     /// Expected time of a request on the fastest open endpoint, in milliseconds.
     pub(super) fn service_ms(&self, now_ms: u64, demand: &Demand) -> f64 {
         let default = self.default_ms_per_token();
-        let open = self.seats.values().filter(|seat| seat.is_open(now_ms));
+        let open = self
+            .endpoints
+            .values()
+            .filter(|state| state.is_open(now_ms));
         let fastest = open
-            .map(|seat| seat.speed(now_ms, default))
+            .map(|state| state.speed(now_ms, default))
             .fold(f64::INFINITY, f64::min);
         match fastest {
             speed if speed.is_finite() => f64::from(demand.cost_tokens) * self.token_share * speed,
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -9,8 +9,8 @@
 use crate::queue::{Place, Queue};
 use crate::suspect::{Standing, Strike, Suspects};
 use crate::{
-    Admission, Class, Demand, Dispatch, EndpointKey, Load, Outcome, Reason, Refusal, RetryBudget,
-    Seat, TicketKey,
+    Admission, Class, Demand, Dispatch, EndpointKey, EndpointState, Load, Outcome, Reason, Refusal,
+    RetryBudget, TicketKey,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -55,7 +55,7 @@
 /// The endpoints of one service, as one daemon uses them.
 #[derive(Debug)]
 pub struct Pool {
-    seats: SlotMap<EndpointKey, Seat>,
+    endpoints: SlotMap<EndpointKey, EndpointState>,
     tickets: SlotMap<TicketKey, Ticket>,
     queue: Queue,
     queue_length: usize,
@@ -77,7 +77,7 @@
     /// Makes a pool without endpoints; `seed` drives its random choices.
     pub fn new(queue_length: usize, seed: u64) -> Self {
         Self {
-            seats: SlotMap::with_key(),
+            endpoints: SlotMap::with_key(),
             tickets: SlotMap::with_key(),
             queue: Queue::default(),
             queue_length,
@@ -106,36 +106,36 @@
     }
 
     /// Adds an endpoint.
-    pub fn insert(&mut self, mut seat: Seat) -> EndpointKey {
+    pub fn insert(&mut self, mut state: EndpointState) -> EndpointKey {
         // Daemons that start together take the endpoints in different orders.
-        seat.used_at = self.random.random_range(0..FIRST_DISPATCH);
-        self.seats.insert(seat)
+        state.used_at = self.random.random_range(0..FIRST_DISPATCH);
+        self.endpoints.insert(state)
     }
 
     /// Removes an endpoint; its requests in flight go on.
     pub fn remove(&mut self, key: EndpointKey) {
-        self.seats.remove(key);
+        self.endpoints.remove(key);
     }
 
     /// The endpoints.
-    pub fn seats(&self) -> impl Iterator<Item = (EndpointKey, &Seat)> {
-        self.seats.iter()
+    pub fn endpoints(&self) -> impl Iterator<Item = (EndpointKey, &EndpointState)> {
+        self.endpoints.iter()
     }
 
     /// One endpoint.
-    pub fn seat(&self, key: EndpointKey) -> Option<&Seat> {
-        self.seats.get(key)
+    pub fn endpoint(&self, key: EndpointKey) -> Option<&EndpointState> {
+        self.endpoints.get(key)
     }
 
     /// Changes the settings of one endpoint.
-    pub fn seat_mut(&mut self, key: EndpointKey) -> Option<&mut Seat> {
-        self.seats.get_mut(key)
+    pub fn endpoint_mut(&mut self, key: EndpointKey) -> Option<&mut EndpointState> {
+        self.endpoints.get_mut(key)
     }
 
     /// Takes an endpoint's load report.
     pub fn report(&mut self, now_ms: u64, key: EndpointKey, load: Load) {
-        if let Some(seat) = self.seats.get_mut(key) {
-            seat.report(now_ms, load);
+        if let Some(state) = self.endpoints.get_mut(key) {
+            state.report(now_ms, load);
         }
     }
 
@@ -164,7 +164,7 @@
         if demand.deadline_ms <= now_ms {
             return Admission::Refuse(self.refusal(now_ms, Reason::Deadline, &demand));
         }
-        if !self.seats.values().any(|seat| !seat.leaving) {
+        if !self.endpoints.values().any(|state| !state.leaving) {
             return Admission::Refuse(self.refusal(now_ms, Reason::NoEndpoint, &demand));
         }
         if demand.tried.is_empty() {
@@ -222,7 +222,7 @@
     /// Counts a request as in flight.
     fn run(&mut self, now_ms: u64, ticket: TicketKey, endpoint: EndpointKey) {
         self.dispatches += 1;
-        self.seats[endpoint].occupy(now_ms, self.dispatches);
+        self.endpoints[endpoint].occupy(now_ms, self.dispatches);
         let held = &mut self.tickets[ticket];
         held.state = State::Running {
             endpoint,
@@ -282,15 +282,15 @@
         let cost_tokens = held.demand.cost_tokens;
         self.forget(ticket);
         self.preempted.retain(|&other| other != ticket);
-        if let Some(seat) = self.seats.get_mut(endpoint) {
-            seat.release(now_ms, outcome, bound_ms_per_token);
-            let alone = seat.reserved == Some(ticket);
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.release(now_ms, outcome, bound_ms_per_token);
+            let alone = state.reserved == Some(ticket);
             if alone {
-                seat.reserved = None;
+                state.reserved = None;
             }
             match (outcome, digest) {
                 (Outcome::Crashed, Some(digest)) => {
-                    self.suspects.strike(now_ms, digest, &seat.endpoint, alone);
+                    self.suspects.strike(now_ms, digest, &state.endpoint, alone);
                     self.pardon_crashed_together(now_ms, endpoint);
                 }
                 (Outcome::Answered { .. }, Some(digest)) => self.suspects.acquit(now_ms, digest),
@@ -360,9 +360,12 @@
 
     fn any_room(&self, now_ms: u64, class: Class) -> bool {
         let rollout = class.is_rollout();
-        let mut open = self.seats.values().filter(|seat| seat.is_open(now_ms));
+        let mut open = self
+            .endpoints
+            .values()
+            .filter(|state| state.is_open(now_ms));
         let default = self.default_ms_per_token();
-        open.any(|seat| seat.has_room(now_ms, rollout, default))
+        open.any(|state| state.has_room(now_ms, rollout, default))
     }
 
     /// Marks the youngest rollouts in flight for cancellation, one for each waiting caller.
@@ -392,7 +395,7 @@
 
     fn choose(&mut self, now_ms: u64, demand: &Demand) -> Choice {
         let chooser = Chooser {
-            seats: &self.seats,
+            endpoints: &self.endpoints,
             now_ms,
             default_ms_per_token: self.default_ms_per_token(),
         };
--- a/crates/route/src/pool/solo.rs
+++ b/crates/route/src/pool/solo.rs
@@ -29,9 +29,9 @@
     }
 
     pub(super) fn unreserve(&mut self, ticket: TicketKey) {
-        for seat in self.seats.values_mut() {
-            if seat.reserved == Some(ticket) {
-                seat.reserved = None;
+        for state in self.endpoints.values_mut() {
+            if state.reserved == Some(ticket) {
+                state.reserved = None;
             }
         }
     }
@@ -41,12 +41,12 @@
         self.crashes
             .retain(|&(at_ms, other)| at_ms + TOGETHER_MS > now_ms && other != endpoint);
         self.crashes.push((now_ms, endpoint));
-        let failure_domain = self.seats[endpoint].failure_domain.clone();
+        let failure_domain = self.endpoints[endpoint].failure_domain.clone();
         let recent = self.crashes.iter();
         let together: Vec<EndpointName> = recent
-            .filter_map(|&(_, other)| self.seats.get(other))
-            .filter(|seat| seat.failure_domain == failure_domain)
-            .map(|seat| seat.endpoint.clone())
+            .filter_map(|&(_, other)| self.endpoints.get(other))
+            .filter(|state| state.failure_domain == failure_domain)
+            .map(|state| state.endpoint.clone())
             .collect();
         if together.len() > 1 {
             let since_ms = now_ms.saturating_sub(TOGETHER_MS);
@@ -97,14 +97,14 @@
     /// Reserves an endpoint for a suspect and starts it there once it is empty.
     pub(super) fn start_solo(&mut self, now_ms: u64, ticket: TicketKey) -> Option<EndpointKey> {
         let held = self
-            .seats
+            .endpoints
             .iter()
-            .find(|(_, seat)| seat.reserved == Some(ticket));
+            .find(|(_, state)| state.reserved == Some(ticket));
         let endpoint = match held.map(|(key, _)| key) {
-            Some(key) if self.seats[key].is_open(now_ms) => key,
+            Some(key) if self.endpoints[key].is_open(now_ms) => key,
             _ => self.reserve(now_ms, ticket)?,
         };
-        if self.seats[endpoint].in_flight > 0 {
+        if self.endpoints[endpoint].in_flight > 0 {
             return None;
         }
         self.run(now_ms, ticket, endpoint);
@@ -114,21 +114,25 @@
     pub(super) fn reserve(&mut self, now_ms: u64, ticket: TicketKey) -> Option<EndpointKey> {
         self.unreserve(ticket);
         let digest = self.tickets[ticket].demand.digest?;
-        let open = || self.seats.iter().filter(|(_, seat)| seat.is_open(now_ms));
-        let reserved = open().filter(|(_, seat)| seat.reserved.is_some()).count();
+        let open = || {
+            self.endpoints
+                .iter()
+                .filter(|(_, state)| state.is_open(now_ms))
+        };
+        let reserved = open().filter(|(_, state)| state.reserved.is_some()).count();
         if reserved >= (open().count() / SOLO_DIVISOR).max(1) {
             return None;
         }
-        let free = open().filter(|(_, seat)| seat.reserved.is_none());
-        let (key, _) = free.min_by_key(|(_, seat)| {
-            let struck = self.suspects.has_struck(digest, &seat.endpoint);
+        let free = open().filter(|(_, state)| state.reserved.is_none());
+        let (key, _) = free.min_by_key(|(_, state)| {
+            let struck = self.suspects.has_struck(digest, &state.endpoint);
             (
                 struck,
-                !seat.owned,
-                seat.in_flight + seat.peers(now_ms) as u32,
+                !state.owned,
+                state.in_flight + state.peers(now_ms) as u32,
             )
         })?;
-        self.seats[key].reserved = Some(ticket);
+        self.endpoints[key].reserved = Some(ticket);
         Some(key)
     }
 }
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -56,7 +56,7 @@
 
 /// One endpoint.
 #[derive(Debug, Clone)]
-pub struct Seat {
+pub struct EndpointState {
     /// Name in the service document.
     pub endpoint: EndpointName,
     /// Failure domain.
@@ -91,7 +91,7 @@
     pub(crate) used_at: u64,
 }
 
-impl Seat {
+impl EndpointState {
     /// An idle endpoint.
     pub fn new(endpoint: &str, failure_domain: &str, max_concurrency: u32) -> Self {
         Self {
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -2,7 +2,8 @@
 
 use proptest::prelude::*;
 use wisteriapoint_route::{
-    Admission, Class, Demand, Dispatch, EndpointKey, Load, Outcome, Pool, Reason, Seat, TicketKey,
+    Admission, Class, Demand, Dispatch, EndpointKey, EndpointState, Load, Outcome, Pool, Reason,
+    TicketKey,
 };
 use wisteriapoint_types::{Digest, FailureDomain};
 
@@ -10,14 +11,14 @@
 const ROLLOUT: Class = Class::Rollout { trainer: 1 };
 
 /// Name, failure domain and slots of each endpoint.
-type Seats = &'static [(&'static str, &'static str, u32)];
+type Endpoints = &'static [(&'static str, &'static str, u32)];
 
-fn pool(seats: &[(&str, &str, u32)]) -> (Pool, Vec<EndpointKey>) {
+fn pool(endpoints: &[(&str, &str, u32)]) -> (Pool, Vec<EndpointKey>) {
     let mut pool = Pool::new(QUEUE_LENGTH, 1);
-    let keys = seats
+    let keys = endpoints
         .iter()
         .map(|&(endpoint, failure_domain, slots)| {
-            pool.insert(Seat::new(endpoint, failure_domain, slots))
+            pool.insert(EndpointState::new(endpoint, failure_domain, slots))
         })
         .collect();
     (pool, keys)
@@ -43,7 +44,7 @@
 
 /// Lets an endpoint answer once, so that its speed is known.
 fn measure(pool: &mut Pool, key: EndpointKey, ms_per_token: u64) {
-    let others: Vec<EndpointKey> = pool.seats().map(|(other, _)| other).collect();
+    let others: Vec<EndpointKey> = pool.endpoints().map(|(other, _)| other).collect();
     let tried = others.into_iter().filter(|&other| other != key).collect();
     let demand = Demand {
         tried,
@@ -56,7 +57,7 @@
 
 #[test]
 fn refusals() {
-    let cases: [(&str, Seats, u64, usize, Reason); 3] = [
+    let cases: [(&str, Endpoints, u64, usize, Reason); 3] = [
         ("no endpoint", &[], 1_000, 0, Reason::NoEndpoint),
         ("deadline passed", &[("e", "a", 1)], 10, 0, Reason::Deadline),
         (
@@ -67,8 +68,8 @@
             Reason::QueueFull,
         ),
     ];
-    for (name, seats, deadline_ms, earlier, reason) in cases {
-        let (mut pool, _) = pool(seats);
+    for (name, endpoints, deadline_ms, earlier, reason) in cases {
+        let (mut pool, _) = pool(endpoints);
         for _ in 0..earlier {
             pool.admit(10, Demand::caller(1_000));
         }
@@ -102,7 +103,7 @@
 fn a_longer_queue_gives_a_longer_retry_after() {
     let after = |waiting: usize| {
         let mut pool = Pool::new(waiting, 1);
-        let key = pool.insert(Seat::new("e", "a", 1));
+        let key = pool.insert(EndpointState::new("e", "a", 1));
         measure(&mut pool, key, 500);
         go(pool.admit(0, Demand::caller(1_000_000)));
         for _ in 0..waiting {
@@ -119,11 +120,11 @@
 #[test]
 fn leaving_and_failed_endpoints_get_no_new_work() {
     let (mut pool, keys) = pool(&[("e", "a", 8), ("f", "b", 8)]);
-    pool.seat_mut(keys[0]).expect("it is there").leaving = true;
+    pool.endpoint_mut(keys[0]).expect("it is there").leaving = true;
     for _ in 0..4 {
         assert_eq!(go(pool.admit(0, Demand::caller(1_000))).endpoint, keys[1]);
     }
-    pool.seat_mut(keys[0]).expect("it is there").leaving = false;
+    pool.endpoint_mut(keys[0]).expect("it is there").leaving = false;
     let dispatch = go(pool.admit(0, Demand::caller(1_000)));
     assert_eq!(dispatch.endpoint, keys[0]);
     pool.finish(0, dispatch.ticket, Outcome::Failed);
@@ -243,7 +244,7 @@
     let cases = [("equal", 100, 100), ("one asks for long answers", 100, 300)];
     for (name, first_tokens, second_tokens) in cases {
         let mut pool = Pool::new(1_000, 1);
-        pool.insert(Seat::new("e", "a", 1));
+        pool.insert(EndpointState::new("e", "a", 1));
         let mut current = go(pool.admit(0, Demand::rollout(9, 1_000_000))).ticket;
         let mut owners = Vec::new();
         for (trainer, tokens) in [(1, first_tokens), (2, second_tokens)] {
@@ -302,11 +303,11 @@
         index: usize,
     },
     Report {
-        seat: usize,
+        state: usize,
         running: u32,
     },
     Leave {
-        seat: usize,
+        state: usize,
         leaving: bool,
     },
     Pass {
@@ -321,8 +322,8 @@
         }),
         4 => (any::<usize>(), 0..5_usize).prop_map(|(index, outcome)| Step::Finish { index, outcome }),
         1 => any::<usize>().prop_map(|index| Step::Withdraw { index }),
-        1 => (0..3_usize, 0..12_u32).prop_map(|(seat, running)| Step::Report { seat, running }),
-        1 => (0..3_usize, any::<bool>()).prop_map(|(seat, leaving)| Step::Leave { seat, leaving }),
+        1 => (0..3_usize, 0..12_u32).prop_map(|(state, running)| Step::Report { state, running }),
+        1 => (0..3_usize, any::<bool>()).prop_map(|(state, leaving)| Step::Leave { state, leaving }),
         2 => (0..2_000_u64).prop_map(|ms| Step::Pass { ms }),
     ]
 }
@@ -367,12 +368,12 @@
                 Step::Withdraw { index } if !waiting.is_empty() => {
                     pool.withdraw(waiting.swap_remove(index % waiting.len()));
                 }
-                Step::Report { seat, running } => {
+                Step::Report { state, running } => {
                     let load = Load { running, waiting: 0, at_ms: now_ms };
-                    pool.report(now_ms, keys[seat], load);
+                    pool.report(now_ms, keys[state], load);
                 }
-                Step::Leave { seat, leaving } => {
-                    pool.seat_mut(keys[seat]).expect("it is there").leaving = leaving;
+                Step::Leave { state, leaving } => {
+                    pool.endpoint_mut(keys[state]).expect("it is there").leaving = leaving;
                 }
                 Step::Pass { ms } => {
                     now_ms += ms;
@@ -392,8 +393,8 @@
             }
             for &key in &keys {
                 let here = running.iter().filter(|dispatch| dispatch.endpoint == key).count();
-                prop_assert_eq!(pool.seat(key).expect("it is there").in_flight as usize, here);
-                prop_assert!(here <= pool.seat(key).expect("it is there").max_concurrency as usize);
+                prop_assert_eq!(pool.endpoint(key).expect("it is there").in_flight as usize, here);
+                prop_assert!(here <= pool.endpoint(key).expect("it is there").max_concurrency as usize);
             }
             prop_assert_eq!(pool.tickets(), running.len() + waiting.len());
         }
--- a/crates/route/tests/suspects.rs
+++ b/crates/route/tests/suspects.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use wisteriapoint_route::{
-    Admission, Demand, Dispatch, EndpointKey, Load, Outcome, Pool, Reason, Seat, Standing, Subset,
-    Suspects,
+    Admission, Demand, Dispatch, EndpointKey, EndpointState, Load, Outcome, Pool, Reason, Standing,
+    Subset, Suspects,
 };
 use wisteriapoint_types::{Digest, EndpointName, MemberId};
 
@@ -14,7 +14,7 @@
 fn pool(count: usize) -> Pool {
     let mut pool = Pool::new(16, 1);
     for index in 0..count {
-        pool.insert(Seat::new(&format!("e{index}"), "a", 2));
+        pool.insert(EndpointState::new(&format!("e{index}"), "a", 2));
     }
     pool
 }
@@ -210,8 +210,8 @@
     ];
     for (name, second_domain, apart_ms, cleared) in cases {
         let mut pool = Pool::new(16, 1);
-        pool.insert(Seat::new("e", "a", 1));
-        pool.insert(Seat::new("f", second_domain, 1));
+        pool.insert(EndpointState::new("e", "a", 1));
+        pool.insert(EndpointState::new("f", second_domain, 1));
         let first = go(&mut pool, 0, Digest(1));
         let second = go(&mut pool, 0, Digest(2));
         pool.finish(0, first.ticket, Outcome::Crashed);
@@ -223,8 +223,8 @@
 #[test]
 fn copies_of_one_request_that_crash_two_endpoints_stay_suspect() {
     let mut pool = Pool::new(16, 1);
-    pool.insert(Seat::new("e", "a", 1));
-    pool.insert(Seat::new("f", "a", 1));
+    pool.insert(EndpointState::new("e", "a", 1));
+    pool.insert(EndpointState::new("f", "a", 1));
     let copies = [go(&mut pool, 0, BAD), go(&mut pool, 0, BAD)];
     for copy in copies {
         pool.finish(0, copy.ticket, Outcome::Crashed);
--- a/crates/wisteriapoint/src/daemon/control/members.rs
+++ b/crates/wisteriapoint/src/daemon/control/members.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use wisteriapoint_membership::{Member, STEWARDS, Step, View};
+use wisteriapoint_membership::{Member, PROPOSERS, Step, View};
 use wisteriapoint_types::Nonce;
 
 use super::Control;
@@ -52,14 +52,14 @@
         }
     }
 
-    /// Stewards propose in the order of their rank; a daemon that is not a member comes
+    /// Proposers propose in the order of their rank; a daemon that is not a member comes
     /// after them, and first where there is no member at all.
     fn proposing_rank(&self, view: &View) -> Option<usize> {
         match view.member(self.shared.me.id) {
             _ if self.shared.is_draining() => None,
-            Some(me) => view.steward_rank(me.id),
+            Some(me) => view.proposer_rank(me.id),
             None if view.members.is_empty() => Some(0),
-            None => Some(STEWARDS),
+            None => Some(PROPOSERS),
         }
     }
 }
--- a/crates/wisteriapoint/src/daemon/platform.rs
+++ b/crates/wisteriapoint/src/daemon/platform.rs
@@ -54,7 +54,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the platform does not answer; then the lease lapses, and the stewards remove
+/// Fails if the platform does not answer; then the lease lapses, and the proposers remove
 /// this daemon.
 pub async fn leave(shared: &Arc<Shared>) -> Result<(), Error> {
     let store = &shared.store;
@@ -121,12 +121,12 @@
         }
     }
 
-    /// Whether this daemon watches: a few of each failure domain, for leases the stewards.
+    /// Whether this daemon watches: a few of each failure domain, for leases the proposers.
     fn is_mine(self, shared: &Shared) -> bool {
         let snapshot = shared.snapshot.load();
         let (view, me) = (&snapshot.view, shared.me.id);
         match self {
-            Self::Leases => view.member(me).is_none() || view.steward_rank(me).is_some(),
+            Self::Leases => view.member(me).is_none() || view.proposer_rank(me).is_some(),
             _ => view.is_watcher(me),
         }
     }
--- a/crates/wisteriapoint/src/http/admin.rs
+++ b/crates/wisteriapoint/src/http/admin.rs
@@ -10,7 +10,7 @@
 use wisteriapoint_membership::View;
 use wisteriapoint_types::{MemberId, Revision, ServiceName, VmName, WeightVersion};
 
-use super::explain::{Availability, EndpointState};
+use super::explain::{Availability, EndpointReport};
 use super::respond;
 use crate::daemon::Shared;
 
@@ -114,7 +114,7 @@
         }
     }
     for (name, router) in shared.routers.load().iter() {
-        let endpoints = EndpointState::all(router);
+        let endpoints = EndpointReport::all(router);
         for state in Availability::ALL {
             let count = endpoints.iter().filter(|endpoint| endpoint.state == state);
             let labels = [name.as_str(), state.as_str()];
--- a/crates/wisteriapoint/src/http/explain.rs
+++ b/crates/wisteriapoint/src/http/explain.rs
@@ -4,7 +4,7 @@
 
 use salvo::{Request, Response, handler};
 use serde::{Deserialize, Serialize};
-use wisteriapoint_route::Seat;
+use wisteriapoint_route::EndpointState;
 use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName};
 
 use super::respond;
@@ -21,14 +21,14 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Explanation {
     /// The endpoints, by name.
-    pub endpoints: Vec<EndpointState>,
+    pub endpoints: Vec<EndpointReport>,
     /// Those that a request sent now could go to, by name.
     pub candidates: Vec<EndpointName>,
 }
 
 /// What a daemon knows of one endpoint.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct EndpointState {
+pub struct EndpointReport {
     /// Its name.
     pub endpoint: EndpointName,
     /// Its failure domain.
@@ -78,33 +78,36 @@
     }
 }
 
-impl EndpointState {
+impl EndpointReport {
     /// The endpoints of a router, by name.
     pub fn all(router: &wisteriapoint_gateway::Router) -> Vec<Self> {
         let now_ms = router.now_ms();
-        let seats = router.seats();
-        let mut endpoints: Vec<Self> = seats.iter().map(|seat| Self::new(seat, now_ms)).collect();
+        let endpoints = router.endpoints();
+        let mut endpoints: Vec<Self> = endpoints
+            .iter()
+            .map(|state| Self::new(state, now_ms))
+            .collect();
         endpoints.sort_by(|one, other| one.endpoint.cmp(&other.endpoint));
         endpoints
     }
 
-    fn new(seat: &Seat, now_ms: u64) -> Self {
-        let state = match seat {
-            seat if seat.leaving => Availability::Leaving,
-            seat if seat.ejected_until_ms > now_ms => Availability::PassedOver,
-            seat if seat.in_flight >= seat.max_concurrency => Availability::Full,
+    fn new(state: &EndpointState, now_ms: u64) -> Self {
+        let availability = match state {
+            state if state.leaving => Availability::Leaving,
+            state if state.ejected_until_ms > now_ms => Availability::PassedOver,
+            state if state.in_flight >= state.max_concurrency => Availability::Full,
             _ => Availability::Open,
         };
         Self {
-            endpoint: seat.endpoint.clone(),
-            failure_domain: seat.failure_domain.clone(),
-            state,
-            in_flight: seat.in_flight,
-            max_concurrency: seat.max_concurrency,
-            reported_running: seat.load.running,
-            reported_waiting: seat.load.waiting,
-            report_age_ms: now_ms.saturating_sub(seat.load.at_ms),
-            ms_per_token: seat.ms_per_token,
+            endpoint: state.endpoint.clone(),
+            failure_domain: state.failure_domain.clone(),
+            state: availability,
+            in_flight: state.in_flight,
+            max_concurrency: state.max_concurrency,
+            reported_running: state.load.running,
+            reported_waiting: state.load.waiting,
+            report_age_ms: now_ms.saturating_sub(state.load.at_ms),
+            ms_per_token: state.ms_per_token,
         }
     }
 }
@@ -122,8 +125,8 @@
         let Some(router) = router else {
             return respond::problem(response, &unknown_service(&service));
         };
-        let endpoints = EndpointState::all(&router);
-        let open = |endpoint: &&EndpointState| endpoint.state == Availability::Open;
+        let endpoints = EndpointReport::all(&router);
+        let open = |endpoint: &&EndpointReport| endpoint.state == Availability::Open;
         let candidates = endpoints.iter().filter(open);
         let explanation = Explanation {
             candidates: candidates.map(|state| state.endpoint.clone()).collect(),
--- a/crates/wisteriapoint/tests/configuration.rs
+++ b/crates/wisteriapoint/tests/configuration.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// Two daemons watch three prefixes each; three stewards watch the leases.
+/// Two daemons watch three prefixes each; three proposers watch the leases.
 async fn only_watchers_watch(fleet: &Fleet) {
     sleep(ROLES_SETTLE).await;
     fleet
--- a/crates/wisteriapoint/tests/membership.rs
+++ b/crates/wisteriapoint/tests/membership.rs
@@ -46,7 +46,7 @@
         down: true,
         ..Faults::default()
     });
-    // Longer than the leases of one second, the probes and the ranks of the stewards.
+    // Longer than the leases of one second, the probes and the ranks of the proposers.
     sleep(Duration::from_secs(6)).await;
     fleet.platform.set_faults(Faults::default());
     sleep(Duration::from_secs(6)).await;
