--- a/crates/wisteriapoint/src/daemon/platform.rs
+++ b/crates/wisteriapoint/src/daemon/platform.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 use wisteriapoint_catalog::{Document, Leaving, Update};
 use wisteriapoint_membership::{Member, View};
@@ -138,12 +139,12 @@
         }
     }
 
-    fn command(self, entries: &[Entry]) -> Option<Command> {
+    fn command(self, shared: &Shared, entries: &[Entry]) -> Option<Command> {
         match self {
-            Self::View => Some(Command::View(parsed(entries.first()?)?)),
-            Self::Services => Some(Command::Update(services(entries))),
-            Self::Weights => Some(Command::Update(weights(entries))),
-            Self::Leases => Some(Command::Leases(Some(leases(entries)))),
+            Self::View => Some(Command::View(parsed(shared, entries.first()?)?)),
+            Self::Services => Some(Command::Update(services(shared, entries))),
+            Self::Weights => Some(Command::Update(weights(shared, entries))),
+            Self::Leases => Some(Command::Leases(Some(leases(shared, entries)))),
         }
     }
 
@@ -168,7 +169,7 @@
             };
             count(&shared, "watch", listed.is_ok());
             let command = match &listed {
-                Ok((entries, _)) => self.command(entries),
+                Ok((entries, _)) => self.command(&shared, entries),
                 Err(_) => self.failed(),
             };
             if let Some(command) = command
@@ -191,20 +192,19 @@
     }
 }
 
-fn parsed<T: serde::de::DeserializeOwned>(entry: &Entry) -> Option<T> {
-    match serde_json::from_slice(&entry.value) {
-        Ok(value) => Some(value),
-        Err(error) => {
-            log::warn!("{}: {error}", entry.key);
-            None
-        }
+/// The value of an entry; one that can't be read is counted and passed over.
+fn parsed<T: DeserializeOwned>(shared: &Shared, entry: &Entry) -> Option<T> {
+    let value = serde_json::from_slice(&entry.value);
+    if value.is_err() {
+        shared.metrics.malformed_records.inc();
     }
+    value.ok()
 }
 
-fn services(entries: &[Entry]) -> Update {
+fn services(shared: &Shared, entries: &[Entry]) -> Update {
     let documents = entries.iter().filter_map(|entry| {
         let name = entry.key.strip_prefix(keys::SERVICES)?;
-        let current = parsed::<ServiceRecord>(entry)?.current;
+        let current = parsed::<ServiceRecord>(shared, entry)?.current;
         let document = Document {
             revision: current.revision,
             text: current.document,
@@ -217,10 +217,10 @@
     }
 }
 
-fn weights(entries: &[Entry]) -> Update {
+fn weights(shared: &Shared, entries: &[Entry]) -> Update {
     let versions = entries.iter().filter_map(|entry| {
         let name = entry.key.strip_prefix(keys::WEIGHTS)?;
-        let record = parsed::<WeightRecord>(entry)?;
+        let record = parsed::<WeightRecord>(shared, entry)?;
         Some((ServiceName::new(name), record.version))
     });
     Update {
@@ -229,8 +229,9 @@
     }
 }
 
-fn leases(entries: &[Entry]) -> Vec<Member> {
-    entries.iter().filter_map(parsed).collect()
+fn leases(shared: &Shared, entries: &[Entry]) -> Vec<Member> {
+    let members = entries.iter().filter_map(|entry| parsed(shared, entry));
+    members.collect()
 }
 
 /// Reads the list of VMs again and again while it is this daemon's turn.
--- a/crates/wisteriapoint/src/daemon/score.rs
+++ b/crates/wisteriapoint/src/daemon/score.rs
@@ -61,7 +61,7 @@
         sleep(pause).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
     }
-    log::warn!("scorer {}: no score for {}", task.scorer, task.id.trainer);
+    shared.metrics.unscored_samples.inc();
     None
 }
 
--- a/crates/wisteriapoint/src/metrics.rs
+++ b/crates/wisteriapoint/src/metrics.rs
@@ -31,6 +31,10 @@
     pub control_bytes: IntCounter,
     /// Datagrams received that break the protocol.
     pub malformed_datagrams: IntCounter,
+    /// Samples that went out without a score, since the scorer did not answer.
+    pub unscored_samples: IntCounter,
+    /// Records in the platform's store that can't be read, each time they were.
+    pub malformed_records: IntCounter,
     /// Number of the view in force.
     pub view_number: IntGauge,
     /// Members of the view in force.
@@ -101,6 +105,14 @@
                 "wisteriapoint_malformed_datagrams_total",
                 "Datagrams received that break the protocol",
             )?,
+            unscored_samples: IntCounter::new(
+                "wisteriapoint_unscored_samples_total",
+                "Samples that went out without a score",
+            )?,
+            malformed_records: IntCounter::new(
+                "wisteriapoint_malformed_records_total",
+                "Records in the platform's store that can't be read",
+            )?,
             view_number: IntGauge::new("wisteriapoint_view_number", "Number of the view")?,
             members: IntGauge::new("wisteriapoint_members", "Members of the view")?,
             claims: IntGauge::new("wisteriapoint_claims", "Claims kept")?,
@@ -166,6 +178,8 @@
             Box::new(self.documents.clone()),
             Box::new(self.control_bytes.clone()),
             Box::new(self.malformed_datagrams.clone()),
+            Box::new(self.unscored_samples.clone()),
+            Box::new(self.malformed_records.clone()),
             Box::new(self.view_number.clone()),
             Box::new(self.members.clone()),
             Box::new(self.claims.clone()),
