Stand-in of the weight store with a rate; a wave before it

Cause: waves were tested against engines that load at once, and no weight store with a rate stood in. Change: a store that gives out one copy after the other, and engines that take theirs from it; a test that three keepers together ask it for a third of the engines at a time. Conclusion: the share bounds what the store meets; its rate itself is no field of the document yet.

--- a/crates/stand-in/src/engine.rs
+++ b/crates/stand-in/src/engine.rs
@@ -12,6 +12,7 @@
 use wisteriapoint_types::{WeightVersion, hash64};
 use wisteriapoint_weights::{Fence, Order};
 
+use crate::WeightStore;
 use crate::order_faults::{Fate, OrderFaults};
 
 /// How an engine behaves.
@@ -50,6 +51,7 @@
 pub struct Engine {
     settings: Arc<EngineSettings>,
     slots: Arc<Semaphore>,
+    store: Option<WeightStore>,
     state: Arc<Mutex<State>>,
 }
 
@@ -98,10 +100,17 @@
         Self {
             slots: Arc::new(Semaphore::new(settings.slots)),
             settings: Arc::new(settings),
+            store: None,
             state: Arc::default(),
         }
     }
 
+    /// Takes its weights from a store.
+    pub fn with_store(mut self, store: WeightStore) -> Self {
+        self.store = Some(store);
+        self
+    }
+
     /// The HTTP interface.
     pub fn router(&self) -> Router {
         Router::with_path("{**path}").goal(Api(self.clone()))
@@ -373,6 +382,9 @@
             response.status_code(StatusCode::CONFLICT);
             return;
         }
+        if let Some(store) = &self.0.store {
+            store.fetch().await;
+        }
         sleep(Duration::from_millis(self.0.settings.load_ms)).await;
         let mut state = self.0.lock();
         let fate = state.order_faults.next();
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod scripted;
 pub mod serve;
 pub mod trainer;
+pub mod weight_store;
 
 pub use engine::{Engine, EngineSettings};
 pub use order_faults::OrderFaults;
@@ -31,3 +32,4 @@
 pub use scripted::{Act, Arrival, Scripted};
 pub use serve::Running;
 pub use trainer::Trainer;
+pub use weight_store::WeightStore;
--- a/crates/wisteriapoint/tests/rollouts.rs
+++ b/crates/wisteriapoint/tests/rollouts.rs
@@ -11,7 +11,7 @@
 use wisteriapoint_rollout::{Sample, SampleKey, Span, StepSpec};
 use wisteriapoint_stand_in::trainer::Received;
 use wisteriapoint_stand_in::{
-    Engine, EngineSettings, OrderFaults, Running, Scorer, Trainer, serve,
+    Engine, EngineSettings, OrderFaults, Running, Scorer, Trainer, WeightStore, serve,
 };
 use wisteriapoint_types::{ServiceName, WeightVersion};
 
@@ -27,10 +27,13 @@
 
 impl Engines {
     async fn start(settings: &[EngineSettings]) -> Self {
+        Self::serve(settings.iter().cloned().map(Engine::new)).await
+    }
+
+    async fn serve(all: impl Iterator<Item = Engine>) -> Self {
         let mut engines = Vec::new();
         let mut running = Vec::new();
-        for settings in settings {
-            let engine = Engine::new(settings.clone());
+        for engine in all {
             running.push(serve::on_loopback(engine.router()).await.unwrap());
             engines.push(engine);
         }
@@ -241,6 +244,22 @@
     }
 }
 
+#[tokio::test]
+async fn a_slow_weight_store_is_asked_by_a_share_of_the_engines_at_a_time() {
+    let store = WeightStore::new(4.0);
+    let engines = vec![settings(8, 1_000.0); 6].into_iter();
+    let engines = engines.map(|settings| Engine::new(settings).with_store(store.clone()));
+    let engines = Engines::serve(engines).await;
+    let weights = r#""weights": { "loading_share": 0.34 }"#;
+    let fleet = start(&DOMAINS, &engines, weights).await;
+    let version = WeightVersion(1);
+    trainer(&fleet).publish("advisor-lm", version).await;
+    let all_swapped = || async { engines.engines.iter().all(|e| e.version() == version) };
+    until("all engines have the version", all_swapped).await;
+    // A third of six engines.
+    assert!(store.most_fetching() <= 2, "{}", store.most_fetching());
+}
+
 #[tokio::test]
 async fn a_scorer_that_fails_for_a_while_loses_no_sample() {
     let engines = Engines::start(&[settings(8, 1_000.0)]).await;
