Refuse connects in tests at an address that nobody else can take

The daemon's answer was right; the test's endpoint was not gone. Change: the stand-ins hold a port without listening on it, where every connect is refused; three tests use it. Expectations are unchanged.

--- a/crates/gateway/tests/plain.rs
+++ b/crates/gateway/tests/plain.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpListener;
 use wisteriapoint_gateway::{Clients, Failure, PlainAnswer, PlainRequest, Target};
 use wisteriapoint_stand_in::scripted::answer;
-use wisteriapoint_stand_in::{Act, Arrival, Scripted};
+use wisteriapoint_stand_in::{Act, Arrival, Scripted, serve};
 use wisteriapoint_types::{EndpointName, FailureDomain, Verdict};
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -173,10 +173,8 @@
 
 #[tokio::test]
 async fn a_refused_connection_has_run_nothing() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
-    let failure = send(address, false, true).await.unwrap_err();
+    let gone = serve::refusing().unwrap();
+    let failure = send(gone.address, false, true).await.unwrap_err();
     assert_eq!(failure.verdict(), Verdict::NotRun);
 }
 
--- a/crates/stand-in/src/serve.rs
+++ b/crates/stand-in/src/serve.rs
@@ -6,7 +6,7 @@
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
 use salvo::{Router, Server};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 /// A server that stops when it is dropped.
 #[derive(Debug)]
@@ -22,6 +22,29 @@
     }
 }
 
+/// An address at which every connect is refused, for as long as this lives.
+#[derive(Debug)]
+pub struct Refusing {
+    /// The address.
+    pub address: SocketAddr,
+    _socket: TcpSocket,
+}
+
+/// Takes a free port of the loopback address without listening on it, so that nobody else
+/// comes to listen there.
+///
+/// # Errors
+///
+/// Fails if no port can be bound.
+pub fn refusing() -> io::Result<Refusing> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    Ok(Refusing {
+        address: socket.local_addr()?,
+        _socket: socket,
+    })
+}
+
 /// Serves a router on a free port of the loopback address.
 ///
 /// # Errors
--- a/crates/wisteriapoint/tests/sessions.rs
+++ b/crates/wisteriapoint/tests/sessions.rs
@@ -206,12 +206,8 @@
     .await;
     let closing = closing_endpoint().await;
     put_in_force(&fleet, "closing", &document("closing", closing, 5_000)).await;
-    let gone = TcpListener::bind("127.0.0.1:0")
-        .await
-        .unwrap()
-        .local_addr()
-        .unwrap();
-    put_in_force(&fleet, "gone", &document("gone", gone, 5_000)).await;
+    let gone = serve::refusing().unwrap();
+    put_in_force(&fleet, "gone", &document("gone", gone.address, 5_000)).await;
     let mut session = Session::new(&fleet);
     let key = [("idempotency-key", "hold-1")];
     session.send("POST", HOLD, &key, "strap 7").await;
--- a/crates/wisteriapoint/tests/verdicts.rs
+++ b/crates/wisteriapoint/tests/verdicts.rs
@@ -9,7 +9,7 @@
 use futures_util::future::join_all;
 use reqwest::Response;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use wisteriapoint_stand_in::{Act, Arrival, PlainService, Running, Scripted, serve};
 
 /// A service that counts its runs, behind one daemon.
@@ -141,10 +141,8 @@
 
 #[tokio::test]
 async fn a_refused_connection_has_run_nothing() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
-    let deployment = Deployment::start(1, &[plain_document(&[address])]).await;
+    let gone = serve::refusing().unwrap();
+    let deployment = Deployment::start(1, &[plain_document(&[gone.address])]).await;
     let request = deployment.hold(0, "a");
     let refused = request.header("wisteriapoint-deadline-ms", "500").send();
     assert_eq!(verdict(&refused.await.unwrap()), "not-run");
