Answer only questions that are meant for this run of a daemon

Cause: in 1 of 5 runs of all tests a retry after the claimant's death ran a second time. Reading the code, the likely way: the dead daemon's port had been taken by a daemon of another test, which granted the claim in a view of the same number, so that two grants came together; quorums, transfer and release were read and ruled out. In a deployment an address that is used again by another fleet would do the same. Change: questions carry the member they are meant for, and another run at the address answers that it is none of theirs; a seal still goes to whoever listens, since that another run answers proves the end of the one asked.

--- a/crates/wisteriapoint/src/daemon/exchange.rs
+++ b/crates/wisteriapoint/src/daemon/exchange.rs
@@ -10,7 +10,7 @@
 
 use super::Shared;
 use super::control::Command;
-use super::message::{Digest, Question, Reply, Synced};
+use super::message::{Addressed, Digest, Question, Reply, Synced};
 
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -44,7 +44,7 @@
 
 async fn exchange(shared: &Arc<Shared>, peer: SocketAddr, view: ViewNumber, known: Summary) {
     let question = Question::Sync { view, known };
-    let Some(Reply::Synced(synced)) = call(shared, peer, &question).await else {
+    let Some(Reply::Synced(synced)) = call(shared, peer, question).await else {
         return;
     };
     let Synced {
@@ -72,12 +72,13 @@
     };
     let mine = shared.ask_self(asked, EXCHANGE_TIMEOUT).await;
     if let Some(Reply::Synced(Synced { view, update, .. })) = mine {
-        call(shared, peer, &Question::Offer { view, update }).await;
+        call(shared, peer, Question::Offer { view, update }).await;
     }
 }
 
-async fn call(shared: &Arc<Shared>, peer: SocketAddr, question: &Question) -> Option<Reply> {
-    let called = shared.peers.call(peer, question, EXCHANGE_TIMEOUT);
+async fn call(shared: &Arc<Shared>, peer: SocketAddr, question: Question) -> Option<Reply> {
+    let addressed = Addressed { to: None, question };
+    let called = shared.peers.call(peer, &addressed, EXCHANGE_TIMEOUT);
     called.await.ok()
 }
 
--- a/crates/wisteriapoint/src/daemon/message.rs
+++ b/crates/wisteriapoint/src/daemon/message.rs
@@ -8,6 +8,18 @@
 use wisteriapoint_route::Strike;
 use wisteriapoint_types::{MemberId, ServiceName, ViewNumber, WeightVersion};
 
+/// A question and the run of a daemon that it is meant for.
+///
+/// The address of a daemon that is gone may have been taken by another one, whose answer
+/// must not count as the member's.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Addressed {
+    /// The member; none means whoever listens at the address.
+    pub to: Option<MemberId>,
+    /// The question.
+    pub question: Question,
+}
+
 /// What one daemon asks of another; each may be repeated.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Question {
--- a/crates/wisteriapoint/src/daemon/shared.rs
+++ b/crates/wisteriapoint/src/daemon/shared.rs
@@ -17,7 +17,7 @@
 use wisteriapoint_types::{MemberId, ServiceName};
 
 use super::control::Command;
-use super::message::{Question, Reply, ServiceStrike};
+use super::message::{Addressed, Question, Reply, ServiceStrike};
 use super::snapshot::Snapshot;
 use crate::Error;
 use crate::metrics::Metrics;
@@ -165,7 +165,11 @@
             return self.ask_self(question, limit).await;
         }
         let address = self.snapshot.load().view.member(id)?.peer_address;
-        self.peers.call(address, &question, limit).await.ok()
+        let addressed = Addressed {
+            to: Some(id),
+            question,
+        };
+        self.peers.call(address, &addressed, limit).await.ok()
     }
 
     /// Puts a question to this daemon's own control.
--- a/crates/wisteriapoint/src/daemon/start.rs
+++ b/crates/wisteriapoint/src/daemon/start.rs
@@ -16,7 +16,7 @@
 
 use super::control::{COMMANDS, Command, Control};
 use super::listeners::Listeners;
-use super::message::{Question, Reply, ServiceStrike};
+use super::message::{Addressed, Reply, ServiceStrike};
 use super::platform::Watch;
 use super::shared::Senders;
 use super::{Addresses, Shared, exchange, platform, strikes, traffic, weights};
@@ -218,9 +218,13 @@
     others_strikes: mpsc::Receiver<Vec<ServiceStrike>>,
 ) {
     let answering = Arc::clone(shared);
-    let answer = move |question: Question| {
+    let answer = move |addressed: Addressed| {
         let shared = Arc::clone(&answering);
         async move {
+            let Addressed { to, question } = addressed;
+            if to.is_some_and(|id| id != shared.me.id) {
+                return Reply::Stopping;
+            }
             let reply = shared.ask_self(question, PEER_LIMIT).await;
             reply.unwrap_or(Reply::Stopping)
         }
--- a/crates/wisteriapoint/src/daemon/transfer.rs
+++ b/crates/wisteriapoint/src/daemon/transfer.rs
@@ -15,7 +15,7 @@
 
 use super::Shared;
 use super::control::Command;
-use super::message::{Question, Reply};
+use super::message::{Addressed, Question, Reply};
 
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
 const TRANSFERRED_TIMEOUT: Duration = Duration::from_millis(500);
@@ -59,9 +59,12 @@
 
 async fn is_transferred(shared: &Arc<Shared>, view: &View) -> bool {
     let asked = view.members.iter().map(|member| async {
-        let question = Question::Transferred(view.number);
+        let addressed = Addressed {
+            to: Some(member.id),
+            question: Question::Transferred(view.number),
+        };
         let address = member.peer_address;
-        let call = shared.peers.call(address, &question, TRANSFERRED_TIMEOUT);
+        let call = shared.peers.call(address, &addressed, TRANSFERRED_TIMEOUT);
         let is_open = matches!(call.await, Ok(Reply::Transferred(true)));
         is_open.then_some(member.id)
     });
@@ -167,8 +170,10 @@
             _ if is_over => return Err(Source::Gone),
             None => None,
             Some(member) => {
+                // Another run at the address answers too: that it is another tells of the end.
+                let addressed = Addressed { to: None, question };
                 let address = member.peer_address;
-                let called = shared.peers.call(address, &question, PAGE_TIMEOUT);
+                let called = shared.peers.call(address, &addressed, PAGE_TIMEOUT);
                 match called.await {
                     Err(error) if error.is_refused() => return Err(Source::Gone),
                     called => called.ok(),
--- a/crates/wisteriapoint/tests/configuration.rs
+++ b/crates/wisteriapoint/tests/configuration.rs
@@ -7,13 +7,13 @@
 
 use fleet::{Fleet, document, revision, until};
 use tokio::time::{Instant, sleep};
-use wisteriapoint::daemon::message::{Question, Reply};
+use wisteriapoint::daemon::message::{Addressed, Question, Reply};
 use wisteriapoint_catalog::{Document, Update};
 use wisteriapoint_membership::Member;
 use wisteriapoint_peer::Client;
 use wisteriapoint_stand_in::platform::Faults;
 use wisteriapoint_stand_in::{PlainService, serve};
-use wisteriapoint_types::{Revision, ServiceName};
+use wisteriapoint_types::{MemberId, Revision, ServiceName};
 
 /// The users' bound on the time until a change is in force everywhere.
 const IN_FORCE_BOUND: Duration = Duration::from_secs(6);
@@ -147,7 +147,14 @@
         update: Update::of_document(ServiceName::new("shopfront"), old),
     };
     let reply: Reply = Client::new()
-        .call(daemon.addresses().peer, &offer, Duration::from_secs(5))
+        .call(
+            daemon.addresses().peer,
+            &Addressed {
+                to: None,
+                question: offer,
+            },
+            Duration::from_secs(5),
+        )
         .await
         .unwrap();
     assert!(matches!(reply, Reply::Noted));
@@ -173,7 +180,14 @@
         update: Update::of_document(ServiceName::new("shopfront"), unreadable),
     };
     let _: Reply = Client::new()
-        .call(daemon.addresses().peer, &offer, Duration::from_secs(5))
+        .call(
+            daemon.addresses().peer,
+            &Addressed {
+                to: None,
+                question: offer,
+            },
+            Duration::from_secs(5),
+        )
         .await
         .unwrap();
     assert_eq!(revision(daemon, "shopfront"), Some(Revision(1)));
@@ -232,3 +246,25 @@
     assert!(writes <= renewals + 6, "{writes} writes");
     assert!(reads <= 12, "{reads} reads");
 }
+
+#[tokio::test]
+async fn a_question_to_an_earlier_run_is_not_answered_by_another_daemon() {
+    let fleet = Fleet::start(&["dk-east-a"]).await;
+    let daemon = &fleet.daemons[0];
+    let me = daemon.shared().me.id;
+    for (to, answered) in [
+        (None, true),
+        (Some(me), true),
+        (Some(MemberId(me.0 ^ 1)), false),
+    ] {
+        let addressed = Addressed {
+            to,
+            question: Question::Ping,
+        };
+        let reply: Reply = Client::new()
+            .call(daemon.addresses().peer, &addressed, Duration::from_secs(5))
+            .await
+            .unwrap();
+        assert_eq!(matches!(reply, Reply::Pong { .. }), answered, "{to:?}");
+    }
+}
