Send digests to members, not to addresses

Cause: in one run of all tests two fleets mixed: a daemon at the port of a dead one of another fleet answered its pings, so that it was never removed, and took the other fleet's view by its digests.

--- a/crates/wisteriapoint/src/daemon/control/relay.rs
+++ b/crates/wisteriapoint/src/daemon/control/relay.rs
@@ -12,7 +12,7 @@
 use wisteriapoint_catalog::{Summary, Update};
 use wisteriapoint_membership::View;
 use wisteriapoint_peer::Datagrams;
-use wisteriapoint_types::ViewNumber;
+use wisteriapoint_types::{MemberId, ViewNumber};
 
 use super::Control;
 use crate::daemon::exchange;
@@ -24,6 +24,9 @@
 const EXCHANGES_AT_ONCE: usize = 3;
 const UPDATE_BYTES: usize = 4 << 20;
 
+/// Who a digest is meant for, and the address.
+type Receiver = (Option<MemberId>, SocketAddr);
+
 /// State of the relay.
 #[derive(Debug)]
 pub(super) struct Relay {
@@ -84,18 +87,20 @@
 
     fn digest(&self, strikes: Vec<ServiceStrike>) -> Digest {
         Digest {
+            to: None,
             view: self.snapshot.view.number,
             sum: self.catalog.sum(),
             strikes,
         }
     }
 
-    fn send(&self, receivers: Vec<SocketAddr>, digest: &Digest) {
+    fn send(&self, receivers: Vec<Receiver>, digest: &Digest) {
         let datagrams = Arc::clone(&self.relay.datagrams);
         let counter = self.shared.metrics.control_bytes.clone();
-        let digest = digest.clone();
+        let mut digest = digest.clone();
         tokio::spawn(async move {
-            for address in receivers {
+            for (to, address) in receivers {
+                digest.to = to;
                 if let Ok(length_bytes) = datagrams.send(address, &digest).await {
                     counter.inc_by(length_bytes as u64);
                 }
@@ -103,27 +108,31 @@
         });
     }
 
-    fn other_members(&self) -> Vec<SocketAddr> {
+    fn other_members(&self) -> Vec<Receiver> {
         let me = self.shared.me.id;
         let members = self.snapshot.view.members.iter();
         members
             .filter(|member| member.id != me)
-            .map(|member| member.peer_address)
+            .map(|member| (Some(member.id), member.peer_address))
             .collect()
     }
 
-    fn digest_receivers(&self) -> Vec<SocketAddr> {
-        let mut addresses = self.other_members();
-        if addresses.is_empty() || !self.snapshot.configured {
-            addresses.extend(&self.relay.seed_peers);
+    fn digest_receivers(&self) -> Vec<Receiver> {
+        let mut receivers = self.other_members();
+        if receivers.is_empty() || !self.snapshot.configured {
+            let seed_peers = self.relay.seed_peers.iter();
+            receivers.extend(seed_peers.map(|&address| (None, address)));
         }
-        addresses
+        receivers
             .sample(&mut rand::rng(), FANOUT)
             .copied()
             .collect()
     }
 
     pub(super) fn take_digest(&mut self, from: SocketAddr, digest: Digest) {
+        if digest.to.is_some_and(|id| id != self.shared.me.id) {
+            return;
+        }
         if !digest.strikes.is_empty() {
             // Traffic that is behind learns of them with a later digest.
             let _ = self.shared.strikes.try_send(digest.strikes);
--- a/crates/wisteriapoint/src/daemon/message.rs
+++ b/crates/wisteriapoint/src/daemon/message.rs
@@ -174,6 +174,8 @@
 /// What a daemon tells a few others every second, as one datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
+    /// The member that it is meant for; none means whoever listens at the address.
+    pub to: Option<MemberId>,
     /// The sender's view.
     pub view: ViewNumber,
     /// Hash of the sender's configuration.
