Let fleets in tests start only when their partitions are open

Change: a fleet is started when every daemon answers for all partitions that it holds, as the tests of claims waited for already.

--- a/crates/wisteriapoint/tests/fleet/mod.rs
+++ b/crates/wisteriapoint/tests/fleet/mod.rs
@@ -46,6 +46,11 @@
             })
             .await;
         fleet
+            .until("all partitions are open", |fleet| {
+                fleet.daemons.iter().all(is_open)
+            })
+            .await;
+        fleet
     }
 
     /// Starts one more daemon.
@@ -102,6 +107,13 @@
     assert!(waited.await.is_ok(), "gave up waiting: {what}");
 }
 
+/// Whether a daemon answers for all partitions that it holds.
+fn is_open(daemon: &Daemon) -> bool {
+    let shared = daemon.shared();
+    let held = shared.snapshot.load().view.held_by(shared.me.id).count();
+    shared.metrics.open_partitions.get() == held as i64
+}
+
 /// Number of members that a daemon knows.
 pub(crate) fn members(daemon: &Daemon) -> usize {
     daemon.shared().snapshot.load().view.members.len()
