--- a/crates/wisteriapoint/tests/configuration.rs
+++ b/crates/wisteriapoint/tests/configuration.rs
@@ -7,6 +7,7 @@
 
 use fleet::{Fleet, document, revision, until};
 use tokio::time::{Instant, sleep};
+use wisteriapoint::daemon::Daemon;
 use wisteriapoint::daemon::message::{Addressed, Question, Reply};
 use wisteriapoint_catalog::{Document, Update};
 use wisteriapoint_membership::Member;
@@ -34,6 +35,15 @@
     }
 }
 
+/// Puts a question to a daemon as a peer would.
+async fn ask(daemon: &Daemon, to: Option<MemberId>, question: Question) -> Reply {
+    let addressed = Addressed { to, question };
+    let address = daemon.addresses().peer;
+    let client = Client::new();
+    let call = client.call(address, &addressed, Duration::from_secs(5));
+    call.await.unwrap()
+}
+
 /// Two daemons watch three prefixes each; three proposers watch the leases.
 async fn only_watchers_watch(fleet: &Fleet) {
     sleep(ROLES_SETTLE).await;
@@ -146,17 +156,7 @@
         view: None,
         update: Update::of_document(ServiceName::new("shopfront"), old),
     };
-    let reply: Reply = Client::new()
-        .call(
-            daemon.addresses().peer,
-            &Addressed {
-                to: None,
-                question: offer,
-            },
-            Duration::from_secs(5),
-        )
-        .await
-        .unwrap();
+    let reply = ask(daemon, None, offer).await;
     assert!(matches!(reply, Reply::Noted));
     assert_eq!(revision(daemon, "shopfront"), Some(Revision(2)));
 }
@@ -179,17 +179,7 @@
         view: None,
         update: Update::of_document(ServiceName::new("shopfront"), unreadable),
     };
-    let _: Reply = Client::new()
-        .call(
-            daemon.addresses().peer,
-            &Addressed {
-                to: None,
-                question: offer,
-            },
-            Duration::from_secs(5),
-        )
-        .await
-        .unwrap();
+    ask(daemon, None, offer).await;
     assert_eq!(revision(daemon, "shopfront"), Some(Revision(1)));
     let documents = &daemon.shared().metrics.documents;
     assert_eq!(documents.with_label_values(&["unreadable"]).get(), 1);
@@ -257,14 +247,7 @@
         (Some(me), true),
         (Some(MemberId(me.0 ^ 1)), false),
     ] {
-        let addressed = Addressed {
-            to,
-            question: Question::Ping,
-        };
-        let reply: Reply = Client::new()
-            .call(daemon.addresses().peer, &addressed, Duration::from_secs(5))
-            .await
-            .unwrap();
+        let reply = ask(daemon, to, Question::Ping).await;
         assert_eq!(matches!(reply, Reply::Pong { .. }), answered, "{to:?}");
     }
 }
