--- /dev/null
+++ b/crates/batch/src/job.rs
@@ -0,0 +1,304 @@
+//! A batch job at its owner.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Batch, Item, ItemKey, ItemResult, Outcome, Submission};
+
+/// Time that a finished item may wait for others to be committed with it, in milliseconds: two
+/// commits a second are a small part of the store's rate.
+const COMMIT_DELAY_MS: u64 = 500;
+/// Time that a whole group may wait, in milliseconds: trainers read about twice a second.
+const GROUP_DELAY_MS: u64 = 150;
+/// Most bytes of results in one commit; a stored value holds a megabyte, a third more as text.
+const MAX_COMMIT_BYTES: usize = 512 << 10;
+/// Pause before an item that found no room or a failing endpoint is tried again, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 60;
+
+/// A batch job: the state of each item, and the results in their order.
+#[derive(Debug)]
+pub struct Job {
+    submission: Submission,
+    states: Vec<ItemState>,
+    order: Vec<ItemKey>,
+    groups: BTreeMap<Box<str>, Group>,
+    listed: Vec<ItemResult>,
+    pending: Vec<(u64, ItemKey, ItemResult)>,
+    in_commit: usize,
+    max_failures: u32,
+    give_up_at_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ItemState {
+    Waiting { not_before_ms: u64, failures: u32 },
+    Running { failures: u32 },
+    Done,
+}
+
+#[derive(Debug, Default)]
+struct Group {
+    left: u32,
+}
+
+/// Some results from a position on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// Number of items.
+    pub total: u32,
+    /// The results.
+    pub results: Vec<ItemResult>,
+    /// Position after the last of them.
+    pub next: u32,
+}
+
+impl Job {
+    /// A batch job none of whose items has run.
+    ///
+    /// An item that failed `max_failures` times is given up, and each at `give_up_at_ms`.
+    pub fn new(submission: Submission, max_failures: u32, give_up_at_ms: u64) -> Self {
+        let states = vec![
+            ItemState::Waiting {
+                not_before_ms: 0,
+                failures: 0
+            };
+            submission.items.len()
+        ];
+        let mut groups: BTreeMap<Box<str>, Group> = BTreeMap::new();
+        for group in submission.items.iter().filter_map(|item| item.group.clone()) {
+            groups.entry(group).or_default().left += 1;
+        }
+        let mut order: Vec<_> = (0..submission.items.len() as u32).map(ItemKey).collect();
+        // The longest first: what starts last should not be what takes longest.
+        order.sort_by_key(|key| {
+            std::cmp::Reverse(submission.items[key.0 as usize].expected_tokens)
+        });
+        Self {
+            submission,
+            states,
+            order,
+            groups,
+            listed: Vec::new(),
+            pending: Vec::new(),
+            in_commit: 0,
+            max_failures,
+            give_up_at_ms,
+        }
+    }
+
+    /// Takes results that an earlier owner has listed.
+    pub fn with_listed(mut self, listed: Vec<ItemResult>) -> Self {
+        for result in listed {
+            if let Some(key) = self.key_of(&result.id) {
+                self.set_done(key);
+            }
+            self.listed.push(result);
+        }
+        self
+    }
+
+    /// What was submitted.
+    pub fn submission(&self) -> &Submission {
+        &self.submission
+    }
+
+    /// An item.
+    pub fn item(&self, key: ItemKey) -> Option<&Item> {
+        self.submission.items.get(key.0 as usize)
+    }
+
+    /// The item of an id.
+    pub fn key_of(&self, id: &str) -> Option<ItemKey> {
+        let mut items = self.submission.items.iter();
+        items
+            .position(|item| &*item.id == id)
+            .map(|place| ItemKey(place as u32))
+    }
+
+    /// Whether all items are done.
+    pub fn is_done(&self) -> bool {
+        self.states.iter().all(|&state| state == ItemState::Done)
+    }
+
+    /// Whether all items are listed.
+    pub fn is_all_listed(&self) -> bool {
+        self.listed.len() == self.submission.items.len()
+    }
+
+    /// Number of items that have not been started.
+    pub fn waiting(&self) -> usize {
+        let states = self.states.iter();
+        states
+            .filter(|state| matches!(state, ItemState::Waiting { .. }))
+            .count()
+    }
+
+    /// The item to run next, which counts as running from now on.
+    pub fn next(&mut self, now_ms: u64) -> Option<ItemKey> {
+        let key = self.peek(now_ms)?;
+        if let ItemState::Waiting { failures, .. } = self.states[key.0 as usize] {
+            self.states[key.0 as usize] = ItemState::Running { failures };
+        }
+        Some(key)
+    }
+
+    /// The item that [`next`](Self::next) would give.
+    pub fn peek(&self, now_ms: u64) -> Option<ItemKey> {
+        let mut keys = self.order.iter().copied();
+        keys.find(|key| match self.states[key.0 as usize] {
+            ItemState::Waiting { not_before_ms, .. } => not_before_ms <= now_ms,
+            _ => false,
+        })
+    }
+
+    /// Puts a running item back, to run again after a pause.
+    pub fn put_back(&mut self, now_ms: u64, key: ItemKey) {
+        if let ItemState::Running { failures } = self.states[key.0 as usize] {
+            let not_before_ms = now_ms + RETRY_PAUSE_MS;
+            self.states[key.0 as usize] = ItemState::Waiting {
+                not_before_ms,
+                failures,
+            };
+        }
+    }
+
+    /// Notes that an endpoint failed a running item; gives whether the item is to be given up.
+    pub fn failed(&mut self, key: ItemKey) -> bool {
+        match &mut self.states[key.0 as usize] {
+            ItemState::Running { failures } => {
+                *failures += 1;
+                *failures >= self.max_failures
+            }
+            _ => false,
+        }
+    }
+
+    /// Ends an item; its result waits to be committed.
+    pub fn finish(&mut self, now_ms: u64, key: ItemKey, outcome: Outcome) {
+        if self.states[key.0 as usize] == ItemState::Done {
+            return;
+        }
+        self.set_done(key);
+        let id = self.submission.items[key.0 as usize].id.clone();
+        self.pending.push((now_ms, key, ItemResult { id, outcome }));
+    }
+
+    /// Gives up all items that are not done, once their time is over.
+    pub fn give_up(&mut self, now_ms: u64) {
+        if now_ms < self.give_up_at_ms {
+            return;
+        }
+        for place in 0..self.states.len() {
+            self.finish(now_ms, ItemKey(place as u32), Outcome::Dead);
+        }
+    }
+
+    /// When the items may be given up.
+    pub fn give_up_at_ms(&self) -> u64 {
+        self.give_up_at_ms
+    }
+
+    fn set_done(&mut self, key: ItemKey) {
+        let state = &mut self.states[key.0 as usize];
+        if *state == ItemState::Done {
+            return;
+        }
+        *state = ItemState::Done;
+        let group = self.submission.items[key.0 as usize].group.as_ref();
+        if let Some(group) = group.and_then(|name| self.groups.get_mut(name)) {
+            group.left -= 1;
+        }
+    }
+
+    /// When the results that wait should be committed; `None` if none waits or a commit is on its way.
+    pub fn commit_at_ms(&self) -> Option<u64> {
+        if self.in_commit > 0 {
+            return None;
+        }
+        let is_done = self.is_done();
+        let due = self.pending.iter().map(|(at_ms, key, _)| {
+            let group = self.submission.items[key.0 as usize].group.as_ref();
+            let is_whole = group.is_some_and(|name| self.groups[name].left == 0);
+            match is_whole {
+                _ if is_done => *at_ms,
+                true => at_ms + GROUP_DELAY_MS,
+                false => at_ms + COMMIT_DELAY_MS,
+            }
+        });
+        due.min()
+    }
+
+    /// The results to commit now, if it is time; [`committed`](Self::committed) has to follow.
+    pub fn begin_commit(&mut self, now_ms: u64) -> Option<Batch> {
+        match self.commit_at_ms() {
+            Some(at_ms) if at_ms <= now_ms => {}
+            _ => return None,
+        }
+        let mut size_bytes = 0;
+        let results: Vec<_> = self
+            .pending
+            .iter()
+            .take_while(|(_, _, result)| {
+                let is_first = size_bytes == 0;
+                size_bytes += result.size_bytes();
+                is_first || size_bytes <= MAX_COMMIT_BYTES
+            })
+            .map(|(_, _, result)| result.clone())
+            .collect();
+        self.in_commit = results.len();
+        Some(Batch {
+            first: self.listed.len() as u32,
+            results,
+        })
+    }
+
+    /// Lists the results whose commit was acknowledged.
+    pub fn committed(&mut self) {
+        let committed = self.pending.drain(..self.in_commit);
+        self.listed.extend(committed.map(|(_, _, result)| result));
+        self.in_commit = 0;
+    }
+
+    /// Number of listed results.
+    pub fn listed(&self) -> u32 {
+        self.listed.len() as u32
+    }
+
+    /// The results from a position on: at least one if there is any, at most `max_bytes`.
+    pub fn page(&self, after: u32, max_bytes: usize) -> Page {
+        page(
+            self.submission.items.len() as u32,
+            &self.listed,
+            after,
+            max_bytes,
+        )
+    }
+}
+
+impl Page {
+    /// A page of results that were read from the store, in the order of their positions.
+    pub fn of(total: u32, listed: &[ItemResult], after: u32, max_bytes: usize) -> Self {
+        page(total, listed, after, max_bytes)
+    }
+}
+
+fn page(total: u32, listed: &[ItemResult], after: u32, max_bytes: usize) -> Page {
+    let rest = listed.get(after as usize..).unwrap_or_default();
+    let mut size_bytes = 0;
+    let results: Vec<_> = rest
+        .iter()
+        .take_while(|result| {
+            let is_first = size_bytes == 0;
+            size_bytes += result.size_bytes();
+            is_first || size_bytes <= max_bytes
+        })
+        .cloned()
+        .collect();
+    let next = after + results.len() as u32;
+    Page {
+        total,
+        results,
+        next,
+    }
+}
--- /dev/null
+++ b/crates/batch/src/lib.rs
@@ -0,0 +1,24 @@
+//! Batch jobs as pure state: items, what runs next, and results at fixed positions.
+//!
+//! ```
+//! use wisteriapoint_batch::{Item, Job, Outcome, Submission};
+//!
+//! let submission = Submission::new(vec![Item::new("a", "/draft/1", b"{}".to_vec())]);
+//! let mut job = Job::new(submission, 3, 60_000);
+//! let key = job.next(0).expect("the item waits");
+//! job.finish(5, key, Outcome::Completed { output: "text".into(), versions: vec![], score: None });
+//! let batch = job.begin_commit(5).expect("all items are done");
+//! assert_eq!(batch.results.len(), 1);
+//! job.committed();
+//! assert_eq!(job.page(0, 1 << 20).next, 1);
+//! ```
+
+pub mod commit;
+pub mod item;
+pub mod job;
+pub mod record;
+
+pub use commit::Batch;
+pub use item::{Item, ItemKey, ItemResult, Outcome, Scorer, Step, Submission};
+pub use job::{Job, Page};
+pub use record::{JobRecord, JobState, Owner};
--- a/crates/capacity/src/fleet.rs
+++ b/crates/capacity/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use wisteriapoint::cli::service::apply;
 use wisteriapoint::daemon::Daemon;
-use wisteriapoint_platform::HttpStore;
+use wisteriapoint_store::HttpStore;
 use wisteriapoint_settings::VmSettings;
 use wisteriapoint_stand_in::demo::plain_document;
 use wisteriapoint_stand_in::{Platform, Running, serve};
--- a/crates/capacity/src/tokens.rs
+++ b/crates/capacity/src/tokens.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use wisteriapoint::daemon::Daemon;
-use wisteriapoint_platform::HttpStore;
+use wisteriapoint_store::HttpStore;
 use wisteriapoint_settings::VmSettings;
 use wisteriapoint_stand_in::demo::model_document;
 use wisteriapoint_stand_in::{Engine, EngineSettings, Platform, serve};
--- /dev/null
+++ b/crates/directory/src/endpoint.rs
@@ -0,0 +1,142 @@
+//! One endpoint: what it says of itself, and what this process has seen of it.
+
+use std::net::SocketAddr;
+
+use wisteriapoint_types::{FailureDomain, ServiceName, WeightVersion};
+
+/// First pause after a failure of an endpoint, in milliseconds: a few round trips.
+const FIRST_PAUSE_MS: u64 = 200;
+/// Longest pause, in milliseconds: a restarted endpoint is tried again within seconds.
+const LONGEST_PAUSE_MS: u64 = 3_200;
+/// Share of the newest time in the mean of an endpoint's times.
+const NEWEST_SHARE: f64 = 0.2;
+/// Age at which a reported load says nothing any more, in milliseconds.
+const LOAD_MAX_AGE_MS: u64 = 300;
+
+/// What an endpoint says of itself in the registry.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndpointRecord {
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub failure_domain: FailureDomain,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub stage: EndpointStage,
+    /// Weight version of each model that it has loaded.
+    pub models: Vec<(Box<str>, WeightVersion)>,
+    /// Start of this incarnation, Unix milliseconds; 0 if not told.
+    pub born_unix_ms: u64,
+}
+
+/// Whether an endpoint takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointStage {
+    /// It does.
+    Ready,
+    /// It finishes what it has and leaves.
+    Draining,
+}
+
+/// Load that an endpoint reported with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// An endpoint as this process knows it.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    /// What it says of itself.
+    pub record: EndpointRecord,
+    /// Requests of this process that it has now.
+    pub in_flight: u32,
+    /// Mean time for a unit of work, in milliseconds; 0 until one has been seen.
+    pub unit_ms: f64,
+    load: Option<(u64, Load)>,
+    failures: u32,
+    paused_until_ms: u64,
+}
+
+impl Endpoint {
+    /// An endpoint of which only the record is known.
+    pub fn new(record: EndpointRecord) -> Self {
+        Self {
+            record,
+            in_flight: 0,
+            unit_ms: 0.0,
+            load: None,
+            failures: 0,
+            paused_until_ms: 0,
+        }
+    }
+
+    /// The weight version of a model, if it is loaded.
+    pub fn version_of(&self, model: &str) -> Option<WeightVersion> {
+        let mut models = self.record.models.iter();
+        models
+            .find(|(name, _)| &**name == model)
+            .map(|&(_, version)| version)
+    }
+
+    /// Takes the load that came with an answer.
+    pub fn report(&mut self, now_ms: u64, load: Load) {
+        self.load = Some((now_ms, load));
+    }
+
+    /// Notes an answer; `unit_ms` is the time for a unit of work, if it tells the speed.
+    pub fn succeeded(&mut self, unit_ms: Option<f64>) {
+        self.failures = 0;
+        self.paused_until_ms = 0;
+        match unit_ms {
+            Some(unit_ms) if self.unit_ms > 0.0 => {
+                self.unit_ms += (unit_ms - self.unit_ms) * NEWEST_SHARE;
+            }
+            Some(unit_ms) => self.unit_ms = unit_ms,
+            None => {}
+        }
+    }
+
+    /// Notes that it failed to answer, and pauses it.
+    pub fn failed(&mut self, now_ms: u64) {
+        let pause_ms = (FIRST_PAUSE_MS << self.failures.min(8)).min(LONGEST_PAUSE_MS);
+        self.failures += 1;
+        self.paused_until_ms = now_ms + pause_ms;
+    }
+
+    /// Notes that it refused a request for want of room, and pauses it for a moment.
+    pub fn was_full(&mut self, now_ms: u64, pause_ms: u64) {
+        self.paused_until_ms = self.paused_until_ms.max(now_ms + pause_ms);
+    }
+
+    /// Whether it is not to be tried yet.
+    pub fn is_paused(&self, now_ms: u64) -> bool {
+        now_ms < self.paused_until_ms
+    }
+
+    /// When it may be tried again.
+    pub fn paused_until_ms(&self) -> u64 {
+        self.paused_until_ms
+    }
+
+    /// Whether the last answers failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Requests that are known to be there, own ones and those reported of late.
+    pub fn occupancy(&self, now_ms: u64) -> u32 {
+        match self.load {
+            Some((at_ms, load)) if now_ms < at_ms + LOAD_MAX_AGE_MS => {
+                self.in_flight.max(load.running + load.waiting)
+            }
+            _ => self.in_flight,
+        }
+    }
+}
--- /dev/null
+++ b/crates/directory/src/registry.rs
@@ -0,0 +1,207 @@
+//! All endpoints, and the choice among them.
+
+use std::collections::BTreeMap;
+
+use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, WeightVersion};
+
+use crate::{Endpoint, EndpointRecord, EndpointStage};
+
+/// Time that an endpoint stays known after its row vanished around trouble of the store, in
+/// milliseconds: rows that lapsed are back about two seconds after the store.
+const RETURN_GRACE_MS: u64 = 2_200;
+
+/// What a request needs of an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Model and oldest weight version, for requests that generate.
+    pub model: Option<(&'a str, WeightVersion)>,
+    /// Whether the endpoint must have a free slot; else it may let the request wait.
+    pub within_slots: bool,
+    /// Where the sender runs; wins among equals.
+    pub near: &'a FailureDomain,
+}
+
+/// The endpoints that this process knows.
+#[derive(Debug, Default)]
+pub struct Registry {
+    endpoints: BTreeMap<EndpointName, Endpoint>,
+    vanished: BTreeMap<EndpointName, u64>,
+}
+
+impl Registry {
+    /// Knows no endpoint.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes what an endpoint says of itself now.
+    ///
+    /// Within one incarnation an endpoint that drains goes on draining. The record of an
+    /// earlier incarnation is ignored. Gives whether anything changed.
+    pub fn learn(&mut self, name: &EndpointName, record: EndpointRecord) -> bool {
+        let Some(known) = self.endpoints.get_mut(name) else {
+            self.vanished.remove(name);
+            self.endpoints.insert(name.clone(), Endpoint::new(record));
+            return true;
+        };
+        let born_unix_ms = known.record.born_unix_ms;
+        match record.born_unix_ms {
+            born if born < born_unix_ms => return false,
+            born if born > born_unix_ms => *known = Endpoint::new(record),
+            _ if known.record == record => {
+                self.vanished.remove(name);
+                return false;
+            }
+            _ => {
+                let was_draining = known.record.stage == EndpointStage::Draining;
+                known.record = record;
+                if was_draining {
+                    known.record.stage = EndpointStage::Draining;
+                }
+            }
+        }
+        self.vanished.remove(name);
+        true
+    }
+
+    /// Notes that an endpoint's row is gone.
+    ///
+    /// While the store is in trouble, or was within the grace, it stays known until the grace is over.
+    pub fn vanish(&mut self, now_ms: u64, name: &EndpointName, trouble_end_ms: Option<u64>) {
+        if !self.endpoints.contains_key(name) {
+            return;
+        }
+        match trouble_end_ms {
+            Some(end_ms) if now_ms < end_ms.saturating_add(RETURN_GRACE_MS) => {
+                self.vanished
+                    .insert(name.clone(), end_ms.saturating_add(RETURN_GRACE_MS));
+            }
+            _ => self.remove(name),
+        }
+    }
+
+    /// Takes all rows that exist; what is not among them has vanished.
+    pub fn replace(
+        &mut self,
+        now_ms: u64,
+        records: Vec<(EndpointName, EndpointRecord)>,
+        trouble_end_ms: Option<u64>,
+    ) {
+        let gone: Vec<_> = self
+            .endpoints
+            .keys()
+            .filter(|name| !records.iter().any(|(other, _)| other == *name))
+            .cloned()
+            .collect();
+        for name in gone {
+            self.vanish(now_ms, &name, trouble_end_ms);
+        }
+        for (name, record) in records {
+            self.learn(&name, record);
+        }
+    }
+
+    /// Forgets the endpoints whose grace is over; gives their names.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<EndpointName> {
+        let over: Vec<_> = self
+            .vanished
+            .iter()
+            .filter(|&(_, &until_ms)| until_ms <= now_ms)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &over {
+            self.remove(name);
+        }
+        over
+    }
+
+    /// Moves the end of all graces: the store has only now answered again.
+    pub fn extend_graces(&mut self, trouble_end_ms: u64) {
+        for until_ms in self.vanished.values_mut() {
+            *until_ms = (*until_ms).max(trouble_end_ms.saturating_add(RETURN_GRACE_MS));
+        }
+    }
+
+    fn remove(&mut self, name: &EndpointName) {
+        self.endpoints.remove(name);
+        self.vanished.remove(name);
+    }
+
+    /// One endpoint.
+    pub fn get(&self, name: &EndpointName) -> Option<&Endpoint> {
+        self.endpoints.get(name)
+    }
+
+    /// One endpoint, to note what was seen of it.
+    pub fn get_mut(&mut self, name: &EndpointName) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(name)
+    }
+
+    /// All endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = (&EndpointName, &Endpoint)> {
+        self.endpoints.iter()
+    }
+
+    /// The endpoint that would finish a new request first, apart from some.
+    ///
+    /// Paused endpoints are taken only by requests that may wait, and only if
+    /// no other is left: an endpoint that may have recovered is better than none.
+    pub fn choose(
+        &self,
+        now_ms: u64,
+        need: Need<'_>,
+        excluded: &[EndpointName],
+    ) -> Option<&EndpointName> {
+        let fits = |endpoint: &Endpoint| {
+            endpoint.record.service == *need.service
+                && endpoint.record.stage == EndpointStage::Ready
+                && need.model.is_none_or(|(model, oldest)| {
+                    endpoint.version_of(model).is_some_and(|version| version >= oldest)
+                })
+                && (!need.within_slots || endpoint.occupancy(now_ms) < endpoint.record.slots)
+        };
+        let candidates = || {
+            self.endpoints
+                .iter()
+                .filter(|(name, endpoint)| fits(endpoint) && !excluded.contains(name))
+        };
+        let cost = |endpoint: &Endpoint| self.cost(now_ms, endpoint, need.near);
+        let best = candidates()
+            .filter(|(_, endpoint)| !endpoint.is_paused(now_ms))
+            .min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
+        match best {
+            None if !need.within_slots => candidates()
+                .min_by_key(|(_, endpoint)| endpoint.paused_until_ms())
+                .map(|(name, _)| name),
+            best => best.map(|(name, _)| name),
+        }
+    }
+
+    /// Expected time of a new request: work ahead of it by the time for a unit.
+    fn cost(&self, now_ms: u64, endpoint: &Endpoint, near: &FailureDomain) -> f64 {
+        let unit_ms = match endpoint.unit_ms {
+            unit_ms if unit_ms > 0.0 => unit_ms,
+            _ => self.mean_unit_ms(&endpoint.record.service),
+        };
+        let slots = f64::from(endpoint.record.slots.max(1));
+        let occupancy = f64::from(endpoint.occupancy(now_ms));
+        let distance = if endpoint.record.failure_domain == *near { 1.0 } else { 1.02 };
+        unit_ms * (1.0 + occupancy / slots) * distance
+    }
+
+    /// Mean time for a unit of work over the endpoints of a service; 1 if none is known.
+    pub fn mean_unit_ms(&self, service: &ServiceName) -> f64 {
+        let known = || {
+            self.endpoints
+                .values()
+                .filter(|endpoint| endpoint.record.service == *service && endpoint.unit_ms > 0.0)
+                .map(|endpoint| endpoint.unit_ms)
+        };
+        match known().count() {
+            0 => 1.0,
+            count => known().sum::<f64>() / count as f64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/callers/answer.rs
@@ -0,0 +1,153 @@
+//! Answers to callers.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Response, StatusCode};
+use tokio::sync::mpsc;
+use wisteriapoint_types::Verdict;
+
+use crate::dialect::Dialect;
+use crate::forward::GivenUp;
+
+/// Time after which a caller may submit again when the store did not accept, in milliseconds.
+const STORE_COME_BACK_MS: u64 = 300;
+
+/// An answer to a caller.
+pub type Answer = Response<Payload>;
+
+/// A body: whole, or as it arrives.
+#[derive(Debug)]
+pub enum Payload {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// Pieces from a channel; an error breaks the connection off.
+    Pieces(mpsc::Receiver<Result<Bytes, BrokenOff>>),
+}
+
+/// A stream that can't be completed.
+#[derive(Debug, Clone, Copy, thiserror::Error)]
+#[error("the stream broke off")]
+pub struct BrokenOff;
+
+impl Body for Payload {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            Self::Whole(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
+            Self::Pieces(pieces) => pieces
+                .poll_recv(context)
+                .map(|piece| piece.map(|piece| piece.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => SizeHint::with_exact(body.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer with a body of some type.
+pub fn whole(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Payload::Whole(Some(body.into())));
+    *answer.status_mut() = status;
+    let content_type = HeaderValue::from_static(content_type);
+    answer.headers_mut().insert(CONTENT_TYPE, content_type);
+    answer
+}
+
+/// An answer of this node, with a line of text.
+pub fn text(status: StatusCode, line: &str) -> Answer {
+    whole(status, "text/plain; charset=utf-8", format!("{line}\n"))
+}
+
+/// A final "not run", with when to come back.
+pub fn not_run<D: Dialect>(line: &str, come_back_ms: u64) -> Answer {
+    let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, line);
+    D::retry_after(answer.headers_mut(), come_back_ms);
+    answer
+}
+
+/// A final "not run" since the store can't be asked.
+pub fn store_away<D: Dialect>(line: &str) -> Answer {
+    not_run::<D>(line, STORE_COME_BACK_MS)
+}
+
+/// What a caller is told of a request that was given up.
+pub fn given_up<D: Dialect>(given_up: &GivenUp) -> Answer {
+    match given_up {
+        GivenUp {
+            verdict: Verdict::NotRun,
+            why,
+            come_back_ms,
+            ..
+        } => not_run::<D>(why, *come_back_ms),
+        GivenUp {
+            is_timeout: true,
+            why,
+            ..
+        } => text(StatusCode::GATEWAY_TIMEOUT, why),
+        GivenUp { why, .. } => text(StatusCode::BAD_GATEWAY, why),
+    }
+}
+
+/// An endpoint's answer as the caller gets it.
+pub fn of_endpoint<D: Dialect>(status: StatusCode, headers: &HeaderMap, payload: Payload) -> Answer {
+    let mut answer = Response::new(payload);
+    *answer.status_mut() = status;
+    copy_headers(headers, answer.headers_mut(), D::is_internal_header);
+    answer
+}
+
+/// Copies the headers that do not concern one connection alone.
+pub fn copy_headers(from: &HeaderMap, to: &mut HeaderMap, is_left_out: impl Fn(&str) -> bool) {
+    let named: Vec<_> = from
+        .get_all(hyper::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for (name, value) in from {
+        let text = name.as_str();
+        let is_named = named.iter().any(|named| named == text);
+        if !is_hop_by_hop(name) && !is_named && !is_left_out(text) {
+            to.append(name.clone(), value.clone());
+        }
+    }
+}
+
+/// Whether a header concerns one connection alone, or the framing of a body on it.
+fn is_hop_by_hop(name: &HeaderName) -> bool {
+    const NAMES: [&str; 10] = [
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    ];
+    NAMES.contains(&name.as_str()) || name.as_str() == "expect"
+}
+
+/// The error type of a handler that always answers.
+pub type Always<T> = Result<T, Infallible>;
--- /dev/null
+++ b/crates/node/src/callers/connection.rs
@@ -0,0 +1,109 @@
+//! Connections of callers and of the balancer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Method, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::answer::{Always, text, whole};
+use super::request::answer;
+use crate::dialect::Dialect;
+use crate::event;
+use crate::node::{Node, Stage};
+
+/// Pause after a connection could not be accepted: descriptors may have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Smallest buffer for a head that the HTTP library takes, in bytes.
+const MIN_HEAD_BYTES: usize = 8_192;
+/// Where metrics are read.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers callers until the node ends.
+pub async fn serve_requests<D: Dialect>(node: Rc<Node<D>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve_connection(node.clone(), stream));
+            }
+            Err(error) => {
+                event!(warn, "connection not accepted", why = error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<D: Dialect>(node: Rc<Node<D>>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        event!(debug, "no-delay refused", why = error);
+    }
+    let limits = node.configuration().map(|configuration| configuration.limits);
+    let limits = limits.unwrap_or_default();
+    let service = service_fn(|request| {
+        let node = node.clone();
+        async move { Always::Ok(answer(node, request).await) }
+    });
+    let mut closing = node.closing.subscribe();
+    let mut builder = Builder::new();
+    // The library counts the idle time before a request as time for its head.
+    let head_timeout_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(head_timeout_ms))
+        .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BYTES));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = closing.wait_for(|&is_closing| is_closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        event!(debug, "caller's connection ended", why = error);
+    }
+}
+
+/// Answers the balancer's question and serves metrics.
+pub async fn serve_questions<D: Dialect>(node: Rc<Node<D>>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                event!(warn, "connection not accepted", why = error);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let node = node.clone();
+        spawn_local(async move {
+            let service = service_fn(|request: hyper::Request<hyper::body::Incoming>| {
+                let answer = question(&node, request.method(), request.uri().path());
+                async move { Always::Ok(answer) }
+            });
+            let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                event!(debug, "question broke off", why = error);
+            }
+        });
+    }
+}
+
+fn question<D: Dialect>(node: &Node<D>, method: &Method, path: &str) -> super::Answer {
+    match node.stage.get() {
+        _ if path == METRICS_PATH => {
+            whole(StatusCode::OK, "text/plain; version=0.0.4", node.metrics.text())
+        }
+        _ if !D::is_ready_question(method, path) => text(StatusCode::NOT_FOUND, "no such page"),
+        Stage::Serving => text(StatusCode::OK, "ready"),
+        Stage::Starting => text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
+        Stage::Stopping => text(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/callers/request.rs
@@ -0,0 +1,198 @@
+//! One request of a caller, from its head to its answer.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{ACCEPT_ENCODING, HOST};
+use hyper::{HeaderMap, Request, StatusCode};
+use wisteriapoint_directory::{Configuration, Route, RouteKind};
+
+use super::answer::{self, Answer, Payload, copy_headers, not_run, text};
+use super::{batch, stream};
+use crate::dialect::{Arrival, Call, Dialect};
+use crate::event;
+use crate::forward::{Ending, Forward, forward};
+use crate::node::Node;
+use crate::upstream::Sending;
+
+/// How long a caller is told to wait for the first configuration, in milliseconds.
+const NO_CONFIGURATION_MS: u64 = 500;
+/// Time for a request without a deadline of its own, in milliseconds; its route's timeout is less.
+const DEFAULT_DEADLINE_MS: u64 = 60_000;
+
+/// A caller's request with its route.
+#[derive(Debug)]
+pub struct Incomer {
+    /// What the caller says of it.
+    pub arrival: Arrival,
+    /// Id for logs; empty if the caller gave none.
+    pub id: Box<str>,
+    /// When it arrived, in milliseconds of the node's clock.
+    pub arrived_at_ms: u64,
+    /// Configuration in force when it arrived.
+    pub configuration: Rc<Configuration>,
+    /// The head.
+    pub head: hyper::http::request::Parts,
+    /// Value of its `Host` header.
+    pub host: Box<str>,
+    /// The body to come.
+    pub body: Incoming,
+}
+
+/// Counts a request in progress for as long as it lives.
+struct InProgress<D: Dialect>(Rc<Node<D>>);
+
+impl<D: Dialect> InProgress<D> {
+    fn new(node: Rc<Node<D>>) -> Self {
+        node.in_progress.set(node.in_progress.get() + 1);
+        Self(node)
+    }
+}
+
+impl<D: Dialect> Drop for InProgress<D> {
+    fn drop(&mut self) {
+        self.0.in_progress.set(self.0.in_progress.get() - 1);
+    }
+}
+
+/// Answers a request.
+pub async fn answer<D: Dialect>(node: Rc<Node<D>>, request: Request<Incoming>) -> Answer {
+    let _in_progress = InProgress::new(node.clone());
+    let arrived_at_ms = node.now_ms();
+    let (head, body) = request.into_parts();
+    let arrival = D::arrival(&head.headers);
+    let Some(configuration) = node.configuration() else {
+        return not_run::<D>("no configuration yet", NO_CONFIGURATION_MS);
+    };
+    let host = head
+        .headers
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default()
+        .into();
+    let incomer = Incomer {
+        id: arrival.id.clone().unwrap_or_default(),
+        arrival,
+        arrived_at_ms,
+        configuration,
+        head,
+        host,
+        body,
+    };
+    let (method, path) = (incomer.head.method.clone(), incomer.head.uri.path().to_owned());
+    let id = incomer.id.clone();
+    let call = D::call(&incomer.head.method, &incomer.head.uri);
+    let (route, answer) = dispatch(&node, call, incomer).await;
+    let elapsed_ms = node.now_ms() - arrived_at_ms;
+    let status = answer.status();
+    node.metrics.request(&route, status.as_str(), elapsed_ms);
+    event!(
+        info,
+        "request answered",
+        id = id,
+        method = method,
+        path = path,
+        route = route,
+        status = status.as_u16(),
+        elapsed_ms = elapsed_ms,
+    );
+    answer
+}
+
+async fn dispatch<D: Dialect>(
+    node: &Rc<Node<D>>,
+    call: Call,
+    incomer: Incomer,
+) -> (Box<str>, Answer) {
+    let configuration = incomer.configuration.clone();
+    match call {
+        Call::ReadResults { job, after } => {
+            let wait_ms = incomer.arrival.wait_ms.unwrap_or(0);
+            ("results".into(), batch::results(node, &job, after, wait_ms).await)
+        }
+        Call::ReadBody { job, item } => ("body".into(), batch::body(node, &job, &item).await),
+        Call::EndJob { job } => ("end".into(), batch::end(node, &job).await),
+        Call::Request => {
+            let Some(route) = configuration.route(&incomer.host, incomer.head.uri.path()) else {
+                return ("none".into(), text(StatusCode::NOT_FOUND, "no route"));
+            };
+            (route.name.clone(), on_route(node, route, incomer).await)
+        }
+    }
+}
+
+async fn on_route<D: Dialect>(node: &Rc<Node<D>>, route: &Route, incomer: Incomer) -> Answer {
+    if incomer.arrival.id.is_none() {
+        return text(StatusCode::BAD_REQUEST, "a request needs an id");
+    }
+    let max_body_bytes = incomer.configuration.limits.max_body_bytes;
+    let Incomer {
+        arrival,
+        id,
+        arrived_at_ms,
+        head,
+        host,
+        body,
+        ..
+    } = incomer;
+    let body = match read_body(body, max_body_bytes).await {
+        Ok(body) => body,
+        Err(answer) => return answer,
+    };
+    if route.kind == RouteKind::Rollout {
+        return batch::submit(node, route, &id, &host, head.uri.path(), body).await;
+    }
+    let deadline_ms = arrival.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let mut headers = HeaderMap::new();
+    copy_headers(&head.headers, &mut headers, |name| {
+        name == ACCEPT_ENCODING.as_str()
+    });
+    let request = Forward {
+        id: &id,
+        route,
+        sending: Sending {
+            method: head.method,
+            uri: head.uri,
+            headers,
+            body,
+        },
+        deadline_at_ms: arrived_at_ms + deadline_ms,
+        arrived_at_ms,
+    };
+    if route.kind == RouteKind::Streaming {
+        return stream::answer(node, request, arrival.last_event).await;
+    }
+    match forward(node, &request).await {
+        Ending::Answer {
+            status,
+            headers,
+            body,
+            ..
+        } => answer::of_endpoint::<D>(status, &headers, Payload::Whole(Some(body))),
+        Ending::GivenUp(given_up) => {
+            event!(
+                info,
+                "request given up",
+                id = id,
+                verdict = given_up.verdict,
+                why = given_up.why,
+                held_ms = node.now_ms() - arrived_at_ms,
+            );
+            answer::given_up::<D>(&given_up)
+        }
+    }
+}
+
+async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Answer> {
+    let too_large = || text(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(too_large());
+    }
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
+        Err(_) => Err(text(StatusCode::BAD_REQUEST, "the body broke off")),
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/keeper.rs
@@ -0,0 +1,177 @@
+//! The keeper: the one node that gives orders and finds batch jobs without an owner.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+use wisteriapoint_store::{Backoff, Committed, Error, Index, Ledger, Transaction};
+
+use super::members::{self, MEMBERS};
+use super::orders;
+use super::watch::WAIT;
+use crate::dialect::Dialect;
+use crate::event;
+use crate::jobs;
+use crate::node::{Node, Stage};
+
+/// Key of the row that says who is the keeper.
+const KEEPER: &str = "wp/keeper";
+/// Longest random pause before the first claim, in milliseconds: nodes start together, and the
+/// first one spares the others a write.
+const FIRST_PAUSE_MS: u64 = 400;
+/// Time for a member whose row vanished to come back: its lease may have been taken from it.
+const RETURN_PAUSE: Duration = Duration::from_millis(700);
+
+/// Claims the duty whenever nobody has it, and carries it out while it lasts.
+pub async fn run<D: Dialect>(node: Rc<Node<D>>) {
+    let pause_ms = rand::random_range(0..FIRST_PAUSE_MS);
+    sleep(Duration::from_millis(pause_ms)).await;
+    let mut backoff = Backoff::new();
+    while node.stage.get() != Stage::Stopping {
+        if node.lease.id().is_none() {
+            node.lease.changed().await;
+            continue;
+        }
+        let result = match claim(&node).await {
+            Ok(Claim::Ours(fence)) => {
+                node.metrics.set_state("keeper", 1);
+                event!(info, "keeper", fence = fence.0);
+                carry_out(&node, fence).await;
+                node.metrics.set_state("keeper", 0);
+                event!(info, "no longer keeper", fence = fence.0);
+                Ok(())
+            }
+            Ok(Claim::Others(revision)) => wait_for_change(&node, revision).await,
+            Err(error) => Err(error),
+        };
+        match result {
+            Ok(()) => backoff = Backoff::new(),
+            Err(error) => {
+                event!(debug, "duty not claimed", why = error);
+                sleep(backoff.next_pause()).await;
+            }
+        }
+    }
+}
+
+enum Claim {
+    /// This node has the duty, with this fencing token.
+    Ours(Index),
+    /// Another node has it, at this revision of the store.
+    Others(Index),
+}
+
+async fn claim<D: Dialect>(node: &Rc<Node<D>>) -> Result<Claim, Error> {
+    let row = node.store.row(KEEPER).await;
+    node.note_store("keeper", &row);
+    let (row, revision) = row?;
+    let (key, value) = (KEEPER, members::row(&node.owner)?.1);
+    match row {
+        Some(row) if row.value == value => return Ok(Claim::Ours(row.revision)),
+        Some(_) => return Ok(Claim::Others(revision)),
+        None => {}
+    }
+    let Some(lease) = node.lease.id() else {
+        return Err(Error::LeaseLapsed);
+    };
+    let transaction = Transaction::new()
+        .with_expected(key, Index(0))
+        .with_leased(key, value, lease);
+    let committed = node.store.commit(&transaction).await;
+    node.note_store("claim", &committed);
+    match committed? {
+        Committed::Done(fence) => Ok(Claim::Ours(fence)),
+        Committed::Conflict => Ok(Claim::Others(revision)),
+        Committed::LeaseEnded => Err(Error::LeaseLapsed),
+    }
+}
+
+async fn wait_for_change<D: Dialect>(node: &Rc<Node<D>>, after: Index) -> Result<(), Error> {
+    let changes = node.store.watch(KEEPER, after, WAIT).await;
+    node.note_store("watch", &changes);
+    match changes {
+        Err(error) if error.is_history_gone() => Ok(()),
+        other => other.map(|_| ()),
+    }
+}
+
+/// Carries the duty out until the row or the lease is lost.
+async fn carry_out<D: Dialect>(node: &Rc<Node<D>>, fence: Index) {
+    tokio::select! {
+        () = orders::run(node.clone(), fence) => {}
+        () = adopt_orphans(node) => {}
+        () = until_lost(node, fence) => {}
+    }
+}
+
+async fn until_lost<D: Dialect>(node: &Rc<Node<D>>, fence: Index) {
+    let lease = node.lease.id();
+    let mut after = fence;
+    loop {
+        tokio::select! {
+            changed = wait_for_keeper(node, after) => match changed {
+                Ok((_, true)) => return,
+                Ok((revision, false)) => after = revision,
+                Err(error) if error.is_history_gone() => return,
+                Err(error) => {
+                    event!(debug, "watch failed", prefix = KEEPER, why = error);
+                    sleep(RETURN_PAUSE).await;
+                }
+            },
+            () = node.lease.changed() => {}
+        }
+        if node.lease.id() != lease || node.stage.get() == Stage::Stopping {
+            return;
+        }
+    }
+}
+
+/// Waits for a change of the row; gives whether there was one.
+async fn wait_for_keeper<D: Dialect>(
+    node: &Rc<Node<D>>,
+    after: Index,
+) -> Result<(Index, bool), Error> {
+    let changes = node.store.watch(KEEPER, after, WAIT).await;
+    node.note_store("watch", &changes);
+    let (changes, revision) = changes?;
+    Ok((revision, !changes.is_empty()))
+}
+
+/// Follows the members, and takes over the batch jobs of those that are gone.
+async fn adopt_orphans<D: Dialect>(node: &Rc<Node<D>>) {
+    let mut backoff = Backoff::new();
+    let mut known = BTreeSet::new();
+    loop {
+        match adopt_once(node, &mut known).await {
+            Ok(()) => backoff = Backoff::new(),
+            Err(error) => {
+                event!(debug, "orphans not looked for", why = error);
+                sleep(backoff.next_pause()).await;
+            }
+        }
+    }
+}
+
+async fn adopt_once<D: Dialect>(
+    node: &Rc<Node<D>>,
+    known: &mut BTreeSet<wisteriapoint_batch::Owner>,
+) -> Result<(), Error> {
+    let (members, revision) = members::members_at(node).await?;
+    let members: BTreeSet<_> = members.into_iter().collect();
+    let is_first = known.is_empty();
+    let has_lost = !known.is_subset(&members);
+    *known = members;
+    if is_first || has_lost {
+        sleep(RETURN_PAUSE).await;
+        let (live, _) = members::members_at(node).await?;
+        let live: BTreeSet<_> = live.into_iter().collect();
+        jobs::take_over_orphans(node, &live).await?;
+    }
+    let changes = node.store.watch(MEMBERS, revision, WAIT).await;
+    node.note_store("watch", &changes);
+    match changes {
+        Err(error) if error.is_history_gone() => Ok(()),
+        other => other.map(|_| ()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,40 @@
+//! What a node believes of the store, the configuration and the endpoints, and its duties.
+
+pub mod health;
+pub mod keeper;
+pub mod lease;
+pub mod members;
+pub mod orders;
+pub mod watch;
+
+pub use health::Health;
+pub use lease::Lease;
+pub use members::members;
+
+use std::rc::Rc;
+
+use tokio::task::spawn_local;
+use wisteriapoint_store::Ledger;
+
+use crate::dialect::Dialect;
+use crate::event;
+use crate::node::Node;
+
+/// Starts all tasks of control.
+pub fn start<D: Dialect>(node: &Rc<Node<D>>) {
+    spawn_local(watch::operator(node.clone()));
+    spawn_local(watch::endpoints(node.clone()));
+    spawn_local(lease::hold(node.clone()));
+    spawn_local(keeper::run(node.clone()));
+}
+
+/// Gives the lease back, and with it the rows of this node.
+pub async fn leave<D: Dialect>(node: &Rc<Node<D>>) {
+    if let Some(lease) = node.lease.take() {
+        let ended = node.store.end(lease).await;
+        node.note_store("end-lease", &ended);
+        if let Err(error) = ended {
+            event!(warn, "lease not given back", why = error);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/watch.rs
@@ -0,0 +1,227 @@
+//! Watches on the rows of the operator and of the endpoints.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+use wisteriapoint_store::{Backoff, Change, Error, Freshness, Index, Ledger, Row};
+
+use crate::dialect::{Dialect, OperatorRow};
+use crate::event;
+use crate::node::Node;
+
+/// Longest wait of one watch; the longest that the platform takes.
+pub const WAIT: Duration = Duration::from_secs(30);
+/// Least time between two watches of the endpoints: a change that several follow costs one call,
+/// and an endpoint that drains is still left within its two seconds.
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(250);
+
+/// Follows the rows of the operator.
+pub async fn operator<D: Dialect>(node: Rc<Node<D>>) {
+    follow(&node, D::OPERATOR_PREFIX, Duration::ZERO, |rows| match rows {
+        Rows::All(rows) => rows.iter().for_each(|row| learn(&node, row)),
+        Rows::Changes(changes) => {
+            for change in changes {
+                if let Change::Written(row) = change {
+                    learn(&node, row);
+                }
+            }
+        }
+    })
+    .await;
+}
+
+/// Follows the rows of the endpoints.
+pub async fn endpoints<D: Dialect>(node: Rc<Node<D>>) {
+    let expiry = node.clone();
+    tokio::task::spawn_local(expire(expiry));
+    follow(&node, D::ENDPOINTS_PREFIX, ENDPOINTS_PAUSE, |rows| {
+        match rows {
+            Rows::All(rows) => replace_endpoints(&node, rows),
+            Rows::Changes(changes) => changes
+                .iter()
+                .for_each(|change| change_endpoint(&node, change)),
+        }
+        let count = node.directory.borrow().registry.iter().count();
+        node.metrics.set_state("endpoints", count as i64);
+        node.directory_changed.notify_waiters();
+    })
+    .await;
+}
+
+/// What a watch has to tell.
+enum Rows<'a> {
+    All(&'a [Row]),
+    Changes(&'a [Change]),
+}
+
+async fn follow<D: Dialect>(
+    node: &Rc<Node<D>>,
+    prefix: &'static str,
+    pause: Duration,
+    take: impl Fn(Rows<'_>),
+) {
+    let mut backoff = Backoff::new();
+    let mut after: Option<Index> = None;
+    loop {
+        let result = match after {
+            None => read_all(node, prefix, &take).await,
+            Some(revision) => read_changes(node, prefix, revision, &take).await,
+        };
+        match result {
+            Ok(revision) => {
+                after = Some(revision);
+                backoff = Backoff::new();
+                sleep(pause).await;
+            }
+            Err(error) if error.is_history_gone() => {
+                event!(info, "history gone", prefix = prefix);
+                after = None;
+            }
+            Err(error) => {
+                event!(debug, "watch failed", prefix = prefix, why = error);
+                sleep(backoff.next_pause()).await;
+            }
+        }
+    }
+}
+
+async fn read_all<D: Dialect>(
+    node: &Rc<Node<D>>,
+    prefix: &str,
+    take: &impl Fn(Rows<'_>),
+) -> Result<Index, Error> {
+    let rows = node.store.range(prefix, Freshness::Linearizable).await;
+    node.note_store("read", &rows);
+    let (rows, revision) = rows?;
+    take(Rows::All(&rows));
+    node.check_ready();
+    Ok(revision)
+}
+
+async fn read_changes<D: Dialect>(
+    node: &Rc<Node<D>>,
+    prefix: &str,
+    after: Index,
+    take: &impl Fn(Rows<'_>),
+) -> Result<Index, Error> {
+    let changes = tokio::select! {
+        changes = node.store.watch(prefix, after, WAIT) => changes,
+        () = node.health.regained() => return Ok(after),
+    };
+    node.note_store("watch", &changes);
+    let (changes, revision) = changes?;
+    if !changes.is_empty() {
+        take(Rows::Changes(&changes));
+    }
+    Ok(revision)
+}
+
+fn learn<D: Dialect>(node: &Node<D>, row: &Row) {
+    let understood = match D::operator_row(&row.key, &row.value) {
+        Ok(understood) => understood,
+        Err(error) => {
+            event!(warn, "row not understood", key = row.key, why = error);
+            return;
+        }
+    };
+    let mut directory = node.directory.borrow_mut();
+    match understood {
+        OperatorRow::Configuration(new) => {
+            let known = directory.configuration.as_ref().map(|known| known.version);
+            if known.is_none_or(|known| known < new.version) {
+                event!(
+                    info,
+                    "configuration in force",
+                    version = new.version,
+                    routes = new.routes.len(),
+                    revision = row.revision.0,
+                );
+                node.metrics
+                    .set_state("configuration_version", new.version as i64);
+                directory.configuration = Some(Rc::new(new));
+            }
+        }
+        OperatorRow::NamedVersion { model, version } => {
+            let known = directory.named.entry(model.clone()).or_default();
+            if *known < version {
+                *known = version;
+                event!(info, "version named", model = model, version = version);
+            }
+        }
+        OperatorRow::Retirement { vm } => {
+            directory.retiring.insert(vm);
+        }
+    }
+    drop(directory);
+    node.directory_changed.notify_waiters();
+}
+
+fn replace_endpoints<D: Dialect>(node: &Node<D>, rows: &[Row]) {
+    let mut records = Vec::new();
+    for row in rows {
+        match (D::endpoint_name(&row.key), D::endpoint_row(&row.value)) {
+            (Some(name), Ok(record)) => records.push((name, record)),
+            (_, Err(error)) => event!(warn, "row names no endpoint", key = row.key, why = error),
+            (None, _) => event!(warn, "row names no endpoint", key = row.key),
+        }
+    }
+    event!(info, "endpoints read", count = records.len());
+    let mut directory = node.directory.borrow_mut();
+    let trouble_end_ms = node.health.trouble_end_ms();
+    directory
+        .registry
+        .replace(node.now_ms(), records, trouble_end_ms);
+    directory.endpoints_known = true;
+}
+
+fn change_endpoint<D: Dialect>(node: &Node<D>, change: &Change) {
+    let key = match change {
+        Change::Written(row) => &row.key,
+        Change::Removed(key) => key,
+    };
+    let Some(name) = D::endpoint_name(key) else {
+        event!(warn, "row names no endpoint", key = key);
+        return;
+    };
+    let now_ms = node.now_ms();
+    let mut directory = node.directory.borrow_mut();
+    match change {
+        Change::Written(row) => match D::endpoint_row(&row.value) {
+            Ok(record) => {
+                let stage = record.stage;
+                if directory.registry.learn(&name, record) {
+                    event!(info, "endpoint changed", endpoint = name, stage = format!("{stage:?}"), revision = row.revision.0);
+                }
+            }
+            Err(error) => {
+                event!(warn, "row names no endpoint", key = key, why = error);
+                directory.registry.vanish(now_ms, &name, None);
+            }
+        },
+        Change::Removed(_) => {
+            let trouble_end_ms = node.health.trouble_end_ms();
+            event!(info, "endpoint gone", endpoint = name, in_trouble = trouble_end_ms.is_some());
+            directory.registry.vanish(now_ms, &name, trouble_end_ms);
+            if directory.registry.get(&name).is_none() {
+                node.pool.forget(&name);
+            }
+        }
+    }
+}
+
+/// Forgets endpoints that did not come back after trouble of the store.
+async fn expire<D: Dialect>(node: Rc<Node<D>>) {
+    const POLL: Duration = Duration::from_millis(200);
+    loop {
+        sleep(POLL).await;
+        let mut directory = node.directory.borrow_mut();
+        if let Some(end_ms) = node.health.trouble_end_ms() {
+            directory.registry.extend_graces(end_ms);
+        }
+        for name in directory.registry.expire(node.now_ms()) {
+            event!(info, "endpoint did not come back", endpoint = name);
+            node.pool.forget(&name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/jobs/attempt.rs
@@ -0,0 +1,314 @@
+//! One attempt at an item: its text from one endpoint, then its score.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{HOST, HeaderName, HeaderValue};
+use hyper::{HeaderMap, StatusCode};
+use tokio::time::timeout;
+use wisteriapoint_batch::{Item, ItemKey};
+use wisteriapoint_directory::Route;
+use wisteriapoint_types::{EndpointName, Verdict, WeightVersion};
+
+use super::{Owned, score};
+use crate::dialect::{Addressed, Dialect};
+use crate::event;
+use crate::forward::{Occupied, digest_of, note_failure, post};
+use crate::node::Node;
+use crate::upstream::send::send;
+use crate::upstream::{Event, EventReader, Received, SendFailure, Sending};
+
+/// Time to the head of an answer: a queue that is short, and a load of weights before it.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Longest silence within a text; an endpoint that is ten times slow still speaks sooner.
+const MAX_SILENCE: Duration = Duration::from_millis(2_000);
+
+/// What is known of an item's text.
+#[derive(Debug, Clone, Default)]
+pub struct Progress {
+    /// Data of the events so far, separated by line feeds.
+    pub text: String,
+    /// Number of the last one.
+    pub last_event: Option<u64>,
+    /// Weight versions that made them.
+    pub versions: BTreeSet<WeightVersion>,
+}
+
+/// One attempt at an item.
+#[derive(Debug)]
+pub struct Attempt {
+    key: ItemKey,
+    item: Item,
+    endpoint: EndpointName,
+    address: SocketAddr,
+    min_version: WeightVersion,
+    left_ms: u64,
+    progress: Progress,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct AttemptEnd {
+    /// The item.
+    pub key: ItemKey,
+    /// What is known of its text.
+    pub progress: Progress,
+    /// How it ended.
+    pub ended: Ended,
+}
+
+/// How an attempt at an item ended.
+#[derive(Debug)]
+pub enum Ended {
+    /// Text and score are whole.
+    Completed {
+        /// The text.
+        output: Box<str>,
+        /// Weight versions that made it.
+        versions: Vec<WeightVersion>,
+        /// The score.
+        score: Option<Box<str>>,
+    },
+    /// The endpoint failed it.
+    Failed,
+    /// It can never be done.
+    Hopeless,
+    /// It has to go on elsewhere.
+    Unfinished,
+}
+
+impl Attempt {
+    /// An attempt at an endpoint, from where an earlier one got to.
+    pub fn new<D: Dialect>(
+        node: &Node<D>,
+        owned: &Owned,
+        key: ItemKey,
+        endpoint: EndpointName,
+        address: SocketAddr,
+        progress: Progress,
+    ) -> Self {
+        let job = owned.job.borrow();
+        let step = job.submission().step.as_ref();
+        Self {
+            key,
+            item: job.submission().items[key.0 as usize].clone(),
+            endpoint,
+            address,
+            min_version: step.map(|step| step.min_version).unwrap_or_default(),
+            left_ms: job.give_up_at_ms().saturating_sub(node.now_ms()),
+            progress,
+        }
+    }
+
+    /// Runs the attempt.
+    pub async fn run<D: Dialect>(
+        mut self,
+        node: Rc<Node<D>>,
+        owned: Rc<Owned>,
+        route: Route,
+    ) -> AttemptEnd {
+        let started_ms = node.now_ms();
+        let ended = match self.generate(&node, &owned, &route).await {
+            Ok(()) => {
+                let score = match &self.item.scorer {
+                    Some(scorer) => score::score(&node, &owned, scorer).await.map(Some),
+                    None => Ok(None),
+                };
+                self.completed(score)
+            }
+            Err(ended) => ended,
+        };
+        event!(
+            info,
+            "item attempt ended",
+            id = owned.id,
+            item = self.item.id,
+            endpoint = self.endpoint,
+            ended = ended_name(&ended),
+            events = self.progress.last_event.unwrap_or(0),
+            elapsed_ms = node.now_ms() - started_ms,
+        );
+        AttemptEnd {
+            key: self.key,
+            progress: self.progress,
+            ended,
+        }
+    }
+
+    fn completed(&mut self, score: Result<Option<Box<str>>, score::Unscored>) -> Ended {
+        match score {
+            Ok(score) => Ended::Completed {
+                output: std::mem::take(&mut self.progress.text).into(),
+                versions: self.progress.versions.iter().copied().collect(),
+                score,
+            },
+            Err(score::Unscored) => Ended::Hopeless,
+        }
+    }
+
+    async fn generate<D: Dialect>(
+        &mut self,
+        node: &Node<D>,
+        owned: &Owned,
+        route: &Route,
+    ) -> Result<(), Ended> {
+        let sending = self.sending(route)?;
+        let endpoint = self.endpoint.clone();
+        let _occupied = Occupied::new(node, &endpoint);
+        let addressed = Addressed {
+            id: &self.item.id,
+            endpoint: &endpoint,
+            left_ms: Some(self.left_ms),
+            last_event: self.progress.last_event,
+        };
+        let sent = send::<D>(&node.pool, self.address, &sending, addressed);
+        let result = match timeout(FIRST_TIMEOUT, sent).await {
+            Ok(Ok(received)) => self.read(node, route, received).await,
+            Ok(Err(failure)) => Err(failure),
+            Err(_) => Err(SendFailure::silent()),
+        };
+        match result {
+            Ok(ended) => ended,
+            Err(failure) => {
+                event!(
+                    info,
+                    "item broke off",
+                    id = owned.id,
+                    item = self.item.id,
+                    endpoint = endpoint,
+                    verdict = failure.verdict,
+                    why = failure.why,
+                );
+                let digest = digest_of(&sending);
+                let mut directory = node.directory.borrow_mut();
+                note_failure(&mut directory, node.now_ms(), &endpoint, digest, &failure);
+                Err(Ended::Unfinished)
+            }
+        }
+    }
+
+    fn sending(&self, route: &Route) -> Result<Sending, Ended> {
+        let mut headers = HeaderMap::new();
+        let own = self.item.headers.iter();
+        let host = (HOST.as_str(), &*route.host);
+        for (name, value) in own.map(|(name, value)| (&**name, &**value)).chain([host]) {
+            let name = HeaderName::from_bytes(name.as_bytes()).map_err(|_| Ended::Hopeless)?;
+            let value = HeaderValue::from_str(value).map_err(|_| Ended::Hopeless)?;
+            headers.insert(name, value);
+        }
+        let uri = self.item.path.parse().map_err(|_| Ended::Hopeless)?;
+        Ok(post(uri, headers, Bytes::from(self.item.body.clone())))
+    }
+
+    /// Reads the text; gives how the attempt ended if the endpoint answered.
+    async fn read<D: Dialect>(
+        &mut self,
+        node: &Node<D>,
+        route: &Route,
+        received: Received,
+    ) -> Result<Result<(), Ended>, SendFailure> {
+        match received.status {
+            status if status.is_success() => {}
+            StatusCode::UNPROCESSABLE_ENTITY => return Ok(Err(Ended::Hopeless)),
+            StatusCode::INTERNAL_SERVER_ERROR => return Ok(Err(Ended::Failed)),
+            status => return Err(SendFailure::answered(status)),
+        }
+        let Received {
+            reply,
+            body,
+            connection,
+            ..
+        } = received;
+        let mut version = reply.version;
+        let mut reader = EventReader::new(body);
+        let first_ms = node.now_ms();
+        let mut count = 0_u32;
+        loop {
+            let next = timeout(MAX_SILENCE, reader.next()).await;
+            let event = match next.map_err(|_| SendFailure::silent())? {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(why) => return Err(SendFailure::cut(why)),
+            };
+            let told = event.others.iter().find_map(|line| D::event_version(line));
+            version = told.or(version);
+            self.take(route, event, version)?;
+            count += 1;
+        }
+        if !reply.closes {
+            connection.give_back(reply.keep_alive_ms);
+        }
+        let elapsed_ms = (node.now_ms() - first_ms) as f64;
+        let unit_ms = (count > 1).then(|| elapsed_ms / f64::from(count - 1));
+        if let Some(known) = node.directory.borrow_mut().registry.get_mut(&self.endpoint) {
+            known.succeeded(unit_ms);
+        }
+        match self.progress.last_event {
+            Some(_) => Ok(Ok(())),
+            None => Err(SendFailure::cut("text without events".into())),
+        }
+    }
+
+    /// Adds an event to the text.
+    fn take(
+        &mut self,
+        route: &Route,
+        event: Event,
+        version: Option<WeightVersion>,
+    ) -> Result<(), SendFailure> {
+        let progress = &mut self.progress;
+        let is_next = match (progress.last_event, event.id) {
+            (Some(last), Some(id)) => id == last + 1,
+            (None, id) => id.is_some(),
+            (Some(_), None) => false,
+        };
+        if !is_next {
+            return Err(SendFailure::cut("event out of order".into()));
+        }
+        let Some(version) = version.filter(|&version| version >= self.min_version) else {
+            return Err(SendFailure::cut("weights too old".into()));
+        };
+        if route.single_version && progress.versions.iter().any(|&other| other != version) {
+            *progress = Progress::default();
+            return Err(SendFailure::cut("weights changed within the text".into()));
+        }
+        if progress.last_event.is_some() {
+            progress.text.push('\n');
+        }
+        progress.text.push_str(&event.data);
+        progress.versions.insert(version);
+        progress.last_event = event.id;
+        Ok(())
+    }
+}
+
+fn ended_name(ended: &Ended) -> &'static str {
+    match ended {
+        Ended::Completed { .. } => "completed",
+        Ended::Failed => "failed",
+        Ended::Hopeless => "hopeless",
+        Ended::Unfinished => "unfinished",
+    }
+}
+
+impl SendFailure {
+    fn silent() -> Self {
+        Self::cut("silent".into())
+    }
+
+    fn answered(status: StatusCode) -> Self {
+        Self::cut(format!("answered {status}").into())
+    }
+
+    fn cut(why: Box<str>) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            why,
+            broke_off: false,
+            was_full: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/jobs/owned.rs
@@ -0,0 +1,139 @@
+//! Batch jobs that this node owns.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use tokio::sync::{Mutex, Notify};
+use wisteriapoint_batch::{Job, JobRecord, JobState, Owner};
+use wisteriapoint_store::Index;
+
+/// All batch jobs that this node owns, and the owners of others that it has met.
+#[derive(Debug, Default)]
+pub struct Jobs {
+    owned: RefCell<BTreeMap<Box<str>, Rc<Owned>>>,
+    owners: RefCell<BTreeMap<Box<str>, Owner>>,
+}
+
+/// A batch job that this node owns.
+#[derive(Debug)]
+pub struct Owned {
+    /// Its id.
+    pub id: Box<str>,
+    /// Host of its route.
+    pub host: Box<str>,
+    /// Path under which it was submitted.
+    pub path: Box<str>,
+    /// Its items and results.
+    pub job: RefCell<Job>,
+    /// The row in the store as this node wrote or read it last; locked while it is written.
+    pub row: Mutex<OwnedRow>,
+    /// Whether more items may run.
+    pub is_open: Cell<bool>,
+    /// Wakes readers that wait for results.
+    pub listed: Notify,
+    /// Wakes the task that commits results.
+    pub finished: Notify,
+    /// Wakes the task that starts items.
+    pub work: Notify,
+}
+
+/// The row of a batch job as its owner knows it.
+#[derive(Debug, Clone)]
+pub struct OwnedRow {
+    /// Its revision.
+    pub revision: Index,
+    /// Its value.
+    pub state: JobState,
+}
+
+impl Jobs {
+    /// Owns no batch job.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A batch job that this node owns.
+    pub fn get(&self, id: &str) -> Option<Rc<Owned>> {
+        self.owned.borrow().get(id).cloned()
+    }
+
+    /// Whether this node owns a batch job or has met its owner.
+    pub fn is_known(&self, id: &str) -> bool {
+        self.owned.borrow().contains_key(id) || self.owners.borrow().contains_key(id)
+    }
+
+    /// All batch jobs that this node owns.
+    pub fn all(&self) -> Vec<Rc<Owned>> {
+        self.owned.borrow().values().cloned().collect()
+    }
+
+    /// Takes a batch job on.
+    pub fn insert(&self, owned: Rc<Owned>) {
+        self.owners.borrow_mut().remove(&owned.id);
+        self.owned.borrow_mut().insert(owned.id.clone(), owned);
+    }
+
+    /// Drops a batch job that another node owns now.
+    pub fn remove(&self, id: &str) {
+        if let Some(owned) = self.owned.borrow_mut().remove(id) {
+            owned.close();
+        }
+    }
+
+    /// The owner of a batch job that was met last.
+    pub fn owner(&self, id: &str) -> Option<Owner> {
+        self.owners.borrow().get(id).cloned()
+    }
+
+    /// Notes the owner of a batch job.
+    pub fn set_owner(&self, id: &str, owner: Option<Owner>) {
+        let mut owners = self.owners.borrow_mut();
+        match owner {
+            Some(owner) => {
+                owners.insert(id.into(), owner);
+            }
+            None => {
+                owners.remove(id);
+            }
+        }
+    }
+
+    /// Number of batch jobs of this node whose items may run.
+    pub fn open(&self) -> usize {
+        let owned = self.owned.borrow();
+        owned.values().filter(|owned| owned.is_open.get()).count()
+    }
+}
+
+impl Owned {
+    /// A batch job with its row.
+    pub fn new(id: &str, record: &JobRecord, job: Job, row: OwnedRow) -> Rc<Self> {
+        Rc::new(Self {
+            id: id.into(),
+            host: record.host.clone(),
+            path: record.path.clone(),
+            is_open: Cell::new(row.state.open),
+            job: RefCell::new(job),
+            row: Mutex::new(row),
+            listed: Notify::new(),
+            finished: Notify::new(),
+            work: Notify::new(),
+        })
+    }
+
+    /// Stops its items.
+    pub fn close(&self) {
+        self.is_open.set(false);
+        self.work.notify_one();
+        self.finished.notify_one();
+        self.listed.notify_waiters();
+    }
+
+    /// The body of an item.
+    pub fn body(&self, item: &str) -> Option<Vec<u8>> {
+        let job = self.job.borrow();
+        let key = job.key_of(item)?;
+        job.item(key).map(|item| item.body.clone())
+    }
+}
--- /dev/null
+++ b/crates/node/src/jobs/score.rs
@@ -0,0 +1,102 @@
+//! Scores of finished texts.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::{HOST, HeaderValue};
+use tokio::time::sleep;
+use wisteriapoint_batch::Scorer;
+use wisteriapoint_directory::Route;
+
+use super::Owned;
+use crate::dialect::Dialect;
+use crate::event;
+use crate::forward::{Ending, Forward, forward, post};
+use crate::node::Node;
+
+/// Pause before a call that got no score is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time for one call, in objectives of its route; calls may be repeated, so a slow one is dropped.
+const CALL_OBJECTIVES: u64 = 3;
+
+/// The scorer failed a text as often as it may.
+#[derive(Debug, Clone, Copy)]
+pub struct Unscored;
+
+/// Calls a scorer until it gives a score, fails too often, or the batch job is closed.
+///
+/// # Errors
+///
+/// Fails if the scorer has answered with a failure of its own as often as its route allows.
+pub async fn score<D: Dialect>(
+    node: &Node<D>,
+    owned: &Owned,
+    scorer: &Scorer,
+) -> Result<Box<str>, Unscored> {
+    let mut failures = 0;
+    loop {
+        let route = node.configuration().and_then(|configuration| {
+            let path = scorer.path.split('?').next().unwrap_or_default();
+            configuration.route(&scorer.host, path).cloned()
+        });
+        let why: Box<str> = match route {
+            Some(route) => match call(node, scorer, &route).await {
+                Ending::Answer { status, reply, .. } if status.is_success() => {
+                    if let Some(seal) = reply.seal {
+                        return Ok(seal);
+                    }
+                    "no seal".into()
+                }
+                Ending::Answer { status, .. } => {
+                    failures += u32::from(status.is_server_error());
+                    if failures >= route.max_attempts.max(1) {
+                        return Err(Unscored);
+                    }
+                    status.to_string().into()
+                }
+                Ending::GivenUp(given_up) => given_up.why,
+            },
+            None => "no route".into(),
+        };
+        event!(info, "no score yet", id = owned.id, scorer = scorer.id, failures = failures, why = why);
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+async fn call<D: Dialect>(node: &Node<D>, scorer: &Scorer, route: &Route) -> Ending {
+    let mut headers = HeaderMap::new();
+    if let Ok(host) = HeaderValue::from_str(&scorer.host) {
+        headers.insert(HOST, host);
+    }
+    let Ok(uri) = scorer.path.parse() else {
+        return Ending::no_route();
+    };
+    // Each failure counts here, so one call is one send.
+    let route = Route {
+        max_attempts: 1,
+        ..route.clone()
+    };
+    let now_ms = node.now_ms();
+    let request = Forward {
+        id: &scorer.id,
+        sending: post(uri, headers, Bytes::from(scorer.body.clone())),
+        deadline_at_ms: now_ms + route.objective_ms * CALL_OBJECTIVES,
+        arrived_at_ms: now_ms,
+        route: &route,
+    };
+    forward(node, &request).await
+}
+
+impl Ending {
+    fn no_route() -> Self {
+        use crate::forward::GivenUp;
+        use wisteriapoint_types::Verdict;
+        Self::GivenUp(GivenUp {
+            verdict: Verdict::NotRun,
+            why: "path not understood".into(),
+            is_timeout: false,
+            come_back_ms: 0,
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,23 @@
+//! The process on the users' platform: callers' requests, batch jobs, and orders to engines.
+//!
+//! [`Node`] is generic over a [`Dialect`], which translates between the platform and the types
+//! of this workspace. All of a node runs on one thread.
+
+pub mod callers;
+pub mod clock;
+pub mod control;
+pub mod dialect;
+pub mod error;
+pub mod forward;
+pub mod jobs;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod peers;
+pub mod settings;
+pub mod upstream;
+
+pub use dialect::Dialect;
+pub use error::Error;
+pub use node::Node;
+pub use settings::NodeSettings;
--- /dev/null
+++ b/crates/node/src/logging.rs
@@ -0,0 +1,100 @@
+//! Structured log lines on standard output, bounded and without ever blocking a request.
+
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::{Duration, SystemTime};
+
+use log::{LevelFilter, Log, Metadata, Record};
+
+/// Lines that may wait for the writer; some seconds of a busy node.
+const MAX_WAITING_LINES: usize = 8_192;
+/// Pause between writes, so that many lines share one.
+const WRITE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Lines that were dropped since the writer fell behind.
+pub static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+
+struct Logger {
+    lines: SyncSender<String>,
+}
+
+/// Sends log lines to standard output, as one JSON object a line.
+///
+/// A second call has no effect.
+pub fn init(level: LevelFilter) {
+    let (lines, waiting) = sync_channel(MAX_WAITING_LINES);
+    if log::set_boxed_logger(Box::new(Logger { lines })).is_err() {
+        return;
+    }
+    log::set_max_level(level);
+    std::thread::spawn(move || write_all(&waiting));
+}
+
+fn write_all(waiting: &Receiver<String>) {
+    while let Ok(first) = waiting.recv() {
+        std::thread::sleep(WRITE_PAUSE);
+        let mut text = first;
+        text.extend(waiting.try_iter());
+        let mut out = std::io::stdout().lock();
+        if out.write_all(text.as_bytes()).and_then(|()| out.flush()).is_err() {
+            // Nobody reads the log any more, and there is nowhere else to say so.
+            return;
+        }
+    }
+}
+
+impl Log for Logger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        let is_own = metadata.target().starts_with("wisteriapoint");
+        is_own || metadata.level() <= log::Level::Warn
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let since_epoch = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        let message = record.args().to_string();
+        let line = format!(
+            "{{\"at_ms\":{},\"level\":\"{}\",{}}}\n",
+            since_epoch.as_millis(),
+            record.level(),
+            message,
+        );
+        match self.lines.try_send(line) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Writes one structured line: an event, then fields with values that show as text.
+///
+/// ```
+/// wisteriapoint_node::event!(info, "request answered", id = "7c41", status = 200);
+/// ```
+#[macro_export]
+macro_rules! event {
+    ($level:ident, $name:literal $(, $key:ident = $value:expr)* $(,)?) => {
+        log::$level!(
+            concat!("\"event\":\"", $name, "\"" $(, ",\"", stringify!($key), "\":{}")*),
+            $($crate::logging::quoted(&$value)),*
+        )
+    };
+}
+
+/// A value as a JSON string, or as a number where it is one.
+pub fn quoted(value: &dyn std::fmt::Display) -> String {
+    let text = value.to_string();
+    match text.parse::<f64>() {
+        Ok(number) if number.is_finite() && !text.starts_with('+') && text.len() < 16 => {
+            serde_json::to_string(&number).unwrap_or(text)
+        }
+        _ => serde_json::Value::String(text).to_string(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,107 @@
+//! Counters and histograms of a node.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+use crate::Error;
+use crate::error::Kind;
+
+/// Bounds of the buckets of all times, in seconds: from a hop to the longest batch job.
+const SECONDS_BUCKETS: &[f64] = &[
+    0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0,
+];
+
+/// The metrics of one node.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests of callers by route and outcome.
+    pub requests: IntCounterVec,
+    /// Time to the answer by route, in seconds.
+    pub request_seconds: HistogramVec,
+    /// Sends to endpoints by service and outcome.
+    pub sends: IntCounterVec,
+    /// Time from the start of an item to its text and score, by service, in seconds.
+    pub item_seconds: HistogramVec,
+    /// Items of batch jobs by how they ended.
+    pub items: IntCounterVec,
+    /// Calls to the store by call and result.
+    pub store_calls: IntCounterVec,
+    /// Orders to engines by reply.
+    pub orders: IntCounterVec,
+    /// State of the node: `ready`, `keeper`, `configuration_version`, `endpoints`, `open_jobs`.
+    pub state: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Makes a registry with all metrics at zero.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if two metrics have the same name.
+    pub fn new() -> Result<Self, Error> {
+        let make = || -> Result<Self, prometheus::Error> {
+            let registry = Registry::new();
+            let metrics = Self {
+                requests: counter("requests_total", "Requests", &["route", "outcome"])?,
+                request_seconds: times("request_seconds", "Time to the answer", &["route"])?,
+                sends: counter("sends_total", "Sends to endpoints", &["service", "outcome"])?,
+                item_seconds: times("item_seconds", "Time of an item", &["service"])?,
+                items: counter("items_total", "Items of batch jobs", &["outcome"])?,
+                store_calls: counter("store_calls_total", "Calls", &["call", "result"])?,
+                orders: counter("orders_total", "Orders to engines", &["reply"])?,
+                state: IntGaugeVec::new(
+                    Opts::new("wisteriapoint_state", "State of the node"),
+                    &["of"],
+                )?,
+                registry,
+            };
+            let registry = &metrics.registry;
+            registry.register(Box::new(metrics.requests.clone()))?;
+            registry.register(Box::new(metrics.request_seconds.clone()))?;
+            registry.register(Box::new(metrics.sends.clone()))?;
+            registry.register(Box::new(metrics.item_seconds.clone()))?;
+            registry.register(Box::new(metrics.items.clone()))?;
+            registry.register(Box::new(metrics.store_calls.clone()))?;
+            registry.register(Box::new(metrics.orders.clone()))?;
+            registry.register(Box::new(metrics.state.clone()))?;
+            Ok(metrics)
+        };
+        make().map_err(|error| Kind::Metrics(error).into())
+    }
+
+    /// Counts a request and its time.
+    pub fn request(&self, route: &str, outcome: &str, elapsed_ms: u64) {
+        self.requests.with_label_values(&[route, outcome]).inc();
+        let elapsed = Duration::from_millis(elapsed_ms);
+        self.request_seconds
+            .with_label_values(&[route])
+            .observe(elapsed.as_secs_f64());
+    }
+
+    /// Sets a part of the state of the node.
+    pub fn set_state(&self, of: &str, value: i64) {
+        self.state.with_label_values(&[of]).set(value);
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            crate::event!(warn, "metrics not encoded", why = error);
+        }
+        text
+    }
+}
+
+fn counter(name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(Opts::new(format!("wisteriapoint_{name}"), help), labels)
+}
+
+fn times(name: &str, help: &str, labels: &[&str]) -> Result<HistogramVec, prometheus::Error> {
+    let options = HistogramOpts::new(format!("wisteriapoint_{name}"), help);
+    HistogramVec::new(options.buckets(SECONDS_BUCKETS.to_vec()), labels)
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,233 @@
+//! The state that all tasks of a node share, its start and its stop.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use wisteriapoint_batch::Owner;
+use wisteriapoint_directory::{Configuration, CrashSuspects, Registry};
+use wisteriapoint_peer::Client;
+use wisteriapoint_store::Error as StoreError;
+use wisteriapoint_types::WeightVersion;
+
+use crate::clock::Clock;
+use crate::control::{Health, Lease};
+use crate::dialect::Dialect;
+use crate::jobs::Jobs;
+use crate::metrics::Metrics;
+use crate::settings::NodeSettings;
+use crate::upstream::Pool;
+use crate::{Error, callers, control, event, jobs, peers};
+
+/// Time for which a stopping node still takes new connections: the balancer asks once a second
+/// and needs two misses.
+const BALANCER_LAG: Duration = Duration::from_millis(2_300);
+/// What is kept of the grace for the end of the process itself.
+const STOP_MARGIN: Duration = Duration::from_millis(1_300);
+/// Pause between looks at what is still in progress during a stop.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// What a node is in the middle of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It does not know the configuration or the endpoints yet.
+    Starting,
+    /// It serves.
+    Serving,
+    /// It finishes what it has.
+    Stopping,
+}
+
+/// The state of a node; all of it belongs to one thread.
+pub struct Node<D: Dialect> {
+    /// Settings in force.
+    pub settings: NodeSettings,
+    /// This run of the daemon, as owner of batch jobs.
+    pub owner: Owner,
+    /// The clock of all decisions.
+    pub clock: Clock,
+    /// The platform's store.
+    pub store: D::Ledger,
+    /// Whether the store answers.
+    pub health: Health,
+    /// The lease that the rows of this node hang on.
+    pub lease: Lease,
+    /// Routes, endpoints, versions.
+    pub directory: RefCell<Directory>,
+    /// Wakes who waits for a change of the directory.
+    pub directory_changed: Notify,
+    /// Kept connections to endpoints.
+    pub pool: Pool,
+    /// Batch jobs that this node owns.
+    pub jobs: Jobs,
+    /// Connections to other nodes.
+    pub peers: Client,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Requests of callers in progress.
+    pub in_progress: Cell<usize>,
+    /// What the node is in the middle of.
+    pub stage: Cell<Stage>,
+    /// Wakes each connection of a caller at a stop.
+    pub closing: tokio::sync::watch::Sender<bool>,
+}
+
+/// What a node knows of routes and endpoints.
+#[derive(Debug, Default)]
+pub struct Directory {
+    /// The newest configuration, once one is known.
+    pub configuration: Option<Rc<Configuration>>,
+    /// Whether all endpoints have been read once.
+    pub endpoints_known: bool,
+    /// The endpoints.
+    pub registry: Registry,
+    /// The newest named version of each model.
+    pub named: BTreeMap<Box<str>, WeightVersion>,
+    /// VMs that are to be emptied and of which the operator has not been told.
+    pub retiring: BTreeSet<Box<str>>,
+    /// Requests that crash endpoints.
+    pub suspects: CrashSuspects,
+}
+
+impl<D: Dialect> Node<D> {
+    fn new(settings: NodeSettings) -> Result<Rc<Self>, Error> {
+        let owner = Owner {
+            vm: settings.vm.clone(),
+            run: rand::random(),
+            address: settings.peer_address,
+        };
+        let clock = Clock::new();
+        Ok(Rc::new(Self {
+            store: D::ledger(settings.store.address),
+            health: Health::new(),
+            lease: Lease::new(),
+            owner,
+            clock,
+            directory: RefCell::default(),
+            directory_changed: Notify::new(),
+            pool: Pool::new(),
+            jobs: Jobs::new(),
+            peers: Client::new(),
+            metrics: Metrics::new()?,
+            in_progress: Cell::new(0),
+            stage: Cell::new(Stage::Starting),
+            closing: tokio::sync::watch::channel(false).0,
+            settings,
+        }))
+    }
+
+    /// Milliseconds since the start.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Counts a call to the store, and what it says of the store.
+    pub fn note_store<T>(&self, call: &str, result: &Result<T, StoreError>) {
+        let outcome = match result {
+            Ok(_) => "done",
+            Err(error) if error.is_answer() => "refused",
+            Err(_) => "failed",
+        };
+        self.metrics
+            .store_calls
+            .with_label_values(&[call, outcome])
+            .inc();
+        match result {
+            Err(error) if !error.is_answer() => self.health.failed(self.now_ms(), error),
+            _ => self.health.answered(self.now_ms()),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.directory.borrow().configuration.clone()
+    }
+
+    /// Becomes ready once configuration and endpoints are known.
+    pub fn check_ready(&self) {
+        let directory = self.directory.borrow();
+        let is_known = directory.configuration.is_some() && directory.endpoints_known;
+        if self.stage.get() == Stage::Starting && is_known {
+            self.stage.set(Stage::Serving);
+            self.metrics.set_state("ready", 1);
+            event!(info, "ready", after_ms = self.now_ms());
+        }
+    }
+
+    /// Runs a node until SIGTERM, then stops it gracefully. Belongs into a `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings can't be read or an address can't be bound.
+    pub async fn run(path: PathBuf) -> Result<(), Error> {
+        let settings = NodeSettings::from_file(&path)?;
+        event!(info, "start", vm = settings.vm, failure_domain = settings.failure_domain);
+        let mut terminate = signal(SignalKind::terminate())
+            .map_err(|error| Error::io("handler of SIGTERM", error))?;
+        let Some(callers) = settings.callers else {
+            terminate.recv().await;
+            event!(info, "stop", why = "SIGTERM");
+            return Ok(());
+        };
+        let node = Self::new(settings)?;
+        let requests = bind(callers.requests).await?;
+        let ready = bind(callers.ready).await?;
+        let peer_listener = bind(node.settings.peer_address).await?;
+        let metrics_listener = bind(node.settings.metrics_address).await?;
+        spawn_local(callers::serve_questions(node.clone(), ready));
+        spawn_local(callers::serve_questions(node.clone(), metrics_listener));
+        spawn_local(callers::serve_requests(node.clone(), requests));
+        peers::start(&node, peer_listener);
+        control::start(&node);
+        spawn_local(reload(node.clone(), path));
+        terminate.recv().await;
+        node.stop().await;
+        Ok(())
+    }
+
+    async fn stop(self: &Rc<Self>) {
+        event!(info, "stop", why = "SIGTERM", in_progress = self.in_progress.get());
+        let grace = Duration::from_secs(self.settings.bounds.grace_s);
+        let end = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
+        self.stage.set(Stage::Stopping);
+        self.metrics.set_state("ready", 0);
+        sleep(BALANCER_LAG).await;
+        jobs::hand_over(self).await;
+        self.closing.send_replace(true);
+        while self.in_progress.get() > 0 && tokio::time::Instant::now() < end {
+            sleep(STOP_POLL).await;
+        }
+        control::leave(self).await;
+        event!(info, "stopped", cut = self.in_progress.get());
+    }
+}
+
+/// Reads the settings again at each SIGHUP; says what a restart is needed for.
+async fn reload<D: Dialect>(node: Rc<Node<D>>, path: PathBuf) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            event!(error, "no reload", why = error);
+            return;
+        }
+    };
+    while hangup.recv().await.is_some() {
+        match NodeSettings::from_file(&path) {
+            Ok(settings) if settings == node.settings => event!(info, "reload", changed = false),
+            Ok(_) => event!(warn, "reload", changed = true, takes_effect = "at the next start"),
+            Err(error) => event!(error, "reload refused", why = error),
+        }
+    }
+}
+
+async fn bind(address: std::net::SocketAddr) -> Result<TcpListener, Error> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| Error::io(address.to_string(), error))
+}
--- /dev/null
+++ b/crates/node/src/upstream/events.rs
@@ -0,0 +1,117 @@
+//! Events of a stream, as an endpoint sends them.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// Largest event, in bytes.
+const MAX_EVENT_BYTES: usize = 4 << 20;
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Its number in the stream.
+    pub id: Option<u64>,
+    /// Its data; several lines are joined by line feeds.
+    pub data: Box<str>,
+    /// Lines that are neither number nor data.
+    pub others: Vec<Box<str>>,
+    /// The bytes as they came, with the empty line that ends them.
+    pub raw: Bytes,
+}
+
+/// Splits a body into events.
+#[derive(Debug)]
+pub struct EventReader {
+    body: Incoming,
+    buffer: Vec<u8>,
+    searched_bytes: usize,
+}
+
+impl EventReader {
+    /// Reads events from a body.
+    pub fn new(body: Incoming) -> Self {
+        Self {
+            body,
+            buffer: Vec::new(),
+            searched_bytes: 0,
+        }
+    }
+
+    /// The next event; `None` at the end of a complete body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off, also in the middle of an event.
+    pub async fn next(&mut self) -> Result<Option<Event>, Box<str>> {
+        loop {
+            if let Some(end) = self.find_end() {
+                let raw: Vec<u8> = self.buffer.drain(..end).collect();
+                self.searched_bytes = 0;
+                return parse(raw.into()).map(Some);
+            }
+            if self.buffer.len() > MAX_EVENT_BYTES {
+                return Err("event too large".into());
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(error)) => return Err(error.to_string().into()),
+                None if self.buffer.is_empty() => return Ok(None),
+                None => return Err("ended in the middle of an event".into()),
+            }
+        }
+    }
+
+    /// Place after the first empty line.
+    fn find_end(&mut self) -> Option<usize> {
+        let from = self.searched_bytes.saturating_sub(3);
+        let rest = &self.buffer[from..];
+        let lf = rest.windows(2).position(|bytes| bytes == b"\n\n");
+        let crlf = rest.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        self.searched_bytes = self.buffer.len();
+        match (lf, crlf) {
+            (Some(lf), Some(crlf)) if crlf < lf => Some(from + crlf + 4),
+            (Some(lf), _) => Some(from + lf + 2),
+            (None, Some(crlf)) => Some(from + crlf + 4),
+            (None, None) => None,
+        }
+    }
+}
+
+/// Reads the lines of one event.
+///
+/// # Errors
+///
+/// Fails if it is no text.
+pub fn parse(raw: Bytes) -> Result<Event, Box<str>> {
+    let text = std::str::from_utf8(&raw).map_err(|error| error.to_string())?;
+    let mut event = Event {
+        id: None,
+        data: "".into(),
+        others: Vec::new(),
+        raw: raw.clone(),
+    };
+    let mut data: Option<String> = None;
+    for line in text.lines().filter(|line| !line.is_empty()) {
+        match line.split_once(':') {
+            Some(("id", value)) => event.id = value.trim().parse().ok(),
+            Some(("data", value)) => {
+                let value = value.strip_prefix(' ').unwrap_or(value);
+                match &mut data {
+                    Some(data) => {
+                        data.push('\n');
+                        data.push_str(value);
+                    }
+                    None => data = Some(value.to_owned()),
+                }
+            }
+            _ => event.others.push(line.into()),
+        }
+    }
+    event.data = data.unwrap_or_default().into();
+    Ok(event)
+}
--- /dev/null
+++ b/crates/node/src/upstream/pool.rs
@@ -0,0 +1,144 @@
+//! Kept connections to endpoints.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, timeout};
+use wisteriapoint_types::EndpointName;
+
+/// Longest time for a connection to be established: many round trips, far below an objective.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which a connection is kept if its endpoint tells none.
+const DEFAULT_KEEP: Duration = Duration::from_secs(4);
+/// What a kept connection must have left of the time that its endpoint told: a request that
+/// crosses the close may have run.
+const KEEP_MARGIN: Duration = Duration::from_millis(800);
+/// Most idle connections that are kept to one endpoint; eight nodes share what it accepts.
+const MAX_IDLE: usize = 12;
+
+/// A body to send.
+pub type Body = Full<Bytes>;
+
+/// Kept connections, by endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct Pool {
+    idle: Rc<RefCell<BTreeMap<EndpointName, Vec<Idle>>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Body>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A connection that one request has to itself; closed on drop unless it is given back.
+#[derive(Debug)]
+pub struct Borrowed {
+    pool: Pool,
+    endpoint: EndpointName,
+    connection: Connection,
+}
+
+impl Pool {
+    /// Keeps no connection yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// An idle connection to an endpoint.
+    pub(super) fn idle(&self, endpoint: &EndpointName) -> Option<Borrowed> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(endpoint)?;
+        let now = Instant::now();
+        while let Some(kept) = connections.pop() {
+            if kept.until > now && kept.connection.sender.is_ready() {
+                return Some(self.lend(endpoint, kept.connection));
+            }
+        }
+        None
+    }
+
+    /// Opens a connection.
+    pub(super) async fn connect(
+        &self,
+        endpoint: &EndpointName,
+        address: SocketAddr,
+    ) -> std::io::Result<Borrowed> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
+        let endpoint_name = endpoint.clone();
+        let task = spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!(
+                    "\"event\":\"connection ended\",\"endpoint\":\"{endpoint_name}\",\"why\":\"{error}\""
+                );
+            }
+        });
+        let task = task.abort_handle();
+        Ok(self.lend(endpoint, Connection { sender, task }))
+    }
+
+    fn lend(&self, endpoint: &EndpointName, connection: Connection) -> Borrowed {
+        Borrowed {
+            pool: self.clone(),
+            endpoint: endpoint.clone(),
+            connection,
+        }
+    }
+
+    /// Closes the idle connections to an endpoint.
+    pub fn forget(&self, endpoint: &EndpointName) {
+        self.idle.borrow_mut().remove(endpoint);
+    }
+}
+
+impl Borrowed {
+    pub(super) fn sender(&mut self) -> &mut SendRequest<Body> {
+        &mut self.connection.sender
+    }
+
+    /// Gives the connection back, to be used again; closes it if it is not at rest.
+    pub fn give_back(self, keep_alive_ms: Option<u64>) {
+        let keep = match keep_alive_ms {
+            Some(keep_alive_ms) => Duration::from_millis(keep_alive_ms),
+            None => DEFAULT_KEEP,
+        };
+        let Some(keep) = keep.checked_sub(KEEP_MARGIN) else {
+            return;
+        };
+        let mut idle = self.pool.idle.borrow_mut();
+        let connections = idle.entry(self.endpoint).or_default();
+        if connections.len() < MAX_IDLE {
+            connections.push(Idle {
+                connection: self.connection,
+                until: Instant::now() + keep,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/upstream/send.rs
@@ -0,0 +1,217 @@
+//! One request to one endpoint.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use wisteriapoint_types::{EndpointName, Verdict};
+
+use super::{Borrowed, Pool};
+use crate::dialect::{Addressed, Dialect, Reply};
+
+/// Largest answer that is held in memory as a whole, in bytes.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
+
+/// A request that may be sent to several endpoints, one after the other.
+#[derive(Debug, Clone)]
+pub struct Sending {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers of the caller that are passed on.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The head of an answer to this very request, and its body to come.
+#[derive(Debug)]
+pub struct Received {
+    /// The status.
+    pub status: StatusCode,
+    /// All headers.
+    pub headers: HeaderMap,
+    /// What they say.
+    pub reply: Reply,
+    /// The body.
+    pub body: Incoming,
+    /// The connection, to be given back after the body.
+    pub connection: Borrowed,
+}
+
+/// Why a send gave no answer of the endpoint that was meant.
+#[derive(Debug, Clone)]
+pub struct SendFailure {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// What happened.
+    pub why: Box<str>,
+    /// Whether the endpoint broke off, as it does when it crashes.
+    pub broke_off: bool,
+    /// Whether the endpoint said that it has no room.
+    pub was_full: bool,
+}
+
+impl SendFailure {
+    fn new(verdict: Verdict, why: impl ToString) -> Self {
+        Self {
+            verdict,
+            why: why.to_string().into(),
+            broke_off: false,
+            was_full: false,
+        }
+    }
+
+    fn broke_off(why: impl ToString) -> Self {
+        Self {
+            broke_off: true,
+            ..Self::new(Verdict::MayHaveRun, why)
+        }
+    }
+}
+
+/// Sends a request and waits for the head of its answer.
+///
+/// Answers that say "not run" and answers to other requests are failures.
+///
+/// # Errors
+///
+/// The failure says whether the request may have run.
+pub async fn send<D: Dialect>(
+    pool: &Pool,
+    address: SocketAddr,
+    sending: &Sending,
+    addressed: Addressed<'_>,
+) -> Result<Received, SendFailure> {
+    let mut connection = match pool.idle(addressed.endpoint) {
+        Some(connection) => connection,
+        None => connect(pool, address, addressed.endpoint).await?,
+    };
+    let request = request::<D>(sending, addressed)?;
+    let response = match connection.sender().try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut error) => match error.take_message() {
+            // The kept connection had ended before a byte of the request left.
+            Some(request) => {
+                pool.forget(addressed.endpoint);
+                connection = connect(pool, address, addressed.endpoint).await?;
+                let sent = connection.sender().send_request(request).await;
+                sent.map_err(SendFailure::broke_off)?
+            }
+            None => return Err(SendFailure::broke_off(error.into_error())),
+        },
+    };
+    let (head, body) = response.into_parts();
+    let reply = D::reply(head.status, &head.headers);
+    check(&reply, head.status, addressed.id)?;
+    Ok(Received {
+        status: head.status,
+        headers: head.headers,
+        reply,
+        body,
+        connection,
+    })
+}
+
+/// Asks an endpoint about itself and reads the whole answer, whatever its status.
+///
+/// # Errors
+///
+/// As [`send`], apart from what only answers to callers' requests carry.
+pub async fn exchange<D: Dialect>(
+    pool: &Pool,
+    address: SocketAddr,
+    sending: &Sending,
+    addressed: Addressed<'_>,
+) -> Result<(StatusCode, Bytes), SendFailure> {
+    let mut connection = match pool.idle(addressed.endpoint) {
+        Some(connection) => connection,
+        None => connect(pool, address, addressed.endpoint).await?,
+    };
+    let request = request::<D>(sending, addressed)?;
+    let response = connection.sender().send_request(request).await;
+    let response = response.map_err(SendFailure::broke_off)?;
+    let status = response.status();
+    let reply = D::reply(status, response.headers());
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(SendFailure::broke_off)?;
+    if !reply.closes {
+        connection.give_back(reply.keep_alive_ms);
+    }
+    Ok((status, body.to_bytes()))
+}
+
+async fn connect(
+    pool: &Pool,
+    address: SocketAddr,
+    endpoint: &EndpointName,
+) -> Result<Borrowed, SendFailure> {
+    let connected = pool.connect(endpoint, address).await;
+    connected.map_err(|error| SendFailure::new(Verdict::NotRun, error))
+}
+
+fn request<D: Dialect>(
+    sending: &Sending,
+    addressed: Addressed<'_>,
+) -> Result<Request<Full<Bytes>>, SendFailure> {
+    let mut request = Request::new(Full::new(sending.body.clone()));
+    *request.method_mut() = sending.method.clone();
+    *request.uri_mut() = sending.uri.clone();
+    *request.headers_mut() = sending.headers.clone();
+    D::address(request.headers_mut(), &addressed);
+    Ok(request)
+}
+
+fn check(reply: &Reply, status: StatusCode, id: &str) -> Result<(), SendFailure> {
+    let is_ours = reply.id.as_deref() == Some(id);
+    match reply {
+        _ if reply.id.is_some() && !is_ours => Err(SendFailure::new(
+            Verdict::MayHaveRun,
+            "answer to another request",
+        )),
+        _ if reply.is_misdirected => Err(SendFailure::new(
+            Verdict::NotRun,
+            "another endpoint has the address",
+        )),
+        _ if reply.is_not_run => Err(SendFailure {
+            was_full: true,
+            ..SendFailure::new(Verdict::NotRun, format_args!("refused with {status}"))
+        }),
+        _ if !is_ours => Err(SendFailure::new(
+            Verdict::MayHaveRun,
+            "answer without the id of a request",
+        )),
+        _ if reply.is_encoded => Err(SendFailure::new(Verdict::MayHaveRun, "encoded answer")),
+        _ if status.is_success() && reply.seal.is_none() => Err(SendFailure::new(
+            Verdict::MayHaveRun,
+            "success without the endpoint's seal",
+        )),
+        _ => Ok(()),
+    }
+}
+
+impl Received {
+    /// Reads the whole body and gives the connection back.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body ends early or is too large; the request has run.
+    pub async fn whole(self) -> Result<Bytes, SendFailure> {
+        let Self {
+            reply,
+            body,
+            connection,
+            ..
+        } = self;
+        let limited = Limited::new(body, MAX_ANSWER_BYTES);
+        let collected = limited.collect().await;
+        let body = collected.map_err(|error| SendFailure::broke_off(error))?;
+        if !reply.closes {
+            connection.give_back(reply.keep_alive_ms);
+        }
+        Ok(body.to_bytes())
+    }
+}
--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
 use uuid::Uuid;
-use wisteriapoint_platform::VmEntry;
+use wisteriapoint_store::VmEntry;
 
 const SWEEP_PAUSE: Duration = Duration::from_millis(100);
 const FIRST_INDEX: u64 = 1;
--- a/crates/stand-in/tests/platform.rs
+++ b/crates/stand-in/tests/platform.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
-use wisteriapoint_platform::{Error, HttpStore, Index, Store};
+use wisteriapoint_store::{Error, HttpStore, Index, Store};
 use wisteriapoint_stand_in::platform::Faults;
 use wisteriapoint_stand_in::{Platform, Running, serve};
 
--- a/crates/platform/src/backoff.rs
+++ b/crates/store/src/backoff.rs
@@ -11,7 +11,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use wisteriapoint_platform::Backoff;
+/// use wisteriapoint_store::Backoff;
 ///
 /// let mut backoff = Backoff::new();
 /// assert!(backoff.next_pause() <= Duration::from_millis(200));
--- a/crates/platform/src/error.rs
+++ b/crates/store/src/error.rs
@@ -6,6 +6,12 @@
     /// The answer did not come; a write may have taken effect.
     #[error("the platform did not answer: {0}")]
     Unavailable(Box<str>),
+    /// The platform could not be reached or refused the call; nothing took effect.
+    #[error("the platform refused the call: {0}")]
+    Refused(Box<str>),
+    /// The changes after the revision asked for are no longer kept.
+    #[error("the history is no longer kept")]
+    HistoryGone,
     /// The platform refused the call for its rate limit; nothing took effect.
     #[error("the platform's rate limit is reached")]
     RateLimited,
@@ -22,4 +28,19 @@
     pub fn may_have_taken_effect(&self) -> bool {
         matches!(self, Self::Unavailable(_) | Self::Malformed(_))
     }
+
+    /// Whether a watch has to start anew from a read of all rows.
+    pub fn is_history_gone(&self) -> bool {
+        matches!(self, Self::HistoryGone)
+    }
+
+    /// Whether the platform is well and has answered.
+    pub fn is_answer(&self) -> bool {
+        matches!(self, Self::HistoryGone | Self::LeaseLapsed)
+    }
+
+    /// Whether a lease has ended.
+    pub fn is_lease_lapsed(&self) -> bool {
+        matches!(self, Self::LeaseLapsed)
+    }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,11 +4,11 @@
 //! HTTP interface with indexes, blocking queries and sessions.
 //!
 //! ```
-//! use wisteriapoint_platform::HttpStore;
+//! use wisteriapoint_store::HttpStore;
 //!
 //! let store = HttpStore::new("http://127.0.0.1:8500")?;
 //! # let _ = store;
-//! # Ok::<(), wisteriapoint_platform::Error>(())
+//! # Ok::<(), wisteriapoint_store::Error>(())
 //! ```
 
 pub mod backoff;
@@ -16,10 +16,12 @@
 pub mod error;
 pub mod http;
 pub mod keys;
+pub mod ledger;
 pub mod store;
 
 pub use backoff::Backoff;
 pub use budget::Budgeted;
 pub use error::Error;
 pub use http::HttpStore;
+pub use ledger::{Change, Committed, Freshness, LeaseId, Ledger, Put, Row, Transaction};
 pub use store::{Entry, Index, Lease, Store, VmEntry, VmState};
--- a/crates/weights/src/lib.rs
+++ b/crates/weights/src/lib.rs
@@ -16,8 +16,10 @@
 
 pub mod keeper;
 pub mod order;
+pub mod planner;
 pub mod wave;
 
 pub use keeper::Keeper;
 pub use order::{Fence, Order};
+pub use planner::{Engine, Load, Planner};
 pub use wave::Wave;
--- a/crates/wisteriapoint/src/cli/mod.rs
+++ b/crates/wisteriapoint/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 mod daemon;
+pub mod node;
 pub mod drain;
 pub mod explain;
 pub mod output;
@@ -34,6 +35,8 @@
 enum Command {
     /// Runs the daemon.
     Serve(serve::Serve),
+    /// Runs a node on the users' platform.
+    Node(node::RunNode),
     /// Checks a VM's settings or a service document.
     Check(check::Check),
     /// Reads and edits service documents.
@@ -84,6 +87,7 @@
     async fn run(self, output: Output) -> Result<(), Error> {
         match self {
             Self::Serve(serve) => serve.run().await,
+            Self::Node(node) => node.run().await,
             Self::Check(check) => check.run(output),
             Self::Service(service) => service.run(output).await,
             Self::Status(status) => status.run(output).await,
--- /dev/null
+++ b/crates/wisteriapoint/src/cli/node.rs
@@ -0,0 +1,29 @@
+//! `wisteriapoint node`.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use tokio::task::LocalSet;
+use wisteriapoint_adapter::Platform;
+use wisteriapoint_node::{Node, logging};
+
+use crate::Error;
+
+/// Runs a node on the users' platform until SIGTERM, then stops it gracefully.
+#[derive(Debug, Args)]
+pub struct RunNode {
+    /// File with the node's settings.
+    #[arg(long)]
+    settings: PathBuf,
+    /// Least severe log lines that are written.
+    #[arg(long, default_value = "info")]
+    log_level: log::LevelFilter,
+}
+
+impl RunNode {
+    pub(super) async fn run(self) -> Result<(), Error> {
+        logging::init(self.log_level);
+        let tasks = LocalSet::new();
+        Ok(tasks.run_until(Node::<Platform>::run(self.settings)).await?)
+    }
+}
--- a/crates/wisteriapoint/src/cli/service/apply.rs
+++ b/crates/wisteriapoint/src/cli/service/apply.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 use tokio::time::Instant;
-use wisteriapoint_platform::{Index, Store, keys};
+use wisteriapoint_store::{Index, Store, keys};
 use wisteriapoint_settings::{ServiceDocument, document_from_str, document_in_place_of};
 use wisteriapoint_types::{Nonce, Revision, ServiceName};
 
--- a/crates/wisteriapoint/src/cli/service/mod.rs
+++ b/crates/wisteriapoint/src/cli/service/mod.rs
@@ -12,7 +12,7 @@
 use clap::{Args, Subcommand};
 use serde_json::Value;
 use tokio::time::Instant;
-use wisteriapoint_platform::{HttpStore, Store};
+use wisteriapoint_store::{HttpStore, Store};
 use wisteriapoint_settings::with_field;
 use wisteriapoint_types::{Nonce, Revision, ServiceName};
 
--- a/crates/wisteriapoint/src/cli/service/show.rs
+++ b/crates/wisteriapoint/src/cli/service/show.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 use tokio::time::Instant;
-use wisteriapoint_platform::{Store, keys};
+use wisteriapoint_store::{Store, keys};
 use wisteriapoint_types::{Revision, ServiceName};
 
 use super::store;
--- a/crates/wisteriapoint/src/cli/service/store.rs
+++ b/crates/wisteriapoint/src/cli/service/store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
-use wisteriapoint_platform::{Entry, Error as PlatformError, Index, Store, keys};
+use wisteriapoint_store::{Entry, Error as PlatformError, Index, Store, keys};
 use wisteriapoint_types::ServiceName;
 
 use crate::Error;
--- a/crates/wisteriapoint/src/cli/service/wait.rs
+++ b/crates/wisteriapoint/src/cli/service/wait.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
 use wisteriapoint_membership::{Member, View};
-use wisteriapoint_platform::{Store, keys};
+use wisteriapoint_store::{Store, keys};
 use wisteriapoint_types::{MemberId, Revision, VmName};
 
 use super::apply::Applied;
--- a/crates/wisteriapoint/src/daemon/platform.rs
+++ b/crates/wisteriapoint/src/daemon/platform.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 use wisteriapoint_catalog::{Document, Leaving, Update};
 use wisteriapoint_membership::{Member, View};
-use wisteriapoint_platform::{Backoff, Entry, Error, Index, Lease, Store, VmState, keys};
+use wisteriapoint_store::{Backoff, Entry, Error, Index, Lease, Store, VmState, keys};
 use wisteriapoint_types::{Nonce, ServiceName};
 
 use super::Shared;
--- a/crates/wisteriapoint/src/daemon/shared.rs
+++ b/crates/wisteriapoint/src/daemon/shared.rs
@@ -12,7 +12,7 @@
 use wisteriapoint_gateway::{Clients, Router};
 use wisteriapoint_membership::Member;
 use wisteriapoint_peer::Client;
-use wisteriapoint_platform::{Budgeted, HttpStore, Lease};
+use wisteriapoint_store::{Budgeted, HttpStore, Lease};
 use wisteriapoint_settings::VmSettings;
 use wisteriapoint_types::{MemberId, ServiceName};
 
--- a/crates/wisteriapoint/src/daemon/transfer.rs
+++ b/crates/wisteriapoint/src/daemon/transfer.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 use wisteriapoint_claim::{Page, Progress, Pull, Seal, Transfer};
 use wisteriapoint_membership::View;
-use wisteriapoint_platform::Store;
+use wisteriapoint_store::Store;
 use wisteriapoint_types::{MemberId, PartitionKey};
 
 use super::Shared;
--- a/crates/wisteriapoint/src/error.rs
+++ b/crates/wisteriapoint/src/error.rs
@@ -13,6 +13,9 @@
     /// A socket failed.
     #[error(transparent)]
     Io(#[from] std::io::Error),
+    /// A node on the users' platform could not start.
+    #[error(transparent)]
+    Node(#[from] wisteriapoint_node::Error),
     /// A file could not be read or written.
     #[error("{path}: {source}")]
     File {
@@ -42,7 +45,7 @@
     },
     /// The platform failed; nothing was written.
     #[error("{0}; nothing was written")]
-    Platform(#[from] wisteriapoint_platform::Error),
+    Platform(#[from] wisteriapoint_store::Error),
     /// The platform failed after an edit was sent.
     #[error(
         "{source}; the edit may have been accepted: see `wisteriapoint service history {service}`"
@@ -51,7 +54,7 @@
         /// The service.
         service: ServiceName,
         /// Why it could not be read back.
-        source: wisteriapoint_platform::Error,
+        source: wisteriapoint_store::Error,
     },
     /// So many edits came after a lost answer that the edit can't be found in the history.
     #[error("the answer was lost and the history no longer reaches back to revision {base}")]
--- a/crates/wisteriapoint/src/http/weights.rs
+++ b/crates/wisteriapoint/src/http/weights.rs
@@ -4,7 +4,7 @@
 
 use salvo::{Request, Response, handler};
 use wisteriapoint_gateway::Problem;
-use wisteriapoint_platform::{Error, Index, Store, keys};
+use wisteriapoint_store::{Error, Index, Store, keys};
 use wisteriapoint_types::ServiceName;
 
 use super::{MAX_BODY_BYTES, bounds, respond};
--- a/crates/wisteriapoint/tests/deployment/mod.rs
+++ b/crates/wisteriapoint/tests/deployment/mod.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 use wisteriapoint::cli::service::apply;
 use wisteriapoint::daemon::Daemon;
-use wisteriapoint_platform::HttpStore;
+use wisteriapoint_store::HttpStore;
 use wisteriapoint_settings::vm_from_str;
 use wisteriapoint_stand_in::{Platform, Running, serve};
 
--- a/crates/wisteriapoint/tests/drain.rs
+++ b/crates/wisteriapoint/tests/drain.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 use wisteriapoint::daemon::message::{Generated, Question, Reply};
 use wisteriapoint_membership::View;
-use wisteriapoint_platform::keys;
+use wisteriapoint_store::keys;
 use wisteriapoint_rollout::{AttemptKey, Cursor, SampleKey, StepId, StepSpec, Task};
 use wisteriapoint_stand_in::platform::Faults;
 use wisteriapoint_stand_in::{
--- a/crates/wisteriapoint/tests/edits.rs
+++ b/crates/wisteriapoint/tests/edits.rs
@@ -12,7 +12,7 @@
 use wisteriapoint::cli::service::apply::{Applied, Edit, apply, compare};
 use wisteriapoint::cli::service::wait;
 use wisteriapoint::record::{MAX_RECORD_BYTES, ServiceRecord};
-use wisteriapoint_platform::{
+use wisteriapoint_store::{
     Entry, Error as PlatformError, HttpStore, Index, Lease, Store, VmEntry,
 };
 use wisteriapoint_stand_in::platform::Faults;
--- a/crates/wisteriapoint/tests/fleet/mod.rs
+++ b/crates/wisteriapoint/tests/fleet/mod.rs
@@ -8,7 +8,7 @@
 
 use wisteriapoint::cli::service;
 use wisteriapoint::daemon::Daemon;
-use wisteriapoint_platform::HttpStore;
+use wisteriapoint_store::HttpStore;
 use wisteriapoint_settings::VmSettings;
 use wisteriapoint_stand_in::{Platform, Running, serve};
 use wisteriapoint_types::{Revision, ServiceName};
--- a/crates/wisteriapoint/tests/sessions.rs
+++ b/crates/wisteriapoint/tests/sessions.rs
@@ -10,7 +10,7 @@
 use session::Session;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
-use wisteriapoint_platform::{VmEntry, VmState};
+use wisteriapoint_store::{VmEntry, VmState};
 use wisteriapoint_stand_in::{Engine, EngineSettings, PlainService, Running, serve};
 use wisteriapoint_types::VmName;
 
