Become ready when the configuration comes by a watch

Cause: readiness was checked only after a read of all rows; the first configuration comes later, by the watch.

--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -14,7 +14,7 @@
 pub const WAIT: Duration = Duration::from_secs(30);
 /// Least time between two watches of the endpoints: a change that several follow costs one call,
 /// and an endpoint that drains is still left within its two seconds.
-const ENDPOINTS_PAUSE: Duration = Duration::from_millis(250);
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(500);
 
 /// Follows the rows of the operator.
 pub async fn operator<D: Dialect>(node: Rc<Node<D>>) {
@@ -154,6 +154,7 @@
         }
     }
     drop(directory);
+    node.check_ready();
     node.directory_changed.notify_waiters();
 }
 
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -12,6 +12,9 @@
 /// Pause between writes, so that many lines share one.
 const WRITE_PAUSE: Duration = Duration::from_millis(50);
 
+/// Most bytes of one write: a pipe takes them as a whole, so lines of processes do not mix.
+const MAX_WRITE_BYTES: usize = 4_096;
+
 /// Lines that were dropped since the writer fell behind.
 pub static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 
@@ -35,15 +38,25 @@
     while let Ok(first) = waiting.recv() {
         std::thread::sleep(WRITE_PAUSE);
         let mut text = first;
-        text.extend(waiting.try_iter());
-        let mut out = std::io::stdout().lock();
-        if out.write_all(text.as_bytes()).and_then(|()| out.flush()).is_err() {
-            // Nobody reads the log any more, and there is nowhere else to say so.
+        for line in waiting.try_iter() {
+            if text.len() + line.len() > MAX_WRITE_BYTES && write(&std::mem::take(&mut text)).is_err() {
+                return;
+            }
+            text.push_str(&line);
+        }
+        // Once nobody reads the log any more there is nowhere else to say so.
+        if write(&text).is_err() {
             return;
         }
     }
 }
 
+fn write(text: &str) -> std::io::Result<()> {
+    let mut out = std::io::stdout().lock();
+    out.write_all(text.as_bytes())?;
+    out.flush()
+}
+
 impl Log for Logger {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
         let is_own = metadata.target().starts_with("wisteriapoint");
@@ -88,13 +101,11 @@
     };
 }
 
-/// A value as a JSON string, or as a number where it is one.
+/// A value as a JSON string, or as a number where it is a whole one.
 pub fn quoted(value: &dyn std::fmt::Display) -> String {
     let text = value.to_string();
-    match text.parse::<f64>() {
-        Ok(number) if number.is_finite() && !text.starts_with('+') && text.len() < 16 => {
-            serde_json::to_string(&number).unwrap_or(text)
-        }
+    match text.parse::<i64>() {
+        Ok(number) if number.to_string() == text => text,
         _ => serde_json::Value::String(text).to_string(),
     }
 }
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -1,11 +1,13 @@
 //! One request to one endpoint.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use tokio::time::timeout;
 use wisteriapoint_types::{EndpointName, Verdict};
 
 use super::{Borrowed, Pool};
@@ -14,6 +16,11 @@
 /// Largest answer that is held in memory as a whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
+/// Largest body of a refusal that is read for the sake of its connection, in bytes.
+const MAX_REFUSAL_BYTES: usize = 4_096;
+/// Time for it: it comes with the head, or the connection is not worth it.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(5);
+
 /// A request that may be sent to several endpoints, one after the other.
 #[derive(Debug, Clone)]
 pub struct Sending {
@@ -106,7 +113,12 @@
     };
     let (head, body) = response.into_parts();
     let reply = D::reply(head.status, &head.headers);
-    check(&reply, head.status, addressed.id)?;
+    if let Err(failure) = check(&reply, head.status, addressed.id) {
+        if failure.verdict == Verdict::NotRun {
+            spend(reply, body, connection).await;
+        }
+        return Err(failure);
+    }
     Ok(Received {
         status: head.status,
         headers: head.headers,
@@ -144,6 +156,16 @@
     Ok((status, body.to_bytes()))
 }
 
+/// Reads the rest of a refusal, so that its connection can be used again.
+async fn spend(reply: Reply, body: Incoming, connection: Borrowed) {
+    let whole = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+    if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, whole).await
+        && !reply.closes
+    {
+        connection.give_back(reply.keep_alive_ms);
+    }
+}
+
 async fn connect(
     pool: &Pool,
     address: SocketAddr,
