Keep the duty through a lost history; confirm empty pages of unsure owners

Causes: the keeper watched its row from the revision at which it was written; once the store forgot that, it gave the duty up and claimed it anew in a loop. A node that the store turned away went on answering for batch jobs that had been taken over, and its peers passed that on. SIGHUP ended the process on storage VMs.

--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -14,7 +14,7 @@
 use super::answer::{Answer, BrokenOff, Payload, given_up, of_endpoint};
 use crate::dialect::{Addressed, Dialect};
 use crate::event;
-use crate::forward::{Forward, GivenUp, Occupied, digest_of, note_failure};
+use crate::forward::{FULL_PAUSE_MS, Forward, GivenUp, Occupied, digest_of, note_failure};
 use crate::node::Node;
 use crate::upstream::send::send;
 use crate::upstream::{EventReader, Received, Sending};
@@ -125,7 +125,7 @@
                 Err(_) => return Err((Verdict::MayHaveRun, "its time is over".into())),
             };
             let digest = digest_of(&self.sending);
-            note_failure(&mut node.directory.borrow_mut(), now_ms, &endpoint, digest, &failure);
+            note_failure(&mut node.directory.borrow_mut(), now_ms, &endpoint, digest, &failure, FULL_PAUSE_MS);
             event!(
                 info,
                 "send failed",
--- a/crates/node/src/control/keeper.rs
+++ b/crates/node/src/control/keeper.rs
@@ -34,10 +34,10 @@
             continue;
         }
         let result = match claim(&node).await {
-            Ok(Claim::Ours(fence)) => {
+            Ok(Claim::Ours { fence, seen }) => {
                 node.metrics.set_state("keeper", 1);
                 event!(info, "keeper", fence = fence.0);
-                carry_out(&node, fence).await;
+                carry_out(&node, fence, seen).await;
                 node.metrics.set_state("keeper", 0);
                 event!(info, "no longer keeper", fence = fence.0);
                 Ok(())
@@ -56,8 +56,13 @@
 }
 
 enum Claim {
-    /// This node has the duty, with this fencing token.
-    Ours(Index),
+    /// This node has the duty.
+    Ours {
+        /// Its fencing token.
+        fence: Index,
+        /// The revision of the store at which that was so.
+        seen: Index,
+    },
     /// Another node has it, at this revision of the store.
     Others(Index),
 }
@@ -68,7 +73,10 @@
     let (row, revision) = row?;
     let (key, value) = (KEEPER, members::row(&node.owner)?.1);
     match row {
-        Some(row) if row.value == value => return Ok(Claim::Ours(row.revision)),
+        Some(row) if row.value == value => {
+            let (fence, seen) = (row.revision, revision);
+            return Ok(Claim::Ours { fence, seen });
+        }
         Some(_) => return Ok(Claim::Others(revision)),
         None => {}
     }
@@ -81,7 +89,7 @@
     let committed = node.store.commit(&transaction).await;
     node.note_store("claim", &committed);
     match committed? {
-        Committed::Done(fence) => Ok(Claim::Ours(fence)),
+        Committed::Done(fence) => Ok(Claim::Ours { fence, seen: fence }),
         Committed::Conflict => Ok(Claim::Others(revision)),
         Committed::LeaseEnded => Err(Error::LeaseLapsed),
     }
@@ -97,23 +105,22 @@
 }
 
 /// Carries the duty out until the row or the lease is lost.
-async fn carry_out<D: Dialect>(node: &Rc<Node<D>>, fence: Index) {
+async fn carry_out<D: Dialect>(node: &Rc<Node<D>>, fence: Index, seen: Index) {
     tokio::select! {
         () = orders::run(node.clone(), fence) => {}
         () = adopt_orphans(node) => {}
-        () = until_lost(node, fence) => {}
+        () = until_lost(node, fence, seen) => {}
     }
 }
 
-async fn until_lost<D: Dialect>(node: &Rc<Node<D>>, fence: Index) {
+/// Returns once the row is another's or gone, or the lease is lost.
+async fn until_lost<D: Dialect>(node: &Rc<Node<D>>, fence: Index, mut seen: Index) {
     let lease = node.lease.id();
-    let mut after = fence;
     loop {
         tokio::select! {
-            changed = wait_for_keeper(node, after) => match changed {
-                Ok((_, true)) => return,
-                Ok((revision, false)) => after = revision,
-                Err(error) if error.is_history_gone() => return,
+            checked = still_ours(node, fence, seen) => match checked {
+                Ok(Some(revision)) => seen = revision,
+                Ok(None) => return,
                 Err(error) => {
                     event!(debug, "watch failed", prefix = KEEPER, why = error);
                     sleep(RETURN_PAUSE).await;
@@ -127,15 +134,25 @@
     }
 }
 
-/// Waits for a change of the row; gives whether there was one.
-async fn wait_for_keeper<D: Dialect>(
+/// Waits for a change; gives the revision up to which the row is still ours.
+async fn still_ours<D: Dialect>(
     node: &Rc<Node<D>>,
-    after: Index,
-) -> Result<(Index, bool), Error> {
-    let changes = node.store.watch(KEEPER, after, WAIT).await;
+    fence: Index,
+    seen: Index,
+) -> Result<Option<Index>, Error> {
+    let changes = node.store.watch(KEEPER, seen, WAIT).await;
     node.note_store("watch", &changes);
-    let (changes, revision) = changes?;
-    Ok((revision, !changes.is_empty()))
+    match changes {
+        Ok((changes, revision)) => Ok(changes.is_empty().then_some(revision)),
+        Err(error) if error.is_history_gone() => {
+            let row = node.store.row(KEEPER).await;
+            node.note_store("keeper", &row);
+            let (row, revision) = row?;
+            let is_ours = row.is_some_and(|row| row.revision == fence);
+            Ok(is_ours.then_some(revision))
+        }
+        Err(error) => Err(error),
+    }
 }
 
 /// Follows the members, and takes over the batch jobs of those that are gone.
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -18,7 +18,7 @@
 /// endpoint is likely to answer sooner than one that is slow or silent.
 const PATIENCE_OBJECTIVES: u64 = 2;
 /// Pause before endpoints that refused for want of room are asked again, in milliseconds.
-const FULL_PAUSE_MS: u64 = 15;
+pub const FULL_PAUSE_MS: u64 = 15;
 /// Share of the objective in which an endpoint with room has to be found; then the caller is told
 /// to come back, while there is time for it.
 const PLACING_SHARE: u64 = 4;
@@ -302,7 +302,7 @@
             }
         }
         Ok(Ending::GivenUp(_)) => "given-up",
-        Err(failure) => note_failure(&mut directory, now_ms, endpoint, digest, failure),
+        Err(failure) => note_failure(&mut directory, now_ms, endpoint, digest, failure, FULL_PAUSE_MS),
     };
     node.metrics
         .sends
@@ -317,12 +317,13 @@
     endpoint: &EndpointName,
     digest: Digest,
     failure: &SendFailure,
+    full_pause_ms: u64,
 ) -> &'static str {
     if failure.broke_off {
         directory.suspects.strike(now_ms, digest, endpoint);
     }
     match directory.registry.get_mut(endpoint) {
-        Some(known) if failure.was_full => known.was_full(now_ms, FULL_PAUSE_MS),
+        Some(known) if failure.was_full => known.was_full(now_ms, full_pause_ms),
         Some(known) => known.failed(now_ms),
         None => {}
     }
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -23,6 +23,9 @@
 
 /// Time to the head of an answer: a queue that is short, and a load of weights before it.
 const FIRST_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Pause of an engine that refused an item, in milliseconds: it loads weights, which takes about
+/// a second, or its queue is full.
+const REFUSED_PAUSE_MS: u64 = 250;
 /// Longest silence within a text; an endpoint that is ten times slow still speaks sooner.
 const MAX_SILENCE: Duration = Duration::from_millis(2_000);
 
@@ -184,7 +187,14 @@
                 );
                 let digest = digest_of(&sending);
                 let mut directory = node.directory.borrow_mut();
-                note_failure(&mut directory, node.now_ms(), &endpoint, digest, &failure);
+                note_failure(
+                    &mut directory,
+                    node.now_ms(),
+                    &endpoint,
+                    digest,
+                    &failure,
+                    REFUSED_PAUSE_MS,
+                );
                 Err(Ended::Unfinished)
             }
         }
--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -41,7 +41,8 @@
     wait_ms: u64,
 ) -> Found<Page> {
     if let Some(owned) = node.jobs.get(job) {
-        return Found::Yes(own_results(node, &owned, after, wait_ms).await);
+        let page = own_results(node, &owned, after, wait_ms).await;
+        return confirmed(node, job, after, page, node.is_sure_owner()).await;
     }
     let question = Question::Results {
         job: job.into(),
@@ -49,7 +50,9 @@
         wait_ms,
     };
     match ask_owner(node, job, &question).await {
-        Found::Yes(Owners::Answer(Reply::Page(page))) => Found::Yes(page),
+        Found::Yes(Owners::Answer(Reply::Page { page, is_sure })) => {
+            confirmed(node, job, after, page, is_sure).await
+        }
         Found::Yes(Owners::Answer(_)) => Found::Unsure("the owner failed".into()),
         Found::Yes(Owners::Away(state)) => stored_results(node, job, &state, after, wait_ms).await,
         Found::No => Found::No,
@@ -57,6 +60,29 @@
     }
 }
 
+/// A page of an owner that may have lost the batch job without having noticed.
+///
+/// Positions never change, so results are right in any case; but if there are none, the
+/// store has to say so.
+async fn confirmed<D: Dialect>(
+    node: &Rc<Node<D>>,
+    job: &str,
+    after: u32,
+    page: Page,
+    is_sure: bool,
+) -> Found<Page> {
+    if is_sure || !page.results.is_empty() {
+        return Found::Yes(page);
+    }
+    node.jobs.set_owner(job, None);
+    match read_state(node, job).await {
+        Ok(Some((_, state))) if state.listed <= after => Found::Yes(page),
+        Ok(Some((_, state))) => stored_results(node, job, &state, after, 0).await,
+        Ok(None) => Found::No,
+        Err(error) => Found::Unsure(error.to_string().into()),
+    }
+}
+
 /// Results of a batch job of this node; waits for one if there is none yet.
 pub async fn own_results<D: Dialect>(
     node: &Node<D>,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -150,6 +150,11 @@
         self.directory.borrow().configuration.clone()
     }
 
+    /// Whether no other node can have taken over this node's batch jobs unnoticed.
+    pub fn is_sure_owner(&self) -> bool {
+        self.lease.is_sure() && !self.health.is_failing()
+    }
+
     /// Becomes ready once configuration and endpoints are known.
     pub fn check_ready(&self) {
         let directory = self.directory.borrow();
@@ -172,6 +177,8 @@
         let mut terminate = signal(SignalKind::terminate())
             .map_err(|error| Error::io("handler of SIGTERM", error))?;
         let Some(callers) = settings.callers else {
+            let mut hangup = on_hangup()?;
+            tokio::task::spawn_local(async move { while hangup.recv().await.is_some() {} });
             terminate.recv().await;
             event!(info, "stop", why = "SIGTERM");
             return Ok(());
@@ -186,7 +193,7 @@
         spawn_local(callers::serve_requests(node.clone(), requests));
         peers::start(&node, peer_listener);
         control::start(&node);
-        spawn_local(reload(node.clone(), path));
+        spawn_local(reload(node.clone(), path, on_hangup()?));
         terminate.recv().await;
         node.stop().await;
         Ok(())
@@ -209,15 +216,12 @@
     }
 }
 
+fn on_hangup() -> Result<Signal, Error> {
+    signal(SignalKind::hangup()).map_err(|error| Error::io("handler of SIGHUP", error))
+}
+
 /// Reads the settings again at each SIGHUP; says what a restart is needed for.
-async fn reload<D: Dialect>(node: Rc<Node<D>>, path: PathBuf) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            event!(error, "no reload", why = error);
-            return;
-        }
-    };
+async fn reload<D: Dialect>(node: Rc<Node<D>>, path: PathBuf, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
         match NodeSettings::from_file(&path) {
             Ok(settings) if settings == node.settings => event!(info, "reload", changed = false),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -56,7 +56,12 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Reply {
     /// Results.
-    Page(Page),
+    Page {
+        /// The results.
+        page: Page,
+        /// Whether the node is sure that it owns the batch job; else there may be more results.
+        is_sure: bool,
+    },
     /// A body.
     Body(Vec<u8>),
     /// Done as asked.
@@ -105,7 +110,11 @@
             after,
             wait_ms,
         } => match node.jobs.get(&job) {
-            Some(owned) => Reply::Page(read::own_results(node, &owned, after, wait_ms).await),
+            Some(owned) => {
+                let page = read::own_results(node, &owned, after, wait_ms).await;
+                let is_sure = node.is_sure_owner();
+                Reply::Page { page, is_sure }
+            }
             None => Reply::NotOwner,
         },
         Question::Body { job, item } => match node.jobs.get(&job) {
--- a/crates/weights/src/planner.rs
+++ b/crates/weights/src/planner.rs
@@ -9,9 +9,9 @@
 /// One in this many engines may load at the same time in a larger service.
 const ENGINES_PER_LOAD: usize = 5;
 /// Time of a load after which the engine is asked about it, in milliseconds.
-const LOAD_MS: u64 = 950;
+const LOAD_MS: u64 = 910;
 /// Pause before an engine that did not take an order is asked again, in milliseconds.
-const RETRY_MS: u64 = 250;
+const RETRY_MS: u64 = 100;
 
 /// An engine as the planner sees it.
 #[derive(Debug, Clone, Copy)]
