--- a/crates/node/src/control/health.rs
+++ b/crates/node/src/control/health.rs
@@ -2,8 +2,10 @@
 
 use std::cell::Cell;
 use std::fmt::Display;
+use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::sleep;
 
 use crate::event;
 
@@ -45,6 +47,14 @@
         self.regained.notified().await;
     }
 
+    /// Sleeps, but not longer than until the store answers again after trouble.
+    pub async fn pause(&self, pause: Duration) {
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = self.regained() => {}
+        }
+    }
+
     /// Whether the last call got no answer.
     pub fn is_failing(&self) -> bool {
         self.failing_since_ms.get().is_some()
--- a/crates/node/src/control/keeper.rs
+++ b/crates/node/src/control/keeper.rs
@@ -49,7 +49,7 @@
             Ok(()) => backoff = Backoff::new(),
             Err(error) => {
                 event!(debug, "duty not claimed", why = error);
-                sleep(backoff.next_pause()).await;
+                node.health.pause(backoff.next_pause()).await;
             }
         }
     }
@@ -164,7 +164,7 @@
             Ok(()) => backoff = Backoff::new(),
             Err(error) => {
                 event!(debug, "orphans not looked for", why = error);
-                sleep(backoff.next_pause()).await;
+                node.health.pause(backoff.next_pause()).await;
             }
         }
     }
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -80,7 +80,7 @@
             }
             Err(error) => {
                 event!(debug, "watch failed", prefix = prefix, why = error);
-                sleep(backoff.next_pause()).await;
+                node.health.pause(backoff.next_pause()).await;
             }
         }
     }
--- a/crates/node/src/jobs/commit.rs
+++ b/crates/node/src/jobs/commit.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{sleep_until, timeout};
 use wisteriapoint_batch::{Batch, JobState};
 use wisteriapoint_store::{Backoff, Committed, Ledger, Transaction};
 
@@ -152,7 +152,7 @@
                 event!(warn, "commit failed", id = owned.id, commit = state.commits, why = error);
             }
         }
-        sleep(backoff.next_pause()).await;
+        node.health.pause(backoff.next_pause()).await;
     }
 }
 
