--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -201,7 +201,7 @@
 
     async fn pass_on<D: Dialect>(
         &mut self,
-        node: &Node<D>,
+        node: &Rc<Node<D>>,
         endpoint: &EndpointName,
         received: Received,
         events: &Sender<Result<Bytes, BrokenOff>>,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -1,5 +1,6 @@
 //! Requests that are passed on as they are: which endpoint, how often, and what the caller is told.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -108,7 +109,7 @@
 }
 
 /// Passes a request on until an endpoint has answered it or its time is over.
-pub async fn forward<D: Dialect>(node: &Node<D>, forward: &Forward<'_>) -> Ending {
+pub async fn forward<D: Dialect>(node: &Rc<Node<D>>, forward: &Forward<'_>) -> Ending {
     let Some(service) = forward.route.service_at(rand::random()).cloned() else {
         return Tried::default().give_up("route without a service", false);
     };
@@ -225,7 +226,7 @@
 }
 
 async fn attempt<D: Dialect>(
-    node: &Node<D>,
+    node: &Rc<Node<D>>,
     forward: &Forward<'_>,
     endpoint: &EndpointName,
     address: std::net::SocketAddr,
@@ -254,25 +255,28 @@
 }
 
 /// Counts a request at an endpoint for as long as it lives.
-pub struct Occupied<'a, D: Dialect> {
-    node: &'a Node<D>,
-    endpoint: &'a EndpointName,
+pub struct Occupied<D: Dialect> {
+    node: Rc<Node<D>>,
+    endpoint: EndpointName,
 }
 
-impl<'a, D: Dialect> Occupied<'a, D> {
+impl<D: Dialect> Occupied<D> {
     /// Counts one more request at an endpoint.
-    pub fn new(node: &'a Node<D>, endpoint: &'a EndpointName) -> Self {
+    pub fn new(node: &Rc<Node<D>>, endpoint: &EndpointName) -> Self {
         if let Some(endpoint) = node.directory.borrow_mut().registry.get_mut(endpoint) {
             endpoint.in_flight += 1;
         }
-        Self { node, endpoint }
+        Self {
+            node: node.clone(),
+            endpoint: endpoint.clone(),
+        }
     }
 }
 
-impl<D: Dialect> Drop for Occupied<'_, D> {
+impl<D: Dialect> Drop for Occupied<D> {
     fn drop(&mut self) {
         let mut directory = self.node.directory.borrow_mut();
-        if let Some(endpoint) = directory.registry.get_mut(self.endpoint) {
+        if let Some(endpoint) = directory.registry.get_mut(&self.endpoint) {
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         }
     }
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -41,8 +41,7 @@
 }
 
 /// One attempt at an item.
-#[derive(Debug)]
-pub struct Attempt {
+pub struct Attempt<D: Dialect> {
     key: ItemKey,
     item: Item,
     endpoint: EndpointName,
@@ -50,6 +49,8 @@
     min_version: WeightVersion,
     left_ms: u64,
     progress: Progress,
+    /// Given up with the text, before the score.
+    occupied: Option<Occupied<D>>,
 }
 
 /// How an attempt ended.
@@ -83,10 +84,12 @@
     Unfinished,
 }
 
-impl Attempt {
+impl<D: Dialect> Attempt<D> {
     /// An attempt at an endpoint, from where an earlier one got to.
-    pub fn new<D: Dialect>(
-        node: &Node<D>,
+    ///
+    /// It occupies the endpoint at once: many attempts may be made before the first one runs.
+    pub fn new(
+        node: &Rc<Node<D>>,
         owned: &Owned,
         key: ItemKey,
         endpoint: EndpointName,
@@ -98,16 +101,17 @@
         Self {
             key,
             item: job.submission().items[key.0 as usize].clone(),
-            endpoint,
             address,
             min_version: step.map(|step| step.min_version).unwrap_or_default(),
             left_ms: job.give_up_at_ms().saturating_sub(node.now_ms()),
             progress,
+            occupied: Some(Occupied::new(node, &endpoint)),
+            endpoint,
         }
     }
 
     /// Runs the attempt.
-    pub async fn run<D: Dialect>(
+    pub async fn run(
         mut self,
         node: Rc<Node<D>>,
         owned: Rc<Owned>,
@@ -152,7 +156,7 @@
         }
     }
 
-    async fn generate<D: Dialect>(
+    async fn generate(
         &mut self,
         node: &Node<D>,
         owned: &Owned,
@@ -160,7 +164,7 @@
     ) -> Result<(), Ended> {
         let sending = self.sending(route)?;
         let endpoint = self.endpoint.clone();
-        let _occupied = Occupied::new(node, &endpoint);
+        let _occupied = self.occupied.take();
         let addressed = Addressed {
             id: &self.item.id,
             endpoint: &endpoint,
@@ -214,7 +218,7 @@
     }
 
     /// Reads the text; gives how the attempt ended if the endpoint answered.
-    async fn read<D: Dialect>(
+    async fn read(
         &mut self,
         node: &Node<D>,
         route: &Route,
--- a/crates/node/src/jobs/score.rs
+++ b/crates/node/src/jobs/score.rs
@@ -1,5 +1,6 @@
 //! Scores of finished texts.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,7 +31,7 @@
 ///
 /// Fails if the scorer has answered with a failure of its own as often as its route allows.
 pub async fn score<D: Dialect>(
-    node: &Node<D>,
+    node: &Rc<Node<D>>,
     owned: &Owned,
     scorer: &Scorer,
 ) -> Result<Box<str>, Unscored> {
@@ -64,7 +65,7 @@
     }
 }
 
-async fn call<D: Dialect>(node: &Node<D>, scorer: &Scorer, route: &Route) -> Ending {
+async fn call<D: Dialect>(node: &Rc<Node<D>>, scorer: &Scorer, route: &Route) -> Ending {
     let mut headers = HeaderMap::new();
     if let Ok(host) = HeaderValue::from_str(&scorer.host) {
         headers.insert(HOST, host);
