--- a/crates/node/src/control/keeper.rs
+++ b/crates/node/src/control/keeper.rs
@@ -17,6 +17,8 @@
 
 /// Key of the row that says who is the keeper.
 const KEEPER: &str = "wp/keeper";
+/// Key of the row in which a keeper that stops tells when it gave its last order.
+const RELEASE: &str = "wp/release";
 /// Longest random pause before the first claim, in milliseconds: nodes start together, and the
 /// first one spares the others a write.
 const FIRST_PAUSE_MS: u64 = 400;
@@ -30,7 +32,10 @@
     let mut backoff = Backoff::new();
     while node.stage.get() != Stage::Stopping {
         if node.lease.id().is_none() {
-            node.lease.changed().await;
+            tokio::select! {
+                () = node.lease.changed() => {}
+                () = node.stopping() => {}
+            }
             continue;
         }
         let result = match claim(&node).await {
@@ -38,6 +43,9 @@
                 node.metrics.set_state("keeper", 1);
                 event!(info, "keeper", fence = fence.0);
                 carry_out(&node, fence, seen).await;
+                if node.stage.get() == Stage::Stopping {
+                    release(&node, fence).await;
+                }
                 node.metrics.set_state("keeper", 0);
                 event!(info, "no longer keeper", fence = fence.0);
                 Ok(())
@@ -106,13 +114,52 @@
 
 /// Carries the duty out until the row or the lease is lost.
 async fn carry_out<D: Dialect>(node: &Rc<Node<D>>, fence: Index, seen: Index) {
+    let quiet = match quiet_ms(node).await {
+        Ok(quiet_ms) => Duration::from_millis(quiet_ms),
+        Err(error) => {
+            event!(warn, "release not read", why = error);
+            Duration::from_millis(node.settings.bounds.lease_ms)
+        }
+    };
     tokio::select! {
-        () = orders::run(node.clone(), fence) => {}
+        () = orders::run(node.clone(), fence, quiet) => {}
         () = adopt_orphans(node) => {}
         () = until_lost(node, fence, seen) => {}
     }
 }
 
+/// Time for which a new keeper gives no order, in milliseconds.
+///
+/// Engines that check fencing tokens refuse the former keeper by themselves; only one that
+/// stopped as planned may have been well when it gave its last order, and its successor must
+/// not take turns with it. Where engines check nothing, the whole lease is waited out.
+async fn quiet_ms<D: Dialect>(node: &Rc<Node<D>>) -> Result<u64, Error> {
+    let lease_ms = node.settings.bounds.lease_ms;
+    if !node.settings.bounds.engines_check_fences {
+        return Ok(lease_ms);
+    }
+    let row = node.store.row(RELEASE).await;
+    node.note_store("release", &row);
+    let last_order_unix_ms = match row?.0 {
+        Some(row) => serde_json::from_slice::<u64>(&row.value).unwrap_or_default(),
+        None => 0,
+    };
+    let over_unix_ms = last_order_unix_ms + lease_ms;
+    Ok(over_unix_ms.saturating_sub(node.clock.unix_ms()).min(lease_ms))
+}
+
+/// Gives the duty up at once, so that its successor need not wait for the lease to lapse.
+async fn release<D: Dialect>(node: &Rc<Node<D>>, fence: Index) {
+    let last_order_unix_ms = node.clock.unix_ms().to_string();
+    let transaction = Transaction::new()
+        .with_expected(KEEPER, fence)
+        .with_put(RELEASE, last_order_unix_ms.into_bytes())
+        .with_remove(KEEPER);
+    let committed = node.store.commit(&transaction).await;
+    node.note_store("release", &committed);
+    event!(info, "duty released", fence = fence.0, result = format!("{committed:?}"));
+}
+
 /// Returns once the row is another's or gone, or the lease is lost.
 async fn until_lost<D: Dialect>(node: &Rc<Node<D>>, fence: Index, mut seen: Index) {
     let lease = node.lease.id();
@@ -127,6 +174,7 @@
                 }
             },
             () = node.lease.changed() => {}
+            () = node.stopping() => {}
         }
         if node.lease.id() != lease || node.stage.get() == Stage::Stopping {
             return;
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -17,9 +17,9 @@
 
 /// Time to live, in milliseconds: a dead node's batch jobs go on elsewhere well before they are
 /// due, and a store that is slow for a moment ends no lease.
-const TTL_MS: u64 = 3_000;
+const TTL_MS: u64 = 2_000;
 /// Renewals in a time to live: two may fail.
-const RENEWALS: u64 = 3;
+const RENEWALS: u64 = 4;
 /// What must be left of a lease for an order to go out, in milliseconds: its way to the engine.
 const MARGIN_MS: u64 = 300;
 
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -32,10 +32,9 @@
     is_accepted: bool,
 }
 
-/// Gives orders until the task is dropped.
-pub async fn run<D: Dialect>(node: Rc<Node<D>>, fence: Index) {
-    // The former keeper's orders count for the length of a lease.
-    sleep(Duration::from_millis(node.settings.bounds.lease_ms)).await;
+/// Gives orders after a quiet time, until the task is dropped.
+pub async fn run<D: Dialect>(node: Rc<Node<D>>, fence: Index, quiet: Duration) {
+    sleep(quiet).await;
     let mut planner = Planner::new();
     let mut orders: JoinSet<OrderEnd> = JoinSet::new();
     loop {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,7 @@
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wisteriapoint_batch::Owner;
@@ -75,8 +75,10 @@
     pub in_progress: Cell<usize>,
     /// What the node is in the middle of.
     pub stage: Cell<Stage>,
-    /// Wakes each connection of a caller at a stop.
-    pub closing: tokio::sync::watch::Sender<bool>,
+    /// Tells all tasks that a stop has begun.
+    pub stop_begun: watch::Sender<bool>,
+    /// Wakes each connection of a caller once the balancer sends no more.
+    pub closing: watch::Sender<bool>,
 }
 
 /// What a node knows of routes and endpoints.
@@ -118,7 +120,8 @@
             metrics: Metrics::new()?,
             in_progress: Cell::new(0),
             stage: Cell::new(Stage::Starting),
-            closing: tokio::sync::watch::channel(false).0,
+            stop_begun: watch::channel(false).0,
+            closing: watch::channel(false).0,
             settings,
         }))
     }
@@ -145,6 +148,13 @@
         }
     }
 
+    /// Waits until a stop begins.
+    pub async fn stopping(&self) {
+        let mut begun = self.stop_begun.subscribe();
+        // The sender lives as long as this node.
+        let _begun = begun.wait_for(|&begun| begun).await;
+    }
+
     /// The configuration in force.
     pub fn configuration(&self) -> Option<Rc<Configuration>> {
         self.directory.borrow().configuration.clone()
@@ -204,6 +214,7 @@
         let grace = Duration::from_secs(self.settings.bounds.grace_s);
         let end = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
         self.stage.set(Stage::Stopping);
+        self.stop_begun.send_replace(true);
         self.metrics.set_state("ready", 0);
         sleep(BALANCER_LAG).await;
         jobs::hand_over(self).await;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -57,6 +57,8 @@
     pub grace_s: u64,
     /// Time for which a former holder's orders may still count, in milliseconds.
     pub lease_ms: u64,
+    /// Whether engines refuse orders with an older fencing token.
+    pub engines_check_fences: bool,
 }
 
 impl NodeSettings {
