--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -183,33 +183,48 @@
     /// Fails if the settings can't be read or an address can't be bound.
     pub async fn run(path: PathBuf) -> Result<(), Error> {
         let settings = NodeSettings::from_file(&path)?;
-        event!(info, "start", vm = settings.vm, failure_domain = settings.failure_domain);
         let mut terminate = signal(SignalKind::terminate())
             .map_err(|error| Error::io("handler of SIGTERM", error))?;
-        let Some(callers) = settings.callers else {
-            let mut hangup = on_hangup()?;
-            tokio::task::spawn_local(async move { while hangup.recv().await.is_some() {} });
+        let hangup = on_hangup()?;
+        if settings.callers.is_none() {
+            event!(info, "start", vm = settings.vm, takes_requests = false);
+            spawn_local(reload(settings, path, hangup));
             terminate.recv().await;
             event!(info, "stop", why = "SIGTERM");
             return Ok(());
-        };
-        let node = Self::new(settings)?;
-        let requests = bind(callers.requests).await?;
-        let ready = bind(callers.ready).await?;
-        let peer_listener = bind(node.settings.peer_address).await?;
-        let metrics_listener = bind(node.settings.metrics_address).await?;
-        spawn_local(callers::serve_questions(node.clone(), ready));
-        spawn_local(callers::serve_questions(node.clone(), metrics_listener));
-        spawn_local(callers::serve_requests(node.clone(), requests));
-        peers::start(&node, peer_listener);
-        control::start(&node);
-        spawn_local(reload(node.clone(), path, on_hangup()?));
+        }
+        spawn_local(reload(settings.clone(), path, hangup));
+        let node = Self::start(settings).await?;
         terminate.recv().await;
         node.stop().await;
         Ok(())
     }
 
-    async fn stop(self: &Rc<Self>) {
+    /// Starts a node that takes requests. Belongs into a `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound.
+    pub async fn start(settings: NodeSettings) -> Result<Rc<Self>, Error> {
+        event!(info, "start", vm = settings.vm, failure_domain = settings.failure_domain);
+        let callers = settings.callers;
+        let node = Self::new(settings)?;
+        if let Some(callers) = callers {
+            let requests = bind(callers.requests).await?;
+            let ready = bind(callers.ready).await?;
+            spawn_local(callers::serve_requests(node.clone(), requests));
+            spawn_local(callers::serve_questions(node.clone(), ready));
+        }
+        let metrics = bind(node.settings.metrics_address).await?;
+        spawn_local(callers::serve_questions(node.clone(), metrics));
+        let peers = bind(node.settings.peer_address).await?;
+        peers::start(&node, peers);
+        control::start(&node);
+        Ok(node)
+    }
+
+    /// Stops gracefully: not ready, then no new connections, then the end of what runs.
+    pub async fn stop(self: &Rc<Self>) {
         event!(info, "stop", why = "SIGTERM", in_progress = self.in_progress.get());
         let grace = Duration::from_secs(self.settings.bounds.grace_s);
         let end = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
@@ -231,11 +246,11 @@
     signal(SignalKind::hangup()).map_err(|error| Error::io("handler of SIGHUP", error))
 }
 
-/// Reads the settings again at each SIGHUP; says what a restart is needed for.
-async fn reload<D: Dialect>(node: Rc<Node<D>>, path: PathBuf, mut hangup: Signal) {
+/// Reads the settings again at each SIGHUP; says whether a restart is needed for a change.
+async fn reload(known: NodeSettings, path: PathBuf, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
         match NodeSettings::from_file(&path) {
-            Ok(settings) if settings == node.settings => event!(info, "reload", changed = false),
+            Ok(settings) if settings == known => event!(info, "reload", changed = false),
             Ok(_) => event!(warn, "reload", changed = true, takes_effect = "at the next start"),
             Err(error) => event!(error, "reload refused", why = error),
         }
