--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -79,7 +79,10 @@
                 after = None;
             }
             Err(error) => {
-                event!(debug, "watch failed", prefix = prefix, why = error);
+                event!(info, "watch failed", prefix = prefix, why = error);
+                // What changed meanwhile may never be told: a store that forgets its history
+                // goes on to take watches from before for a while.
+                after = None;
                 node.health.pause(backoff.next_pause()).await;
             }
         }
@@ -107,7 +110,7 @@
 ) -> Result<Index, Error> {
     let changes = tokio::select! {
         changes = node.store.watch(prefix, after, WAIT) => changes,
-        () = node.health.regained() => return Ok(after),
+        () = node.health.regained() => return Err(Error::HistoryGone),
     };
     node.note_store("watch", &changes);
     let (changes, revision) = changes?;
