--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -39,7 +39,24 @@
     }
 }
 
+/// Counts a connection for as long as it lives.
+struct Connected<D: Dialect>(Rc<Node<D>>);
+
+impl<D: Dialect> Connected<D> {
+    fn new(node: Rc<Node<D>>) -> Self {
+        node.connections.set(node.connections.get() + 1);
+        Self(node)
+    }
+}
+
+impl<D: Dialect> Drop for Connected<D> {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 async fn serve_connection<D: Dialect>(node: Rc<Node<D>>, stream: TcpStream) {
+    let _connected = Connected::new(node.clone());
     if let Err(error) = stream.set_nodelay(true) {
         event!(debug, "no-delay refused", why = error);
     }
@@ -50,18 +67,20 @@
         async move { Always::Ok(answer(node, request).await) }
     });
     let mut closing = node.closing.subscribe();
+    let is_closing = *closing.borrow_and_update();
     let mut builder = Builder::new();
     // The library counts the idle time before a request as time for its head.
     let head_timeout_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(head_timeout_ms))
-        .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BYTES));
+        .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BYTES))
+        .keep_alive(!is_closing);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|&is_closing| is_closing) => {
+        _ = closing.changed() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -73,6 +73,8 @@
     pub metrics: Metrics,
     /// Requests of callers in progress.
     pub in_progress: Cell<usize>,
+    /// Open connections of callers.
+    pub connections: Cell<usize>,
     /// What the node is in the middle of.
     pub stage: Cell<Stage>,
     /// Tells all tasks that a stop has begun.
@@ -119,6 +121,7 @@
             peers: Client::new(),
             metrics: Metrics::new()?,
             in_progress: Cell::new(0),
+            connections: Cell::new(0),
             stage: Cell::new(Stage::Starting),
             stop_begun: watch::channel(false).0,
             closing: watch::channel(false).0,
@@ -234,7 +237,8 @@
         sleep(BALANCER_LAG).await;
         jobs::hand_over(self).await;
         self.closing.send_replace(true);
-        while self.in_progress.get() > 0 && tokio::time::Instant::now() < end {
+        // An idle connection ends at once; one that carries a request ends with its answer.
+        while self.connections.get() > 0 && tokio::time::Instant::now() < end {
             sleep(STOP_POLL).await;
         }
         control::leave(self).await;
