Tests of the path on the users' platform; find out sooner that the store is back

Causes found by the tests: during an outage the renewals paused up to 5 s, so nothing noticed the end of it; a lost answer was told as a time-out; a body that is too large reset its sender's connection before the answer.

--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::header::{ACCEPT_ENCODING, HOST};
 use hyper::{HeaderMap, Request, StatusCode};
 use wisteriapoint_directory::{Configuration, Route, RouteKind};
@@ -22,6 +22,9 @@
 /// Time for a request without a deadline of its own, in milliseconds; its route's timeout is less.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
+/// What is read of a body beyond the limit, in bytes, before its sender is told.
+const MAX_EXCESS_BYTES: usize = 8 << 20;
+
 /// A caller's request with its route.
 #[derive(Debug)]
 pub struct Incomer {
@@ -185,14 +188,27 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Answer> {
-    let too_large = || text(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(too_large());
+/// Reads a body; one that is too large is read on for a while, or its sender would not see the
+/// answer.
+async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Answer> {
+    let mut whole = BytesMut::new();
+    let mut read_bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Err(text(StatusCode::BAD_REQUEST, "the body broke off"));
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        read_bytes += data.len();
+        match read_bytes {
+            read if read <= max_bytes => whole.extend_from_slice(&data),
+            read if read <= max_bytes + MAX_EXCESS_BYTES => whole.clear(),
+            _ => break,
+        }
     }
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
-        Err(_) => Err(text(StatusCode::BAD_REQUEST, "the body broke off")),
+    match read_bytes > max_bytes {
+        true => Err(text(StatusCode::PAYLOAD_TOO_LARGE, "body too large")),
+        false => Ok(whole.freeze()),
     }
 }
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -23,6 +23,10 @@
 /// What must be left of a lease for an order to go out, in milliseconds: its way to the engine.
 const MARGIN_MS: u64 = 300;
 
+/// Longest pause between attempts: this task finds out that the store answers again, for all
+/// others, and a configuration is to be in force two seconds later.
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+
 /// The lease of a node.
 #[derive(Debug, Default)]
 pub struct Lease {
@@ -88,7 +92,7 @@
             }
             Err(error) => {
                 event!(debug, "lease not held", why = error);
-                sleep(backoff.next_pause()).await;
+                sleep(backoff.next_pause().min(MAX_PAUSE)).await;
             }
         }
     }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -142,7 +142,6 @@
         let limit_ms = limit_ms(forward, &tried, end_at_ms - now_ms);
         let attempt = attempt(node, forward, &endpoint, address, end_at_ms - now_ms);
         let result = timeout(Duration::from_millis(limit_ms), attempt).await;
-        let is_last = end_at_ms <= now_ms + limit_ms;
         let result = result.unwrap_or_else(|_| {
             Err(SendFailure {
                 verdict: Verdict::MayHaveRun,
@@ -185,7 +184,8 @@
             }
         };
         if !may_go_on {
-            return tried.give_up("the endpoint did not answer it", is_last);
+            let is_timeout = node.now_ms() >= end_at_ms;
+            return tried.give_up("the endpoint did not answer it", is_timeout);
         }
     }
 }
