Reach the store through a peer where it serves others only

Cause: a node that the store refused lost its lease; its batch jobs ran again elsewhere, its orders stopped, and callers got 503 for new batch jobs.

--- a/crates/node/src/control/keeper.rs
+++ b/crates/node/src/control/keeper.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
-use wisteriapoint_store::{Backoff, Committed, Error, Index, Ledger, Transaction};
+use wisteriapoint_store::{Backoff, Committed, Error, Freshness, Index, Ledger, Transaction};
 
 use super::members::{self, MEMBERS};
 use super::orders;
@@ -222,14 +222,14 @@
     node: &Rc<Node<D>>,
     known: &mut BTreeSet<wisteriapoint_batch::Owner>,
 ) -> Result<(), Error> {
-    let (members, revision) = members::members_at(node).await?;
+    let (members, revision) = members::members_at(node, Freshness::Linearizable).await?;
     let members: BTreeSet<_> = members.into_iter().collect();
     let is_first = known.is_empty();
     let has_lost = !known.is_subset(&members);
     *known = members;
     if is_first || has_lost {
         sleep(RETURN_PAUSE).await;
-        let (live, _) = members::members_at(node).await?;
+        let (live, _) = members::members_at(node, Freshness::Linearizable).await?;
         let live: BTreeSet<_> = live.into_iter().collect();
         jobs::take_over_orphans(node, &live).await?;
     }
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::time::sleep;
-use wisteriapoint_store::{Backoff, Error, LeaseId, Ledger, Transaction};
+use tokio::time::{Instant, sleep};
+use wisteriapoint_store::{Backoff, Error, Freshness, LeaseId, Ledger, Transaction};
 
 use super::members;
 use crate::clock::boot_ms;
@@ -27,6 +27,9 @@
 /// others, and a configuration is to be in force two seconds later.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time between reads of who the other nodes are; a stale read costs a tenth of a call.
+const MEMBERS_PAUSE: Duration = Duration::from_secs(6);
+
 /// The lease of a node.
 #[derive(Debug, Default)]
 pub struct Lease {
@@ -80,6 +83,7 @@
 pub async fn hold<D: Dialect>(node: Rc<Node<D>>) {
     let ttl_ms = TTL_MS.max(node.settings.store.min_lease_ms);
     let mut backoff = Backoff::new();
+    let mut members_due = Instant::now();
     while node.stage.get() != Stage::Stopping || node.lease.id().is_some() {
         let result = match node.lease.id() {
             None => obtain(&node, ttl_ms).await,
@@ -88,6 +92,10 @@
         match result {
             Ok(()) => {
                 backoff = Backoff::new();
+                if Instant::now() >= members_due {
+                    members_due = Instant::now() + MEMBERS_PAUSE;
+                    learn_others(&node).await;
+                }
                 sleep(Duration::from_millis(ttl_ms / RENEWALS)).await;
             }
             Err(error) => {
@@ -98,6 +106,17 @@
     }
 }
 
+/// Learns through which nodes the store may be reached.
+async fn learn_others<D: Dialect>(node: &Rc<Node<D>>) {
+    match members::members(node, Freshness::Stale).await {
+        Ok(members) => {
+            let others = members.iter().filter(|member| **member != node.owner);
+            node.store.set_others(others.map(|member| member.address).collect());
+        }
+        Err(error) => event!(debug, "members not read", why = error),
+    }
+}
+
 async fn obtain<D: Dialect>(node: &Rc<Node<D>>, ttl_ms: u64) -> Result<(), Error> {
     let asked_boot_ms = boot_ms();
     let lease = node.store.grant(Duration::from_millis(ttl_ms)).await;
@@ -110,6 +129,8 @@
     committed?;
     node.lease.renewed(lease, asked_boot_ms, ttl_ms);
     event!(info, "lease obtained", lease = lease.0);
+    // Without a lease the batch jobs may have been taken over.
+    tokio::task::spawn_local(jobs::verify_all(node.clone()));
     Ok(())
 }
 
@@ -125,9 +146,7 @@
         Err(error) if error.is_lease_lapsed() => {
             event!(warn, "lease lost", lease = lease.0);
             node.lease.lost();
-            obtain(node, ttl_ms).await?;
-            jobs::verify_all(node).await;
-            Ok(())
+            obtain(node, ttl_ms).await
         }
         Err(error) => Err(error),
     }
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -37,8 +37,11 @@
 /// # Errors
 ///
 /// Fails if the store does not answer.
-pub async fn members<D: Dialect>(node: &Node<D>) -> Result<Vec<Owner>, Error> {
-    Ok(members_at(node).await?.0)
+pub async fn members<D: Dialect>(
+    node: &Node<D>,
+    freshness: Freshness,
+) -> Result<Vec<Owner>, Error> {
+    Ok(members_at(node, freshness).await?.0)
 }
 
 /// All members, and the revision from which a watch goes on.
@@ -46,8 +49,11 @@
 /// # Errors
 ///
 /// Fails if the store does not answer.
-pub async fn members_at<D: Dialect>(node: &Node<D>) -> Result<(Vec<Owner>, Index), Error> {
-    let rows = node.store.range(MEMBERS, Freshness::Linearizable).await;
+pub async fn members_at<D: Dialect>(
+    node: &Node<D>,
+    freshness: Freshness,
+) -> Result<(Vec<Owner>, Index), Error> {
+    let rows = node.store.range(MEMBERS, freshness).await;
     node.note_store("members", &rows);
     let (rows, revision) = rows?;
     let members = rows.iter().filter_map(|row| member(&row.value)).collect();
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -21,6 +21,9 @@
 /// Pause between these: a late write takes effect within some seconds.
 const RESOLUTION_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause before the row of a batch job is read again after a failure.
+const VERIFY_PAUSE: Duration = Duration::from_millis(300);
+
 /// Reads the row of a batch job.
 pub async fn read_state<D: Dialect>(
     node: &Node<D>,
@@ -157,18 +160,20 @@
 }
 
 /// Drops the batch jobs that another node has taken over or ended.
-pub async fn verify_all<D: Dialect>(node: &Rc<Node<D>>) {
+pub async fn verify_all<D: Dialect>(node: Rc<Node<D>>) {
     for owned in node.jobs.all() {
-        if !owned.is_open.get() || owned.job.borrow().is_all_listed() {
-            continue;
-        }
-        match read_state(node, &owned.id).await {
-            Ok(Some((_, state))) if state.owner == node.owner && state.open => {}
-            Ok(_) => {
-                event!(warn, "batch job lost", id = owned.id);
-                node.jobs.remove(&owned.id);
+        while owned.is_open.get() && !owned.job.borrow().is_all_listed() {
+            match read_state(&node, &owned.id).await {
+                Ok(Some((_, state))) if state.owner == node.owner && state.open => break,
+                Ok(_) => {
+                    event!(warn, "batch job lost", id = owned.id);
+                    node.jobs.remove(&owned.id);
+                }
+                Err(error) => {
+                    event!(info, "batch job not verified", id = owned.id, why = error);
+                    node.health.pause(VERIFY_PAUSE).await;
+                }
             }
-            Err(error) => event!(warn, "batch job not verified", id = owned.id, why = error),
         }
     }
 }
@@ -184,7 +189,7 @@
     if open.is_empty() {
         return;
     }
-    let members = match members(node).await {
+    let members = match members(node, Freshness::Linearizable).await {
         Ok(members) => members,
         Err(error) => {
             event!(warn, "batch jobs not handed over", why = error);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 pub mod node;
 pub mod peers;
+pub mod relay;
 pub mod settings;
 pub mod upstream;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,7 @@
 use crate::dialect::Dialect;
 use crate::jobs::Jobs;
 use crate::metrics::Metrics;
+use crate::relay::Relayed;
 use crate::settings::NodeSettings;
 use crate::upstream::Pool;
 use crate::{Error, callers, control, event, jobs, peers};
@@ -54,7 +55,7 @@
     /// The clock of all decisions.
     pub clock: Clock,
     /// The platform's store.
-    pub store: D::Ledger,
+    pub store: Relayed<D::Ledger>,
     /// Whether the store answers.
     pub health: Health,
     /// The lease that the rows of this node hang on.
@@ -108,8 +109,10 @@
             address: settings.peer_address,
         };
         let clock = Clock::new();
+        let peers = Client::new();
+        let direct = D::ledger(settings.store.address);
         Ok(Rc::new(Self {
-            store: D::ledger(settings.store.address),
+            store: Relayed::new(direct, peers.clone()),
             health: Health::new(),
             lease: Lease::new(),
             owner,
@@ -118,7 +121,7 @@
             directory_changed: Notify::new(),
             pool: Pool::new(),
             jobs: Jobs::new(),
-            peers: Client::new(),
+            peers,
             metrics: Metrics::new()?,
             in_progress: Cell::new(0),
             connections: Cell::new(0),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -9,11 +9,13 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use wisteriapoint_batch::Page;
+use wisteriapoint_store::Error as StoreError;
 
 use crate::dialect::Dialect;
 use crate::event;
 use crate::jobs::{self, read};
 use crate::node::Node;
+use crate::relay::{StoreAnswer, StoreCall};
 
 /// Time for a peer's answer beyond what the question may wait for: some hops, and a peer that is
 /// late on its share of a core.
@@ -50,6 +52,8 @@
         /// The batch job.
         job: Box<str>,
     },
+    /// Asks the node to call the store, which does not serve the asker.
+    Store(StoreCall),
 }
 
 /// The answer of a node.
@@ -70,6 +74,8 @@
     Nothing,
     /// This node does not own the batch job.
     NotOwner,
+    /// What the store answered.
+    Store(Result<StoreAnswer, StoreError>),
     /// It could not be done.
     Failed,
 }
@@ -131,6 +137,7 @@
             },
             None => Reply::NotOwner,
         },
+        Question::Store(call) => Reply::Store(node.store.serve(call).await),
         Question::Adopt { job } => match jobs::take_over(node, &job).await {
             true => Reply::Done,
             false => Reply::Failed,
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -1,7 +1,9 @@
 //! Errors of the platform.
 
+use serde::{Deserialize, Serialize};
+
 /// Why a call to the platform gave no result.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug, Clone, thiserror::Error, Serialize, Deserialize)]
 pub enum Error {
     /// The answer did not come; a write may have taken effect.
     #[error("the platform did not answer: {0}")]
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -3,14 +3,19 @@
 use std::future::Future;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Error, Index};
 
 /// A lease on which rows may hang; 0 is none.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
 pub struct LeaseId(pub u64);
 
 /// One row.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// The key.
     pub key: Box<str>,
@@ -21,7 +26,7 @@
 }
 
 /// A change of a row, as a watch tells it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// The row was written.
     Written(Row),
@@ -30,7 +35,7 @@
 }
 
 /// A row to write.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Put {
     /// The key.
     pub key: Box<str>,
@@ -41,7 +46,7 @@
 }
 
 /// Writes that take place together, if all conditions hold.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Transaction {
     /// Keys with the revisions that they must have; [`Index`] 0 means absent.
     pub expected: Vec<(Box<str>, Index)>,
@@ -83,7 +88,7 @@
 }
 
 /// What became of a transaction that was answered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Committed {
     /// It took place at this revision.
     Done(Index),
@@ -94,7 +99,7 @@
 }
 
 /// How fresh an answer has to be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Freshness {
     /// It reflects all that was acknowledged before the question.
     Linearizable,
