Let an owner be sure only of jobs that it has verified and still has

Cause, found by the test with a node that stands still: after the thaw the node got a new lease before it had read the rows of its batch jobs, and said that there were no results.

--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -146,6 +146,7 @@
         Err(error) if error.is_lease_lapsed() => {
             event!(warn, "lease lost", lease = lease.0);
             node.lease.lost();
+            node.jobs.set_verified(false);
             obtain(node, ttl_ms).await
         }
         Err(error) => Err(error),
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -13,6 +13,7 @@
 pub struct Jobs {
     owned: RefCell<BTreeMap<Box<str>, Rc<Owned>>>,
     owners: RefCell<BTreeMap<Box<str>, Owner>>,
+    is_unverified: Cell<bool>,
 }
 
 /// A batch job that this node owns.
@@ -63,6 +64,16 @@
         self.owned.borrow().contains_key(id) || self.owners.borrow().contains_key(id)
     }
 
+    /// Whether the rows of all batch jobs were read since this node was without a lease.
+    pub fn is_verified(&self) -> bool {
+        !self.is_unverified.get()
+    }
+
+    /// Sets whether they were.
+    pub fn set_verified(&self, is_verified: bool) {
+        self.is_unverified.set(!is_verified);
+    }
+
     /// All batch jobs that this node owns.
     pub fn all(&self) -> Vec<Rc<Owned>> {
         self.owned.borrow().values().cloned().collect()
--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -42,7 +42,7 @@
 ) -> Found<Page> {
     if let Some(owned) = node.jobs.get(job) {
         let page = own_results(node, &owned, after, wait_ms).await;
-        return confirmed(node, job, after, page, node.is_sure_owner()).await;
+        return confirmed(node, job, after, page, node.is_sure_owner(job)).await;
     }
     let question = Question::Results {
         job: job.into(),
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -176,6 +176,7 @@
             }
         }
     }
+    node.jobs.set_verified(true);
 }
 
 /// Gives the open batch jobs to other nodes.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -166,9 +166,10 @@
         self.directory.borrow().configuration.clone()
     }
 
-    /// Whether no other node can have taken over this node's batch jobs unnoticed.
-    pub fn is_sure_owner(&self) -> bool {
-        self.lease.is_sure() && !self.health.is_failing()
+    /// Whether no other node can have taken a batch job of this node over unnoticed.
+    pub fn is_sure_owner(&self, job: &str) -> bool {
+        let is_owned = self.jobs.get(job).is_some();
+        is_owned && self.jobs.is_verified() && self.lease.is_sure() && !self.health.is_failing()
     }
 
     /// Becomes ready once configuration and endpoints are known.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -118,7 +118,7 @@
         } => match node.jobs.get(&job) {
             Some(owned) => {
                 let page = read::own_results(node, &owned, after, wait_ms).await;
-                let is_sure = node.is_sure_owner();
+                let is_sure = node.is_sure_owner(&job);
                 Reply::Page { page, is_sure }
             }
             None => Reply::NotOwner,
