--- a/crates/node/src/control/keeper.rs
+++ b/crates/node/src/control/keeper.rs
@@ -17,8 +17,6 @@
 
 /// Key of the row that says who is the keeper.
 const KEEPER: &str = "wp/keeper";
-/// Key of the row in which a keeper that stops tells when it gave its last order.
-const RELEASE: &str = "wp/release";
 /// Longest random pause before the first claim, in milliseconds: nodes start together, and the
 /// first one spares the others a write.
 const FIRST_PAUSE_MS: u64 = 400;
@@ -114,46 +112,28 @@
 
 /// Carries the duty out until the row or the lease is lost.
 async fn carry_out<D: Dialect>(node: &Rc<Node<D>>, fence: Index, seen: Index) {
-    let quiet = match quiet_ms(node).await {
-        Ok(quiet_ms) => Duration::from_millis(quiet_ms),
-        Err(error) => {
-            event!(warn, "release not read", why = error);
-            Duration::from_millis(node.settings.bounds.lease_ms)
-        }
-    };
     tokio::select! {
-        () = orders::run(node.clone(), fence, quiet) => {}
+        () = orders::run(node.clone(), fence, quiet(node)) => {}
         () = adopt_orphans(node) => {}
         () = until_lost(node, fence, seen) => {}
     }
 }
 
-/// Time for which a new keeper gives no order, in milliseconds.
+/// Time for which a new keeper gives no order.
 ///
-/// Engines that check fencing tokens refuse the former keeper by themselves; only one that
-/// stopped as planned may have been well when it gave its last order, and its successor must
-/// not take turns with it. Where engines check nothing, the whole lease is waited out.
-async fn quiet_ms<D: Dialect>(node: &Rc<Node<D>>) -> Result<u64, Error> {
-    let lease_ms = node.settings.bounds.lease_ms;
-    if !node.settings.bounds.engines_check_fences {
-        return Ok(lease_ms);
+/// Engines that check fencing tokens refuse the former keeper by themselves. Where they check
+/// nothing, its orders may still count for the length of a lease.
+fn quiet<D: Dialect>(node: &Node<D>) -> Duration {
+    match node.settings.bounds.engines_check_fences {
+        true => Duration::ZERO,
+        false => Duration::from_millis(node.settings.bounds.lease_ms),
     }
-    let row = node.store.row(RELEASE).await;
-    node.note_store("release", &row);
-    let last_order_unix_ms = match row?.0 {
-        Some(row) => serde_json::from_slice::<u64>(&row.value).unwrap_or_default(),
-        None => 0,
-    };
-    let over_unix_ms = last_order_unix_ms + lease_ms;
-    Ok(over_unix_ms.saturating_sub(node.clock.unix_ms()).min(lease_ms))
 }
 
 /// Gives the duty up at once, so that its successor need not wait for the lease to lapse.
 async fn release<D: Dialect>(node: &Rc<Node<D>>, fence: Index) {
-    let last_order_unix_ms = node.clock.unix_ms().to_string();
     let transaction = Transaction::new()
         .with_expected(KEEPER, fence)
-        .with_put(RELEASE, last_order_unix_ms.into_bytes())
         .with_remove(KEEPER);
     let committed = node.store.commit(&transaction).await;
     node.note_store("release", &committed);
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -110,10 +110,11 @@
             Err(error) if !error.is_answer() => {
                 let until = Instant::now() + BAD_WAY;
                 self.shared.direct_bad_until.set(Some(until));
-                match self.relay(&call).await {
-                    Some(relayed) => relayed,
-                    None => answer,
+                // A watch that was cut may have missed a change, which its caller has to read.
+                if let StoreCall::Watch(..) = call {
+                    return answer;
                 }
+                self.relay(&call).await.unwrap_or(answer)
             }
             _ => answer,
         }
