Hand texts of running items over, and store them now and then

Cause: whoever took a batch job over ran all its items again from their first event; long ones took the trainer's whole time.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -1,5 +1,7 @@
 //! What a batch job consists of.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 use wisteriapoint_types::WeightVersion;
 
@@ -118,3 +120,23 @@
         }
     }
 }
+
+/// The text of an item as far as it is known.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Data of the events so far, separated by line feeds.
+    pub text: String,
+    /// Number of the last one.
+    pub last_event: Option<u64>,
+    /// Weight versions that made them.
+    pub versions: BTreeSet<WeightVersion>,
+}
+
+/// The beginning of an item's text, for whoever goes on with it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The item's id.
+    pub item: Box<str>,
+    /// Its text so far.
+    pub progress: Progress,
+}
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -116,6 +116,11 @@
             .map(|place| ItemKey(place as u32))
     }
 
+    /// Whether an item is done.
+    pub fn is_item_done(&self, key: ItemKey) -> bool {
+        self.states.get(key.0 as usize) == Some(&ItemState::Done)
+    }
+
     /// Whether all items are done.
     pub fn is_done(&self) -> bool {
         self.states.iter().all(|&state| state == ItemState::Done)
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -19,6 +19,6 @@
 pub mod record;
 
 pub use commit::Batch;
-pub use item::{Item, ItemKey, ItemResult, Outcome, Scorer, Step, Submission};
+pub use item::{Item, ItemKey, ItemResult, Outcome, Part, Progress, Scorer, Step, Submission};
 pub use job::{Job, Page};
 pub use record::{JobRecord, JobState, Owner};
--- a/crates/node/src/control/keeper.rs
+++ b/crates/node/src/control/keeper.rs
@@ -78,19 +78,23 @@
     node.note_store("keeper", &row);
     let (row, revision) = row?;
     let (key, value) = (KEEPER, members::row(&node.owner)?.1);
-    match row {
+    let expected = match row {
         Some(row) if row.value == value => {
             let (fence, seen) = (row.revision, revision);
             return Ok(Claim::Ours { fence, seen });
         }
-        Some(_) => return Ok(Claim::Others(revision)),
-        None => {}
-    }
+        Some(row) => match members::member(&row.value) {
+            // An earlier run of the daemon on this VM is gone for sure.
+            Some(former) if former.vm == node.owner.vm => row.revision,
+            _ => return Ok(Claim::Others(revision)),
+        },
+        None => Index(0),
+    };
     let Some(lease) = node.lease.id() else {
         return Err(Error::LeaseLapsed);
     };
     let transaction = Transaction::new()
-        .with_expected(key, Index(0))
+        .with_expected(key, expected)
         .with_leased(key, value, lease);
     let committed = node.store.commit(&transaction).await;
     node.note_store("claim", &committed);
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::dialect::Dialect;
 use crate::event;
+use crate::jobs;
 use crate::node::Node;
 
 /// Starts all tasks of control.
@@ -26,6 +27,7 @@
     spawn_local(watch::endpoints(node.clone()));
     spawn_local(lease::hold(node.clone()));
     spawn_local(keeper::run(node.clone()));
+    spawn_local(jobs::take_over_former(node.clone()));
 }
 
 /// Gives the lease back, and with it the rows of this node.
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt at an item: its text from one endpoint, then its score.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +8,7 @@
 use hyper::header::{HOST, HeaderName, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
 use tokio::time::timeout;
-use wisteriapoint_batch::{Item, ItemKey};
+use wisteriapoint_batch::{Item, ItemKey, Progress};
 use wisteriapoint_directory::Route;
 use wisteriapoint_types::{EndpointName, Verdict, WeightVersion};
 
@@ -29,17 +28,6 @@
 /// Longest silence within a text; an endpoint that is ten times slow still speaks sooner.
 const MAX_SILENCE: Duration = Duration::from_millis(2_000);
 
-/// What is known of an item's text.
-#[derive(Debug, Clone, Default)]
-pub struct Progress {
-    /// Data of the events so far, separated by line feeds.
-    pub text: String,
-    /// Number of the last one.
-    pub last_event: Option<u64>,
-    /// Weight versions that made them.
-    pub versions: BTreeSet<WeightVersion>,
-}
-
 /// One attempt at an item.
 pub struct Attempt<D: Dialect> {
     key: ItemKey,
@@ -48,7 +36,7 @@
     address: SocketAddr,
     min_version: WeightVersion,
     left_ms: u64,
-    progress: Progress,
+    owned: Rc<Owned>,
     /// Given up with the text, before the score.
     occupied: Option<Occupied<D>>,
 }
@@ -58,8 +46,6 @@
 pub struct AttemptEnd {
     /// The item.
     pub key: ItemKey,
-    /// What is known of its text.
-    pub progress: Progress,
     /// How it ended.
     pub ended: Ended,
 }
@@ -90,11 +76,10 @@
     /// It occupies the endpoint at once: many attempts may be made before the first one runs.
     pub fn new(
         node: &Rc<Node<D>>,
-        owned: &Owned,
+        owned: &Rc<Owned>,
         key: ItemKey,
         endpoint: EndpointName,
         address: SocketAddr,
-        progress: Progress,
     ) -> Self {
         let job = owned.job.borrow();
         let step = job.submission().step.as_ref();
@@ -104,7 +89,7 @@
             address,
             min_version: step.map(|step| step.min_version).unwrap_or_default(),
             left_ms: job.give_up_at_ms().saturating_sub(node.now_ms()),
-            progress,
+            owned: owned.clone(),
             occupied: Some(Occupied::new(node, &endpoint)),
             endpoint,
         }
@@ -114,14 +99,13 @@
     pub async fn run(
         mut self,
         node: Rc<Node<D>>,
-        owned: Rc<Owned>,
         route: Route,
     ) -> AttemptEnd {
         let started_ms = node.now_ms();
-        let ended = match self.generate(&node, &owned, &route).await {
+        let ended = match self.generate(&node, &route).await {
             Ok(()) => {
                 let score = match &self.item.scorer {
-                    Some(scorer) => score::score(&node, &owned, scorer).await.map(Some),
+                    Some(scorer) => score::score(&node, &self.owned, scorer).await.map(Some),
                     None => Ok(None),
                 };
                 self.completed(score)
@@ -131,35 +115,40 @@
         event!(
             info,
             "item attempt ended",
-            id = owned.id,
+            id = self.owned.id,
             item = self.item.id,
             endpoint = self.endpoint,
             ended = ended_name(&ended),
-            events = self.progress.last_event.unwrap_or(0),
+            events = self.last_event().unwrap_or(0),
             elapsed_ms = node.now_ms() - started_ms,
         );
         AttemptEnd {
             key: self.key,
-            progress: self.progress,
             ended,
         }
     }
 
+    fn last_event(&self) -> Option<u64> {
+        let progress = self.owned.progress.borrow();
+        progress.get(&self.key).and_then(|known| known.last_event)
+    }
+
     fn completed(&mut self, score: Result<Option<Box<str>>, score::Unscored>) -> Ended {
-        match score {
-            Ok(score) => Ended::Completed {
-                output: std::mem::take(&mut self.progress.text).into(),
-                versions: self.progress.versions.iter().copied().collect(),
+        let progress = self.owned.progress.borrow_mut().remove(&self.key);
+        match (score, progress) {
+            (Ok(score), Some(progress)) => Ended::Completed {
+                output: progress.text.into(),
+                versions: progress.versions.into_iter().collect(),
                 score,
             },
-            Err(score::Unscored) => Ended::Hopeless,
+            (Ok(_), None) => Ended::Unfinished,
+            (Err(score::Unscored), _) => Ended::Hopeless,
         }
     }
 
     async fn generate(
         &mut self,
         node: &Node<D>,
-        owned: &Owned,
         route: &Route,
     ) -> Result<(), Ended> {
         let sending = self.sending(route)?;
@@ -169,7 +158,7 @@
             id: &self.item.id,
             endpoint: &endpoint,
             left_ms: Some(self.left_ms),
-            last_event: self.progress.last_event,
+            last_event: self.last_event(),
         };
         let sent = send::<D>(&node.pool, self.address, &sending, addressed);
         let result = match timeout(FIRST_TIMEOUT, sent).await {
@@ -183,7 +172,7 @@
                 event!(
                     info,
                     "item broke off",
-                    id = owned.id,
+                    id = self.owned.id,
                     item = self.item.id,
                     endpoint = endpoint,
                     verdict = failure.verdict,
@@ -260,7 +249,7 @@
         if let Some(known) = node.directory.borrow_mut().registry.get_mut(&self.endpoint) {
             known.succeeded(unit_ms);
         }
-        match self.progress.last_event {
+        match self.last_event() {
             Some(_) => Ok(Ok(())),
             None => Err(SendFailure::cut("text without events".into())),
         }
@@ -268,12 +257,13 @@
 
     /// Adds an event to the text.
     fn take(
-        &mut self,
+        &self,
         route: &Route,
         event: Event,
         version: Option<WeightVersion>,
     ) -> Result<(), SendFailure> {
-        let progress = &mut self.progress;
+        let mut all = self.owned.progress.borrow_mut();
+        let progress = all.entry(self.key).or_default();
         let is_next = match (progress.last_event, event.id) {
             (Some(last), Some(id)) => id == last + 1,
             (None, id) => id.is_some(),
--- a/crates/node/src/jobs/commit.rs
+++ b/crates/node/src/jobs/commit.rs
@@ -93,7 +93,11 @@
             open: false,
             ..row.state.clone()
         };
-        let changed = change(&node, &owned, &mut row, state, |transaction| transaction).await;
+        let parts = keys::parts(&owned.id);
+        let changed = change(&node, &owned, &mut row, state, |transaction| {
+            transaction.with_remove(parts)
+        })
+        .await;
         event!(info, "batch job ended", id = owned.id, by_owner = changed == Changed::Done);
         match changed {
             Changed::Done => true,
--- a/crates/node/src/jobs/keys.rs
+++ b/crates/node/src/jobs/keys.rs
@@ -35,3 +35,8 @@
 pub fn results_of(job: &str, commit: u32) -> String {
     format!("{}{commit:06}", results(job))
 }
+
+/// Key of the texts of items that run.
+pub fn parts(job: &str) -> String {
+    format!("wp/parts/{job}")
+}
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use tokio::sync::{Mutex, Notify};
-use wisteriapoint_batch::{Job, JobRecord, JobState, Owner};
+use wisteriapoint_batch::{ItemKey, Job, JobRecord, JobState, Owner, Part, Progress};
 use wisteriapoint_store::Index;
 
 /// All batch jobs that this node owns, and the owners of others that it has met.
@@ -27,6 +27,8 @@
     pub path: Box<str>,
     /// Its items and results.
     pub job: RefCell<Job>,
+    /// Texts of items that run or wait to go on.
+    pub progress: RefCell<BTreeMap<ItemKey, Progress>>,
     /// The row in the store as this node wrote or read it last; locked while it is written.
     pub row: Mutex<OwnedRow>,
     /// Whether more items may run.
@@ -126,6 +128,7 @@
             path: record.path.clone(),
             is_open: Cell::new(row.state.open),
             job: RefCell::new(job),
+            progress: RefCell::default(),
             row: Mutex::new(row),
             listed: Notify::new(),
             finished: Notify::new(),
@@ -141,6 +144,35 @@
         self.listed.notify_waiters();
     }
 
+    /// The texts of items that are not done.
+    pub fn parts(&self) -> Vec<Part> {
+        let job = self.job.borrow();
+        let progress = self.progress.borrow();
+        let begun = progress.iter().filter(|(_, known)| known.last_event.is_some());
+        begun
+            .filter_map(|(&key, known)| {
+                let item = job.item(key)?.id.clone();
+                let progress = known.clone();
+                Some(Part { item, progress })
+            })
+            .collect()
+    }
+
+    /// Takes texts that an earlier owner got; of two for an item, the longer one.
+    pub fn take_parts(&self, parts: Vec<Part>) {
+        let job = self.job.borrow();
+        let mut progress = self.progress.borrow_mut();
+        for part in parts {
+            let Some(key) = job.key_of(&part.item).filter(|&key| !job.is_item_done(key)) else {
+                continue;
+            };
+            let known = progress.entry(key).or_default();
+            if known.last_event < part.progress.last_event {
+                *known = part.progress;
+            }
+        }
+    }
+
     /// The body of an item.
     pub fn body(&self, item: &str) -> Option<Vec<u8>> {
         let job = self.job.borrow();
--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -1,18 +1,17 @@
 //! Items of a batch job: which runs next, where, and what follows from how it ended.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::task::{JoinSet, spawn_local};
 use tokio::time::sleep;
-use wisteriapoint_batch::{ItemKey, Outcome};
+use wisteriapoint_batch::Outcome;
 use wisteriapoint_directory::{Need, Route};
 use wisteriapoint_types::{EndpointName, ServiceName};
 
-use super::attempt::{Attempt, AttemptEnd, Ended, Progress};
-use super::{Owned, commit};
+use super::attempt::{Attempt, AttemptEnd, Ended};
+use super::{Owned, commit, parts};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::Node;
@@ -26,6 +25,7 @@
 pub fn start<D: Dialect>(node: &Rc<Node<D>>, owned: Rc<Owned>) {
     node.metrics.set_state("open_jobs", node.jobs.open() as i64);
     spawn_local(commit::run(node.clone(), owned.clone()));
+    spawn_local(parts::run(node.clone(), owned.clone()));
     spawn_local(run(node.clone(), owned));
 }
 
@@ -38,10 +38,9 @@
 async fn run<D: Dialect>(node: Rc<Node<D>>, owned: Rc<Owned>) {
     // Dropped at the end, which closes the connections of all items that run.
     let mut attempts: JoinSet<AttemptEnd> = JoinSet::new();
-    let mut progress: BTreeMap<ItemKey, Progress> = BTreeMap::new();
     while owned.is_open.get() && !owned.job.borrow().is_done() {
         owned.job.borrow_mut().give_up(node.now_ms());
-        start_items(&node, &owned, &mut attempts, &mut progress);
+        start_items(&node, &owned, &mut attempts);
         let poll = match owned.job.borrow().waiting() {
             0 => IDLE_POLL,
             _ => ROOM_POLL,
@@ -53,7 +52,7 @@
             () = sleep(poll) => continue,
         };
         match ended {
-            Ok(end) => take_end(&node, &owned, &mut progress, end),
+            Ok(end) => take_end(&node, &owned, end),
             Err(error) => event!(error, "attempt failed", id = owned.id, why = error),
         }
         owned.finished.notify_one();
@@ -67,7 +66,6 @@
     node: &Rc<Node<D>>,
     owned: &Rc<Owned>,
     attempts: &mut JoinSet<AttemptEnd>,
-    progress: &mut BTreeMap<ItemKey, Progress>,
 ) {
     let Some(route) = route_of(node, owned) else {
         return;
@@ -86,15 +84,8 @@
         let Some(key) = owned.job.borrow_mut().next(now_ms) else {
             return;
         };
-        let attempt = Attempt::new(
-            node,
-            owned,
-            key,
-            endpoint,
-            address,
-            progress.remove(&key).unwrap_or_default(),
-        );
-        attempts.spawn_local(attempt.run(node.clone(), owned.clone(), route.clone()));
+        let attempt = Attempt::new(node, owned, key, endpoint, address);
+        attempts.spawn_local(attempt.run(node.clone(), route.clone()));
     }
 }
 
@@ -121,7 +112,6 @@
 fn take_end<D: Dialect>(
     node: &Node<D>,
     owned: &Owned,
-    progress: &mut BTreeMap<ItemKey, Progress>,
     end: AttemptEnd,
 ) {
     let now_ms = node.now_ms();
@@ -145,9 +135,11 @@
         }
         Ended::Unfinished => {
             job.put_back(now_ms, end.key);
-            progress.insert(end.key, end.progress);
             "unfinished"
         }
     };
+    if job.is_item_done(end.key) {
+        owned.progress.borrow_mut().remove(&end.key);
+    }
     node.metrics.items.with_label_values(&[outcome]).inc();
 }
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
-use wisteriapoint_batch::{Job, JobRecord, JobState, Owner};
+use wisteriapoint_batch::{Job, JobRecord, JobState, Owner, Part};
 use wisteriapoint_store::{Committed, Error, Freshness, Index, Ledger, Transaction};
 
 use super::owned::{Owned, OwnedRow};
-use super::{keys, read, run};
+use super::{keys, parts, read, run};
 use crate::control::members;
 use crate::dialect::Dialect;
 use crate::event;
-use crate::node::Node;
+use crate::node::{Node, Stage};
 use crate::peers::{Question, ask};
 
 /// Times that a submission is looked up whose caller was told that it may be stored.
@@ -21,6 +21,8 @@
 /// Pause between these: a late write takes effect within some seconds.
 const RESOLUTION_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause between looks whether the node is ready.
+const READY_PAUSE: Duration = Duration::from_millis(20);
 /// Pause before the row of a batch job is read again after a failure.
 const VERIFY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -60,8 +62,10 @@
 }
 
 /// Takes a batch job over; gives whether this node owns it now or nothing is left to run.
-pub async fn take_over<D: Dialect>(node: &Rc<Node<D>>, job: &str) -> bool {
-    match try_take_over(node, job).await {
+///
+/// `parts` are texts that the former owner gave.
+pub async fn take_over<D: Dialect>(node: &Rc<Node<D>>, job: &str, parts: Vec<Part>) -> bool {
+    match try_take_over(node, job, parts).await {
         Ok(is_taken) => is_taken,
         Err(why) => {
             event!(warn, "batch job not taken over", id = job, why = why);
@@ -70,7 +74,11 @@
     }
 }
 
-async fn try_take_over<D: Dialect>(node: &Rc<Node<D>>, job: &str) -> Result<bool, Box<str>> {
+async fn try_take_over<D: Dialect>(
+    node: &Rc<Node<D>>,
+    job: &str,
+    given: Vec<Part>,
+) -> Result<bool, Box<str>> {
     let state = read_state(node, job).await.map_err(|error| error.to_string())?;
     let Some((revision, state)) = state else {
         return Ok(false);
@@ -114,15 +122,41 @@
     let state = taken;
     let new = Job::new(submission, max_attempts, give_up_at_ms).with_listed(listed);
     let owned = Owned::new(job, &record, new, OwnedRow { revision, state });
+    owned.take_parts(given);
+    owned.take_parts(parts::stored(node, job).await);
     node.jobs.insert(owned.clone());
     run::start(node, owned);
     Ok(true)
 }
 
 /// Takes over the open batch jobs whose owner is not among the live ones.
+///
+/// # Errors
+///
+/// Fails if the store does not answer.
 pub async fn take_over_orphans<D: Dialect>(
     node: &Rc<Node<D>>,
     live: &BTreeSet<Owner>,
+) -> Result<(), Error> {
+    take_over_all(node, |owner| !live.contains(owner)).await
+}
+
+/// Takes over the open batch jobs of an earlier run of the daemon on this VM, once it is ready.
+pub async fn take_over_former<D: Dialect>(node: Rc<Node<D>>) {
+    while node.stage.get() == Stage::Starting {
+        sleep(READY_PAUSE).await;
+    }
+    let own = node.owner.clone();
+    let is_former = |owner: &Owner| owner.vm == own.vm && owner.run != own.run;
+    while let Err(error) = take_over_all(&node, is_former).await {
+        event!(info, "former batch jobs not looked for", why = error);
+        node.health.pause(RESOLUTION_PAUSE).await;
+    }
+}
+
+async fn take_over_all<D: Dialect>(
+    node: &Rc<Node<D>>,
+    is_gone: impl Fn(&Owner) -> bool,
 ) -> Result<(), Error> {
     let rows = node.store.range(keys::STATES, Freshness::Linearizable).await;
     node.note_store("states", &rows);
@@ -131,10 +165,10 @@
             event!(error, "state not understood", key = row.key);
             continue;
         };
-        let is_orphan = state.open && state.listed < state.total && !live.contains(&state.owner);
+        let is_orphan = state.open && state.listed < state.total && is_gone(&state.owner);
         match keys::job_of_state(&row.key) {
             Some(job) if is_orphan => {
-                take_over(node, job).await;
+                take_over(node, job, Vec::new()).await;
             }
             _ => {}
         }
@@ -147,7 +181,7 @@
     for _ in 0..MAX_RESOLUTIONS {
         match read_state(node, job).await {
             Ok(Some((_, state))) if state.owner == node.owner => {
-                take_over(node, job).await;
+                take_over(node, job, Vec::new()).await;
                 return;
             }
             Ok(Some(_)) => return,
@@ -207,6 +241,7 @@
         let _row = owned.row.lock().await;
         let question = Question::Adopt {
             job: owned.id.clone(),
+            parts: owned.parts(),
         };
         let reply = ask(node, heir.address, &question).await;
         event!(info, "batch job handed over", id = owned.id, to = heir.vm, reply = format!("{reply:?}"));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use wisteriapoint_batch::Page;
+use wisteriapoint_batch::{Page, Part};
 use wisteriapoint_store::Error as StoreError;
 
 use crate::dialect::Dialect;
@@ -51,6 +51,8 @@
     Adopt {
         /// The batch job.
         job: Box<str>,
+        /// Texts of its items so far.
+        parts: Vec<Part>,
     },
     /// Asks the node to call the store, which does not serve the asker.
     Store(StoreCall),
@@ -138,7 +140,7 @@
             None => Reply::NotOwner,
         },
         Question::Store(call) => Reply::Store(node.store.serve(call).await),
-        Question::Adopt { job } => match jobs::take_over(node, &job).await {
+        Question::Adopt { job, parts } => match jobs::take_over(node, &job, parts).await {
             true => Reply::Done,
             false => Reply::Failed,
         },
