--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -15,10 +15,11 @@
 
 /// Time for which a way that failed is not tried first, in milliseconds.
 const BAD_WAY: Duration = Duration::from_millis(1_000);
-/// Longest wait of a relayed watch: the peer may end meanwhile.
-const RELAYED_WAIT: Duration = Duration::from_secs(5);
-/// Time for a relayed call: the peer's own call to the store and its way back.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(1_900);
+/// Longest wait of a relayed watch: with the time for the call it stays below the two seconds
+/// within which a configuration is in force, should the peer vanish meanwhile.
+const RELAYED_WAIT: Duration = Duration::from_millis(800);
+/// Time for a relayed call: the peer's own call to a slow store and its way back.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// A call to the store.
 #[derive(Debug, Clone, Serialize, Deserialize)]
