--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{ACCEPT_ENCODING, HOST};
+use hyper::header::{ACCEPT_ENCODING, CONNECTION, HOST, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
 use wisteriapoint_directory::{Configuration, Route, RouteKind};
 
@@ -14,7 +14,7 @@
 use crate::dialect::{Arrival, Call, Dialect};
 use crate::event;
 use crate::forward::{Ending, Forward, forward};
-use crate::node::Node;
+use crate::node::{Node, Stage};
 use crate::upstream::Sending;
 
 /// How long a caller is told to wait for the first configuration, in milliseconds.
@@ -87,7 +87,12 @@
     let (method, path) = (incomer.head.method.clone(), incomer.head.uri.path().to_owned());
     let id = incomer.id.clone();
     let call = D::call(&incomer.head.method, &incomer.head.uri);
-    let (route, answer) = dispatch(&node, call, incomer).await;
+    let (route, mut answer) = dispatch(&node, call, incomer).await;
+    if node.stage.get() == Stage::Stopping {
+        // Callers that are told move on before their connection ends.
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
     let elapsed_ms = node.now_ms() - arrived_at_ms;
     let status = answer.status();
     node.metrics.request(&route, status.as_str(), elapsed_ms);
