--- /dev/null
+++ b/crates/batch/tests/job.rs
@@ -0,0 +1,146 @@
+//! Items, their order, and results at fixed positions.
+
+use proptest::prelude::*;
+use wisteriapoint_batch::{Item, ItemKey, Job, Outcome, Submission};
+
+const GIVE_UP_MS: u64 = 60_000;
+
+fn submission(groups: &[(&str, u32)]) -> Submission {
+    let items = groups.iter().enumerate().map(|(number, &(group, expected_tokens))| Item {
+        group: Some(group.into()),
+        expected_tokens,
+        ..Item::new(&format!("item-{number}"), "/x", Vec::new())
+    });
+    Submission::new(items.collect())
+}
+
+fn completed(text: &str) -> Outcome {
+    Outcome::Completed {
+        output: text.into(),
+        versions: Vec::new(),
+        score: None,
+    }
+}
+
+fn job(groups: &[(&str, u32)]) -> Job {
+    Job::new(submission(groups), 3, GIVE_UP_MS)
+}
+
+#[test]
+fn the_longest_items_run_first() {
+    let mut job = job(&[("a", 5), ("a", 50), ("b", 20)]);
+    let order: Vec<_> = std::iter::from_fn(|| job.next(0)).collect();
+    assert_eq!(order, [ItemKey(1), ItemKey(2), ItemKey(0)]);
+}
+
+#[test]
+fn an_item_that_was_put_back_runs_again_after_a_pause() {
+    let mut job = job(&[("a", 1)]);
+    let key = job.next(0).unwrap();
+    job.put_back(100, key);
+    assert_eq!(job.next(110), None);
+    assert_eq!(job.next(200), Some(key));
+}
+
+#[test]
+fn an_item_is_given_up_after_as_many_failures_as_it_may_have() {
+    let mut job = job(&[("a", 1)]);
+    let given_up: Vec<_> = (0..3)
+        .map(|_| {
+            let key = job.next(10_000).unwrap();
+            let is_given_up = job.failed(key);
+            job.put_back(0, key);
+            is_given_up
+        })
+        .collect();
+    assert_eq!(given_up, [false, false, true]);
+}
+
+#[test]
+fn whole_groups_are_committed_soon_and_others_wait_for_more() {
+    let mut job = job(&[("a", 1), ("a", 1), ("b", 1), ("b", 1)]);
+    for _ in 0..4 {
+        job.next(0);
+    }
+    job.finish(1_000, ItemKey(0), completed("0"));
+    assert_eq!(job.commit_at_ms(), Some(1_500));
+    job.finish(1_100, ItemKey(1), completed("1"));
+    assert_eq!(job.commit_at_ms(), Some(1_150));
+    let batch = job.begin_commit(1_150).unwrap();
+    assert_eq!((batch.first, batch.results.len()), (0, 2));
+    job.finish(1_160, ItemKey(2), completed("2"));
+    assert_eq!(job.commit_at_ms(), None, "one commit at a time");
+    assert_eq!(job.listed(), 0, "nothing is listed before it is stored");
+    job.committed();
+    assert_eq!(job.listed(), 2);
+    job.finish(1_170, ItemKey(3), completed("3"));
+    assert_eq!(job.commit_at_ms(), Some(1_160), "the last results wait for nothing");
+}
+
+#[test]
+fn items_are_given_up_when_their_time_is_over_and_not_before() {
+    let mut job = job(&[("a", 1), ("a", 1)]);
+    job.give_up(GIVE_UP_MS - 1);
+    assert!(!job.is_done());
+    job.give_up(GIVE_UP_MS);
+    assert!(job.is_done());
+    let batch = job.begin_commit(GIVE_UP_MS).unwrap();
+    assert!(batch.results.iter().all(|result| result.outcome == Outcome::Dead));
+}
+
+#[test]
+fn a_page_has_at_least_one_result_and_no_more_than_fit() {
+    let mut job = job(&[("a", 1), ("a", 1), ("a", 1)]);
+    for number in 0..3 {
+        job.next(0);
+        job.finish(0, ItemKey(number), completed(&"x".repeat(1_000)));
+    }
+    job.begin_commit(0);
+    job.committed();
+    let page = job.page(0, 10);
+    assert_eq!((page.results.len(), page.next, page.total), (1, 1, 3));
+    assert_eq!(job.page(0, 2_500).results.len(), 2);
+    assert_eq!(job.page(3, 10).results.len(), 0);
+    assert_eq!(job.page(99, 10).next, 99);
+}
+
+proptest! {
+    /// Whatever order items end in and commits happen in, across owners, each item is listed
+    /// once and no position changes.
+    #[test]
+    fn positions_never_change(
+        order in Just((0..12_u32).collect::<Vec<_>>()).prop_shuffle(),
+        commits in prop::collection::vec(any::<bool>(), 12),
+        takeover_at in 0..12_usize,
+    ) {
+        let groups: Vec<_> = (0..12).map(|n| (["a", "b", "c"][n % 3], 1)).collect();
+        let mut job = job(&groups);
+        let mut seen = Vec::new();
+        for (step, (&item, &commits)) in order.iter().zip(&commits).enumerate() {
+            job.finish(step as u64, ItemKey(item), completed(&item.to_string()));
+            if commits && job.begin_commit(1_000_000).is_some() {
+                job.committed();
+            }
+            let listed = job.page(0, 1 << 20).results;
+            prop_assert!(listed.starts_with(&seen));
+            seen = listed;
+            if step == takeover_at {
+                // A new owner knows what is listed and runs the rest again.
+                job = Job::new(submission(&groups), 3, GIVE_UP_MS).with_listed(seen.clone());
+                for &again in &order[..=step] {
+                    job.finish(0, ItemKey(again), completed(&again.to_string()));
+                }
+            }
+        }
+        while job.begin_commit(1_000_000).is_some() {
+            job.committed();
+        }
+        let listed = job.page(0, 1 << 20).results;
+        prop_assert!(listed.starts_with(&seen));
+        let mut ids: Vec<_> = listed.iter().map(|result| result.id.clone()).collect();
+        ids.sort();
+        ids.dedup();
+        prop_assert_eq!(ids.len(), 12);
+        prop_assert_eq!(listed.len(), 12);
+    }
+}
--- /dev/null
+++ b/crates/directory/tests/registry.rs
@@ -0,0 +1,155 @@
+//! What is known of endpoints, and the choice among them.
+
+use wisteriapoint_directory::{EndpointRecord, EndpointStage, Load, Need, Registry};
+use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, WeightVersion};
+
+fn record(born_unix_ms: u64) -> EndpointRecord {
+    EndpointRecord {
+        service: ServiceName::new("shop"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        failure_domain: FailureDomain::new("dk-east-a"),
+        slots: 2,
+        stage: EndpointStage::Ready,
+        models: vec![("m".into(), WeightVersion(3))],
+        born_unix_ms,
+    }
+}
+
+fn draining(born_unix_ms: u64) -> EndpointRecord {
+    EndpointRecord {
+        stage: EndpointStage::Draining,
+        ..record(born_unix_ms)
+    }
+}
+
+fn name(number: u32) -> EndpointName {
+    EndpointName::new(format!("shop-{number}"))
+}
+
+fn registry(count: u32) -> Registry {
+    let mut registry = Registry::new();
+    for number in 1..=count {
+        registry.learn(&name(number), record(1));
+    }
+    registry
+}
+
+fn choose(registry: &Registry, now_ms: u64, excluded: &[EndpointName]) -> Option<EndpointName> {
+    let (service, near) = (ServiceName::new("shop"), FailureDomain::new("dk-east-a"));
+    let need = Need {
+        service: &service,
+        model: None,
+        within_slots: true,
+        near: &near,
+    };
+    registry.choose(now_ms, need, excluded).cloned()
+}
+
+#[test]
+fn the_least_occupied_endpoint_is_chosen() {
+    let mut registry = registry(2);
+    registry.get_mut(&name(1)).unwrap().in_flight = 1;
+    assert_eq!(choose(&registry, 0, &[]), Some(name(2)));
+    assert_eq!(choose(&registry, 0, &[name(2)]), Some(name(1)));
+}
+
+#[test]
+fn the_faster_of_two_endpoints_is_chosen() {
+    let mut registry = registry(2);
+    registry.get_mut(&name(1)).unwrap().succeeded(Some(60.0));
+    registry.get_mut(&name(2)).unwrap().succeeded(Some(25.0));
+    assert_eq!(choose(&registry, 0, &[]), Some(name(2)));
+}
+
+#[test]
+fn an_endpoint_without_a_free_slot_is_not_chosen_within_slots() {
+    let mut registry = registry(1);
+    registry.get_mut(&name(1)).unwrap().in_flight = 2;
+    assert_eq!(choose(&registry, 0, &[]), None);
+}
+
+#[test]
+fn a_reported_load_counts_while_it_is_fresh() {
+    let mut registry = registry(1);
+    let load = Load {
+        running: 2,
+        waiting: 1,
+    };
+    registry.get_mut(&name(1)).unwrap().report(1_000, load);
+    assert_eq!(choose(&registry, 1_100, &[]), None);
+    assert_eq!(choose(&registry, 2_000, &[]), Some(name(1)));
+}
+
+#[test]
+fn an_endpoint_that_failed_is_paused_longer_each_time_and_tried_again() {
+    let mut registry = registry(1);
+    registry.get_mut(&name(1)).unwrap().failed(0);
+    assert_eq!(choose(&registry, 100, &[]), None);
+    assert_eq!(choose(&registry, 200, &[]), Some(name(1)));
+    registry.get_mut(&name(1)).unwrap().failed(200);
+    assert_eq!(choose(&registry, 500, &[]), None);
+    registry.get_mut(&name(1)).unwrap().succeeded(None);
+    assert_eq!(choose(&registry, 501, &[]), Some(name(1)));
+}
+
+#[test]
+fn a_model_is_served_only_by_versions_that_are_new_enough() {
+    let registry = registry(1);
+    let (service, near) = (ServiceName::new("shop"), FailureDomain::new("dk-east-a"));
+    let chosen = |model, oldest| {
+        let need = Need {
+            service: &service,
+            model: Some((model, WeightVersion(oldest))),
+            within_slots: true,
+            near: &near,
+        };
+        registry.choose(0, need, &[]).is_some()
+    };
+    assert!(chosen("m", 3));
+    assert!(!chosen("m", 4));
+    assert!(!chosen("other", 1));
+}
+
+#[test]
+fn an_endpoint_that_drains_is_used_again_only_after_a_new_start() {
+    let mut registry = registry(1);
+    assert!(registry.learn(&name(1), draining(1)));
+    registry.learn(&name(1), record(1));
+    assert_eq!(choose(&registry, 0, &[]), None);
+    assert!(!registry.learn(&name(1), record(0)), "a row from before its start");
+    assert!(registry.learn(&name(1), record(2)));
+    assert_eq!(choose(&registry, 0, &[]), Some(name(1)));
+}
+
+#[test]
+fn an_endpoint_whose_row_vanishes_is_gone_at_once_while_the_store_is_well() {
+    let mut registry = registry(1);
+    registry.vanish(10_000, &name(1), None);
+    assert!(registry.get(&name(1)).is_none());
+    let mut registry = self::registry(1);
+    registry.vanish(10_000, &name(1), Some(1_000));
+    assert!(registry.get(&name(1)).is_none(), "the trouble was long ago");
+}
+
+#[test]
+fn an_endpoint_whose_row_lapses_with_the_store_has_until_the_grace_is_over() {
+    let mut registry = registry(2);
+    let in_trouble = u64::MAX / 2;
+    registry.vanish(10_000, &name(1), Some(in_trouble));
+    registry.vanish(10_000, &name(2), Some(in_trouble));
+    assert!(registry.expire(60_000).is_empty());
+    registry.vanish(60_000, &name(1), Some(60_000));
+    registry.vanish(60_000, &name(2), Some(60_000));
+    registry.learn(&name(1), record(1));
+    assert!(registry.expire(62_000).is_empty());
+    assert_eq!(registry.expire(62_300), vec![name(2)]);
+    assert!(registry.get(&name(1)).is_some());
+}
+
+#[test]
+fn a_read_of_all_rows_removes_what_is_not_there() {
+    let mut registry = registry(3);
+    registry.replace(0, vec![(name(2), record(1))], None);
+    let left: Vec<_> = registry.iter().map(|(name, _)| name.clone()).collect();
+    assert_eq!(left, vec![name(2)]);
+}
--- /dev/null
+++ b/crates/directory/tests/suspects.rs
@@ -0,0 +1,34 @@
+//! Requests that crash endpoints.
+
+use wisteriapoint_directory::CrashSuspects;
+use wisteriapoint_types::{Digest, EndpointName};
+
+const MINUTE_MS: u64 = 60_000;
+
+fn endpoint(number: u32) -> EndpointName {
+    EndpointName::new(format!("shop-{number}"))
+}
+
+#[test]
+fn a_request_that_crashed_two_endpoints_is_quarantined_for_a_minute() {
+    let mut suspects = CrashSuspects::new();
+    let (bad, good) = (Digest::new(&[b"bad"]), Digest::new(&[b"good"]));
+    suspects.strike(0, bad, &endpoint(1));
+    suspects.strike(0, good, &endpoint(1));
+    suspects.strike(10, bad, &endpoint(1));
+    assert!(!suspects.is_quarantined(10, bad), "one endpoint may crash by itself");
+    suspects.strike(20, bad, &endpoint(2));
+    assert!(suspects.is_quarantined(20, bad));
+    assert!(!suspects.is_quarantined(20, good));
+    assert!(!suspects.is_quarantined(20 + MINUTE_MS, bad));
+}
+
+#[test]
+fn an_answer_acquits() {
+    let mut suspects = CrashSuspects::new();
+    let digest = Digest::new(&[b"x"]);
+    suspects.strike(0, digest, &endpoint(1));
+    suspects.acquit(digest);
+    suspects.strike(0, digest, &endpoint(2));
+    assert!(!suspects.is_quarantined(0, digest));
+}
--- /dev/null
+++ b/crates/weights/tests/planner.rs
@@ -0,0 +1,134 @@
+//! Loads of several models by engines that hold them all.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wisteriapoint_types::{EndpointName, WeightVersion};
+use wisteriapoint_weights::{Engine, Load, Planner};
+
+struct Fleet {
+    engines: Vec<(EndpointName, Vec<(Box<str>, WeightVersion)>, u64)>,
+    models: Vec<Box<str>>,
+    named: BTreeMap<Box<str>, WeightVersion>,
+    planner: Planner,
+}
+
+impl Fleet {
+    fn new(engines: usize, models: &[&str]) -> Self {
+        let models: Vec<Box<str>> = models.iter().map(|&model| model.into()).collect();
+        let versions: Vec<_> = models.iter().map(|model| (model.clone(), WeightVersion(1))).collect();
+        let engines = (0..engines)
+            .map(|n| (EndpointName::new(format!("engine-{n:02}")), versions.clone(), 1))
+            .collect();
+        Self {
+            engines,
+            models,
+            named: BTreeMap::new(),
+            planner: Planner::new(),
+        }
+    }
+
+    fn name(&mut self, model: &str, version: u64) {
+        self.named.insert(model.into(), WeightVersion(version));
+    }
+
+    fn plan(&mut self, now_ms: u64) -> Vec<Load> {
+        let engines: Vec<_> = self
+            .engines
+            .iter()
+            .map(|(name, models, born_unix_ms)| Engine {
+                name,
+                models,
+                born_unix_ms: *born_unix_ms,
+            })
+            .collect();
+        self.planner.plan(now_ms, &self.models, &engines, &self.named)
+    }
+
+    /// Carries a load out and reports it.
+    fn carry_out(&mut self, now_ms: u64, load: &Load) {
+        self.planner.ended(now_ms, &load.endpoint, true);
+        let engine = self.engines.iter_mut().find(|(name, ..)| *name == load.endpoint).unwrap();
+        for (model, version) in &mut engine.1 {
+            if *model == load.model {
+                *version = load.version;
+            }
+        }
+        self.planner.report(&load.endpoint, false, &engine.1);
+    }
+}
+
+#[test]
+fn engines_are_shared_out_evenly_and_each_follows_one_model() {
+    let mut fleet = Fleet::new(9, &["a", "b"]);
+    fleet.name("a", 2);
+    fleet.name("b", 2);
+    let mut loads = Vec::new();
+    for now_ms in (0..20_000).step_by(1_000) {
+        for load in fleet.plan(now_ms) {
+            fleet.carry_out(now_ms, &load);
+            loads.push(load);
+        }
+    }
+    assert_eq!(loads.len(), 9, "one load an engine");
+    let engines: BTreeSet<_> = loads.iter().map(|load| &load.endpoint).collect();
+    assert_eq!(engines.len(), 9);
+    let of_a = loads.iter().filter(|load| &*load.model == "a").count();
+    assert!((4..=5).contains(&of_a), "{of_a} of 9");
+}
+
+#[test]
+fn two_engines_load_at_once_and_one_in_five_of_a_large_service() {
+    for (engines, at_once) in [(4, 2), (9, 2), (36, 7)] {
+        let mut fleet = Fleet::new(engines, &["a", "b"]);
+        fleet.name("a", 2);
+        fleet.name("b", 2);
+        assert_eq!(fleet.plan(0).len(), at_once);
+        assert!(fleet.plan(1).is_empty(), "they still load");
+    }
+}
+
+#[test]
+fn the_engines_that_are_furthest_behind_load_first() {
+    let mut fleet = Fleet::new(4, &["a"]);
+    fleet.name("a", 3);
+    fleet.engines[0].1[0].1 = WeightVersion(2);
+    fleet.engines[1].1[0].1 = WeightVersion(2);
+    let loads = fleet.plan(0);
+    let endpoints: Vec<_> = loads.iter().map(|load| load.endpoint.as_str()).collect();
+    assert_eq!(endpoints, ["engine-02", "engine-03"]);
+}
+
+#[test]
+fn an_order_without_effect_is_asked_about_again() {
+    let mut fleet = Fleet::new(1, &["a"]);
+    fleet.name("a", 2);
+    let load = fleet.plan(0).remove(0);
+    fleet.planner.ended(50, &load.endpoint, false);
+    assert!(fleet.plan(100).is_empty());
+    assert_eq!(fleet.plan(200), vec![load]);
+}
+
+#[test]
+fn an_engine_that_started_again_is_planned_anew() {
+    let mut fleet = Fleet::new(1, &["a"]);
+    fleet.name("a", 2);
+    assert_eq!(fleet.plan(0).len(), 1);
+    fleet.engines[0].2 = 2;
+    assert_eq!(fleet.plan(1).len(), 1);
+}
+
+#[test]
+fn shares_follow_engines_that_leave() {
+    let mut fleet = Fleet::new(6, &["a", "b"]);
+    fleet.plan(0);
+    let of = |fleet: &Fleet, model: &str| {
+        let names = fleet.engines.iter().map(|(name, ..)| name);
+        names.filter(|name| fleet.planner.share(name) == Some(model)).count()
+    };
+    let planner = &fleet.planner;
+    fleet.engines.retain(|(name, ..)| planner.share(name) == Some("a"));
+    for now_ms in 0..5 {
+        fleet.plan(now_ms);
+    }
+    assert_eq!((of(&fleet, "a"), of(&fleet, "b")), (2, 1));
+}
