Let texts on slow engines go on at faster free ones

Cause: the last items of a step ran on the slowest engine while others were idle; after a restart no speed was known, so the longest items could start there. A text goes on elsewhere at the cost of reading it in.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -66,14 +66,17 @@
             submission.items.len()
         ];
         let mut groups: BTreeMap<Box<str>, Group> = BTreeMap::new();
-        for group in submission.items.iter().filter_map(|item| item.group.clone()) {
+        for group in submission
+            .items
+            .iter()
+            .filter_map(|item| item.group.clone())
+        {
             groups.entry(group).or_default().left += 1;
         }
         let mut order: Vec<_> = (0..submission.items.len() as u32).map(ItemKey).collect();
         // The longest first: what starts last should not be what takes longest.
-        order.sort_by_key(|key| {
-            std::cmp::Reverse(submission.items[key.0 as usize].expected_tokens)
-        });
+        order
+            .sort_by_key(|key| std::cmp::Reverse(submission.items[key.0 as usize].expected_tokens));
         Self {
             submission,
             states,
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod commit;
 pub mod item;
 pub mod job;
+pub mod moves;
 pub mod record;
 
 pub use commit::Batch;
--- /dev/null
+++ b/crates/batch/src/moves.rs
@@ -0,0 +1,53 @@
+//! Stragglers: which texts go on at a faster engine.
+//!
+//! The pattern: few items are left, and they run on the slowest engines, while faster ones
+//! are idle. A text goes on elsewhere at the cost of reading it in, which is milliseconds.
+
+use crate::ItemKey;
+
+/// Least ratio of the engines' times for an event: below, times differ by load alone.
+const MIN_GAIN: f64 = 1.3;
+/// Least time at an engine before a text leaves it, in milliseconds: its speed has to be known,
+/// and most texts end sooner.
+const MIN_STAY_MS: u64 = 700;
+
+/// A text that is being generated.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Generating {
+    /// The item.
+    pub key: ItemKey,
+    /// When it began at its engine.
+    pub since_ms: u64,
+    /// The engine's time for an event, in milliseconds; 0 if not known.
+    pub unit_ms: f64,
+}
+
+/// An engine that could take texts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Free {
+    /// Its time for an event, in milliseconds; 0 if not known.
+    pub unit_ms: f64,
+    /// Its free slots.
+    pub slots: u32,
+}
+
+/// The items that should go on at faster engines, those on the slowest engines first.
+pub fn moves(now_ms: u64, generating: &[Generating], free: &[Free]) -> Vec<ItemKey> {
+    let mut slots: Vec<f64> = free
+        .iter()
+        .filter(|free| free.unit_ms > 0.0)
+        .flat_map(|free| std::iter::repeat_n(free.unit_ms, free.slots as usize))
+        .collect();
+    slots.sort_by(f64::total_cmp);
+    let mut stayed: Vec<_> = generating
+        .iter()
+        .filter(|text| text.unit_ms > 0.0 && now_ms >= text.since_ms + MIN_STAY_MS)
+        .collect();
+    stayed.sort_by(|a, b| b.unit_ms.total_cmp(&a.unit_ms));
+    stayed
+        .iter()
+        .zip(&slots)
+        .filter(|(text, slot_ms)| text.unit_ms >= **slot_ms * MIN_GAIN)
+        .map(|(text, _)| text.key)
+        .collect()
+}
--- a/crates/batch/tests/job.rs
+++ b/crates/batch/tests/job.rs
@@ -6,11 +6,14 @@
 const GIVE_UP_MS: u64 = 60_000;
 
 fn submission(groups: &[(&str, u32)]) -> Submission {
-    let items = groups.iter().enumerate().map(|(number, &(group, expected_tokens))| Item {
-        group: Some(group.into()),
-        expected_tokens,
-        ..Item::new(&format!("item-{number}"), "/x", Vec::new())
-    });
+    let items = groups
+        .iter()
+        .enumerate()
+        .map(|(number, &(group, expected_tokens))| Item {
+            group: Some(group.into()),
+            expected_tokens,
+            ..Item::new(&format!("item-{number}"), "/x", Vec::new())
+        });
     Submission::new(items.collect())
 }
 
@@ -74,7 +77,11 @@
     job.committed();
     assert_eq!(job.listed(), 2);
     job.finish(1_170, ItemKey(3), completed("3"));
-    assert_eq!(job.commit_at_ms(), Some(1_160), "the last results wait for nothing");
+    assert_eq!(
+        job.commit_at_ms(),
+        Some(1_160),
+        "the last results wait for nothing"
+    );
 }
 
 #[test]
@@ -85,7 +92,12 @@
     job.give_up(GIVE_UP_MS);
     assert!(job.is_done());
     let batch = job.begin_commit(GIVE_UP_MS).unwrap();
-    assert!(batch.results.iter().all(|result| result.outcome == Outcome::Dead));
+    assert!(
+        batch
+            .results
+            .iter()
+            .all(|result| result.outcome == Outcome::Dead)
+    );
 }
 
 #[test]
--- a/crates/capacity/src/fleet.rs
+++ b/crates/capacity/src/fleet.rs
@@ -4,10 +4,10 @@
 
 use wisteriapoint::cli::service::apply;
 use wisteriapoint::daemon::Daemon;
-use wisteriapoint_store::HttpStore;
 use wisteriapoint_settings::VmSettings;
 use wisteriapoint_stand_in::demo::plain_document;
 use wisteriapoint_stand_in::{Platform, Running, serve};
+use wisteriapoint_store::HttpStore;
 use wisteriapoint_types::{Revision, ServiceName};
 
 use crate::process::{allocated_bytes, cpu_of_threads};
--- a/crates/capacity/src/tokens.rs
+++ b/crates/capacity/src/tokens.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 use wisteriapoint::daemon::Daemon;
-use wisteriapoint_store::HttpStore;
 use wisteriapoint_settings::VmSettings;
 use wisteriapoint_stand_in::demo::model_document;
 use wisteriapoint_stand_in::{Engine, EngineSettings, Platform, serve};
+use wisteriapoint_store::HttpStore;
 
 use crate::process::{allocated_bytes, cpu_of_threads};
 use crate::slope::Slope;
--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::Need;
 use wisteriapoint_types::{FailureDomain, ServiceName, WeightVersion};
 
 /// First pause after a failure of an endpoint, in milliseconds: a few round trips.
@@ -85,6 +86,17 @@
             .map(|&(_, version)| version)
     }
 
+    /// Whether it could take a request, apart from pauses.
+    pub fn fits(&self, now_ms: u64, need: &Need<'_>) -> bool {
+        self.record.service == *need.service
+            && self.record.stage == EndpointStage::Ready
+            && (!need.within_slots || self.occupancy(now_ms) < self.record.slots)
+            && need.model.is_none_or(|(model, oldest)| {
+                self.version_of(model)
+                    .is_some_and(|version| version >= oldest)
+            })
+    }
+
     /// Takes the load that came with an answer.
     pub fn report(&mut self, now_ms: u64, load: Load) {
         self.load = Some((now_ms, load));
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -154,18 +154,10 @@
         need: Need<'_>,
         excluded: &[EndpointName],
     ) -> Option<&EndpointName> {
-        let fits = |endpoint: &Endpoint| {
-            endpoint.record.service == *need.service
-                && endpoint.record.stage == EndpointStage::Ready
-                && need.model.is_none_or(|(model, oldest)| {
-                    endpoint.version_of(model).is_some_and(|version| version >= oldest)
-                })
-                && (!need.within_slots || endpoint.occupancy(now_ms) < endpoint.record.slots)
-        };
         let candidates = || {
             self.endpoints
                 .iter()
-                .filter(|(name, endpoint)| fits(endpoint) && !excluded.contains(name))
+                .filter(|(name, endpoint)| endpoint.fits(now_ms, &need) && !excluded.contains(name))
         };
         let cost = |endpoint: &Endpoint| self.cost(now_ms, endpoint, need.near);
         let best = candidates()
@@ -187,7 +179,11 @@
         };
         let slots = f64::from(endpoint.record.slots.max(1));
         let occupancy = f64::from(endpoint.occupancy(now_ms));
-        let distance = if endpoint.record.failure_domain == *near { 1.0 } else { 1.02 };
+        let distance = if endpoint.record.failure_domain == *near {
+            1.0
+        } else {
+            1.02
+        };
         unit_ms * (1.0 + occupancy / slots) * distance
     }
 
--- a/crates/directory/tests/registry.rs
+++ b/crates/directory/tests/registry.rs
@@ -116,7 +116,10 @@
     assert!(registry.learn(&name(1), draining(1)));
     registry.learn(&name(1), record(1));
     assert_eq!(choose(&registry, 0, &[]), None);
-    assert!(!registry.learn(&name(1), record(0)), "a row from before its start");
+    assert!(
+        !registry.learn(&name(1), record(0)),
+        "a row from before its start"
+    );
     assert!(registry.learn(&name(1), record(2)));
     assert_eq!(choose(&registry, 0, &[]), Some(name(1)));
 }
--- a/crates/directory/tests/suspects.rs
+++ b/crates/directory/tests/suspects.rs
@@ -16,7 +16,10 @@
     suspects.strike(0, bad, &endpoint(1));
     suspects.strike(0, good, &endpoint(1));
     suspects.strike(10, bad, &endpoint(1));
-    assert!(!suspects.is_quarantined(10, bad), "one endpoint may crash by itself");
+    assert!(
+        !suspects.is_quarantined(10, bad),
+        "one endpoint may crash by itself"
+    );
     suspects.strike(20, bad, &endpoint(2));
     assert!(suspects.is_quarantined(20, bad));
     assert!(!suspects.is_quarantined(20, good));
--- a/crates/node/src/callers/answer.rs
+++ b/crates/node/src/callers/answer.rs
@@ -107,7 +107,11 @@
 }
 
 /// An endpoint's answer as the caller gets it.
-pub fn of_endpoint<D: Dialect>(status: StatusCode, headers: &HeaderMap, payload: Payload) -> Answer {
+pub fn of_endpoint<D: Dialect>(
+    status: StatusCode,
+    headers: &HeaderMap,
+    payload: Payload,
+) -> Answer {
     let mut answer = Response::new(payload);
     *answer.status_mut() = status;
     copy_headers(headers, answer.headers_mut(), D::is_internal_header);
--- a/crates/node/src/callers/batch.rs
+++ b/crates/node/src/callers/batch.rs
@@ -39,11 +39,23 @@
     match accept(node, route, id, host, path, body, submission).await {
         Accepted::Stored => whole(StatusCode::ACCEPTED, "application/json", "{}"),
         Accepted::NotStored(why) => {
-            event!(info, "batch job refused", id = id, verdict = "not-run", why = why);
+            event!(
+                info,
+                "batch job refused",
+                id = id,
+                verdict = "not-run",
+                why = why
+            );
             store_away::<D>(&why)
         }
         Accepted::Unknown(why) => {
-            event!(info, "batch job unresolved", id = id, verdict = "may-have-run", why = why);
+            event!(
+                info,
+                "batch job unresolved",
+                id = id,
+                verdict = "may-have-run",
+                why = why
+            );
             text(StatusCode::BAD_GATEWAY, &why)
         }
     }
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -60,7 +60,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         event!(debug, "no-delay refused", why = error);
     }
-    let limits = node.configuration().map(|configuration| configuration.limits);
+    let limits = node
+        .configuration()
+        .map(|configuration| configuration.limits);
     let limits = limits.unwrap_or_default();
     let service = service_fn(|request| {
         let node = node.clone();
@@ -117,9 +119,11 @@
 
 fn question<D: Dialect>(node: &Node<D>, method: &Method, path: &str) -> super::Answer {
     match node.stage.get() {
-        _ if path == METRICS_PATH => {
-            whole(StatusCode::OK, "text/plain; version=0.0.4", node.metrics.text())
-        }
+        _ if path == METRICS_PATH => whole(
+            StatusCode::OK,
+            "text/plain; version=0.0.4",
+            node.metrics.text(),
+        ),
         _ if !D::is_ready_question(method, path) => text(StatusCode::NOT_FOUND, "no such page"),
         Stage::Serving => text(StatusCode::OK, "ready"),
         Stage::Starting => text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -84,7 +84,10 @@
         host,
         body,
     };
-    let (method, path) = (incomer.head.method.clone(), incomer.head.uri.path().to_owned());
+    let (method, path) = (
+        incomer.head.method.clone(),
+        incomer.head.uri.path().to_owned(),
+    );
     let id = incomer.id.clone();
     let call = D::call(&incomer.head.method, &incomer.head.uri);
     let (route, mut answer) = dispatch(&node, call, incomer).await;
@@ -118,7 +121,10 @@
     match call {
         Call::ReadResults { job, after } => {
             let wait_ms = incomer.arrival.wait_ms.unwrap_or(0);
-            ("results".into(), batch::results(node, &job, after, wait_ms).await)
+            (
+                "results".into(),
+                batch::results(node, &job, after, wait_ms).await,
+            )
         }
         Call::ReadBody { job, item } => ("body".into(), batch::body(node, &job, &item).await),
         Call::EndJob { job } => ("end".into(), batch::end(node, &job).await),
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -47,7 +47,13 @@
 ) -> Answer {
     let route = request.route;
     let give_up = |verdict, why: &str, is_timeout| {
-        event!(info, "stream given up", id = request.id, verdict = verdict, why = why);
+        event!(
+            info,
+            "stream given up",
+            id = request.id,
+            verdict = verdict,
+            why = why
+        );
         given_up::<D>(&GivenUp {
             verdict,
             why: why.into(),
@@ -125,7 +131,14 @@
                 Err(_) => return Err((Verdict::MayHaveRun, "its time is over".into())),
             };
             let digest = digest_of(&self.sending);
-            note_failure(&mut node.directory.borrow_mut(), now_ms, &endpoint, digest, &failure, FULL_PAUSE_MS);
+            note_failure(
+                &mut node.directory.borrow_mut(),
+                now_ms,
+                &endpoint,
+                digest,
+                &failure,
+                FULL_PAUSE_MS,
+            );
             event!(
                 info,
                 "send failed",
@@ -146,10 +159,7 @@
         }
     }
 
-    fn choose<D: Dialect>(
-        &self,
-        node: &Node<D>,
-    ) -> Option<(EndpointName, std::net::SocketAddr)> {
+    fn choose<D: Dialect>(&self, node: &Node<D>) -> Option<(EndpointName, std::net::SocketAddr)> {
         let directory = node.directory.borrow();
         let need = Need {
             service: &self.service,
@@ -178,7 +188,13 @@
                 Ok(()) => return,
                 Err(why) => why,
             };
-            event!(info, "stream broke off", id = self.id, endpoint = endpoint, why = why);
+            event!(
+                info,
+                "stream broke off",
+                id = self.id,
+                endpoint = endpoint,
+                why = why
+            );
             if let Some(known) = node.directory.borrow_mut().registry.get_mut(&endpoint) {
                 known.failed(node.now_ms());
             }
--- a/crates/node/src/control/keeper.rs
+++ b/crates/node/src/control/keeper.rs
@@ -141,7 +141,12 @@
         .with_remove(KEEPER);
     let committed = node.store.commit(&transaction).await;
     node.note_store("release", &committed);
-    event!(info, "duty released", fence = fence.0, result = format!("{committed:?}"));
+    event!(
+        info,
+        "duty released",
+        fence = fence.0,
+        result = format!("{committed:?}")
+    );
 }
 
 /// Returns once the row is another's or gone, or the lease is lost.
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -111,7 +111,8 @@
     match members::members(node, Freshness::Stale).await {
         Ok(members) => {
             let others = members.iter().filter(|member| **member != node.owner);
-            node.store.set_others(others.map(|member| member.address).collect());
+            node.store
+                .set_others(others.map(|member| member.address).collect());
         }
         Err(error) => event!(debug, "members not read", why = error),
     }
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -57,7 +57,11 @@
         return Vec::new();
     };
     let mut loads = Vec::new();
-    for service in configuration.services.iter().filter(|service| !service.models.is_empty()) {
+    for service in configuration
+        .services
+        .iter()
+        .filter(|service| !service.models.is_empty())
+    {
         let engines: Vec<_> = engines(&directory.registry, &service.name).collect();
         loads.extend(planner.plan(node.now_ms(), &service.models, &engines, &directory.named));
     }
@@ -83,9 +87,12 @@
 
 async fn order<D: Dialect>(node: Rc<Node<D>>, load: Load, fence: Index) -> OrderEnd {
     let endpoint = load.endpoint.clone();
-    let known = node.directory.borrow().registry.get(&endpoint).map(|known| {
-        (known.record.address, known.record.service.clone())
-    });
+    let known = node
+        .directory
+        .borrow()
+        .registry
+        .get(&endpoint)
+        .map(|known| (known.record.address, known.record.service.clone()));
     let mut end = OrderEnd {
         endpoint: endpoint.clone(),
         report: None,
@@ -138,7 +145,13 @@
         Ok(report) if status.is_success() => Some(report),
         Ok(_) => None,
         Err(error) => {
-            event!(info, "report not understood", endpoint = endpoint, status = status, why = error);
+            event!(
+                info,
+                "report not understood",
+                endpoint = endpoint,
+                status = status,
+                why = error
+            );
             None
         }
     }
@@ -199,11 +212,21 @@
     match timeout(ANSWER_TIMEOUT, asked).await {
         Ok(Ok(answer)) => Some(answer),
         Ok(Err(failure)) => {
-            event!(info, "engine did not answer", endpoint = endpoint, why = failure.why);
+            event!(
+                info,
+                "engine did not answer",
+                endpoint = endpoint,
+                why = failure.why
+            );
             None
         }
         Err(_) => {
-            event!(info, "engine did not answer", endpoint = endpoint, why = "silent");
+            event!(
+                info,
+                "engine did not answer",
+                endpoint = endpoint,
+                why = "silent"
+            );
             None
         }
     }
@@ -241,7 +264,12 @@
         match committed {
             Ok(Committed::Done(_)) => event!(info, "retired", vm = vm),
             other => {
-                event!(warn, "retirement not told", vm = vm, result = format!("{other:?}"));
+                event!(
+                    warn,
+                    "retirement not told",
+                    vm = vm,
+                    result = format!("{other:?}")
+                );
                 node.directory.borrow_mut().retiring.insert(vm);
             }
         }
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -18,16 +18,21 @@
 
 /// Follows the rows of the operator.
 pub async fn operator<D: Dialect>(node: Rc<Node<D>>) {
-    follow(&node, D::OPERATOR_PREFIX, Duration::ZERO, |rows| match rows {
-        Rows::All(rows) => rows.iter().for_each(|row| learn(&node, row)),
-        Rows::Changes(changes) => {
-            for change in changes {
-                if let Change::Written(row) = change {
-                    learn(&node, row);
+    follow(
+        &node,
+        D::OPERATOR_PREFIX,
+        Duration::ZERO,
+        |rows| match rows {
+            Rows::All(rows) => rows.iter().for_each(|row| learn(&node, row)),
+            Rows::Changes(changes) => {
+                for change in changes {
+                    if let Change::Written(row) = change {
+                        learn(&node, row);
+                    }
                 }
             }
-        }
-    })
+        },
+    )
     .await;
 }
 
@@ -195,7 +200,13 @@
             Ok(record) => {
                 let stage = record.stage;
                 if directory.registry.learn(&name, record) {
-                    event!(info, "endpoint changed", endpoint = name, stage = format!("{stage:?}"), revision = row.revision.0);
+                    event!(
+                        info,
+                        "endpoint changed",
+                        endpoint = name,
+                        stage = format!("{stage:?}"),
+                        revision = row.revision.0
+                    );
                 }
             }
             Err(error) => {
@@ -205,7 +216,12 @@
         },
         Change::Removed(_) => {
             let trouble_end_ms = node.health.trouble_end_ms();
-            event!(info, "endpoint gone", endpoint = name, in_trouble = trouble_end_ms.is_some());
+            event!(
+                info,
+                "endpoint gone",
+                endpoint = name,
+                in_trouble = trouble_end_ms.is_some()
+            );
             directory.registry.vanish(now_ms, &name, trouble_end_ms);
             if directory.registry.get(&name).is_none() {
                 node.pool.forget(&name);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -114,7 +114,12 @@
         return Tried::default().give_up("route without a service", false);
     };
     let digest = digest_of(&forward.sending);
-    if node.directory.borrow().suspects.is_quarantined(node.now_ms(), digest) {
+    if node
+        .directory
+        .borrow()
+        .suspects
+        .is_quarantined(node.now_ms(), digest)
+    {
         return Tried::default().give_up("it has crashed the endpoints that ran it", false);
     }
     let end_at_ms = forward
@@ -202,7 +207,8 @@
 
 /// Whether an endpoint's own failure is worth another endpoint.
 fn may_retry_answer(route: &Route, answer: &Ending, tried: &Tried) -> bool {
-    let is_server_error = matches!(answer, Ending::Answer { status, .. } if status.is_server_error());
+    let is_server_error =
+        matches!(answer, Ending::Answer { status, .. } if status.is_server_error());
     is_server_error && route.kind.may_repeat() && tried.may_have_run + 1 < route.max_attempts
 }
 
@@ -306,7 +312,14 @@
             }
         }
         Ok(Ending::GivenUp(_)) => "given-up",
-        Err(failure) => note_failure(&mut directory, now_ms, endpoint, digest, failure, FULL_PAUSE_MS),
+        Err(failure) => note_failure(
+            &mut directory,
+            now_ms,
+            endpoint,
+            digest,
+            failure,
+            FULL_PAUSE_MS,
+        ),
     };
     node.metrics
         .sends
@@ -340,7 +353,10 @@
 
 /// The fingerprint by which a request that comes again is known.
 pub fn digest_of(sending: &Sending) -> Digest {
-    let path = sending.uri.path_and_query().map_or("", |path| path.as_str());
+    let path = sending
+        .uri
+        .path_and_query()
+        .map_or("", |path| path.as_str());
     Digest::new(&[path.as_bytes(), &sending.body])
 }
 
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -83,7 +83,14 @@
             }
         },
     };
-    event!(info, "batch job accepted", id = id, items = items, route = route.name, revision = revision.0);
+    event!(
+        info,
+        "batch job accepted",
+        id = id,
+        items = items,
+        route = route.name,
+        revision = revision.0
+    );
     let give_up_at_ms = node.now_ms() + route.retention_ms;
     let job = Job::new(submission, route.max_attempts, give_up_at_ms);
     let owned = Owned::new(id, &record, job, OwnedRow { revision, state });
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -28,6 +28,9 @@
 /// Longest silence within a text; an endpoint that is ten times slow still speaks sooner.
 const MAX_SILENCE: Duration = Duration::from_millis(2_000);
 
+/// Events over which the speed of an endpoint is measured.
+const SPEED_EVENTS: u32 = 6;
+
 /// One attempt at an item.
 pub struct Attempt<D: Dialect> {
     key: ItemKey,
@@ -96,11 +99,7 @@
     }
 
     /// Runs the attempt.
-    pub async fn run(
-        mut self,
-        node: Rc<Node<D>>,
-        route: Route,
-    ) -> AttemptEnd {
+    pub async fn run(mut self, node: Rc<Node<D>>, route: Route) -> AttemptEnd {
         let started_ms = node.now_ms();
         let ended = match self.generate(&node, &route).await {
             Ok(()) => {
@@ -146,14 +145,11 @@
         }
     }
 
-    async fn generate(
-        &mut self,
-        node: &Node<D>,
-        route: &Route,
-    ) -> Result<(), Ended> {
+    async fn generate(&mut self, node: &Node<D>, route: &Route) -> Result<(), Ended> {
         let sending = self.sending(route)?;
         let endpoint = self.endpoint.clone();
         let _occupied = self.occupied.take();
+        let _generating = Marked::new(&self.owned, self.key, &endpoint, node.now_ms());
         let addressed = Addressed {
             id: &self.item.id,
             endpoint: &endpoint,
@@ -227,8 +223,7 @@
         } = received;
         let mut version = reply.version;
         let mut reader = EventReader::new(body);
-        let first_ms = node.now_ms();
-        let mut count = 0_u32;
+        let mut speed = Speed::new(node.now_ms());
         loop {
             let next = timeout(MAX_SILENCE, reader.next()).await;
             let event = match next.map_err(|_| SendFailure::silent())? {
@@ -239,15 +234,15 @@
             let told = event.others.iter().find_map(|line| D::event_version(line));
             version = told.or(version);
             self.take(route, event, version)?;
-            count += 1;
+            if let Some(unit_ms) = speed.count(node.now_ms()) {
+                self.learn(node, unit_ms);
+            }
         }
         if !reply.closes {
             connection.give_back(reply.keep_alive_ms);
         }
-        let elapsed_ms = (node.now_ms() - first_ms) as f64;
-        let unit_ms = (count > 1).then(|| elapsed_ms / f64::from(count - 1));
         if let Some(known) = node.directory.borrow_mut().registry.get_mut(&self.endpoint) {
-            known.succeeded(unit_ms);
+            known.succeeded(None);
         }
         match self.last_event() {
             Some(_) => Ok(Ok(())),
@@ -255,6 +250,13 @@
         }
     }
 
+    /// Notes the endpoint's time for an event.
+    fn learn(&self, node: &Node<D>, unit_ms: f64) {
+        if let Some(known) = node.directory.borrow_mut().registry.get_mut(&self.endpoint) {
+            known.succeeded(Some(unit_ms));
+        }
+    }
+
     /// Adds an event to the text.
     fn take(
         &self,
@@ -289,6 +291,53 @@
     }
 }
 
+/// Measures the time for an event over a few of them.
+struct Speed {
+    since_ms: u64,
+    events: u32,
+}
+
+impl Speed {
+    fn new(now_ms: u64) -> Self {
+        Self {
+            since_ms: now_ms,
+            events: 0,
+        }
+    }
+
+    /// Counts an event; gives the time for one each time that enough have come.
+    fn count(&mut self, now_ms: u64) -> Option<f64> {
+        self.events += 1;
+        if self.events < SPEED_EVENTS {
+            return None;
+        }
+        let unit_ms = (now_ms - self.since_ms) as f64 / f64::from(self.events);
+        *self = Self::new(now_ms);
+        Some(unit_ms)
+    }
+}
+
+/// Marks an item as being generated for as long as it lives.
+struct Marked {
+    owned: Rc<Owned>,
+    key: ItemKey,
+}
+
+impl Marked {
+    fn new(owned: &Rc<Owned>, key: ItemKey, endpoint: &EndpointName, now_ms: u64) -> Self {
+        let place = (endpoint.clone(), now_ms);
+        owned.generating.borrow_mut().insert(key, place);
+        let owned = owned.clone();
+        Self { owned, key }
+    }
+}
+
+impl Drop for Marked {
+    fn drop(&mut self) {
+        self.owned.generating.borrow_mut().remove(&self.key);
+    }
+}
+
 fn ended_name(ended: &Ended) -> &'static str {
     match ended {
         Ended::Completed { .. } => "completed",
--- a/crates/node/src/jobs/commit.rs
+++ b/crates/node/src/jobs/commit.rs
@@ -98,7 +98,12 @@
             transaction.with_remove(parts)
         })
         .await;
-        event!(info, "batch job ended", id = owned.id, by_owner = changed == Changed::Done);
+        event!(
+            info,
+            "batch job ended",
+            id = owned.id,
+            by_owner = changed == Changed::Done
+        );
         match changed {
             Changed::Done => true,
             Changed::Lost => {
@@ -153,7 +158,13 @@
                 }
             }
             Err(error) => {
-                event!(warn, "commit failed", id = owned.id, commit = state.commits, why = error);
+                event!(
+                    warn,
+                    "commit failed",
+                    id = owned.id,
+                    commit = state.commits,
+                    why = error
+                );
             }
         }
         node.health.pause(backoff.next_pause()).await;
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{Mutex, Notify};
 use wisteriapoint_batch::{ItemKey, Job, JobRecord, JobState, Owner, Part, Progress};
 use wisteriapoint_store::Index;
+use wisteriapoint_types::EndpointName;
 
 /// All batch jobs that this node owns, and the owners of others that it has met.
 #[derive(Debug, Default)]
@@ -29,6 +30,8 @@
     pub job: RefCell<Job>,
     /// Texts of items that run or wait to go on.
     pub progress: RefCell<BTreeMap<ItemKey, Progress>>,
+    /// Where texts are being generated, and since when.
+    pub generating: RefCell<BTreeMap<ItemKey, (EndpointName, u64)>>,
     /// The row in the store as this node wrote or read it last; locked while it is written.
     pub row: Mutex<OwnedRow>,
     /// Whether more items may run.
@@ -129,6 +132,7 @@
             is_open: Cell::new(row.state.open),
             job: RefCell::new(job),
             progress: RefCell::default(),
+            generating: RefCell::default(),
             row: Mutex::new(row),
             listed: Notify::new(),
             finished: Notify::new(),
@@ -148,7 +152,9 @@
     pub fn parts(&self) -> Vec<Part> {
         let job = self.job.borrow();
         let progress = self.progress.borrow();
-        let begun = progress.iter().filter(|(_, known)| known.last_event.is_some());
+        let begun = progress
+            .iter()
+            .filter(|(_, known)| known.last_event.is_some());
         begun
             .filter_map(|(&key, known)| {
                 let item = job.item(key)?.id.clone();
--- a/crates/node/src/jobs/parts.rs
+++ b/crates/node/src/jobs/parts.rs
@@ -28,7 +28,10 @@
             return;
         }
         let parts = owned.parts();
-        let events: u64 = parts.iter().filter_map(|part| part.progress.last_event).sum();
+        let events: u64 = parts
+            .iter()
+            .filter_map(|part| part.progress.last_event)
+            .sum();
         if events == stored_events || !node.is_sure_owner(&owned.id) {
             continue;
         }
--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -1,12 +1,14 @@
 //! Items of a batch job: which runs next, where, and what follows from how it ended.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::task::{JoinSet, spawn_local};
+use tokio::task::{AbortHandle, JoinSet, spawn_local};
 use tokio::time::sleep;
-use wisteriapoint_batch::Outcome;
+use wisteriapoint_batch::moves::{Free, Generating, moves};
+use wisteriapoint_batch::{ItemKey, Job, Outcome};
 use wisteriapoint_directory::{Need, Route};
 use wisteriapoint_types::{EndpointName, ServiceName};
 
@@ -18,8 +20,11 @@
 
 /// Pause between looks for room while items wait: other nodes fill and empty endpoints unseen.
 const ROOM_POLL: Duration = Duration::from_millis(30);
-/// Pause between looks while nothing waits; only the end of the retention is found so.
-const IDLE_POLL: Duration = Duration::from_millis(500);
+/// Pause between looks while nothing waits: stragglers may move.
+const IDLE_POLL: Duration = Duration::from_millis(200);
+
+/// Time between looks for stragglers, in milliseconds: a few events.
+const MOVE_PAUSE_MS: u64 = 200;
 
 /// Starts the tasks of a batch job.
 pub fn start<D: Dialect>(node: &Rc<Node<D>>, owned: Rc<Owned>) {
@@ -38,9 +43,15 @@
 async fn run<D: Dialect>(node: Rc<Node<D>>, owned: Rc<Owned>) {
     // Dropped at the end, which closes the connections of all items that run.
     let mut attempts: JoinSet<AttemptEnd> = JoinSet::new();
+    let mut handles: BTreeMap<ItemKey, AbortHandle> = BTreeMap::new();
+    let mut moved_ms = 0;
     while owned.is_open.get() && !owned.job.borrow().is_done() {
         owned.job.borrow_mut().give_up(node.now_ms());
-        start_items(&node, &owned, &mut attempts);
+        start_items(&node, &owned, &mut attempts, &mut handles);
+        if node.now_ms() >= moved_ms + MOVE_PAUSE_MS {
+            moved_ms = node.now_ms();
+            move_stragglers(&node, &owned, &handles);
+        }
         let poll = match owned.job.borrow().waiting() {
             0 => IDLE_POLL,
             _ => ROOM_POLL,
@@ -53,6 +64,8 @@
         };
         match ended {
             Ok(end) => take_end(&node, &owned, end),
+            // A straggler that goes on elsewhere.
+            Err(error) if error.is_cancelled() => {}
             Err(error) => event!(error, "attempt failed", id = owned.id, why = error),
         }
         owned.finished.notify_one();
@@ -66,6 +79,7 @@
     node: &Rc<Node<D>>,
     owned: &Rc<Owned>,
     attempts: &mut JoinSet<AttemptEnd>,
+    handles: &mut BTreeMap<ItemKey, AbortHandle>,
 ) {
     let Some(route) = route_of(node, owned) else {
         return;
@@ -85,40 +99,107 @@
             return;
         };
         let attempt = Attempt::new(node, owned, key, endpoint, address);
-        attempts.spawn_local(attempt.run(node.clone(), route.clone()));
+        let handle = attempts.spawn_local(attempt.run(node.clone(), route.clone()));
+        handles.insert(key, handle);
     }
 }
 
-fn choose<D: Dialect>(
+/// Lets stragglers go on at faster engines, once no item waits for a first start.
+fn move_stragglers<D: Dialect>(
     node: &Node<D>,
     owned: &Owned,
-    service: &ServiceName,
-) -> Option<(EndpointName, SocketAddr)> {
+    handles: &BTreeMap<ItemKey, AbortHandle>,
+) {
+    if owned.job.borrow().waiting() > 0 {
+        return;
+    }
+    let now_ms = node.now_ms();
+    for key in moves(now_ms, &generating(node, owned), &free(node, owned, now_ms)) {
+        let Some(handle) = handles.get(&key) else {
+            continue;
+        };
+        handle.abort();
+        owned.job.borrow_mut().put_back(now_ms, key);
+        node.metrics.items.with_label_values(&["moved"]).inc();
+        event!(info, "straggler moves", id = owned.id, item = key.0);
+    }
+}
+
+fn generating<D: Dialect>(node: &Node<D>, owned: &Owned) -> Vec<Generating> {
+    let directory = node.directory.borrow();
+    let texts = owned.generating.borrow();
+    let texts = texts.iter().map(|(&key, (endpoint, since_ms))| Generating {
+        key,
+        since_ms: *since_ms,
+        unit_ms: directory
+            .registry
+            .get(endpoint)
+            .map_or(0.0, |endpoint| endpoint.unit_ms),
+    });
+    texts.collect()
+}
+
+fn free<D: Dialect>(node: &Node<D>, owned: &Owned, now_ms: u64) -> Vec<Free> {
+    let service = route_of(node, owned).and_then(|route| route.service_at(0.0).cloned());
+    let Some(service) = service else {
+        return Vec::new();
+    };
     let job = owned.job.borrow();
-    let step = job.submission().step.as_ref();
     let directory = node.directory.borrow();
-    let need = Need {
+    let need = need(node, &job, &service);
+    let fitting = directory
+        .registry
+        .iter()
+        .filter(|(_, endpoint)| endpoint.fits(now_ms, &need) && !endpoint.is_paused(now_ms));
+    let free = fitting.map(|(_, endpoint)| Free {
+        unit_ms: endpoint.unit_ms,
+        slots: endpoint.record.slots - endpoint.occupancy(now_ms).min(endpoint.record.slots),
+    });
+    free.collect()
+}
+
+fn need<'a, D: Dialect>(node: &'a Node<D>, job: &'a Job, service: &'a ServiceName) -> Need<'a> {
+    let step = job.submission().step.as_ref();
+    Need {
         service,
         model: step.map(|step| (&*step.model, step.min_version)),
         within_slots: true,
         near: &node.settings.failure_domain,
-    };
+    }
+}
+
+fn choose<D: Dialect>(
+    node: &Node<D>,
+    owned: &Owned,
+    service: &ServiceName,
+) -> Option<(EndpointName, SocketAddr)> {
+    let job = owned.job.borrow();
+    let directory = node.directory.borrow();
+    let need = need(node, &job, service);
     let registry = &directory.registry;
     let name = registry.choose(node.now_ms(), need, &[])?.clone();
     let address = registry.get(&name)?.record.address;
     Some((name, address))
 }
 
-fn take_end<D: Dialect>(
-    node: &Node<D>,
-    owned: &Owned,
-    end: AttemptEnd,
-) {
+fn take_end<D: Dialect>(node: &Node<D>, owned: &Owned, end: AttemptEnd) {
     let now_ms = node.now_ms();
     let mut job = owned.job.borrow_mut();
     let outcome = match end.ended {
-        Ended::Completed { output, versions, score } => {
-            job.finish(now_ms, end.key, Outcome::Completed { output, versions, score });
+        Ended::Completed {
+            output,
+            versions,
+            score,
+        } => {
+            job.finish(
+                now_ms,
+                end.key,
+                Outcome::Completed {
+                    output,
+                    versions,
+                    score,
+                },
+            );
             "completed"
         }
         Ended::Hopeless => {
--- a/crates/node/src/jobs/score.rs
+++ b/crates/node/src/jobs/score.rs
@@ -60,7 +60,14 @@
             },
             None => "no route".into(),
         };
-        event!(info, "no score yet", id = owned.id, scorer = scorer.id, failures = failures, why = why);
+        event!(
+            info,
+            "no score yet",
+            id = owned.id,
+            scorer = scorer.id,
+            failures = failures,
+            why = why
+        );
         sleep(RETRY_PAUSE).await;
     }
 }
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -79,7 +79,9 @@
     job: &str,
     given: Vec<Part>,
 ) -> Result<bool, Box<str>> {
-    let state = read_state(node, job).await.map_err(|error| error.to_string())?;
+    let state = read_state(node, job)
+        .await
+        .map_err(|error| error.to_string())?;
     let Some((revision, state)) = state else {
         return Ok(false);
     };
@@ -116,9 +118,19 @@
         Some(route) => (route.max_attempts, route.retention_ms),
         None => (1, 0),
     };
-    let age_ms = node.clock.unix_ms().saturating_sub(record.submitted_unix_ms);
+    let age_ms = node
+        .clock
+        .unix_ms()
+        .saturating_sub(record.submitted_unix_ms);
     let give_up_at_ms = node.now_ms() + retention_ms.saturating_sub(age_ms);
-    event!(info, "batch job taken over", id = job, from = from, listed = taken.listed, revision = revision.0);
+    event!(
+        info,
+        "batch job taken over",
+        id = job,
+        from = from,
+        listed = taken.listed,
+        revision = revision.0
+    );
     let state = taken;
     let new = Job::new(submission, max_attempts, give_up_at_ms).with_listed(listed);
     let owned = Owned::new(job, &record, new, OwnedRow { revision, state });
@@ -158,7 +170,10 @@
     node: &Rc<Node<D>>,
     is_gone: impl Fn(&Owner) -> bool,
 ) -> Result<(), Error> {
-    let rows = node.store.range(keys::STATES, Freshness::Linearizable).await;
+    let rows = node
+        .store
+        .range(keys::STATES, Freshness::Linearizable)
+        .await;
     node.note_store("states", &rows);
     for row in rows?.0 {
         let Ok(state) = serde_json::from_slice::<JobState>(&row.value) else {
@@ -231,7 +246,10 @@
             return;
         }
     };
-    let others: Vec<_> = members.iter().filter(|member| **member != node.owner).collect();
+    let others: Vec<_> = members
+        .iter()
+        .filter(|member| **member != node.owner)
+        .collect();
     for (place, owned) in open.iter().enumerate() {
         let start = rand::random_range(0..others.len().max(1));
         let Some(heir) = others.get((start + place) % others.len().max(1)) else {
@@ -244,7 +262,13 @@
             parts: owned.parts(),
         };
         let reply = ask(node, heir.address, &question).await;
-        event!(info, "batch job handed over", id = owned.id, to = heir.vm, reply = format!("{reply:?}"));
+        event!(
+            info,
+            "batch job handed over",
+            id = owned.id,
+            to = heir.vm,
+            reply = format!("{reply:?}")
+        );
         node.jobs.remove(&owned.id);
         node.jobs.set_owner(&owned.id, Some((*heir).clone()));
     }
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -39,7 +39,9 @@
         std::thread::sleep(WRITE_PAUSE);
         let mut text = first;
         for line in waiting.try_iter() {
-            if text.len() + line.len() > MAX_WRITE_BYTES && write(&std::mem::take(&mut text)).is_err() {
+            if text.len() + line.len() > MAX_WRITE_BYTES
+                && write(&std::mem::take(&mut text)).is_err()
+            {
                 return;
             }
             text.push_str(&line);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -213,7 +213,12 @@
     ///
     /// Fails if an address can't be bound.
     pub async fn start(settings: NodeSettings) -> Result<Rc<Self>, Error> {
-        event!(info, "start", vm = settings.vm, failure_domain = settings.failure_domain);
+        event!(
+            info,
+            "start",
+            vm = settings.vm,
+            failure_domain = settings.failure_domain
+        );
         let callers = settings.callers;
         let node = Self::new(settings)?;
         if let Some(callers) = callers {
@@ -232,7 +237,12 @@
 
     /// Stops gracefully: not ready, then no new connections, then the end of what runs.
     pub async fn stop(self: &Rc<Self>) {
-        event!(info, "stop", why = "SIGTERM", in_progress = self.in_progress.get());
+        event!(
+            info,
+            "stop",
+            why = "SIGTERM",
+            in_progress = self.in_progress.get()
+        );
         let grace = Duration::from_secs(self.settings.bounds.grace_s);
         let end = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
         self.stage.set(Stage::Stopping);
@@ -259,7 +269,12 @@
     while hangup.recv().await.is_some() {
         match NodeSettings::from_file(&path) {
             Ok(settings) if settings == known => event!(info, "reload", changed = false),
-            Ok(_) => event!(warn, "reload", changed = true, takes_effect = "at the next start"),
+            Ok(_) => event!(
+                warn,
+                "reload",
+                changed = true,
+                takes_effect = "at the next start"
+            ),
             Err(error) => event!(error, "reload refused", why = error),
         }
     }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -8,7 +8,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use wisteriapoint_peer::Client;
-use wisteriapoint_store::{Change, Committed, Error, Freshness, Index, LeaseId, Ledger, Row, Transaction};
+use wisteriapoint_store::{
+    Change, Committed, Error, Freshness, Index, LeaseId, Ledger, Row, Transaction,
+};
 
 use crate::event;
 use crate::peers::{Question, Reply};
@@ -145,8 +147,15 @@
         };
         match &answer {
             Err(error) if !error.is_answer() => {
-                event!(debug, "store not reached through peer", peer = peer, why = error);
-                self.shared.relay_bad_until.set(Some(Instant::now() + BAD_WAY));
+                event!(
+                    debug,
+                    "store not reached through peer",
+                    peer = peer,
+                    why = error
+                );
+                self.shared
+                    .relay_bad_until
+                    .set(Some(Instant::now() + BAD_WAY));
             }
             _ => event!(debug, "store reached through peer", peer = peer),
         }
@@ -195,7 +204,10 @@
     }
 
     async fn range(&self, prefix: &str, freshness: Freshness) -> Result<(Vec<Row>, Index), Error> {
-        match self.call(StoreCall::Range(prefix.into(), freshness)).await? {
+        match self
+            .call(StoreCall::Range(prefix.into(), freshness))
+            .await?
+        {
             StoreAnswer::Rows(rows, at) => Ok((rows, at)),
             _ => other(),
         }
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -148,7 +148,9 @@
     let response = response.map_err(SendFailure::broke_off)?;
     let status = response.status();
     let reply = D::reply(status, response.headers());
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await;
     let body = body.map_err(SendFailure::broke_off)?;
     if !reply.closes {
         connection.give_back(reply.keep_alive_ms);
--- a/crates/stand-in/tests/platform.rs
+++ b/crates/stand-in/tests/platform.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
-use wisteriapoint_store::{Error, HttpStore, Index, Store};
 use wisteriapoint_stand_in::platform::Faults;
 use wisteriapoint_stand_in::{Platform, Running, serve};
+use wisteriapoint_store::{Error, HttpStore, Index, Store};
 
 const WAIT: Duration = Duration::from_secs(30);
 
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -8,9 +8,7 @@
 use crate::{Error, Index};
 
 /// A lease on which rows may hang; 0 is none.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct LeaseId(pub u64);
 
--- a/crates/weights/src/planner.rs
+++ b/crates/weights/src/planner.rs
@@ -73,7 +73,9 @@
         self.share_out(models, engines);
         let mut loads = Vec::new();
         for loading in self.loading.values_mut() {
-            let is_here = engines.iter().any(|engine| *engine.name == loading.load.endpoint);
+            let is_here = engines
+                .iter()
+                .any(|engine| *engine.name == loading.load.endpoint);
             if is_here && loading.ask_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
                 loading.ask_at_ms = None;
                 loads.push(loading.load.clone());
--- a/crates/weights/tests/planner.rs
+++ b/crates/weights/tests/planner.rs
@@ -15,9 +15,18 @@
 impl Fleet {
     fn new(engines: usize, models: &[&str]) -> Self {
         let models: Vec<Box<str>> = models.iter().map(|&model| model.into()).collect();
-        let versions: Vec<_> = models.iter().map(|model| (model.clone(), WeightVersion(1))).collect();
+        let versions: Vec<_> = models
+            .iter()
+            .map(|model| (model.clone(), WeightVersion(1)))
+            .collect();
         let engines = (0..engines)
-            .map(|n| (EndpointName::new(format!("engine-{n:02}")), versions.clone(), 1))
+            .map(|n| {
+                (
+                    EndpointName::new(format!("engine-{n:02}")),
+                    versions.clone(),
+                    1,
+                )
+            })
             .collect();
         Self {
             engines,
@@ -41,13 +50,18 @@
                 born_unix_ms: *born_unix_ms,
             })
             .collect();
-        self.planner.plan(now_ms, &self.models, &engines, &self.named)
+        self.planner
+            .plan(now_ms, &self.models, &engines, &self.named)
     }
 
     /// Carries a load out and reports it.
     fn carry_out(&mut self, now_ms: u64, load: &Load) {
         self.planner.ended(now_ms, &load.endpoint, true);
-        let engine = self.engines.iter_mut().find(|(name, ..)| *name == load.endpoint).unwrap();
+        let engine = self
+            .engines
+            .iter_mut()
+            .find(|(name, ..)| *name == load.endpoint)
+            .unwrap();
         for (model, version) in &mut engine.1 {
             if *model == load.model {
                 *version = load.version;
@@ -123,10 +137,14 @@
     fleet.plan(0);
     let of = |fleet: &Fleet, model: &str| {
         let names = fleet.engines.iter().map(|(name, ..)| name);
-        names.filter(|name| fleet.planner.share(name) == Some(model)).count()
+        names
+            .filter(|name| fleet.planner.share(name) == Some(model))
+            .count()
     };
     let planner = &fleet.planner;
-    fleet.engines.retain(|(name, ..)| planner.share(name) == Some("a"));
+    fleet
+        .engines
+        .retain(|(name, ..)| planner.share(name) == Some("a"));
     for now_ms in 0..5 {
         fleet.plan(now_ms);
     }
--- a/crates/wisteriapoint/src/cli/mod.rs
+++ b/crates/wisteriapoint/src/cli/mod.rs
@@ -2,9 +2,9 @@
 
 pub mod check;
 mod daemon;
-pub mod node;
 pub mod drain;
 pub mod explain;
+pub mod node;
 pub mod output;
 pub mod ready;
 pub mod serve;
--- a/crates/wisteriapoint/src/cli/node.rs
+++ b/crates/wisteriapoint/src/cli/node.rs
@@ -24,6 +24,8 @@
     pub(super) async fn run(self) -> Result<(), Error> {
         logging::init(self.log_level);
         let tasks = LocalSet::new();
-        Ok(tasks.run_until(Node::<Platform>::run(self.settings)).await?)
+        Ok(tasks
+            .run_until(Node::<Platform>::run(self.settings))
+            .await?)
     }
 }
--- a/crates/wisteriapoint/src/cli/service/apply.rs
+++ b/crates/wisteriapoint/src/cli/service/apply.rs
@@ -2,8 +2,8 @@
 
 use serde::Serialize;
 use tokio::time::Instant;
-use wisteriapoint_store::{Index, Store, keys};
 use wisteriapoint_settings::{ServiceDocument, document_from_str, document_in_place_of};
+use wisteriapoint_store::{Index, Store, keys};
 use wisteriapoint_types::{Nonce, Revision, ServiceName};
 
 use super::store::{self, Pauses};
--- a/crates/wisteriapoint/src/cli/service/mod.rs
+++ b/crates/wisteriapoint/src/cli/service/mod.rs
@@ -12,8 +12,8 @@
 use clap::{Args, Subcommand};
 use serde_json::Value;
 use tokio::time::Instant;
-use wisteriapoint_store::{HttpStore, Store};
 use wisteriapoint_settings::with_field;
+use wisteriapoint_store::{HttpStore, Store};
 use wisteriapoint_types::{Nonce, Revision, ServiceName};
 
 use self::apply::{Applied, Edit};
--- a/crates/wisteriapoint/src/daemon/shared.rs
+++ b/crates/wisteriapoint/src/daemon/shared.rs
@@ -12,8 +12,8 @@
 use wisteriapoint_gateway::{Clients, Router};
 use wisteriapoint_membership::Member;
 use wisteriapoint_peer::Client;
-use wisteriapoint_store::{Budgeted, HttpStore, Lease};
 use wisteriapoint_settings::VmSettings;
+use wisteriapoint_store::{Budgeted, HttpStore, Lease};
 use wisteriapoint_types::{MemberId, ServiceName};
 
 use super::control::Command;
--- a/crates/wisteriapoint/tests/deployment/mod.rs
+++ b/crates/wisteriapoint/tests/deployment/mod.rs
@@ -11,9 +11,9 @@
 use tokio::time::{sleep, timeout};
 use wisteriapoint::cli::service::apply;
 use wisteriapoint::daemon::Daemon;
-use wisteriapoint_store::HttpStore;
 use wisteriapoint_settings::vm_from_str;
 use wisteriapoint_stand_in::{Platform, Running, serve};
+use wisteriapoint_store::HttpStore;
 
 /// Longest wait for a condition; generous, since no test is about speed.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
--- a/crates/wisteriapoint/tests/drain.rs
+++ b/crates/wisteriapoint/tests/drain.rs
@@ -16,12 +16,12 @@
 use tokio::time::timeout;
 use wisteriapoint::daemon::message::{Generated, Question, Reply};
 use wisteriapoint_membership::View;
-use wisteriapoint_store::keys;
 use wisteriapoint_rollout::{AttemptKey, Cursor, SampleKey, StepId, StepSpec, Task};
 use wisteriapoint_stand_in::platform::Faults;
 use wisteriapoint_stand_in::{
     Act, Engine, EngineSettings, PlainService, Running, Scripted, Trainer, serve,
 };
+use wisteriapoint_store::keys;
 use wisteriapoint_types::{MemberId, ServiceName, TrainerName, WeightVersion};
 
 /// Both services behind daemons that stop slowly enough to be watched.
--- a/crates/wisteriapoint/tests/edits.rs
+++ b/crates/wisteriapoint/tests/edits.rs
@@ -12,11 +12,9 @@
 use wisteriapoint::cli::service::apply::{Applied, Edit, apply, compare};
 use wisteriapoint::cli::service::wait;
 use wisteriapoint::record::{MAX_RECORD_BYTES, ServiceRecord};
-use wisteriapoint_store::{
-    Entry, Error as PlatformError, HttpStore, Index, Lease, Store, VmEntry,
-};
 use wisteriapoint_stand_in::platform::Faults;
 use wisteriapoint_stand_in::{Platform, Running, serve};
+use wisteriapoint_store::{Entry, Error as PlatformError, HttpStore, Index, Lease, Store, VmEntry};
 use wisteriapoint_types::Revision;
 
 const PATIENCE: Duration = Duration::from_secs(20);
--- a/crates/wisteriapoint/tests/fleet/mod.rs
+++ b/crates/wisteriapoint/tests/fleet/mod.rs
@@ -8,9 +8,9 @@
 
 use wisteriapoint::cli::service;
 use wisteriapoint::daemon::Daemon;
-use wisteriapoint_store::HttpStore;
 use wisteriapoint_settings::VmSettings;
 use wisteriapoint_stand_in::{Platform, Running, serve};
+use wisteriapoint_store::HttpStore;
 use wisteriapoint_types::{Revision, ServiceName};
 
 /// Longest time that a test waits for what must come; far above what any promise allows.
--- a/crates/wisteriapoint/tests/leaving.rs
+++ b/crates/wisteriapoint/tests/leaving.rs
@@ -6,9 +6,9 @@
 
 use deployment::{Deployment, client, model_document, plain_document, until};
 use tokio::time::sleep;
-use wisteriapoint_store::{VmEntry, VmState};
 use wisteriapoint_stand_in::platform::Faults;
 use wisteriapoint_stand_in::{Engine, EngineSettings, PlainService, Running, serve};
+use wisteriapoint_store::{VmEntry, VmState};
 use wisteriapoint_types::{ServiceName, VmName};
 
 const REQUESTS: usize = 40;
--- a/crates/wisteriapoint/tests/processes.rs
+++ b/crates/wisteriapoint/tests/processes.rs
@@ -15,8 +15,8 @@
 use tempfile::TempDir;
 use wisteriapoint::cli::service::apply;
 use wisteriapoint::daemon::Addresses;
-use wisteriapoint_store::{HttpStore, keys};
 use wisteriapoint_stand_in::{Engine, EngineSettings, PlainService, Platform, Running, serve};
+use wisteriapoint_store::{HttpStore, keys};
 use wisteriapoint_types::VmName;
 
 const DEADLINE_MS: u64 = 60_000;
--- a/crates/wisteriapoint/tests/sessions.rs
+++ b/crates/wisteriapoint/tests/sessions.rs
@@ -10,8 +10,8 @@
 use session::Session;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
-use wisteriapoint_store::{VmEntry, VmState};
 use wisteriapoint_stand_in::{Engine, EngineSettings, PlainService, Running, serve};
+use wisteriapoint_store::{VmEntry, VmState};
 use wisteriapoint_types::VmName;
 
 const HOLD: &str = "/v1/services/shopfront/stock/hold";
