--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -2,9 +2,12 @@
 
 use std::net::SocketAddr;
 
-use crate::Need;
+use serde::{Deserialize, Serialize};
+
 use wisteriapoint_types::{FailureDomain, ServiceName, WeightVersion};
 
+use crate::Need;
+
 /// First pause after a failure of an endpoint, in milliseconds: a few round trips.
 const FIRST_PAUSE_MS: u64 = 200;
 /// Longest pause, in milliseconds: a restarted endpoint is tried again within seconds.
@@ -15,7 +18,7 @@
 const LOAD_MAX_AGE_MS: u64 = 300;
 
 /// What an endpoint says of itself in the registry.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// Its service.
     pub service: ServiceName,
@@ -34,7 +37,7 @@
 }
 
 /// Whether an endpoint takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointStage {
     /// It does.
     Ready,
--- a/crates/node/src/control/keeper.rs
+++ b/crates/node/src/control/keeper.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
+use wisteriapoint_batch::Owner;
 use wisteriapoint_store::{Backoff, Committed, Error, Freshness, Index, Ledger, Transaction};
 
 use super::members::{self, MEMBERS};
 use super::orders;
-use super::watch::WAIT;
+use super::watch::{self, WAIT};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::jobs;
@@ -40,15 +41,21 @@
             Ok(Claim::Ours { fence, seen }) => {
                 node.metrics.set_state("keeper", 1);
                 event!(info, "keeper", fence = fence.0);
+                node.keeper.replace(Some(node.owner.clone()));
+                node.directory_changed.notify_waiters();
                 carry_out(&node, fence, seen).await;
                 if node.stage.get() == Stage::Stopping {
                     release(&node, fence).await;
                 }
+                node.keeper.replace(None);
                 node.metrics.set_state("keeper", 0);
                 event!(info, "no longer keeper", fence = fence.0);
                 Ok(())
             }
-            Ok(Claim::Others(revision)) => wait_for_change(&node, revision).await,
+            Ok(Claim::Others(keeper, revision)) => {
+                node.keeper.replace(keeper);
+                wait_for_change(&node, revision).await
+            }
             Err(error) => Err(error),
         };
         match result {
@@ -70,7 +77,7 @@
         seen: Index,
     },
     /// Another node has it, at this revision of the store.
-    Others(Index),
+    Others(Option<Owner>, Index),
 }
 
 async fn claim<D: Dialect>(node: &Rc<Node<D>>) -> Result<Claim, Error> {
@@ -86,7 +93,7 @@
         Some(row) => match members::member(&row.value) {
             // An earlier run of the daemon on this VM is gone for sure.
             Some(former) if former.vm == node.owner.vm => row.revision,
-            _ => return Ok(Claim::Others(revision)),
+            keeper => return Ok(Claim::Others(keeper, revision)),
         },
         None => Index(0),
     };
@@ -100,7 +107,8 @@
     node.note_store("claim", &committed);
     match committed? {
         Committed::Done(fence) => Ok(Claim::Ours { fence, seen: fence }),
-        Committed::Conflict => Ok(Claim::Others(revision)),
+        // Someone was faster; the next look says who.
+        Committed::Conflict => Ok(Claim::Others(None, expected)),
         Committed::LeaseEnded => Err(Error::LeaseLapsed),
     }
 }
@@ -119,6 +127,7 @@
     tokio::select! {
         () = orders::run(node.clone(), fence, quiet(node)) => {}
         () = adopt_orphans(node) => {}
+        () = watch::operator(node.clone()) => {}
         () = until_lost(node, fence, seen) => {}
     }
 }
@@ -209,7 +218,7 @@
 
 async fn adopt_once<D: Dialect>(
     node: &Rc<Node<D>>,
-    known: &mut BTreeSet<wisteriapoint_batch::Owner>,
+    known: &mut BTreeSet<Owner>,
 ) -> Result<(), Error> {
     let (members, revision) = members::members_at(node, Freshness::Linearizable).await?;
     let members: BTreeSet<_> = members.into_iter().collect();
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! What a node believes of the store, the configuration and the endpoints, and its duties.
 
+pub mod feed;
 pub mod health;
 pub mod keeper;
 pub mod lease;
@@ -7,6 +8,7 @@
 pub mod orders;
 pub mod watch;
 
+pub use feed::Feed;
 pub use health::Health;
 pub use lease::Lease;
 pub use members::members;
@@ -23,7 +25,7 @@
 
 /// Starts all tasks of control.
 pub fn start<D: Dialect>(node: &Rc<Node<D>>) {
-    spawn_local(watch::operator(node.clone()));
+    spawn_local(watch::configuration(node.clone()));
     spawn_local(watch::endpoints(node.clone()));
     spawn_local(lease::hold(node.clone()));
     spawn_local(keeper::run(node.clone()));
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
+use wisteriapoint_batch::Owner;
 use wisteriapoint_store::{Backoff, Change, Error, Freshness, Index, Ledger, Row};
 
+use super::feed;
 use crate::dialect::{Dialect, OperatorRow};
 use crate::event;
 use crate::node::Node;
@@ -16,42 +18,121 @@
 /// and an endpoint that drains is still left within its two seconds.
 const ENDPOINTS_PAUSE: Duration = Duration::from_millis(500);
 
-/// Follows the rows of the operator.
+/// Pause after which a node that reads the rows itself looks again for a keeper that tells it.
+const KEEPER_POLL: Duration = Duration::from_millis(500);
+
+/// Follows the configuration.
+pub async fn configuration<D: Dialect>(node: Rc<Node<D>>) {
+    follow(&node, D::CONFIGURATION_KEY, Duration::ZERO, |rows| {
+        learn_all(&node, rows);
+    })
+    .await;
+}
+
+/// Follows all rows of the operator and of trainers, as the keeper does.
 pub async fn operator<D: Dialect>(node: Rc<Node<D>>) {
-    follow(
-        &node,
-        D::OPERATOR_PREFIX,
-        Duration::ZERO,
-        |rows| match rows {
-            Rows::All(rows) => rows.iter().for_each(|row| learn(&node, row)),
-            Rows::Changes(changes) => {
-                for change in changes {
-                    if let Change::Written(row) = change {
-                        learn(&node, row);
-                    }
+    follow(&node, D::OPERATOR_PREFIX, Duration::ZERO, |rows| {
+        learn_all(&node, rows);
+    })
+    .await;
+}
+
+fn learn_all<D: Dialect>(node: &Node<D>, rows: Rows<'_>) {
+    match rows {
+        Rows::All(rows) => rows.iter().for_each(|row| learn(node, row)),
+        Rows::Changes(changes) => {
+            for change in changes {
+                if let Change::Written(row) = change {
+                    learn(node, row);
                 }
             }
-        },
-    )
-    .await;
+        }
+    }
 }
 
-/// Follows the rows of the endpoints.
+/// Follows the endpoints: the keeper their rows, the others the keeper.
 pub async fn endpoints<D: Dialect>(node: Rc<Node<D>>) {
-    let expiry = node.clone();
-    tokio::task::spawn_local(expire(expiry));
-    follow(&node, D::ENDPOINTS_PREFIX, ENDPOINTS_PAUSE, |rows| {
-        match rows {
-            Rows::All(rows) => replace_endpoints(&node, rows),
-            Rows::Changes(changes) => changes
-                .iter()
-                .for_each(|change| change_endpoint(&node, change)),
-        }
+    tokio::task::spawn_local(expire(node.clone()));
+    let mut backoff = Backoff::new();
+    let mut place = Place::Unknown;
+    loop {
+        let keeper = node.keeper.borrow().clone();
+        let next = match &keeper {
+            Some(keeper) if *keeper != node.owner && node.directory.borrow().endpoints_known => {
+                let after = match &place {
+                    Place::Keeper(told_by, last) if told_by == keeper => Some(*last),
+                    _ => None,
+                };
+                let last = feed::follow(&node, keeper.address, after).await;
+                last.map(|last| Place::Keeper(keeper.clone(), last))
+            }
+            _ => None,
+        };
+        place = match next {
+            Some(next) => {
+                node.feed.set_fresh(false);
+                next
+            }
+            None => match follow_rows(&node, &place).await {
+                Ok(place) => {
+                    backoff = Backoff::new();
+                    place
+                }
+                Err(error) => {
+                    event!(info, "endpoints not read", why = error);
+                    node.feed.set_fresh(false);
+                    node.health.pause(backoff.next_pause()).await;
+                    Place::Unknown
+                }
+            },
+        };
         let count = node.directory.borrow().registry.iter().count();
         node.metrics.set_state("endpoints", count as i64);
-        node.directory_changed.notify_waiters();
-    })
-    .await;
+    }
+}
+
+/// Up to where the endpoints are known.
+#[derive(Debug)]
+enum Place {
+    Unknown,
+    /// A revision of the store.
+    Store(Index),
+    /// A change that this keeper told.
+    Keeper(Owner, u64),
+}
+
+/// Reads or watches the rows of the endpoints once.
+async fn follow_rows<D: Dialect>(node: &Rc<Node<D>>, place: &Place) -> Result<Place, Error> {
+    let prefix = D::ENDPOINTS_PREFIX;
+    let take = |rows: Rows<'_>| take_endpoints(node, rows);
+    let is_keeper = node.keeper.borrow().as_ref() == Some(&node.owner);
+    let revision = match place {
+        Place::Store(revision) => {
+            node.feed.set_fresh(is_keeper);
+            // Another keeper may be known any time.
+            tokio::select! {
+                changes = read_changes(node, prefix, *revision, &take) => changes?,
+                () = sleep(KEEPER_POLL), if !is_keeper => *revision,
+            }
+        }
+        _ => read_all(node, prefix, &take).await?,
+    };
+    node.feed.set_fresh(is_keeper);
+    if node.directory.borrow().endpoints_known {
+        sleep(ENDPOINTS_PAUSE).await;
+    }
+    Ok(Place::Store(revision))
+}
+
+fn take_endpoints<D: Dialect>(node: &Rc<Node<D>>, rows: Rows<'_>) {
+    match rows {
+        Rows::All(rows) => replace_endpoints(node, rows),
+        Rows::Changes(changes) => changes
+            .iter()
+            .for_each(|change| change_endpoint(node, change)),
+    }
+    node.feed.publish();
+    node.directory_changed.notify_waiters();
 }
 
 /// What a watch has to tell.
@@ -178,6 +259,13 @@
     event!(info, "endpoints read", count = records.len());
     let mut directory = node.directory.borrow_mut();
     let trouble_end_ms = node.health.trouble_end_ms();
+    let before: Vec<_> = directory
+        .registry
+        .iter()
+        .map(|(name, _)| name.clone())
+        .collect();
+    before.iter().for_each(|name| node.feed.push(name));
+    records.iter().for_each(|(name, _)| node.feed.push(name));
     directory
         .registry
         .replace(node.now_ms(), records, trouble_end_ms);
@@ -194,6 +282,7 @@
         return;
     };
     let now_ms = node.now_ms();
+    node.feed.push(&name);
     let mut directory = node.directory.borrow_mut();
     match change {
         Change::Written(row) => match D::endpoint_row(&row.value) {
@@ -241,6 +330,8 @@
         }
         for name in directory.registry.expire(node.now_ms()) {
             event!(info, "endpoint did not come back", endpoint = name);
+            node.feed.push(&name);
+            node.feed.publish();
             node.pool.forget(&name);
         }
     }
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -19,6 +19,8 @@
 
     /// Prefix of the rows that the operator and the trainers write.
     const OPERATOR_PREFIX: &'static str;
+    /// Key of the configuration, among them.
+    const CONFIGURATION_KEY: &'static str;
     /// Prefix of the rows that the endpoints write.
     const ENDPOINTS_PREFIX: &'static str;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,7 +18,7 @@
 use wisteriapoint_types::WeightVersion;
 
 use crate::clock::Clock;
-use crate::control::{Health, Lease};
+use crate::control::{Feed, Health, Lease};
 use crate::dialect::Dialect;
 use crate::jobs::Jobs;
 use crate::metrics::Metrics;
@@ -58,6 +58,10 @@
     pub store: Relayed<D::Ledger>,
     /// Whether the store answers.
     pub health: Health,
+    /// Changes of endpoints, for other nodes.
+    pub feed: Feed,
+    /// The keeper, as this node knows it.
+    pub keeper: RefCell<Option<Owner>>,
     /// The lease that the rows of this node hang on.
     pub lease: Lease,
     /// Routes, endpoints, versions.
@@ -114,6 +118,8 @@
         Ok(Rc::new(Self {
             store: Relayed::new(direct, peers.clone()),
             health: Health::new(),
+            feed: Feed::new(),
+            keeper: RefCell::default(),
             lease: Lease::new(),
             owner,
             clock,
