--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 pub mod explore;
+pub mod ownership;
 pub mod recovery;
 pub mod rule;
 pub mod state;
--- /dev/null
+++ b/crates/spec/src/ownership.rs
@@ -0,0 +1,288 @@
+//! A specification of batch jobs whose owners change, and of fenced orders.
+//!
+//! One batch job of two items, two nodes, one engine. A write to the store may take effect late,
+//! or twice if it is sent twice; its answer may be lost; a node may stop for any time between two
+//! steps. [`Omission`] names rules that can be left out, to show that the check finds it.
+//!
+//! ```
+//! use wisteriapoint_spec::ownership::{Omission, explore};
+//!
+//! assert!(explore(None).fault.is_none());
+//! assert!(explore(Some(Omission::Condition)).fault.is_some());
+//! ```
+
+use std::cell::Cell;
+
+use pathfinding::prelude::bfs;
+
+/// Nodes in the model.
+const NODES: usize = 2;
+/// Items of the batch job.
+const ITEMS: u8 = 2;
+/// Most changes of the owner.
+const MAX_TAKEOVERS: u8 = 2;
+/// Most copies of writes on their way.
+const MAX_WRITES: usize = 2;
+
+/// A rule that can be left out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Omission {
+    /// A commit is conditional on the revision of the batch job's row.
+    Condition,
+    /// A commit whose answer was lost is looked up, not made anew.
+    LookUp,
+    /// A new owner starts from the results that are listed.
+    Results,
+    /// Engines refuse orders with an older fencing token.
+    Fence,
+}
+
+/// What an exploration found.
+#[derive(Debug)]
+pub struct Explored {
+    /// States that were seen.
+    pub states: usize,
+    /// What is wrong in the first state that breaks the specification.
+    pub fault: Option<&'static str>,
+}
+
+/// The row of the batch job.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Row {
+    revision: u8,
+    owner: usize,
+    open: bool,
+    listed: Vec<u8>,
+}
+
+/// A conditional write on its way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Write {
+    from: usize,
+    expected: u8,
+    listed: Vec<u8>,
+}
+
+/// A node as it believes itself to be.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct Node {
+    owns: bool,
+    revision: u8,
+    listed: Vec<u8>,
+    finished: Vec<u8>,
+    unanswered: Option<Write>,
+    fence: u8,
+}
+
+/// An order on its way: the fencing token of its giver.
+type Order = u8;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct State {
+    row: Row,
+    nodes: [Node; NODES],
+    writes: Vec<Write>,
+    seen: Vec<u8>,
+    takeovers: u8,
+    orders: Vec<Order>,
+    accepted: Vec<Order>,
+}
+
+impl State {
+    fn new() -> Self {
+        let row = Row {
+            revision: 1,
+            owner: 0,
+            open: true,
+            listed: Vec::new(),
+        };
+        let owner = Node {
+            owns: true,
+            revision: 1,
+            fence: 1,
+            ..Node::default()
+        };
+        Self {
+            row,
+            nodes: [owner, Node::default()],
+            writes: Vec::new(),
+            seen: Vec::new(),
+            takeovers: 0,
+            orders: Vec::new(),
+            accepted: Vec::new(),
+        }
+    }
+
+    fn fault(&self) -> Option<&'static str> {
+        let listed = &self.row.listed;
+        let is_twice = (1..listed.len()).any(|place| listed[..place].contains(&listed[place]));
+        match () {
+            () if is_twice => Some("an item stands at two positions"),
+            () if !listed.starts_with(&self.seen) => Some("a position that was read has changed"),
+            () if !self.accepted.is_sorted() => Some("an older keeper's order followed a newer's"),
+            () => None,
+        }
+    }
+
+    fn successors(&self, without: Option<Omission>) -> Vec<Self> {
+        let mut next = Vec::new();
+        for node in 0..NODES {
+            self.finish(node, &mut next);
+            self.send(node, without, &mut next);
+            self.take_over(node, without, &mut next);
+            self.order(node, &mut next);
+        }
+        for place in 0..self.writes.len() {
+            self.arrive(place, without, &mut next);
+        }
+        for place in 0..self.orders.len() {
+            self.accept(place, without, &mut next);
+        }
+        let mut read = self.clone();
+        read.seen.clone_from(&self.row.listed);
+        next.push(read);
+        let mut ended = self.clone();
+        if ended.row.open {
+            ended.row.open = false;
+            ended.row.revision += 1;
+            next.push(ended);
+        }
+        next
+    }
+
+    fn finish(&self, node: usize, next: &mut Vec<Self>) {
+        let known = &self.nodes[node];
+        if !known.owns {
+            return;
+        }
+        for item in 0..ITEMS {
+            if !known.listed.contains(&item) && !known.finished.contains(&item) {
+                let mut state = self.clone();
+                state.nodes[node].finished.push(item);
+                next.push(state);
+            }
+        }
+    }
+
+    /// Sends a new commit, or one whose answer was lost again.
+    fn send(&self, node: usize, without: Option<Omission>, next: &mut Vec<Self>) {
+        let known = &self.nodes[node];
+        if !known.owns || self.writes.len() >= MAX_WRITES {
+            return;
+        }
+        let is_anew = without == Some(Omission::LookUp);
+        let write = match &known.unanswered {
+            Some(write) if !is_anew => write.clone(),
+            Some(_) => Write {
+                from: node,
+                expected: self.row.revision,
+                listed: [&*self.row.listed, &*known.finished].concat(),
+            },
+            None if known.finished.is_empty() => return,
+            None => Write {
+                from: node,
+                expected: known.revision,
+                listed: [&*known.listed, &*known.finished].concat(),
+            },
+        };
+        let mut state = self.clone();
+        state.nodes[node].unanswered = Some(write.clone());
+        state.writes.push(write);
+        next.push(state);
+    }
+
+    /// A write arrives; its answer arrives too, or is lost.
+    fn arrive(&self, place: usize, without: Option<Omission>, next: &mut Vec<Self>) {
+        let mut state = self.clone();
+        let write = state.writes.remove(place);
+        let holds = write.expected == state.row.revision;
+        if holds || without == Some(Omission::Condition) {
+            state.row.revision += 1;
+            state.row.listed.clone_from(&write.listed);
+        }
+        next.push(state.clone());
+        let is_awaited = state.nodes[write.from].unanswered.as_ref() == Some(&write);
+        if is_awaited {
+            state.answer(write.from, &write);
+            next.push(state);
+        }
+    }
+
+    /// The sender reads the row: either its write took effect or it has lost the batch job.
+    fn answer(&mut self, node: usize, write: &Write) {
+        let is_done = self.row.owner == node && self.row.listed == write.listed;
+        let (revision, listed) = (self.row.revision, self.row.listed.clone());
+        let known = &mut self.nodes[node];
+        known.unanswered = None;
+        match is_done {
+            true => {
+                known.finished.retain(|item| !listed.contains(item));
+                known.revision = revision;
+                known.listed = listed;
+            }
+            false => known.owns = false,
+        }
+    }
+
+    fn take_over(&self, node: usize, without: Option<Omission>, next: &mut Vec<Self>) {
+        if self.row.owner == node || !self.row.open || self.takeovers >= MAX_TAKEOVERS {
+            return;
+        }
+        let mut state = self.clone();
+        state.takeovers += 1;
+        state.row.owner = node;
+        state.row.revision += 1;
+        let listed = match without {
+            Some(Omission::Results) => Vec::new(),
+            _ => state.row.listed.clone(),
+        };
+        state.nodes[node] = Node {
+            owns: true,
+            revision: state.row.revision,
+            listed,
+            finished: Vec::new(),
+            unanswered: None,
+            fence: state.row.revision,
+        };
+        next.push(state);
+    }
+
+    fn order(&self, node: usize, next: &mut Vec<Self>) {
+        let fence = self.nodes[node].fence;
+        // Orders depend on takeovers alone; without this, each state of them multiplies the rest.
+        let has_work = self.nodes.iter().any(|node| !node.finished.is_empty());
+        if has_work || !self.writes.is_empty() || !self.row.listed.is_empty() {
+            return;
+        }
+        if fence > 0 && self.orders.len() + self.accepted.len() < 3 {
+            let mut state = self.clone();
+            state.orders.push(fence);
+            next.push(state);
+        }
+    }
+
+    fn accept(&self, place: usize, without: Option<Omission>, next: &mut Vec<Self>) {
+        let mut state = self.clone();
+        let fence = state.orders.remove(place);
+        let highest = state.accepted.iter().max().copied().unwrap_or(0);
+        if fence >= highest || without == Some(Omission::Fence) {
+            state.accepted.push(fence);
+        }
+        next.push(state);
+    }
+}
+
+/// Visits every state, or stops at the first that breaks the specification.
+pub fn explore(without: Option<Omission>) -> Explored {
+    let states = Cell::new(0);
+    let successors = |state: &State| state.successors(without);
+    let path = bfs(&State::new(), successors, |state| {
+        states.set(states.get() + 1);
+        state.fault().is_some()
+    });
+    let last = path.and_then(|path| path.last().cloned());
+    Explored {
+        states: states.get(),
+        fault: last.and_then(|state| state.fault()),
+    }
+}
