Look for a write whose answer is late

Cause: a commit whose answer was lost took a second or more to resolve, by sending it again; each step of a trainer waits for several. Now the row is read after 0.3 s.

--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 use wisteriapoint_batch::{Job, JobRecord, JobState, Submission};
 use wisteriapoint_directory::Route;
-use wisteriapoint_store::{Committed, Index, Ledger, Transaction};
+use wisteriapoint_store::{Committed, Index, Transaction};
 
 use super::owned::{Owned, OwnedRow};
 use super::{keys, run, takeover};
@@ -62,7 +62,7 @@
         Err(why) => return Accepted::NotStored(why),
     };
     let items = submission.items.len();
-    let committed = node.store.commit(&transaction).await;
+    let committed = takeover::commit_state(node, id, &transaction, &state).await;
     node.note_store("accept", &committed);
     let revision = match committed {
         Ok(Committed::Done(revision)) => revision,
--- a/crates/node/src/jobs/commit.rs
+++ b/crates/node/src/jobs/commit.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::{sleep_until, timeout};
 use wisteriapoint_batch::{Batch, JobState};
-use wisteriapoint_store::{Backoff, Committed, Ledger, Transaction};
+use wisteriapoint_store::{Backoff, Committed, Transaction};
 
 use super::owned::OwnedRow;
 use super::{Owned, keys, takeover};
@@ -140,7 +140,7 @@
     let transaction = add(transaction);
     let mut backoff = Backoff::new();
     loop {
-        let committed = node.store.commit(&transaction).await;
+        let committed = takeover::commit_state(node, &owned.id, &transaction, &state).await;
         node.note_store("commit", &committed);
         match committed {
             Ok(Committed::Done(revision)) => {
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -16,6 +16,8 @@
 use crate::node::{Node, Stage};
 use crate::peers::{Question, ask};
 
+/// Time without an answer after which a write is looked for: most of what a slow store takes.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(300);
 /// Times that a submission is looked up whose caller was told that it may be stored.
 const MAX_RESOLUTIONS: u32 = 20;
 /// Pause between these: a late write takes effect within some seconds.
@@ -42,6 +44,32 @@
     }
 }
 
+/// Commits the next state of a batch job; reads the row meanwhile, should the answer be lost.
+///
+/// # Errors
+///
+/// As [`Ledger::commit`].
+pub async fn commit_state<D: Dialect>(
+    node: &Node<D>,
+    job: &str,
+    transaction: &Transaction,
+    state: &JobState,
+) -> Result<Committed, Error> {
+    let seen = async {
+        loop {
+            sleep(ANSWER_PATIENCE).await;
+            match read_state(node, job).await {
+                Ok(Some((revision, stored))) if stored == *state => return revision,
+                _ => {}
+            }
+        }
+    };
+    tokio::select! {
+        committed = node.store.commit(transaction) => committed,
+        revision = seen => Ok(Committed::Done(revision)),
+    }
+}
+
 /// Reads the submission of a batch job.
 pub async fn read_record<D: Dialect>(
     node: &Node<D>,
