--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -101,7 +101,9 @@
     /// Runs the attempt.
     pub async fn run(mut self, node: Rc<Node<D>>, route: Route) -> AttemptEnd {
         let started_ms = node.now_ms();
-        let ended = match self.generate(&node, &route).await {
+        let generated = self.generate(&node, &route).await;
+        let events = self.last_event().unwrap_or(0);
+        let ended = match generated {
             Ok(()) => {
                 let score = match &self.item.scorer {
                     Some(scorer) => score::score(&node, &self.owned, scorer).await.map(Some),
@@ -118,7 +120,7 @@
             item = self.item.id,
             endpoint = self.endpoint,
             ended = ended_name(&ended),
-            events = self.last_event().unwrap_or(0),
+            events = events,
             elapsed_ms = node.now_ms() - started_ms,
         );
         AttemptEnd {
