--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -232,7 +232,7 @@
         } = self;
         let limited = Limited::new(body, MAX_ANSWER_BYTES);
         let collected = limited.collect().await;
-        let body = collected.map_err(|error| SendFailure::broke_off(error))?;
+        let body = collected.map_err(SendFailure::broke_off)?;
         if !reply.closes {
             connection.give_back(reply.keep_alive_ms);
         }
--- a/crates/weights/src/planner.rs
+++ b/crates/weights/src/planner.rs
@@ -158,13 +158,12 @@
                 self.shares.insert(engine.name.clone(), model);
             }
         }
-        let count = |model: &Box<str>| self.shares.values().filter(|other| *other == model).count();
-        let largest = models.iter().max_by_key(|model| count(model));
-        let smallest = models.iter().min_by_key(|model| count(model));
+        let largest = models.iter().max_by_key(|model| self.count(model));
+        let smallest = models.iter().min_by_key(|model| self.count(model));
         let (Some(largest), Some(smallest)) = (largest, smallest) else {
             return;
         };
-        if count(largest) < count(smallest) + 2 {
+        if self.count(largest) < self.count(smallest) + 2 {
             return;
         }
         let idle = engines.iter().find(|engine| {
@@ -177,13 +176,20 @@
         }
     }
 
+    /// Engines that follow a model.
+    fn count(&self, model: &str) -> usize {
+        self.shares
+            .values()
+            .filter(|other| ***other == *model)
+            .count()
+    }
+
     /// The model with the fewest engines among those that an engine holds.
     fn smallest(&self, models: &[Box<str>], engine: &Engine<'_>) -> Option<Box<str>> {
-        let count = |model: &Box<str>| self.shares.values().filter(|other| *other == model).count();
         let held = models
             .iter()
             .filter(|model| version_of(engine.models, model).is_some());
-        held.min_by_key(|model| count(model)).cloned()
+        held.min_by_key(|model| self.count(model)).cloned()
     }
 }
 
--- a/crates/weights/tests/planner.rs
+++ b/crates/weights/tests/planner.rs
@@ -5,8 +5,10 @@
 use wisteriapoint_types::{EndpointName, WeightVersion};
 use wisteriapoint_weights::{Engine, Load, Planner};
 
+type Versions = Vec<(Box<str>, WeightVersion)>;
+
 struct Fleet {
-    engines: Vec<(EndpointName, Vec<(Box<str>, WeightVersion)>, u64)>,
+    engines: Vec<(EndpointName, Versions, u64)>,
     models: Vec<Box<str>>,
     named: BTreeMap<Box<str>, WeightVersion>,
     planner: Planner,
