Tests of callers' streams; an endpoint's failure is its answer, a stream may return to an earlier endpoint

Causes, found by the tests: a failure of the endpoint was read as a stream and cut; a stream that broke off twice had no endpoint left although the first was well again.

--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -77,6 +77,22 @@
         started: 0,
     };
     match course.start(node).await {
+        Ok((endpoint, received)) if !received.status.is_success() => {
+            let (headers, status) = (received.headers.clone(), received.status);
+            match received.whole().await {
+                Ok(body) => of_endpoint::<D>(status, &headers, Payload::Whole(Some(body))),
+                Err(failure) => {
+                    event!(
+                        info,
+                        "send failed",
+                        id = course.id,
+                        endpoint = endpoint,
+                        why = failure.why
+                    );
+                    give_up(failure.verdict, &failure.why, false)
+                }
+            }
+        }
         Ok((endpoint, received)) => {
             let headers = received.headers.clone();
             let status = received.status;
@@ -198,7 +214,8 @@
             if let Some(known) = node.directory.borrow_mut().registry.get_mut(&endpoint) {
                 known.failed(node.now_ms());
             }
-            self.excluded.push(endpoint);
+            // Those that broke off before may be well again; the last one is not asked next.
+            self.excluded = vec![endpoint];
             let next = match self.may_resume() && !events.is_closed() {
                 true => self.start(&node).await,
                 false => Err((Verdict::MayHaveRun, "not resumed".into())),
