Run a batch job whose submission met its own late write

Cause: a submission's write got no answer and took effect late; the copy sent through a peer met it and was answered by a conflict, which was taken for another node's earlier acceptance. The row named this run as the owner, so nobody ran the batch job. Now a conflict, and a question for a batch job that a node should own, make the node look at the row and take the job on.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -77,7 +77,6 @@
 struct Tried {
     excluded: Vec<EndpointName>,
     may_have_run: u32,
-    not_run: u32,
     last_answer: Option<Ending>,
     last_why: Box<str>,
 }
@@ -90,6 +89,18 @@
         }
     }
 
+    /// Takes a failed send; gives whether another endpoint may be asked.
+    fn may_go_on(&mut self, route: &Route, endpoint: EndpointName, failure: SendFailure) -> bool {
+        self.excluded.push(endpoint);
+        self.last_why = failure.why;
+        let may_repeat = route.kind.may_repeat();
+        if failure.verdict == Verdict::NotRun {
+            return self.may_have_run == 0 || may_repeat;
+        }
+        self.may_have_run += 1;
+        may_repeat && self.may_have_run < route.max_attempts.max(1)
+    }
+
     fn give_up(self, why: &str, is_timeout: bool) -> Ending {
         let verdict = self.verdict();
         let why = match &*self.last_why {
@@ -147,14 +158,8 @@
         let limit_ms = limit_ms(forward, &tried, end_at_ms - now_ms);
         let attempt = attempt(node, forward, &endpoint, address, end_at_ms - now_ms);
         let result = timeout(Duration::from_millis(limit_ms), attempt).await;
-        let result = result.unwrap_or_else(|_| {
-            Err(SendFailure {
-                verdict: Verdict::MayHaveRun,
-                why: format!("no answer for {limit_ms} ms").into(),
-                broke_off: false,
-                was_full: false,
-            })
-        });
+        let result = result
+            .unwrap_or_else(|_| Err(SendFailure::cut(format!("no answer for {limit_ms} ms"))));
         note(node, &endpoint, &service, digest, &result);
         let failure = match result {
             Ok(answer) if may_retry_answer(forward.route, &answer, &tried) => {
@@ -175,20 +180,7 @@
             why = failure.why,
             after_ms = node.now_ms() - now_ms,
         );
-        tried.excluded.push(endpoint);
-        tried.last_why = failure.why;
-        match failure.verdict {
-            Verdict::NotRun => tried.not_run += 1,
-            _ => tried.may_have_run += 1,
-        }
-        let may_go_on = match failure.verdict {
-            Verdict::NotRun => tried.may_have_run == 0 || forward.route.kind.may_repeat(),
-            _ => {
-                forward.route.kind.may_repeat()
-                    && tried.may_have_run < forward.route.max_attempts.max(1)
-            }
-        };
-        if !may_go_on {
+        if !tried.may_go_on(forward.route, endpoint, failure) {
             let is_timeout = node.now_ms() >= end_at_ms;
             return tried.give_up("the endpoint did not answer it", is_timeout);
         }
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -68,6 +68,8 @@
         Ok(Committed::Done(revision)) => revision,
         Ok(Committed::Conflict | Committed::LeaseEnded) => {
             event!(info, "batch job known", id = id);
+            // It may be an earlier copy of this very write that the row comes from.
+            takeover::adopt_own(node, id);
             return Accepted::Stored;
         }
         Err(error) if !error.may_have_taken_effect() => {
@@ -78,7 +80,7 @@
             None => {
                 // Should it take effect later, the keeper finds it without a live owner or
                 // this node is asked for it.
-                spawn_resolution(node, id);
+                takeover::adopt_own(node, id);
                 return Accepted::Unknown(error.to_string().into());
             }
         },
@@ -120,11 +122,3 @@
     }
     None
 }
-
-/// Takes the batch job on if the write took effect after all.
-fn spawn_resolution<D: Dialect>(node: &Rc<Node<D>>, id: &str) {
-    let (node, id) = (node.clone(), Box::<str>::from(id));
-    tokio::task::spawn_local(async move {
-        takeover::resolve_submission(&node, &id).await;
-    });
-}
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 use wisteriapoint_batch::{Item, ItemKey, Progress};
 use wisteriapoint_directory::Route;
-use wisteriapoint_types::{EndpointName, Verdict, WeightVersion};
+use wisteriapoint_types::{EndpointName, WeightVersion};
 
 use super::{Owned, score};
 use crate::dialect::{Addressed, Dialect};
@@ -162,7 +162,7 @@
         let result = match timeout(FIRST_TIMEOUT, sent).await {
             Ok(Ok(received)) => self.read(node, route, received).await,
             Ok(Err(failure)) => Err(failure),
-            Err(_) => Err(SendFailure::silent()),
+            Err(_) => Err(SendFailure::cut("silent")),
         };
         match result {
             Ok(ended) => ended,
@@ -215,7 +215,7 @@
             status if status.is_success() => {}
             StatusCode::UNPROCESSABLE_ENTITY => return Ok(Err(Ended::Hopeless)),
             StatusCode::INTERNAL_SERVER_ERROR => return Ok(Err(Ended::Failed)),
-            status => return Err(SendFailure::answered(status)),
+            status => return Err(SendFailure::cut(format_args!("answered {status}"))),
         }
         let Received {
             reply,
@@ -228,7 +228,7 @@
         let mut speed = Speed::new(node.now_ms());
         loop {
             let next = timeout(MAX_SILENCE, reader.next()).await;
-            let event = match next.map_err(|_| SendFailure::silent())? {
+            let event = match next.map_err(|_| SendFailure::cut("silent"))? {
                 Ok(Some(event)) => event,
                 Ok(None) => break,
                 Err(why) => return Err(SendFailure::cut(why)),
@@ -248,7 +248,7 @@
         }
         match self.last_event() {
             Some(_) => Ok(Ok(())),
-            None => Err(SendFailure::cut("text without events".into())),
+            None => Err(SendFailure::cut("text without events")),
         }
     }
 
@@ -274,14 +274,14 @@
             (Some(_), None) => false,
         };
         if !is_next {
-            return Err(SendFailure::cut("event out of order".into()));
+            return Err(SendFailure::cut("event out of order"));
         }
         let Some(version) = version.filter(|&version| version >= self.min_version) else {
-            return Err(SendFailure::cut("weights too old".into()));
+            return Err(SendFailure::cut("weights too old"));
         };
         if route.single_version && progress.versions.iter().any(|&other| other != version) {
             *progress = Progress::default();
-            return Err(SendFailure::cut("weights changed within the text".into()));
+            return Err(SendFailure::cut("weights changed within the text"));
         }
         if progress.last_event.is_some() {
             progress.text.push('\n');
@@ -348,22 +348,3 @@
         Ended::Unfinished => "unfinished",
     }
 }
-
-impl SendFailure {
-    fn silent() -> Self {
-        Self::cut("silent".into())
-    }
-
-    fn answered(status: StatusCode) -> Self {
-        Self::cut(format!("answered {status}").into())
-    }
-
-    fn cut(why: Box<str>) -> Self {
-        Self {
-            verdict: Verdict::MayHaveRun,
-            why,
-            broke_off: false,
-            was_full: false,
-        }
-    }
-}
--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -8,7 +8,7 @@
 use wisteriapoint_store::{Committed, Freshness, Ledger, Transaction};
 
 use super::takeover::{read_record, read_state};
-use super::{Owned, commit, keys};
+use super::{Owned, commit, keys, takeover};
 use crate::callers::batch::MAX_PAGE_BYTES;
 use crate::dialect::Dialect;
 use crate::event;
@@ -210,6 +210,8 @@
         Err(error) => return Found::Unsure(error.to_string().into()),
     };
     if state.owner == node.owner {
+        // The row says that this run owns it, so nobody else will run it.
+        takeover::adopt_own(node, job);
         return Found::Yes(Owners::Away(state));
     }
     match ask(node, state.owner.address, question).await {
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -219,6 +219,12 @@
     Ok(())
 }
 
+/// Takes a batch job on, in the background, if the store says that this run owns it.
+pub fn adopt_own<D: Dialect>(node: &Rc<Node<D>>, job: &str) {
+    let (node, job) = (node.clone(), Box::<str>::from(job));
+    tokio::task::spawn_local(async move { resolve_submission(&node, &job).await });
+}
+
 /// Takes on a submission whose write took effect after its caller was told that it may.
 pub async fn resolve_submission<D: Dialect>(node: &Rc<Node<D>>, job: &str) {
     for _ in 0..MAX_RESOLUTIONS {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -133,7 +133,11 @@
                 let is_sure = node.is_sure_owner(&job);
                 Reply::Page { page, is_sure }
             }
-            None => Reply::NotOwner,
+            None => {
+                // The asker read in the store that this node owns it.
+                jobs::takeover::adopt_own(node, &job);
+                Reply::NotOwner
+            }
         },
         Question::Body { job, item } => match node.jobs.get(&job) {
             Some(owned) => match owned.body(&item) {
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// A send that this node ended, or that no answer of the endpoint's can be made of.
+    pub fn cut(why: impl ToString) -> Self {
+        Self::new(Verdict::MayHaveRun, why)
+    }
+
     fn broke_off(why: impl ToString) -> Self {
         Self {
             broke_off: true,
