Look for orphans until all are taken over

Cause: the keeper noted the members as known before it had taken over the batch jobs of those that were gone; a look that failed, or a takeover that met a late write of the former owner, was never made again.

--- a/crates/node/src/control/keeper.rs
+++ b/crates/node/src/control/keeper.rs
@@ -209,7 +209,7 @@
         match adopt_once(node, &mut known).await {
             Ok(()) => backoff = Backoff::new(),
             Err(error) => {
-                event!(debug, "orphans not looked for", why = error);
+                event!(info, "orphans not looked for", why = error);
                 node.health.pause(backoff.next_pause()).await;
             }
         }
@@ -224,13 +224,17 @@
     let members: BTreeSet<_> = members.into_iter().collect();
     let is_first = known.is_empty();
     let has_lost = !known.is_subset(&members);
-    *known = members;
     if is_first || has_lost {
         sleep(RETURN_PAUSE).await;
         let (live, _) = members::members_at(node, Freshness::Linearizable).await?;
         let live: BTreeSet<_> = live.into_iter().collect();
-        jobs::take_over_orphans(node, &live).await?;
+        if !jobs::take_over_orphans(node, &live).await? {
+            event!(info, "orphans left");
+            return Ok(());
+        }
     }
+    // Only now: a look that failed is made again.
+    *known = members;
     let changes = node.store.watch(MEMBERS, revision, WAIT).await;
     node.note_store("watch", &changes);
     match changes {
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -169,7 +169,8 @@
     Ok(true)
 }
 
-/// Takes over the open batch jobs whose owner is not among the live ones.
+/// Takes over the open batch jobs whose owner is not among the live ones; gives whether none of
+/// them is left.
 ///
 /// # Errors
 ///
@@ -177,7 +178,7 @@
 pub async fn take_over_orphans<D: Dialect>(
     node: &Rc<Node<D>>,
     live: &BTreeSet<Owner>,
-) -> Result<(), Error> {
+) -> Result<bool, Error> {
     take_over_all(node, |owner| !live.contains(owner)).await
 }
 
@@ -188,8 +189,13 @@
     }
     let own = node.owner.clone();
     let is_former = |owner: &Owner| owner.vm == own.vm && owner.run != own.run;
-    while let Err(error) = take_over_all(&node, is_former).await {
-        event!(info, "former batch jobs not looked for", why = error);
+    for _ in 0..MAX_RESOLUTIONS {
+        match take_over_all(&node, is_former).await {
+            Ok(true) => return,
+            // A late write of the former run came between.
+            Ok(false) => event!(info, "former batch jobs left"),
+            Err(error) => event!(info, "former batch jobs not looked for", why = error),
+        }
         node.health.pause(RESOLUTION_PAUSE).await;
     }
 }
@@ -197,12 +203,13 @@
 async fn take_over_all<D: Dialect>(
     node: &Rc<Node<D>>,
     is_gone: impl Fn(&Owner) -> bool,
-) -> Result<(), Error> {
+) -> Result<bool, Error> {
     let rows = node
         .store
         .range(keys::STATES, Freshness::Linearizable)
         .await;
     node.note_store("states", &rows);
+    let mut is_none_left = true;
     for row in rows?.0 {
         let Ok(state) = serde_json::from_slice::<JobState>(&row.value) else {
             event!(error, "state not understood", key = row.key);
@@ -211,12 +218,12 @@
         let is_orphan = state.open && state.listed < state.total && is_gone(&state.owner);
         match keys::job_of_state(&row.key) {
             Some(job) if is_orphan => {
-                take_over(node, job, Vec::new()).await;
+                is_none_left &= take_over(node, job, Vec::new()).await;
             }
             _ => {}
         }
     }
-    Ok(())
+    Ok(is_none_left)
 }
 
 /// Takes a batch job on, in the background, if the store says that this run owns it.
