Take a batch job on once at a time; mark each write of its row

Cause: two copies of a submission reached one node; the second one met the first one's write and adopted the batch job while the first still waited for its lost answer, so the node ran it twice over. The row carries a random number for each write now.

--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -41,4 +41,6 @@
     pub listed: u32,
     /// Number of commits that listed them.
     pub commits: u32,
+    /// Random for each write, so that a node knows its own write from one that looks the same.
+    pub nonce: u64,
 }
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -15,6 +15,8 @@
 use crate::event;
 use crate::node::Node;
 
+/// Pause between looks whether another copy of a submission has been answered.
+const COPY_PAUSE: Duration = Duration::from_millis(10);
 /// Times that a submission whose answer was lost is looked up before its caller is told so.
 const MAX_LOOKUPS: u32 = 3;
 /// Pause between these, in milliseconds.
@@ -41,9 +43,14 @@
     body: Bytes,
     submission: Submission,
 ) -> Accepted {
+    // Another copy of the submission may be on its way to the store.
+    while node.jobs.is_being_accepted(id) {
+        sleep(COPY_PAUSE).await;
+    }
     if node.jobs.is_known(id) {
         return Accepted::Stored;
     }
+    let _accepting = node.jobs.begin_accepting(id);
     let record = JobRecord {
         host: host.into(),
         path: path.into(),
@@ -56,6 +63,7 @@
         total: submission.items.len() as u32,
         listed: 0,
         commits: 0,
+        nonce: rand::random(),
     };
     let transaction = match transaction(id, &record, &state) {
         Ok(transaction) => transaction,
--- a/crates/node/src/jobs/commit.rs
+++ b/crates/node/src/jobs/commit.rs
@@ -50,6 +50,7 @@
     let state = JobState {
         listed: batch.first + batch.results.len() as u32,
         commits: row.state.commits + 1,
+        nonce: rand::random(),
         ..row.state.clone()
     };
     let results = match postcard::to_stdvec(&batch.results) {
@@ -91,6 +92,7 @@
         }
         let state = JobState {
             open: false,
+            nonce: rand::random(),
             ..row.state.clone()
         };
         let parts = keys::parts(&owned.id);
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -1,7 +1,7 @@
 //! Batch jobs that this node owns.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use tokio::sync::{Mutex, Notify};
@@ -15,6 +15,20 @@
     owned: RefCell<BTreeMap<Box<str>, Rc<Owned>>>,
     owners: RefCell<BTreeMap<Box<str>, Owner>>,
     is_unverified: Cell<bool>,
+    accepting: Rc<RefCell<BTreeSet<Box<str>>>>,
+}
+
+/// Marks a batch job as being accepted or taken over for as long as it lives.
+#[derive(Debug)]
+pub struct Accepting {
+    all: Rc<RefCell<BTreeSet<Box<str>>>>,
+    id: Box<str>,
+}
+
+impl Drop for Accepting {
+    fn drop(&mut self) {
+        self.all.borrow_mut().remove(&self.id);
+    }
 }
 
 /// A batch job that this node owns.
@@ -79,6 +93,19 @@
         self.is_unverified.set(!is_verified);
     }
 
+    /// Whether this node is in the middle of taking a batch job on.
+    pub fn is_being_accepted(&self, id: &str) -> bool {
+        self.accepting.borrow().contains(id)
+    }
+
+    /// Begins to take a batch job on; no other task of this node should do so meanwhile.
+    pub fn begin_accepting(&self, id: &str) -> Accepting {
+        let id = Box::<str>::from(id);
+        self.accepting.borrow_mut().insert(id.clone());
+        let all = self.accepting.clone();
+        Accepting { all, id }
+    }
+
     /// All batch jobs that this node owns.
     pub fn all(&self) -> Vec<Rc<Owned>> {
         self.owned.borrow().values().cloned().collect()
--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -163,6 +163,7 @@
         };
         let ended = JobState {
             open: false,
+            nonce: rand::random(),
             ..state
         };
         let Ok(value) = serde_json::to_vec(&ended) else {
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -107,6 +107,10 @@
     job: &str,
     given: Vec<Part>,
 ) -> Result<bool, Box<str>> {
+    if node.jobs.is_being_accepted(job) {
+        return Ok(false);
+    }
+    let _accepting = node.jobs.begin_accepting(job);
     let state = read_state(node, job)
         .await
         .map_err(|error| error.to_string())?;
@@ -125,6 +129,7 @@
     let from = state.owner.vm.clone();
     let taken = JobState {
         owner: node.owner.clone(),
+        nonce: rand::random(),
         ..state
     };
     let value = serde_json::to_vec(&taken).map_err(|error| error.to_string())?;
@@ -237,8 +242,9 @@
     for _ in 0..MAX_RESOLUTIONS {
         match read_state(node, job).await {
             Ok(Some((_, state))) if state.owner == node.owner => {
-                take_over(node, job, Vec::new()).await;
-                return;
+                if take_over(node, job, Vec::new()).await {
+                    return;
+                }
             }
             Ok(Some(_)) => return,
             Ok(None) => {}
