--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use wisteriapoint_peer::Client;
 use wisteriapoint_store::{
@@ -71,6 +72,7 @@
 struct Shared {
     others: RefCell<Vec<SocketAddr>>,
     direct_bad_until: Cell<Option<Instant>>,
+    direct_failed: Notify,
     relay_bad_until: Cell<Option<Instant>>,
 }
 
@@ -108,7 +110,7 @@
         {
             return answer;
         }
-        let answer = run(&self.direct, call.clone()).await;
+        let answer = self.run_directly(call.clone()).await;
         match &answer {
             Err(error) if !error.is_answer() => {
                 let until = Instant::now() + BAD_WAY;
@@ -117,12 +119,27 @@
                 if let StoreCall::Watch(..) = call {
                     return answer;
                 }
+                self.shared.direct_failed.notify_waiters();
                 self.relay(&call).await.unwrap_or(answer)
             }
             _ => answer,
         }
     }
 
+    /// Calls the store; a watch ends as soon as another call fails.
+    ///
+    /// Its connection may be cut as well and would hear nothing for seconds, while other calls
+    /// go on through a peer.
+    async fn run_directly(&self, call: StoreCall) -> Result<StoreAnswer, Error> {
+        let is_watch = matches!(call, StoreCall::Watch(..));
+        tokio::select! {
+            answer = run(&self.direct, call) => answer,
+            () = self.shared.direct_failed.notified(), if is_watch => {
+                Err(Error::Unavailable("another call got no answer".into()))
+            }
+        }
+    }
+
     /// Asks another node to carry a call out; `None` if that can't be had now.
     ///
     /// A transaction that was already sent may be sent again: its conditions let it take
