--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -66,6 +66,7 @@
     load: Option<(u64, Load)>,
     failures: u32,
     paused_until_ms: u64,
+    held_until_ms: u64,
 }
 
 impl Endpoint {
@@ -78,9 +79,16 @@
             load: None,
             failures: 0,
             paused_until_ms: 0,
+            held_until_ms: 0,
         }
     }
 
+    /// Keeps it from all requests until a time.
+    pub fn with_hold(mut self, until_ms: u64) -> Self {
+        self.held_until_ms = until_ms;
+        self
+    }
+
     /// The weight version of a model, if it is loaded.
     pub fn version_of(&self, model: &str) -> Option<WeightVersion> {
         let mut models = self.record.models.iter();
@@ -91,7 +99,8 @@
 
     /// Whether it could take a request, apart from pauses.
     pub fn fits(&self, now_ms: u64, need: &Need<'_>) -> bool {
-        self.record.service == *need.service
+        now_ms >= self.held_until_ms
+            && self.record.service == *need.service
             && self.record.stage == EndpointStage::Ready
             && (!need.within_slots || self.occupancy(now_ms) < self.record.slots)
             && need.model.is_none_or(|(model, oldest)| {
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -10,6 +10,10 @@
 /// milliseconds: rows that lapsed are back about two seconds after the store.
 const RETURN_GRACE_MS: u64 = 2_200;
 
+/// Time for which an endpoint whose row was removed and comes back is not used, in milliseconds: a
+/// stale row lapses within three heartbeats, and comes within about a second.
+const HOLD_BACK_MS: u64 = 6_000;
+
 /// What a request needs of an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct Need<'a> {
@@ -28,6 +32,14 @@
 pub struct Registry {
     endpoints: BTreeMap<EndpointName, Endpoint>,
     vanished: BTreeMap<EndpointName, u64>,
+    removed: BTreeMap<EndpointName, Removed>,
+}
+
+/// An endpoint that has left.
+#[derive(Debug, Clone, Copy)]
+struct Removed {
+    at_ms: u64,
+    born_unix_ms: u64,
 }
 
 impl Registry {
@@ -42,8 +54,9 @@
     /// earlier incarnation is ignored. Gives whether anything changed.
     pub fn learn(&mut self, name: &EndpointName, record: EndpointRecord) -> bool {
         let Some(known) = self.endpoints.get_mut(name) else {
+            let endpoint = self.returned(name, record);
             self.vanished.remove(name);
-            self.endpoints.insert(name.clone(), Endpoint::new(record));
+            self.endpoints.insert(name.clone(), endpoint);
             return true;
         };
         let born_unix_ms = known.record.born_unix_ms;
@@ -66,6 +79,16 @@
         true
     }
 
+    /// An endpoint that is new or comes back; a row of an incarnation that has left may be stale.
+    fn returned(&self, name: &EndpointName, record: EndpointRecord) -> Endpoint {
+        match self.removed.get(name) {
+            Some(removed) if removed.born_unix_ms == record.born_unix_ms => {
+                Endpoint::new(record).with_hold(removed.at_ms + HOLD_BACK_MS)
+            }
+            _ => Endpoint::new(record),
+        }
+    }
+
     /// Notes that an endpoint's row is gone.
     ///
     /// While the store is in trouble, or was within the grace, it stays known until the grace is over.
@@ -78,7 +101,23 @@
                 self.vanished
                     .insert(name.clone(), end_ms.saturating_add(RETURN_GRACE_MS));
             }
-            _ => self.remove(name),
+            _ => {
+                self.hold_back(now_ms, name);
+                self.remove(name);
+            }
+        }
+    }
+
+    /// Remembers an endpoint that left while the store was well.
+    fn hold_back(&mut self, now_ms: u64, name: &EndpointName) {
+        self.removed
+            .retain(|_, removed| now_ms < removed.at_ms + HOLD_BACK_MS);
+        if let Some(known) = self.endpoints.get(name) {
+            let removed = Removed {
+                at_ms: now_ms,
+                born_unix_ms: known.record.born_unix_ms,
+            };
+            self.removed.insert(name.clone(), removed);
         }
     }
 
--- a/crates/directory/tests/registry.rs
+++ b/crates/directory/tests/registry.rs
@@ -156,3 +156,24 @@
     let left: Vec<_> = registry.iter().map(|(name, _)| name.clone()).collect();
     assert_eq!(left, vec![name(2)]);
 }
+
+#[test]
+fn an_endpoint_that_left_is_not_used_again_for_a_stale_row() {
+    let mut registry = registry(1);
+    registry.vanish(10_000, &name(1), None);
+    registry.replace(11_000, vec![(name(1), record(1))], None);
+    assert_eq!(choose(&registry, 11_000, &[]), None);
+    assert_eq!(choose(&registry, 15_900, &[]), None);
+    assert_eq!(
+        choose(&registry, 16_000, &[]),
+        Some(name(1)),
+        "a row that stays is no stale one"
+    );
+    registry.vanish(20_000, &name(1), None);
+    registry.learn(&name(1), record(2));
+    assert_eq!(
+        choose(&registry, 20_001, &[]),
+        Some(name(1)),
+        "it has started again"
+    );
+}
