Choose endpoints, lose batch jobs and wait for a row in one place each

Cause: the choice of an endpoint with its address stood three times (requests, streams, items), the loss of a batch job three times, the watch that takes a lost history for a change twice. Now Node::choose, Node::need, Node::lose and wait_for_change. No behaviour changes.

--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
-use wisteriapoint_directory::{Need, Route};
+use wisteriapoint_directory::Route;
 use wisteriapoint_types::{EndpointName, ServiceName, Verdict};
 
 use super::answer::{Answer, BrokenOff, Payload, given_up, of_endpoint};
@@ -128,7 +128,10 @@
         loop {
             let now_ms = node.now_ms();
             let left_ms = self.end_at_ms.saturating_sub(now_ms);
-            let Some((endpoint, address)) = self.choose(node).filter(|_| left_ms > 0) else {
+            let Some((endpoint, address)) = node
+                .choose(node.need(&self.service), &self.excluded)
+                .filter(|_| left_ms > 0)
+            else {
                 return Err((verdict, why));
             };
             let addressed = Addressed {
@@ -175,22 +178,6 @@
         }
     }
 
-    fn choose<D: Dialect>(&self, node: &Node<D>) -> Option<(EndpointName, std::net::SocketAddr)> {
-        let directory = node.directory.borrow();
-        let need = Need {
-            service: &self.service,
-            model: None,
-            within_slots: false,
-            near: &node.settings.failure_domain,
-        };
-        let name = directory
-            .registry
-            .choose(node.now_ms(), need, &self.excluded)?
-            .clone();
-        let address = directory.registry.get(&name)?.record.address;
-        Some((name, address))
-    }
-
     /// Passes events on, and goes on elsewhere when an endpoint breaks off.
     async fn run<D: Dialect>(
         mut self,
--- a/crates/node/src/control/keeper.rs
+++ b/crates/node/src/control/keeper.rs
@@ -54,7 +54,7 @@
             }
             Ok(Claim::Others(keeper, revision)) => {
                 node.keeper.replace(keeper);
-                wait_for_change(&node, revision).await
+                wait_for_change(&node, KEEPER, revision).await
             }
             Err(error) => Err(error),
         };
@@ -113,8 +113,13 @@
     }
 }
 
-async fn wait_for_change<D: Dialect>(node: &Rc<Node<D>>, after: Index) -> Result<(), Error> {
-    let changes = node.store.watch(KEEPER, after, WAIT).await;
+/// Waits for a change of a row, or of the history that tells of it.
+async fn wait_for_change<D: Dialect>(
+    node: &Rc<Node<D>>,
+    prefix: &str,
+    after: Index,
+) -> Result<(), Error> {
+    let changes = node.store.watch(prefix, after, WAIT).await;
     node.note_store("watch", &changes);
     match changes {
         Err(error) if error.is_history_gone() => Ok(()),
@@ -235,10 +240,5 @@
     }
     // Only now: a look that failed is made again.
     *known = members;
-    let changes = node.store.watch(MEMBERS, revision, WAIT).await;
-    node.note_store("watch", &changes);
-    match changes {
-        Err(error) if error.is_history_gone() => Ok(()),
-        other => other.map(|_| ()),
-    }
+    wait_for_change(node, MEMBERS, revision).await
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::time::{sleep, timeout};
-use wisteriapoint_directory::{Need, Route, RouteKind};
+use wisteriapoint_directory::{Route, RouteKind};
 use wisteriapoint_types::{Digest, EndpointName, ServiceName, Verdict};
 
 use crate::dialect::{Addressed, Dialect, Reply};
@@ -143,7 +143,7 @@
         if now_ms >= end_at_ms {
             return tried.give_up("its time is over", true);
         }
-        let Some((endpoint, address)) = choose(node, &service, now_ms, &tried.excluded) else {
+        let Some((endpoint, address)) = node.choose(node.need(&service), &tried.excluded) else {
             let has_asked_all = !tried.excluded.is_empty() && tried.may_have_run == 0;
             match has_asked_all {
                 true if now_ms < placing_end_ms => {
@@ -204,25 +204,6 @@
     is_server_error && route.kind.may_repeat() && tried.may_have_run + 1 < route.max_attempts
 }
 
-fn choose<D: Dialect>(
-    node: &Node<D>,
-    service: &ServiceName,
-    now_ms: u64,
-    excluded: &[EndpointName],
-) -> Option<(EndpointName, std::net::SocketAddr)> {
-    let mut directory = node.directory.borrow_mut();
-    let registry = &mut directory.registry;
-    let need = Need {
-        service,
-        model: None,
-        within_slots: false,
-        near: &node.settings.failure_domain,
-    };
-    let name = registry.choose(now_ms, need, excluded)?.clone();
-    let address = registry.get(&name)?.record.address;
-    Some((name, address))
-}
-
 async fn attempt<D: Dialect>(
     node: &Rc<Node<D>>,
     forward: &Forward<'_>,
--- a/crates/node/src/jobs/commit.rs
+++ b/crates/node/src/jobs/commit.rs
@@ -39,7 +39,7 @@
         if let Some(batch) = batch
             && commit(&node, &owned, &batch).await == Changed::Lost
         {
-            lose(&node, &owned).await;
+            node.lose(&owned.id);
             return;
         }
     }
@@ -110,7 +110,7 @@
             Changed::Done => true,
             Changed::Lost => {
                 drop(row);
-                lose(&node, &owned).await;
+                node.lose(&owned.id);
                 super::read::end_in_store(&node, &owned.id).await.is_some()
             }
         }
@@ -172,9 +172,3 @@
         node.health.pause(backoff.next_pause()).await;
     }
 }
-
-/// Gives up a batch job whose row another node has changed.
-async fn lose<D: Dialect>(node: &Rc<Node<D>>, owned: &Owned) {
-    event!(warn, "batch job lost", id = owned.id);
-    node.jobs.remove(&owned.id);
-}
--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -1,7 +1,6 @@
 //! Items of a batch job: which runs next, where, and what follows from how it ended.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 use wisteriapoint_batch::moves::{Free, Generating, moves};
 use wisteriapoint_batch::{ItemKey, Job, Outcome};
 use wisteriapoint_directory::{Need, Route};
-use wisteriapoint_types::{EndpointName, ServiceName};
+use wisteriapoint_types::ServiceName;
 
 use super::attempt::{Attempt, AttemptEnd, Ended};
 use super::{Owned, commit, parts};
@@ -92,7 +91,8 @@
         if owned.job.borrow().peek(now_ms).is_none() {
             return;
         }
-        let Some((endpoint, address)) = choose(node, owned, &service) else {
+        let chosen = node.choose(need(node, &owned.job.borrow(), &service), &[]);
+        let Some((endpoint, address)) = chosen else {
             return;
         };
         let Some(key) = owned.job.borrow_mut().next(now_ms) else {
@@ -161,27 +161,12 @@
 fn need<'a, D: Dialect>(node: &'a Node<D>, job: &'a Job, service: &'a ServiceName) -> Need<'a> {
     let step = job.submission().step.as_ref();
     Need {
-        service,
         model: step.map(|step| (&*step.model, step.min_version)),
         within_slots: true,
-        near: &node.settings.failure_domain,
+        ..node.need(service)
     }
 }
 
-fn choose<D: Dialect>(
-    node: &Node<D>,
-    owned: &Owned,
-    service: &ServiceName,
-) -> Option<(EndpointName, SocketAddr)> {
-    let job = owned.job.borrow();
-    let directory = node.directory.borrow();
-    let need = need(node, &job, service);
-    let registry = &directory.registry;
-    let name = registry.choose(node.now_ms(), need, &[])?.clone();
-    let address = registry.get(&name)?.record.address;
-    Some((name, address))
-}
-
 fn take_end<D: Dialect>(node: &Node<D>, owned: &Owned, end: AttemptEnd) {
     let now_ms = node.now_ms();
     let mut job = owned.job.borrow_mut();
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -262,8 +262,7 @@
             match read_state(&node, &owned.id).await {
                 Ok(Some((_, state))) if state.owner == node.owner && state.open => break,
                 Ok(_) => {
-                    event!(warn, "batch job lost", id = owned.id);
-                    node.jobs.remove(&owned.id);
+                    node.lose(&owned.id);
                 }
                 Err(error) => {
                     event!(info, "batch job not verified", id = owned.id, why = error);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,10 +13,10 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wisteriapoint_batch::Owner;
-use wisteriapoint_directory::{Configuration, CrashSuspects, Registry};
+use wisteriapoint_directory::{Configuration, CrashSuspects, Need, Registry};
 use wisteriapoint_peer::Client;
 use wisteriapoint_store::Error as StoreError;
-use wisteriapoint_types::WeightVersion;
+use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
 
 use crate::clock::Clock;
 use crate::control::{Feed, Health, Lease};
@@ -178,6 +179,35 @@
         is_owned && self.jobs.is_verified() && self.lease.is_sure() && !self.health.is_failing()
     }
 
+    /// The endpoint for a request now, apart from some, and where it listens.
+    pub fn choose(
+        &self,
+        need: Need<'_>,
+        excluded: &[EndpointName],
+    ) -> Option<(EndpointName, SocketAddr)> {
+        let directory = self.directory.borrow();
+        let registry = &directory.registry;
+        let name = registry.choose(self.now_ms(), need, excluded)?.clone();
+        let address = registry.get(&name)?.record.address;
+        Some((name, address))
+    }
+
+    /// What any request to a plain service or stream needs: an endpoint, which may let it wait.
+    pub fn need<'a>(&'a self, service: &'a ServiceName) -> Need<'a> {
+        Need {
+            service,
+            model: None,
+            within_slots: false,
+            near: &self.settings.failure_domain,
+        }
+    }
+
+    /// Drops a batch job that another node has taken over or ended.
+    pub fn lose(&self, job: &str) {
+        event!(warn, "batch job lost", id = job);
+        self.jobs.remove(job);
+    }
+
     /// Becomes ready once configuration and endpoints are known.
     pub fn check_ready(&self) {
         let directory = self.directory.borrow();
@@ -286,7 +316,7 @@
     }
 }
 
-async fn bind(address: std::net::SocketAddr) -> Result<TcpListener, Error> {
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|error| Error::io(address.to_string(), error))
 }
