Do not add a daemon to the view again from a stale list of leases

Cause: it gives its lease back and removes itself; a proposer whose list of leases is older added it again. With the watch of leases held still (new fault of the stand-in) that happened at every run; a proposal now reads the leases after the view and leaves out who holds none. Found on the way, and why a leave could take longer than its two seconds: a proposer sent a proposal every tenth of a second, all of which waited for the budget of calls, with renewals and the leave behind them. One proposal at a time now, and a leave does not wait for the budget. A lease that is granted while the daemon leaves is given back.

--- a/crates/membership/src/change.rs
+++ b/crates/membership/src/change.rs
@@ -24,6 +24,31 @@
         self.next(members, nonce)
     }
 
+    /// This view, which follows `before`, without those who join it and hold no lease.
+    ///
+    /// `None` if that leaves no change.
+    pub fn without_lapsed(self, before: &Self, leases: &[Member]) -> Option<Self> {
+        let holds = |member: &Member| leases.iter().any(|lease| lease.id == member.id);
+        let is_kept = |member: &Member| before.member(member.id).is_some() || holds(member);
+        if self.members.iter().all(is_kept) {
+            return Some(self);
+        }
+        let joining = self.members.iter().filter(|member| is_kept(member));
+        let joining: Vec<_> = joining
+            .filter(|member| before.member(member.id).is_none())
+            .cloned()
+            .collect();
+        let is_replaced = |old: &Member| self.members.iter().any(|new| new.vm == old.vm);
+        let leaving: Vec<_> = before
+            .members
+            .iter()
+            .filter(|old| self.member(old.id).is_none() && !is_replaced(old))
+            .map(|old| old.id)
+            .collect();
+        let has_change = !joining.is_empty() || !leaving.is_empty();
+        has_change.then(|| before.with_changes(&joining, &leaving, self.nonce))
+    }
+
     /// The member ranked first for a subject; the same as the first of
     /// [`View::coordinators`], without ranking the others.
     pub fn coordinator(&self, subject: &[u8]) -> Option<MemberId> {
--- a/crates/membership/tests/roster.rs
+++ b/crates/membership/tests/roster.rs
@@ -191,3 +191,15 @@
     }
     assert!(view.is_watcher(MemberId(99)));
 }
+
+#[test]
+fn who_gave_its_lease_back_is_taken_out_of_a_proposal() {
+    let before = view([1, 2]);
+    let proposed = before.with_changes(&members([3, 4]), &[MemberId(2)], Nonce(7));
+    let lasting = proposed.clone().without_lapsed(&before, &members([1, 3]));
+    assert_eq!(ids(&lasting.unwrap()), [1, 3]);
+    let all = proposed.clone().without_lapsed(&before, &members([3, 4]));
+    assert_eq!(all, Some(proposed));
+    let joining = before.with_changes(&members([3]), &[], Nonce(7));
+    assert_eq!(joining.without_lapsed(&before, &members([1, 2])), None);
+}
--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -30,6 +30,16 @@
     pub lose_write_answers: u32,
     /// Calls a second that are served; the rest get 429. None for no limit.
     pub calls_per_s: Option<u32>,
+    /// Blocking queries under this prefix hear of no change until their wait is over.
+    pub deaf_prefix: Option<String>,
+}
+
+impl Faults {
+    /// Whether blocking queries under a key hear of nothing; a path has no slash at its end.
+    fn is_deaf(&self, key: &str) -> bool {
+        let deaf = self.deaf_prefix.as_deref();
+        deaf.is_some_and(|prefix| prefix.trim_end_matches('/') == key.trim_end_matches('/'))
+    }
 }
 
 /// Calls served so far.
@@ -288,7 +298,8 @@
             changed.as_mut().enable();
             let is_new = {
                 let state = self.0.lock();
-                state.newest(key) > since || state.faults.down
+                let is_deaf = state.faults.is_deaf(key);
+                (!is_deaf && state.newest(key) > since) || state.faults.down
             };
             if is_new || timeout_at(until, changed).await.is_err() {
                 return;
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// The store itself, for the few calls that can't wait.
+    pub fn unbudgeted(&self) -> &S {
+        &self.store
+    }
+
     /// Waits for the next free slot: slots are `pause_ns` apart, `BURST` may be taken early.
     async fn admit(&self) {
         let now_ns = self.epoch.elapsed().as_nanos() as u64;
--- a/crates/wisteriapoint/src/daemon/platform.rs
+++ b/crates/wisteriapoint/src/daemon/platform.rs
@@ -22,10 +22,17 @@
 const RENEWALS_PER_TTL: u32 = 3;
 
 /// Proposes the next view; whatever the platform then holds is told to control.
+///
+/// Does nothing while an earlier proposal is on its way: the calls of one wait for the budget,
+/// and those of many would hold up all others.
 pub fn spawn_proposal(shared: &Arc<Shared>, next: View) {
+    if shared.proposing.swap(true, Ordering::AcqRel) {
+        return;
+    }
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
         let proposed = propose(&shared, next).await;
+        shared.proposing.store(false, Ordering::Release);
         count(&shared, "propose", proposed.is_ok());
         if let Ok(view) = proposed {
             // Control is gone only when the daemon stops.
@@ -41,6 +48,11 @@
     if held.number.0 + 1 != next.number.0 {
         return Ok(held);
     }
+    // Read after the view: who left it had given its lease back before.
+    let (holders, _) = store.list(keys::LEASES, None, Duration::ZERO).await?;
+    let Some(next) = next.without_lapsed(&held, &leases(shared, &holders)) else {
+        return Ok(held);
+    };
     let next = transfer::trim(shared, &held, next).await;
     let value = serde_json::to_vec(&next).map_err(malformed)?;
     match store.compare_and_swap(keys::VIEW, index, value).await {
@@ -58,7 +70,8 @@
 /// Fails if the platform does not answer; then the lease lapses, and the proposers remove
 /// this daemon.
 pub async fn leave(shared: &Arc<Shared>) -> Result<(), Error> {
-    let store = &shared.store;
+    // These last calls may follow a start closely, and should not queue behind its calls.
+    let store = shared.store.unbudgeted();
     shared.leaving.store(true, Ordering::Release);
     if let Some(lease) = shared.lease.swap(None) {
         store.release_lease(&lease).await?;
@@ -292,7 +305,13 @@
     let value = serde_json::to_vec(&shared.me).unwrap_or_default();
     let granted = shared.store.grant_lease(&key, value, ttl).await;
     count(shared, "grant", granted.is_ok());
-    if let Ok(lease) = granted {
-        shared.lease.store(Some(Arc::new(lease)));
+    match granted {
+        // Nobody else would give back what was granted while the daemon left.
+        Ok(lease) if shared.leaving.load(Ordering::Acquire) => {
+            let released = shared.store.release_lease(&lease).await;
+            count(shared, "release", released.is_ok());
+        }
+        Ok(lease) => shared.lease.store(Some(Arc::new(lease))),
+        Err(error) => log::debug!("lease not granted: {error}"),
     }
 }
--- a/crates/wisteriapoint/src/daemon/shared.rs
+++ b/crates/wisteriapoint/src/daemon/shared.rs
@@ -49,6 +49,8 @@
     pub draining: AtomicBool,
     /// Whether the daemon is about to leave the view, and its lease with it.
     pub leaving: AtomicBool,
+    /// Whether a proposal of a view is on its way to the platform.
+    pub proposing: AtomicBool,
     /// The VM's lease, as long as it is held.
     pub lease: ArcSwapOption<Lease>,
     /// Whether new requests are refused.
@@ -132,6 +134,7 @@
             metrics: Metrics::new().map_err(std::io::Error::other)?,
             draining: false.into(),
             leaving: false.into(),
+            proposing: false.into(),
             lease: None.into(),
             refusing: false.into(),
             in_flight: 0.into(),
--- a/crates/wisteriapoint/tests/claims.rs
+++ b/crates/wisteriapoint/tests/claims.rs
@@ -164,7 +164,7 @@
         tokio::pin!(sent);
         let run = until("the request runs", || async { shop.runs(&key) == 1 });
         tokio::select! {
-            _ = &mut sent => panic!("the answer came before the claimant died"),
+            got = &mut sent => panic!("the answer came before the claimant died: {got:?}"),
             () = run => {}
         }
     };
--- a/crates/wisteriapoint/tests/drain.rs
+++ b/crates/wisteriapoint/tests/drain.rs
@@ -13,7 +13,7 @@
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use wisteriapoint::daemon::message::{Generated, Question, Reply};
 use wisteriapoint_membership::View;
 use wisteriapoint_rollout::{AttemptKey, Cursor, SampleKey, StepId, StepSpec, Task};
@@ -112,6 +112,29 @@
     assert!(view.member(id).is_none() && view.members.len() == 1);
 }
 
+/// A proposer that still believes in the lease would add the daemon again.
+#[tokio::test]
+async fn a_daemon_that_left_is_not_added_again_by_who_has_not_heard_of_it() {
+    let mut deployment = Deployment::start(2, &[]).await;
+    deployment.platform.set_faults(Faults {
+        deaf_prefix: Some(keys::LEASES.to_owned()),
+        ..Faults::default()
+    });
+    let daemon = deployment.daemons.remove(0);
+    let id = daemon.shared().me.id;
+    daemon.stop().await;
+    until("the other daemon knows that it left", || async {
+        let view = &deployment.daemons[0].shared().snapshot.load().view;
+        view.member(id).is_none()
+    })
+    .await;
+    // Some times the pause between two looks of a proposer.
+    sleep(Duration::from_secs(4)).await;
+    let view = deployment.platform.value(keys::VIEW).unwrap();
+    let view: View = serde_json::from_slice(&view).unwrap();
+    assert!(view.member(id).is_none() && view.members.len() == 1);
+}
+
 #[tokio::test]
 async fn a_stop_while_the_platform_is_down_or_hangs_cuts_no_request() {
     let down = Faults {
