Plan and choose in linear time with many endpoints

Change: the mean is taken once a choice, look-ups go by map, plans are at least 15 ms apart and take all ended orders together.

--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -1,6 +1,6 @@
 //! All endpoints, and the choice among them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, WeightVersion};
 
@@ -14,6 +14,10 @@
 /// stale row lapses within three heartbeats, and comes within about a second.
 const HOLD_BACK_MS: u64 = 6_000;
 
+/// Factor of the cost of an endpoint in another failure domain: only among equals does the nearer
+/// one win, since a hop between domains is a millisecond and a unit of work tens of them.
+const FAR_FACTOR: f64 = 1.02;
+
 /// What a request needs of an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct Need<'a> {
@@ -128,10 +132,10 @@
         records: Vec<(EndpointName, EndpointRecord)>,
         trouble_end_ms: Option<u64>,
     ) {
-        let gone: Vec<_> = self
-            .endpoints
-            .keys()
-            .filter(|name| !records.iter().any(|(other, _)| other == *name))
+        let present: BTreeSet<_> = records.iter().map(|(name, _)| name).collect();
+        let known = self.endpoints.keys();
+        let gone: Vec<_> = known
+            .filter(|name| !present.contains(name))
             .cloned()
             .collect();
         for name in gone {
@@ -198,34 +202,20 @@
                 .iter()
                 .filter(|(name, endpoint)| endpoint.fits(now_ms, &need) && !excluded.contains(name))
         };
-        let cost = |endpoint: &Endpoint| self.cost(now_ms, endpoint, need.near);
+        let mean_unit_ms = self.mean_unit_ms(need.service);
         let best = candidates()
             .filter(|(_, endpoint)| !endpoint.is_paused(now_ms))
-            .min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
+            .map(|(name, endpoint)| (name, cost(now_ms, endpoint, need.near, mean_unit_ms)))
+            .min_by(|(_, a), (_, b)| a.total_cmp(b))
+            .map(|(name, _)| name);
         match best {
             None if !need.within_slots => candidates()
                 .min_by_key(|(_, endpoint)| endpoint.paused_until_ms())
                 .map(|(name, _)| name),
-            best => best.map(|(name, _)| name),
+            best => best,
         }
     }
 
-    /// Expected time of a new request: work ahead of it by the time for a unit.
-    fn cost(&self, now_ms: u64, endpoint: &Endpoint, near: &FailureDomain) -> f64 {
-        let unit_ms = match endpoint.unit_ms {
-            unit_ms if unit_ms > 0.0 => unit_ms,
-            _ => self.mean_unit_ms(&endpoint.record.service),
-        };
-        let slots = f64::from(endpoint.record.slots.max(1));
-        let occupancy = f64::from(endpoint.occupancy(now_ms));
-        let distance = if endpoint.record.failure_domain == *near {
-            1.0
-        } else {
-            1.02
-        };
-        unit_ms * (1.0 + occupancy / slots) * distance
-    }
-
     /// Mean time for a unit of work over the endpoints of a service; 1 if none is known.
     pub fn mean_unit_ms(&self, service: &ServiceName) -> f64 {
         let known = || {
@@ -240,3 +230,18 @@
         }
     }
 }
+
+/// Expected time of a new request: work ahead of it by the time for a unit.
+fn cost(now_ms: u64, endpoint: &Endpoint, near: &FailureDomain, mean_unit_ms: f64) -> f64 {
+    let unit_ms = match endpoint.unit_ms {
+        unit_ms if unit_ms > 0.0 => unit_ms,
+        _ => mean_unit_ms,
+    };
+    let slots = f64::from(endpoint.record.slots.max(1));
+    let occupancy = f64::from(endpoint.occupancy(now_ms));
+    let distance = match endpoint.record.failure_domain == *near {
+        true => 1.0,
+        false => FAR_FACTOR,
+    };
+    unit_ms * (1.0 + occupancy / slots) * distance
+}
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Method, StatusCode};
-use tokio::task::JoinSet;
+use tokio::task::{JoinError, JoinSet};
 use tokio::time::{sleep, timeout};
 use wisteriapoint_store::{Committed, Index, Ledger, Transaction};
 use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
@@ -21,6 +21,9 @@
 
 /// Pause between looks at what is to be ordered, if nothing changes before.
 const POLL: Duration = Duration::from_millis(250);
+/// Least time between two plans: one covers all that changed meanwhile, and a load takes many
+/// times as long.
+const PLAN_PAUSE: Duration = Duration::from_millis(15);
 /// Time for an engine to answer a question or an order: it needs no slot for them.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -44,10 +47,14 @@
             orders.spawn_local(order(node.clone(), load, fence));
         }
         tokio::select! {
-            Some(Ok(end)) = orders.join_next() => take_end(&node, &mut planner, end),
+            Some(end) = orders.join_next() => take_end(&node, &mut planner, end),
             () = node.directory_changed.notified() => {}
             () = sleep(POLL) => {}
         }
+        sleep(PLAN_PAUSE).await;
+        while let Some(end) = orders.try_join_next() {
+            take_end(&node, &mut planner, end);
+        }
     }
 }
 
@@ -232,7 +239,14 @@
     }
 }
 
-fn take_end<D: Dialect>(node: &Node<D>, planner: &mut Planner, end: OrderEnd) {
+fn take_end<D: Dialect>(node: &Node<D>, planner: &mut Planner, end: Result<OrderEnd, JoinError>) {
+    let end = match end {
+        Ok(end) => end,
+        Err(error) => {
+            event!(error, "order failed", why = error);
+            return;
+        }
+    };
     let now_ms = node.now_ms();
     if let Some(report) = &end.report {
         planner.report(&end.endpoint, report.is_busy, &report.models);
--- a/crates/weights/src/planner.rs
+++ b/crates/weights/src/planner.rs
@@ -69,13 +69,12 @@
         engines: &[Engine<'_>],
         named: &BTreeMap<Box<str>, WeightVersion>,
     ) -> Vec<Load> {
-        self.forget(models, engines);
+        let present: BTreeMap<_, _> = engines.iter().map(|engine| (engine.name, engine)).collect();
+        self.forget(models, &present);
         self.share_out(models, engines);
         let mut loads = Vec::new();
         for loading in self.loading.values_mut() {
-            let is_here = engines
-                .iter()
-                .any(|engine| *engine.name == loading.load.endpoint);
+            let is_here = present.contains_key(&loading.load.endpoint);
             if is_here && loading.ask_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
                 loading.ask_at_ms = None;
                 loads.push(loading.load.clone());
@@ -140,56 +139,62 @@
         self.shares.get(endpoint).map(|model| &**model)
     }
 
-    fn forget(&mut self, models: &[Box<str>], engines: &[Engine<'_>]) {
-        let find = |name: &EndpointName| engines.iter().find(|engine| engine.name == name);
+    fn forget(&mut self, models: &[Box<str>], present: &BTreeMap<&EndpointName, &Engine<'_>>) {
         self.shares
-            .retain(|name, model| !models.contains(model) || find(name).is_some());
+            .retain(|name, model| !models.contains(model) || present.contains_key(name));
         self.loading.retain(|name, loading| {
             let is_other = !models.contains(&loading.load.model);
-            is_other || find(name).is_some_and(|engine| engine.born_unix_ms == loading.born_unix_ms)
+            let engine = present.get(name);
+            is_other || engine.is_some_and(|engine| engine.born_unix_ms == loading.born_unix_ms)
         });
     }
 
     fn share_out(&mut self, models: &[Box<str>], engines: &[Engine<'_>]) {
+        let mut counts = self.counts(models);
         for engine in engines {
-            if !self.shares.contains_key(engine.name)
-                && let Some(model) = self.smallest(models, engine)
-            {
-                self.shares.insert(engine.name.clone(), model);
+            if self.shares.contains_key(engine.name) {
+                continue;
+            }
+            let held = counts
+                .iter_mut()
+                .filter(|(model, _)| version_of(engine.models, model).is_some());
+            if let Some((model, count)) = held.min_by_key(|(_, count)| *count) {
+                *count += 1;
+                self.shares.insert(engine.name.clone(), (*model).into());
             }
         }
-        let largest = models.iter().max_by_key(|model| self.count(model));
-        let smallest = models.iter().min_by_key(|model| self.count(model));
-        let (Some(largest), Some(smallest)) = (largest, smallest) else {
+        self.even_out(&counts, engines);
+    }
+
+    /// Lets one idle engine change from the model with most engines to that with fewest.
+    fn even_out(&mut self, counts: &[(&str, usize)], engines: &[Engine<'_>]) {
+        let largest = counts.iter().max_by_key(|(_, count)| count);
+        let smallest = counts.iter().min_by_key(|(_, count)| count);
+        let (Some((largest, most)), Some((smallest, fewest))) = (largest, smallest) else {
             return;
         };
-        if self.count(largest) < self.count(smallest) + 2 {
+        if *most < fewest + 2 {
             return;
         }
         let idle = engines.iter().find(|engine| {
-            self.shares.get(engine.name) == Some(largest)
+            self.share(engine.name) == Some(*largest)
                 && !self.loading.contains_key(engine.name)
                 && version_of(engine.models, smallest).is_some()
         });
         if let Some(engine) = idle {
-            self.shares.insert(engine.name.clone(), smallest.clone());
+            self.shares.insert(engine.name.clone(), (*smallest).into());
         }
     }
 
-    /// Engines that follow a model.
-    fn count(&self, model: &str) -> usize {
-        self.shares
-            .values()
-            .filter(|other| ***other == *model)
-            .count()
-    }
-
-    /// The model with the fewest engines among those that an engine holds.
-    fn smallest(&self, models: &[Box<str>], engine: &Engine<'_>) -> Option<Box<str>> {
-        let held = models
-            .iter()
-            .filter(|model| version_of(engine.models, model).is_some());
-        held.min_by_key(|model| self.count(model)).cloned()
+    /// Engines that follow each model, in the order of the models.
+    fn counts<'a>(&self, models: &'a [Box<str>]) -> Vec<(&'a str, usize)> {
+        let mut counts: Vec<_> = models.iter().map(|model| (&**model, 0)).collect();
+        for followed in self.shares.values() {
+            if let Some((_, count)) = counts.iter_mut().find(|(model, _)| *model == &**followed) {
+                *count += 1;
+            }
+        }
+        counts
     }
 }
 
