Tell each node of a subset of large services

Change: a node uses all endpoints of a service up to 127 of them, beyond that those whose hash with its own name says so, 64 to 127; the keeper works the subset out for each asker. A mark carries the revision of the store, so a node goes on from it at another keeper or with its own watch instead of reading all rows again. Lines on endpoints only where their stage changes.

--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Whether an endpoint is known whose row is gone.
+    pub fn has_vanished(&self) -> bool {
+        !self.vanished.is_empty()
+    }
+
     /// Forgets the endpoints whose grace is over; gives their names.
     pub fn expire(&mut self, now_ms: u64) -> Vec<EndpointName> {
         let over: Vec<_> = self
--- a/crates/node/src/control/feed.rs
+++ b/crates/node/src/control/feed.rs
@@ -1,50 +1,95 @@
 //! Changes of endpoints, told by the keeper to all other nodes.
 //!
 //! One node watches the rows of the endpoints for all: what a change costs in calls to the store
-//! does not grow with the number of nodes.
+//! does not grow with the number of nodes. Of large services each node is told its subset only.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
-use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
-use tokio::time::timeout;
-use wisteriapoint_directory::EndpointRecord;
-use wisteriapoint_types::EndpointName;
+use tokio::time::timeout_at;
+use wisteriapoint_directory::{EndpointRecord, Sizes, Subset};
+use wisteriapoint_store::Index;
+use wisteriapoint_types::{EndpointName, ServiceName};
 
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::Node;
 use crate::peers::{Question, Reply, ask};
 
-/// Changes that are kept; one that asks for older ones gets all endpoints.
-const MAX_CHANGES: usize = 1_024;
+use super::watch::{learn_endpoint, lose_endpoint};
+
+/// Changes that are kept; one that asks for older ones gets all endpoints. Some seconds of a
+/// fleet of thousands of engines that change their weights.
+const MAX_CHANGES: usize = 8_192;
 /// Longest wait of one question, in milliseconds: with the time for its answer, a keeper that
 /// vanished is noticed within the time in which an endpoint that drains has to be left.
-const WAIT_MS: u64 = 1_000;
+pub const WAIT_MS: u64 = 1_000;
 
-/// The changes that this node has seen in the store.
-#[derive(Debug, Default)]
-pub struct Feed {
-    changes: RefCell<VecDeque<(u64, EndpointName)>>,
-    last: Cell<u64>,
-    is_fresh: Cell<bool>,
-    changed: Notify,
+/// Up to where a node knows the endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The revision of the store; `None` if an endpoint is known whose row is gone.
+    pub revision: Option<Index>,
+    /// What a keeper has told.
+    pub told: Option<Told>,
+}
+
+/// The last change that a keeper has told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The keeper's run of the daemon.
+    pub run: u64,
+    /// Number of the change at that keeper.
+    pub number: u64,
+}
+
+/// A question for changes of endpoints.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EndpointQuestion {
+    /// VM of the asker, which uses a subset of large services.
+    pub vm: Box<str>,
+    /// Up to where it knows the endpoints; `None` asks for all.
+    pub after: Option<Mark>,
+    /// Sizes of services by which it worked out its subset.
+    pub sizes: Sizes,
 }
 
 /// Endpoints as the keeper knows them.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Endpoints {
-    /// Number of the last change that is in here.
-    pub last: u64,
-    /// Whether these are all endpoints; else only those that changed.
+    /// Up to where this reaches.
+    pub mark: Mark,
+    /// Sizes of services by which the asker's subset was worked out.
+    pub sizes: Sizes,
+    /// Whether these are all endpoints that the asker uses; else only those that changed.
     pub is_all: bool,
     /// The endpoints; without a record, one is gone.
     pub endpoints: Vec<(EndpointName, Option<EndpointRecord>)>,
 }
 
+/// The changes that this node has seen in the store.
+#[derive(Debug, Default)]
+pub struct Feed {
+    changes: RefCell<VecDeque<Noted>>,
+    last: Cell<u64>,
+    revision: Cell<Index>,
+    /// The change and the revision before the oldest that is kept.
+    floor: Cell<(u64, Index)>,
+    is_fresh: Cell<bool>,
+    changed: Notify,
+}
+
+/// A change: its number, the revision at which it was seen, and the endpoint.
+#[derive(Debug)]
+struct Noted {
+    number: u64,
+    revision: Index,
+    endpoint: EndpointName,
+}
+
 impl Feed {
     /// Has seen nothing.
     pub fn new() -> Self {
@@ -58,133 +103,177 @@
         }
     }
 
+    /// Notes that all rows were read: what changed before is not known.
+    pub fn start_over(&self, revision: Index) {
+        self.changes.borrow_mut().clear();
+        self.last.set(self.last.get() + 1);
+        self.floor.set((self.last.get(), revision));
+        self.revision.set(revision);
+    }
+
+    /// Notes that the rows are known up to a revision.
+    pub fn reach(&self, revision: Index) {
+        self.revision.set(revision);
+    }
+
     /// Notes that an endpoint has changed or is gone.
-    pub fn push(&self, endpoint: &EndpointName) {
+    pub fn push(&self, endpoint: &EndpointName, revision: Index) {
         self.last.set(self.last.get() + 1);
         let mut changes = self.changes.borrow_mut();
-        changes.push_back((self.last.get(), endpoint.clone()));
-        if changes.len() > MAX_CHANGES {
-            changes.pop_front();
+        changes.push_back(Noted {
+            number: self.last.get(),
+            revision,
+            endpoint: endpoint.clone(),
+        });
+        if changes.len() > MAX_CHANGES
+            && let Some(oldest) = changes.pop_front()
+        {
+            self.floor.set((oldest.number, oldest.revision));
         }
     }
 
+    /// The revision up to which the rows are known.
+    pub fn revision(&self) -> Index {
+        self.revision.get()
+    }
+
     /// Wakes those who wait for changes.
     pub fn publish(&self) {
         self.changed.notify_waiters();
     }
 
-    /// The endpoints that changed after a number; `None` if these are no longer known.
-    fn changed_after(&self, after: u64) -> Option<Vec<EndpointName>> {
+    /// The endpoints that changed after a mark; `None` if these are no longer known.
+    fn changed_after(&self, run: u64, after: Mark) -> Option<BTreeSet<EndpointName>> {
         let changes = self.changes.borrow();
-        let oldest = changes
-            .front()
-            .map_or(self.last.get() + 1, |(number, _)| *number);
-        if after + 1 < oldest || after > self.last.get() {
+        let (floor_number, floor_revision) = self.floor.get();
+        let is_newer = |noted: &&Noted| match after {
+            Mark {
+                told: Some(told), ..
+            } if told.run == run => noted.number > told.number,
+            Mark { revision, .. } => revision.is_some_and(|revision| noted.revision > revision),
+        };
+        let is_covered = match after {
+            Mark {
+                told: Some(told), ..
+            } if told.run == run => told.number >= floor_number,
+            Mark { revision, .. } => revision.is_some_and(|revision| revision >= floor_revision),
+        };
+        let newer = changes.iter().filter(is_newer);
+        is_covered.then(|| newer.map(|noted| noted.endpoint.clone()).collect())
+    }
+}
+
+/// Answers another node, at once or after a change that concerns it; `None` if this node can't
+/// tell.
+pub async fn answer<D: Dialect>(node: &Node<D>, asked: &EndpointQuestion) -> Option<Endpoints> {
+    let end = node.clock.at(node.now_ms() + WAIT_MS);
+    loop {
+        let changed = node.feed.changed.notified();
+        if !is_fresh(node) {
             return None;
         }
-        let newer = changes.iter().filter(|(number, _)| *number > after);
-        let mut names: Vec<_> = newer.map(|(_, name)| name.clone()).collect();
-        names.sort();
-        names.dedup();
-        Some(names)
+        let told = tell(node, asked);
+        if told.is_all || !told.endpoints.is_empty() || timeout_at(end, changed).await.is_err() {
+            return is_fresh(node).then_some(told);
+        }
     }
 }
 
-/// Answers another node, at once or after a change; `None` if this node can't tell.
-pub async fn answer<D: Dialect>(node: &Node<D>, after: Option<u64>) -> Option<Endpoints> {
-    let changed = node.feed.changed.notified();
-    if after == Some(node.feed.last.get()) && is_fresh(node) {
-        // Nothing new within the wait is an answer too.
-        let _is_over = timeout(Duration::from_millis(WAIT_MS), changed)
-            .await
-            .is_err();
-    }
-    if !is_fresh(node) {
-        return None;
-    }
+fn is_fresh<D: Dialect>(node: &Node<D>) -> bool {
+    node.feed.is_fresh.get() && !node.health.is_failing()
+}
+
+/// What an asker does not know yet of the endpoints that it uses.
+fn tell<D: Dialect>(node: &Node<D>, asked: &EndpointQuestion) -> Endpoints {
     let directory = node.directory.borrow();
-    let names = after.and_then(|after| node.feed.changed_after(after));
-    let record = |name: &EndpointName| {
-        let known = directory.registry.get(name);
-        known.map(|endpoint| endpoint.record.clone())
+    let subset = Subset::new(&asked.vm);
+    let uses =
+        |service: &ServiceName, name: &EndpointName| subset.has(&directory.sizes, service, name);
+    let after = asked.after.filter(|_| asked.sizes == directory.sizes);
+    let changed = after.and_then(|after| node.feed.changed_after(node.owner.run, after));
+    let all = || {
+        let all = directory.registry.iter();
+        let used = all.filter(|(name, known)| uses(&known.record.service, name));
+        used.map(|(name, known)| (name.clone(), Some(known.record.clone())))
     };
-    let endpoints = match &names {
+    let is_all = changed.is_none();
+    let endpoints = match changed {
         Some(names) => names
-            .iter()
-            .map(|name| (name.clone(), record(name)))
+            .into_iter()
+            .filter_map(|name| match directory.registry.get(&name) {
+                Some(known) => {
+                    let is_used = uses(&known.record.service, &name);
+                    is_used.then(|| (name, Some(known.record.clone())))
+                }
+                None => Some((name, None)),
+            })
             .collect(),
-        None => {
-            let all = directory.registry.iter();
-            all.map(|(name, known)| (name.clone(), Some(known.record.clone())))
-                .collect()
-        }
+        None => all().collect(),
     };
-    Some(Endpoints {
-        last: node.feed.last.get(),
-        is_all: names.is_none(),
+    let is_settled = !directory.registry.has_vanished();
+    Endpoints {
+        mark: Mark {
+            revision: is_settled.then(|| node.feed.revision()),
+            told: Some(Told {
+                run: node.owner.run,
+                number: node.feed.last.get(),
+            }),
+        },
+        sizes: directory.sizes.clone(),
+        is_all,
         endpoints,
-    })
-}
-
-fn is_fresh<D: Dialect>(node: &Node<D>) -> bool {
-    node.feed.is_fresh.get() && !node.health.is_failing()
+    }
 }
 
-/// Asks the keeper for changes after a number, and takes them; gives the number of the last one.
+/// Asks the keeper for changes after a mark, and takes them; gives up to where they reach.
 pub async fn follow<D: Dialect>(
     node: &Rc<Node<D>>,
     keeper: std::net::SocketAddr,
-    after: Option<u64>,
-) -> Option<u64> {
-    let question = Question::Endpoints {
+    after: Option<Mark>,
+) -> Option<Mark> {
+    let asked = EndpointQuestion {
+        vm: node.settings.vm.clone(),
         after,
-        wait_ms: WAIT_MS,
+        sizes: node.directory.borrow().sizes.clone(),
     };
-    match ask(node, keeper, &question).await {
+    match ask(node, keeper, &Question::Endpoints(asked)).await {
         Some(Reply::Endpoints(Some(endpoints))) => {
-            let last = endpoints.last;
+            let mark = endpoints.mark;
             take(node, endpoints);
-            Some(last)
+            Some(mark)
         }
         _ => None,
     }
 }
 
 fn take<D: Dialect>(node: &Rc<Node<D>>, told: Endpoints) {
+    node.directory.borrow_mut().sizes = told.sizes;
     if told.endpoints.is_empty() && !told.is_all {
         return;
     }
-    let now_ms = node.now_ms();
-    let mut directory = node.directory.borrow_mut();
-    if told.is_all {
-        let records = told.endpoints.into_iter();
-        let records = records.filter_map(|(name, record)| Some((name, record?)));
-        directory.registry.replace(now_ms, records.collect(), None);
-        directory.endpoints_known = true;
-    } else {
-        for (name, record) in told.endpoints {
-            match record {
-                Some(record) => {
-                    let stage = record.stage;
-                    if directory.registry.learn(&name, record) {
-                        event!(
-                            info,
-                            "endpoint changed",
-                            endpoint = name,
-                            stage = format!("{stage:?}"),
-                            told_by = "keeper"
-                        );
-                    }
-                }
-                None => {
-                    event!(info, "endpoint gone", endpoint = name, told_by = "keeper");
-                    directory.registry.vanish(now_ms, &name, None);
-                    node.pool.forget(&name);
+    match told.is_all {
+        true => replace(node, told.endpoints),
+        false => {
+            for (name, record) in told.endpoints {
+                match record {
+                    Some(record) => learn_endpoint(node, &name, record, "keeper"),
+                    None => lose_endpoint(node, &name, None, "keeper"),
                 }
             }
         }
     }
-    drop(directory);
     node.check_ready();
     node.directory_changed.notify_waiters();
 }
+
+fn replace<D: Dialect>(node: &Node<D>, endpoints: Vec<(EndpointName, Option<EndpointRecord>)>) {
+    let now_ms = node.now_ms();
+    let records = endpoints.into_iter();
+    let records: Vec<_> = records
+        .filter_map(|(name, record)| Some((name, record?)))
+        .collect();
+    event!(info, "endpoints told", count = records.len());
+    let mut directory = node.directory.borrow_mut();
+    directory.registry.replace(now_ms, records, None);
+    directory.endpoints_known = true;
+}
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
-use wisteriapoint_batch::Owner;
+use wisteriapoint_directory::EndpointRecord;
 use wisteriapoint_store::{Backoff, Change, Error, Freshness, Index, Ledger, Row};
+use wisteriapoint_types::EndpointName;
 
-use super::feed;
+use super::feed::{self, Mark};
 use crate::dialect::{Dialect, OperatorRow};
 use crate::event;
-use crate::node::Node;
+use crate::node::{Directory, Node};
 
 /// Longest wait of one watch; the longest that the platform takes.
 pub const WAIT: Duration = Duration::from_secs(30);
@@ -39,8 +40,8 @@
 
 fn learn_all<D: Dialect>(node: &Node<D>, rows: Rows<'_>) {
     match rows {
-        Rows::All(rows) => rows.iter().for_each(|row| learn(node, row)),
-        Rows::Changes(changes) => {
+        Rows::All(rows, _) => rows.iter().for_each(|row| learn(node, row)),
+        Rows::Changes(changes, _) => {
             for change in changes {
                 if let Change::Written(row) = change {
                     learn(node, row);
@@ -57,23 +58,18 @@
     let mut place = Place::Unknown;
     loop {
         let keeper = node.keeper.borrow().clone();
-        let next = match &keeper {
+        let told = match &keeper {
             Some(keeper) if *keeper != node.owner && node.directory.borrow().endpoints_known => {
-                let after = match &place {
-                    Place::Keeper(told_by, last) if told_by == keeper => Some(*last),
-                    _ => None,
-                };
-                let last = feed::follow(&node, keeper.address, after).await;
-                last.map(|last| Place::Keeper(keeper.clone(), last))
+                feed::follow(&node, keeper.address, place.mark()).await
             }
             _ => None,
         };
-        place = match next {
-            Some(next) => {
+        place = match told {
+            Some(mark) => {
                 node.feed.set_fresh(false);
-                next
+                Place::Keeper(mark)
             }
-            None => match follow_rows(&node, &place).await {
+            None => match follow_rows(&node, place).await {
                 Ok(place) => {
                     backoff = Backoff::new();
                     place
@@ -92,53 +88,96 @@
 }
 
 /// Up to where the endpoints are known.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 enum Place {
     Unknown,
-    /// A revision of the store.
-    Store(Index),
-    /// A change that this keeper told.
-    Keeper(Owner, u64),
+    /// All of them, at a revision of the store.
+    All(Index),
+    /// Those that this node uses, at a revision of the store.
+    Used(Index),
+    /// Those that this node uses, as a keeper told them.
+    Keeper(Mark),
+}
+
+impl Place {
+    /// What a keeper may go on from.
+    fn mark(self) -> Option<Mark> {
+        match self {
+            Self::Used(revision) => Some(Mark {
+                revision: Some(revision),
+                told: None,
+            }),
+            Self::Keeper(mark) => Some(mark),
+            Self::Unknown | Self::All(_) => None,
+        }
+    }
+
+    /// The revision from which a node may go on to watch the rows.
+    fn revision(self, is_keeper: bool) -> Option<Index> {
+        match self {
+            Self::All(revision) if is_keeper => Some(revision),
+            Self::Used(revision) if !is_keeper => Some(revision),
+            Self::Keeper(mark) if !is_keeper => mark.revision,
+            _ => None,
+        }
+    }
 }
 
 /// Reads or watches the rows of the endpoints once.
-async fn follow_rows<D: Dialect>(node: &Rc<Node<D>>, place: &Place) -> Result<Place, Error> {
+async fn follow_rows<D: Dialect>(node: &Rc<Node<D>>, place: Place) -> Result<Place, Error> {
     let prefix = D::ENDPOINTS_PREFIX;
     let take = |rows: Rows<'_>| take_endpoints(node, rows);
-    let is_keeper = node.keeper.borrow().as_ref() == Some(&node.owner);
-    let revision = match place {
-        Place::Store(revision) => {
+    let is_keeper = node.is_keeper();
+    let revision = match place.revision(is_keeper) {
+        Some(revision) => {
             node.feed.set_fresh(is_keeper);
             // Another keeper may be known any time.
             tokio::select! {
-                changes = read_changes(node, prefix, *revision, &take) => changes?,
-                () = sleep(KEEPER_POLL), if !is_keeper => *revision,
+                changes = read_changes(node, prefix, revision, &take) => changes?,
+                () = sleep(KEEPER_POLL), if !is_keeper => revision,
             }
         }
-        _ => read_all(node, prefix, &take).await?,
+        None => read_all(node, prefix, &take).await?,
     };
+    node.feed.reach(revision);
     node.feed.set_fresh(is_keeper);
     if node.directory.borrow().endpoints_known {
         sleep(ENDPOINTS_PAUSE).await;
     }
-    Ok(Place::Store(revision))
+    Ok(match is_keeper {
+        true => Place::All(revision),
+        false => Place::Used(revision),
+    })
 }
 
 fn take_endpoints<D: Dialect>(node: &Rc<Node<D>>, rows: Rows<'_>) {
     match rows {
-        Rows::All(rows) => replace_endpoints(node, rows),
-        Rows::Changes(changes) => changes
-            .iter()
-            .for_each(|change| change_endpoint(node, change)),
+        Rows::All(rows, revision) => replace_endpoints(node, rows, revision),
+        Rows::Changes(changes, revision) => {
+            for change in changes {
+                change_endpoint(node, change, revision);
+            }
+        }
+    }
+    if node.is_keeper() {
+        measure(&mut node.directory.borrow_mut());
     }
     node.feed.publish();
     node.directory_changed.notify_waiters();
 }
 
-/// What a watch has to tell.
+/// Works out how large the services are, from all endpoints.
+fn measure(directory: &mut Directory) {
+    let Directory {
+        registry, sizes, ..
+    } = directory;
+    sizes.update(registry.iter().map(|(_, known)| &known.record.service));
+}
+
+/// What a watch has to tell, and the revision up to which that reaches.
 enum Rows<'a> {
-    All(&'a [Row]),
-    Changes(&'a [Change]),
+    All(&'a [Row], Index),
+    Changes(&'a [Change], Index),
 }
 
 async fn follow<D: Dialect>(
@@ -183,7 +222,7 @@
     let rows = node.store.range(prefix, Freshness::Linearizable).await;
     node.note_store("read", &rows);
     let (rows, revision) = rows?;
-    take(Rows::All(&rows));
+    take(Rows::All(&rows, revision));
     node.check_ready();
     Ok(revision)
 }
@@ -201,7 +240,7 @@
     node.note_store("watch", &changes);
     let (changes, revision) = changes?;
     if !changes.is_empty() {
-        take(Rows::Changes(&changes));
+        take(Rows::Changes(&changes, revision));
     }
     Ok(revision)
 }
@@ -247,7 +286,7 @@
     node.directory_changed.notify_waiters();
 }
 
-fn replace_endpoints<D: Dialect>(node: &Node<D>, rows: &[Row]) {
+fn replace_endpoints<D: Dialect>(node: &Node<D>, rows: &[Row], revision: Index) {
     let mut records = Vec::new();
     for row in rows {
         match (D::endpoint_name(&row.key), D::endpoint_row(&row.value)) {
@@ -256,23 +295,22 @@
             (None, _) => event!(warn, "row names no endpoint", key = row.key),
         }
     }
-    event!(info, "endpoints read", count = records.len());
     let mut directory = node.directory.borrow_mut();
+    let directory = &mut *directory;
+    let services = records.iter().map(|(_, record)| &record.service);
+    directory.sizes.update(services);
+    let count = records.len();
+    records.retain(|(name, record)| node.uses(&directory.sizes, &record.service, name));
+    event!(info, "endpoints read", count = count, used = records.len());
+    node.feed.start_over(revision);
     let trouble_end_ms = node.health.trouble_end_ms();
-    let before: Vec<_> = directory
-        .registry
-        .iter()
-        .map(|(name, _)| name.clone())
-        .collect();
-    before.iter().for_each(|name| node.feed.push(name));
-    records.iter().for_each(|(name, _)| node.feed.push(name));
     directory
         .registry
         .replace(node.now_ms(), records, trouble_end_ms);
     directory.endpoints_known = true;
 }
 
-fn change_endpoint<D: Dialect>(node: &Node<D>, change: &Change) {
+fn change_endpoint<D: Dialect>(node: &Node<D>, change: &Change, revision: Index) {
     let key = match change {
         Change::Written(row) => &row.key,
         Change::Removed(key) => key,
@@ -281,44 +319,74 @@
         event!(warn, "row names no endpoint", key = key);
         return;
     };
-    let now_ms = node.now_ms();
-    node.feed.push(&name);
-    let mut directory = node.directory.borrow_mut();
+    node.feed.push(&name, revision);
     match change {
         Change::Written(row) => match D::endpoint_row(&row.value) {
-            Ok(record) => {
-                let stage = record.stage;
-                if directory.registry.learn(&name, record) {
-                    event!(
-                        info,
-                        "endpoint changed",
-                        endpoint = name,
-                        stage = format!("{stage:?}"),
-                        revision = row.revision.0
-                    );
-                }
-            }
+            Ok(record) => learn_endpoint(node, &name, record, "store"),
             Err(error) => {
                 event!(warn, "row names no endpoint", key = key, why = error);
-                directory.registry.vanish(now_ms, &name, None);
+                lose_endpoint(node, &name, None, "store");
             }
         },
         Change::Removed(_) => {
-            let trouble_end_ms = node.health.trouble_end_ms();
-            event!(
-                info,
-                "endpoint gone",
-                endpoint = name,
-                in_trouble = trouble_end_ms.is_some()
-            );
-            directory.registry.vanish(now_ms, &name, trouble_end_ms);
-            if directory.registry.get(&name).is_none() {
-                node.pool.forget(&name);
-            }
+            lose_endpoint(node, &name, node.health.trouble_end_ms(), "store");
         }
     }
 }
 
+/// Takes what is told of an endpoint, if this node uses it.
+pub fn learn_endpoint<D: Dialect>(
+    node: &Node<D>,
+    name: &EndpointName,
+    record: EndpointRecord,
+    told_by: &str,
+) {
+    let mut directory = node.directory.borrow_mut();
+    if !node.uses(&directory.sizes, &record.service, name) {
+        return;
+    }
+    let stage = record.stage;
+    let before = directory.registry.get(name).map(|known| known.record.stage);
+    let is_changed = directory.registry.learn(name, record);
+    // Other changes are those of weights, of which there may be hundreds a second.
+    match is_changed && before != Some(stage) {
+        true => event!(
+            info,
+            "endpoint changed",
+            endpoint = name,
+            stage = format!("{stage:?}"),
+            told_by = told_by
+        ),
+        false => event!(debug, "endpoint told", endpoint = name, told_by = told_by),
+    }
+}
+
+/// Notes that an endpoint has left; around trouble of the store it may come back.
+pub fn lose_endpoint<D: Dialect>(
+    node: &Node<D>,
+    name: &EndpointName,
+    trouble_end_ms: Option<u64>,
+    told_by: &str,
+) {
+    let mut directory = node.directory.borrow_mut();
+    if directory.registry.get(name).is_none() {
+        return;
+    }
+    event!(
+        info,
+        "endpoint gone",
+        endpoint = name,
+        in_trouble = trouble_end_ms.is_some(),
+        told_by = told_by
+    );
+    directory
+        .registry
+        .vanish(node.now_ms(), name, trouble_end_ms);
+    if directory.registry.get(name).is_none() {
+        node.pool.forget(name);
+    }
+}
+
 /// Forgets endpoints that did not come back after trouble of the store.
 async fn expire<D: Dialect>(node: Rc<Node<D>>) {
     const POLL: Duration = Duration::from_millis(200);
@@ -330,7 +398,7 @@
         }
         for name in directory.registry.expire(node.now_ms()) {
             event!(info, "endpoint did not come back", endpoint = name);
-            node.feed.push(&name);
+            node.feed.push(&name, node.feed.revision());
             node.feed.publish();
             node.pool.forget(&name);
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wisteriapoint_batch::Owner;
-use wisteriapoint_directory::{Configuration, CrashSuspects, Need, Registry};
+use wisteriapoint_directory::{Configuration, CrashSuspects, Need, Registry, Sizes, Subset};
 use wisteriapoint_peer::Client;
 use wisteriapoint_store::Error as StoreError;
 use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
@@ -53,6 +53,8 @@
     pub settings: NodeSettings,
     /// This run of the daemon, as owner of batch jobs.
     pub owner: Owner,
+    /// Which endpoints of large services this node uses.
+    pub subset: Subset,
     /// The clock of all decisions.
     pub clock: Clock,
     /// The platform's store.
@@ -96,8 +98,10 @@
     pub configuration: Option<Rc<Configuration>>,
     /// Whether all endpoints have been read once.
     pub endpoints_known: bool,
-    /// The endpoints.
+    /// The endpoints that this node uses; all of them at the keeper.
     pub registry: Registry,
+    /// Sizes of large services, of which this node uses a subset.
+    pub sizes: Sizes,
     /// The newest named version of each model.
     pub named: BTreeMap<Box<str>, WeightVersion>,
     /// VMs that are to be emptied and of which the operator has not been told.
@@ -122,6 +126,7 @@
             feed: Feed::new(),
             keeper: RefCell::default(),
             lease: Lease::new(),
+            subset: Subset::new(&owner.vm),
             owner,
             clock,
             directory: RefCell::default(),
@@ -192,6 +197,16 @@
         Some((name, address))
     }
 
+    /// Whether this node is the keeper.
+    pub fn is_keeper(&self) -> bool {
+        self.keeper.borrow().as_ref() == Some(&self.owner)
+    }
+
+    /// Whether this node should know an endpoint of a service.
+    pub fn uses(&self, sizes: &Sizes, service: &ServiceName, endpoint: &EndpointName) -> bool {
+        self.is_keeper() || self.subset.has(sizes, service, endpoint)
+    }
+
     /// What any request to a plain service or stream needs: an endpoint, which may let it wait.
     pub fn need<'a>(&'a self, service: &'a ServiceName) -> Need<'a> {
         Need {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,7 +11,7 @@
 use wisteriapoint_batch::{Page, Part};
 use wisteriapoint_store::Error as StoreError;
 
-use crate::control::feed::{self, Endpoints};
+use crate::control::feed::{self, EndpointQuestion, Endpoints};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::jobs::{self, read};
@@ -56,12 +56,7 @@
         parts: Vec<Part>,
     },
     /// Asks the keeper for changes of endpoints.
-    Endpoints {
-        /// Number of the last change that the asker has; `None` asks for all endpoints.
-        after: Option<u64>,
-        /// How long to wait for a change, in milliseconds.
-        wait_ms: u64,
-    },
+    Endpoints(EndpointQuestion),
     /// Asks the node to call the store, which does not serve the asker.
     Store(StoreCall),
 }
@@ -153,7 +148,7 @@
             },
             None => Reply::NotOwner,
         },
-        Question::Endpoints { after, .. } => Reply::Endpoints(feed::answer(node, after).await),
+        Question::Endpoints(asked) => Reply::Endpoints(feed::answer(node, &asked).await),
         Question::Store(call) => Reply::Store(node.store.serve(call).await),
         Question::Adopt { job, parts } => match jobs::take_over(node, &job, parts).await {
             true => Reply::Done,
@@ -169,7 +164,8 @@
     question: &Question,
 ) -> Option<Reply> {
     let wait_ms = match question {
-        Question::Results { wait_ms, .. } | Question::Endpoints { wait_ms, .. } => *wait_ms,
+        Question::Results { wait_ms, .. } => *wait_ms,
+        Question::Endpoints(_) => feed::WAIT_MS,
         _ => 0,
     };
     let limit = ANSWER_TIMEOUT + Duration::from_millis(wait_ms);
