Share engines out among models by the work asked of them

Change: nodes tell the keeper what they accepted of late (half-life a minute), with the question for endpoints; the planner keeps a quarter of an equal share for each model and gives the rest by work, one engine in two seconds, if shares are off by 0.75 of an engine. A new keeper gives each engine the model that it is closest to. Tests, paused clock: three times the work, small changes of work, a keeper that starts anew (crates/weights/tests/planner.rs); with equal shares the first one stays at 5 and 4.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -14,12 +14,14 @@
 //! ```
 
 pub mod commit;
+pub mod demand;
 pub mod item;
 pub mod job;
 pub mod moves;
 pub mod record;
 
 pub use commit::Batch;
+pub use demand::{Demand, Work};
 pub use item::{Item, ItemKey, ItemResult, Outcome, Part, Progress, Scorer, Step, Submission};
 pub use job::{Job, Page};
 pub use record::{JobRecord, JobState, Owner};
--- /dev/null
+++ b/crates/batch/tests/demand.rs
@@ -0,0 +1,14 @@
+//! Work asked of models counts less as it ages.
+
+use wisteriapoint_batch::Demand;
+
+#[test]
+fn work_adds_up_and_counts_half_after_a_minute() {
+    let mut demand = Demand::new();
+    demand.add(0, "a", 800.0);
+    demand.add(60_000, "a", 100.0);
+    demand.add(60_000, "b", 250.0);
+    let work = demand.work(120_000);
+    assert!((work["a"] - 250.0).abs() < 1.0, "{work:?}");
+    assert!((work["b"] - 125.0).abs() < 1.0, "{work:?}");
+}
--- a/crates/node/src/control/feed.rs
+++ b/crates/node/src/control/feed.rs
@@ -4,12 +4,13 @@
 //! does not grow with the number of nodes. Of large services each node is told its subset only.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::timeout_at;
+use wisteriapoint_batch::Work;
 use wisteriapoint_directory::{EndpointRecord, Sizes, Subset};
 use wisteriapoint_store::Index;
 use wisteriapoint_types::{EndpointName, ServiceName};
@@ -28,6 +29,10 @@
 /// vanished is noticed within the time in which an endpoint that drains has to be left.
 pub const WAIT_MS: u64 = 1_000;
 
+/// Age at which a node's word of its work counts no more, in milliseconds: some questions of a
+/// node that lives.
+const WORK_MAX_AGE_MS: u64 = 10_000;
+
 /// Up to where a node knows the endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mark {
@@ -55,6 +60,8 @@
     pub after: Option<Mark>,
     /// Sizes of services by which it worked out its subset.
     pub sizes: Sizes,
+    /// Work that it has accepted of late, by model.
+    pub work: Work,
 }
 
 /// Endpoints as the keeper knows them.
@@ -80,6 +87,7 @@
     floor: Cell<(u64, Index)>,
     is_fresh: Cell<bool>,
     changed: Notify,
+    work: RefCell<BTreeMap<Box<str>, (u64, Work)>>,
 }
 
 /// A change: its number, the revision at which it was seen, and the endpoint.
@@ -137,6 +145,23 @@
         self.revision.get()
     }
 
+    /// Notes the work that a node has accepted.
+    fn note_work(&self, now_ms: u64, asked: &EndpointQuestion) {
+        let told = (now_ms, asked.work.clone());
+        self.work.borrow_mut().insert(asked.vm.clone(), told);
+    }
+
+    /// The work that other nodes have accepted, by model.
+    pub fn work(&self, now_ms: u64) -> Work {
+        let mut all = Work::new();
+        let mut told = self.work.borrow_mut();
+        told.retain(|_, (at_ms, _)| now_ms < *at_ms + WORK_MAX_AGE_MS);
+        for (model, tokens) in told.values().flat_map(|(_, work)| work) {
+            *all.entry(model.clone()).or_default() += tokens;
+        }
+        all
+    }
+
     /// Wakes those who wait for changes.
     pub fn publish(&self) {
         self.changed.notify_waiters();
@@ -166,7 +191,9 @@
 /// Answers another node, at once or after a change that concerns it; `None` if this node can't
 /// tell.
 pub async fn answer<D: Dialect>(node: &Node<D>, asked: &EndpointQuestion) -> Option<Endpoints> {
-    let end = node.clock.at(node.now_ms() + WAIT_MS);
+    let now_ms = node.now_ms();
+    node.feed.note_work(now_ms, asked);
+    let end = node.clock.at(now_ms + WAIT_MS);
     loop {
         let changed = node.feed.changed.notified();
         if !is_fresh(node) {
@@ -235,6 +262,7 @@
         vm: node.settings.vm.clone(),
         after,
         sizes: node.directory.borrow().sizes.clone(),
+        work: node.jobs.work(node.now_ms()),
     };
     match ask(node, keeper, &Question::Endpoints(asked)).await {
         Some(Reply::Endpoints(Some(endpoints))) => {
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -63,6 +63,11 @@
     let Some(configuration) = &directory.configuration else {
         return Vec::new();
     };
+    let now_ms = node.now_ms();
+    let mut work = node.feed.work(now_ms);
+    for (model, tokens) in node.jobs.work(now_ms) {
+        *work.entry(model).or_default() += tokens;
+    }
     let mut loads = Vec::new();
     for service in configuration
         .services
@@ -70,7 +75,8 @@
         .filter(|service| !service.models.is_empty())
     {
         let engines: Vec<_> = engines(&directory.registry, &service.name).collect();
-        loads.extend(planner.plan(node.now_ms(), &service.models, &engines, &directory.named));
+        let named = &directory.named;
+        loads.extend(planner.plan(now_ms, &service.models, &engines, named, &work));
     }
     loads
 }
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -101,6 +101,7 @@
         route = route.name,
         revision = revision.0
     );
+    node.jobs.note_work(node.now_ms(), &submission);
     let give_up_at_ms = node.now_ms() + route.retention_ms;
     let job = Job::new(submission, route.max_attempts, give_up_at_ms);
     let owned = Owned::new(id, &record, job, OwnedRow { revision, state });
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 
 use tokio::sync::{Mutex, Notify};
-use wisteriapoint_batch::{ItemKey, Job, JobRecord, JobState, Owner, Part, Progress};
+use wisteriapoint_batch::{
+    Demand, ItemKey, Job, JobRecord, JobState, Owner, Part, Progress, Submission, Work,
+};
 use wisteriapoint_store::Index;
 use wisteriapoint_types::EndpointName;
 
@@ -16,6 +18,7 @@
     owners: RefCell<BTreeMap<Box<str>, Owner>>,
     is_unverified: Cell<bool>,
     accepting: Rc<RefCell<BTreeSet<Box<str>>>>,
+    demand: RefCell<Demand>,
 }
 
 /// Marks a batch job as being accepted or taken over for as long as it lives.
@@ -142,6 +145,20 @@
         }
     }
 
+    /// Notes the work of a batch job that this node has accepted.
+    pub fn note_work(&self, now_ms: u64, submission: &Submission) {
+        if let Some(step) = &submission.step {
+            let tokens = submission.items.iter().map(|item| item.expected_tokens);
+            let tokens = tokens.map(f64::from).sum();
+            self.demand.borrow_mut().add(now_ms, &step.model, tokens);
+        }
+    }
+
+    /// The work that this node has accepted of late, by model.
+    pub fn work(&self, now_ms: u64) -> Work {
+        self.demand.borrow().work(now_ms)
+    }
+
     /// Number of batch jobs of this node whose items may run.
     pub fn open(&self) -> usize {
         let owned = self.owned.borrow();
--- a/crates/weights/src/lib.rs
+++ b/crates/weights/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod keeper;
 pub mod order;
 pub mod planner;
+pub mod shares;
 pub mod wave;
 
 pub use keeper::Keeper;
--- a/crates/weights/src/planner.rs
+++ b/crates/weights/src/planner.rs
@@ -4,6 +4,8 @@
 
 use wisteriapoint_types::{EndpointName, WeightVersion};
 
+use crate::shares;
+
 /// Engines that load at the same time at least; more slow each other down.
 const MIN_AT_ONCE: usize = 2;
 /// One in this many engines may load at the same time in a larger service.
@@ -35,13 +37,19 @@
     pub version: WeightVersion,
 }
 
+/// Least time between two engines that change their model, in milliseconds: each change costs
+/// a load, and the work asked for shows within a few steps of the trainers.
+const CHANGE_PAUSE_MS: u64 = 2_000;
+
 /// Shares the engines of services out among their models and plans loads.
 ///
 /// Each engine follows the versions of one model, so a new version costs as many loads as
-/// the model has engines. An engine changes its model only if the shares differ by two.
+/// the model has engines. Models have engines in proportion to the work asked of them; see
+/// [`shares`](crate::shares).
 #[derive(Debug, Default)]
 pub struct Planner {
     shares: BTreeMap<EndpointName, Box<str>>,
+    changed_at_ms: Option<u64>,
     loading: BTreeMap<EndpointName, Loading>,
 }
 
@@ -60,6 +68,7 @@
 
     /// The engines of a service to ask, and to order to load, now.
     ///
+    /// `work` is what was asked of each model of late, in any unit.
     /// An engine comes again until it reports the version; what is ordered is decided by
     /// its report.
     pub fn plan(
@@ -68,10 +77,13 @@
         models: &[Box<str>],
         engines: &[Engine<'_>],
         named: &BTreeMap<Box<str>, WeightVersion>,
+        work: &BTreeMap<Box<str>, f64>,
     ) -> Vec<Load> {
         let present: BTreeMap<_, _> = engines.iter().map(|engine| (engine.name, engine)).collect();
         self.forget(models, &present);
-        self.share_out(models, engines);
+        let targets = shares::targets(models, engines.len(), work);
+        self.share_out(&targets, engines, named);
+        self.change_over(now_ms, &targets, engines);
         let mut loads = Vec::new();
         for loading in self.loading.values_mut() {
             let is_here = present.contains_key(&loading.load.endpoint);
@@ -149,50 +161,72 @@
         });
     }
 
-    fn share_out(&mut self, models: &[Box<str>], engines: &[Engine<'_>]) {
-        let mut counts = self.counts(models);
+    /// Gives each engine that follows no model the one whose newest version it is closest to,
+    /// among equals the one with the fewest engines for its share.
+    ///
+    /// So a planner that starts anew goes on with what its predecessor had planned.
+    fn share_out(
+        &mut self,
+        targets: &BTreeMap<Box<str>, f64>,
+        engines: &[Engine<'_>],
+        named: &BTreeMap<Box<str>, WeightVersion>,
+    ) {
+        let mut counts = self.counts(targets);
         for engine in engines {
             if self.shares.contains_key(engine.name) {
                 continue;
             }
-            let held = counts
-                .iter_mut()
-                .filter(|(model, _)| version_of(engine.models, model).is_some());
-            if let Some((model, count)) = held.min_by_key(|(_, count)| *count) {
-                *count += 1;
-                self.shares.insert(engine.name.clone(), (*model).into());
+            let held = targets.iter().filter_map(|(model, &target)| {
+                Some((model, target, version_of(engine.models, model)?))
+            });
+            let best = held.min_by_key(|(model, target, has)| {
+                let count = counts.get(*model).copied().unwrap_or(0);
+                let newest = named.get(*model).copied().unwrap_or_default();
+                let behind = newest.0.saturating_sub(has.0);
+                let filled = (count as f64 / target.max(f64::MIN_POSITIVE) * 1_000.0) as u64;
+                (behind, filled)
+            });
+            if let Some((model, ..)) = best {
+                *counts.entry(model.clone()).or_default() += 1;
+                self.shares.insert(engine.name.clone(), model.clone());
             }
         }
-        self.even_out(&counts, engines);
     }
 
-    /// Lets one idle engine change from the model with most engines to that with fewest.
-    fn even_out(&mut self, counts: &[(&str, usize)], engines: &[Engine<'_>]) {
-        let largest = counts.iter().max_by_key(|(_, count)| count);
-        let smallest = counts.iter().min_by_key(|(_, count)| count);
-        let (Some((largest, most)), Some((smallest, fewest))) = (largest, smallest) else {
-            return;
-        };
-        if *most < fewest + 2 {
+    /// Lets one idle engine change its model, if the shares are off by that much.
+    fn change_over(
+        &mut self,
+        now_ms: u64,
+        targets: &BTreeMap<Box<str>, f64>,
+        engines: &[Engine<'_>],
+    ) {
+        let is_early = |at_ms| now_ms < at_ms + CHANGE_PAUSE_MS;
+        if self.changed_at_ms.is_some_and(is_early) {
             return;
         }
+        let Some((from, to)) = shares::change(targets, &self.counts(targets)) else {
+            return;
+        };
         let idle = engines.iter().find(|engine| {
-            self.share(engine.name) == Some(*largest)
+            self.share(engine.name) == Some(&*from)
                 && !self.loading.contains_key(engine.name)
-                && version_of(engine.models, smallest).is_some()
+                && version_of(engine.models, &to).is_some()
         });
         if let Some(engine) = idle {
-            self.shares.insert(engine.name.clone(), (*smallest).into());
+            self.changed_at_ms = Some(now_ms);
+            self.shares.insert(engine.name.clone(), to);
         }
     }
 
-    /// Engines that follow each model, in the order of the models.
-    fn counts<'a>(&self, models: &'a [Box<str>]) -> Vec<(&'a str, usize)> {
-        let mut counts: Vec<_> = models.iter().map(|model| (&**model, 0)).collect();
-        for followed in self.shares.values() {
-            if let Some((_, count)) = counts.iter_mut().find(|(model, _)| *model == &**followed) {
-                *count += 1;
-            }
+    /// Engines that follow each model.
+    fn counts(&self, models: &BTreeMap<Box<str>, f64>) -> BTreeMap<Box<str>, usize> {
+        let mut counts = BTreeMap::new();
+        for followed in self
+            .shares
+            .values()
+            .filter(|model| models.contains_key(*model))
+        {
+            *counts.entry(followed.clone()).or_default() += 1;
         }
         counts
     }
--- a/crates/weights/tests/planner.rs
+++ b/crates/weights/tests/planner.rs
@@ -11,6 +11,7 @@
     engines: Vec<(EndpointName, Versions, u64)>,
     models: Vec<Box<str>>,
     named: BTreeMap<Box<str>, WeightVersion>,
+    work: BTreeMap<Box<str>, f64>,
     planner: Planner,
 }
 
@@ -34,6 +35,7 @@
             engines,
             models,
             named: BTreeMap::new(),
+            work: BTreeMap::new(),
             planner: Planner::new(),
         }
     }
@@ -53,7 +55,7 @@
             })
             .collect();
         self.planner
-            .plan(now_ms, &self.models, &engines, &self.named)
+            .plan(now_ms, &self.models, &engines, &self.named, &self.work)
     }
 
     /// Carries a load out and reports it.
@@ -152,3 +154,74 @@
     }
     assert_eq!((of(&fleet, "a"), of(&fleet, "b")), (2, 1));
 }
+
+/// Numbers of engines of models `a` and `b`.
+fn followers(fleet: &Fleet) -> (usize, usize) {
+    let of = |model: &str| {
+        let names = fleet.engines.iter().map(|(name, ..)| name);
+        names
+            .filter(|name| fleet.planner.share(name) == Some(model))
+            .count()
+    };
+    (of("a"), of("b"))
+}
+
+/// Pattern: one trainer's steps are three times as much work as the other's.
+#[test]
+fn engines_follow_the_work_one_after_the_other() {
+    let mut fleet = Fleet::new(9, &["a", "b"]);
+    fleet.plan(0);
+    assert_eq!(followers(&fleet), (5, 4));
+    fleet.work = BTreeMap::from([("a".into(), 300.0), ("b".into(), 100.0)]);
+    fleet.plan(1);
+    assert_eq!(followers(&fleet), (6, 3));
+    fleet.plan(1_000);
+    assert_eq!(followers(&fleet), (6, 3), "one change in two seconds");
+    for now_ms in (2_000..30_000).step_by(500) {
+        fleet.plan(now_ms);
+    }
+    // 1.1 are kept for each, the other 6.8 go by work: 6.2 and 2.8.
+    assert_eq!(followers(&fleet), (6, 3));
+}
+
+/// Pattern: the work of two trainers goes up and down a little.
+#[test]
+fn small_changes_of_the_work_move_no_engine() {
+    let mut fleet = Fleet::new(9, &["a", "b"]);
+    fleet.plan(0);
+    for now_ms in (0..60_000).step_by(1_000) {
+        let tilt = if now_ms % 4_000 < 2_000 { 5.0 } else { -5.0 };
+        fleet.work = BTreeMap::from([("a".into(), 100.0 + tilt), ("b".into(), 100.0 - tilt)]);
+        fleet.plan(now_ms);
+        assert_eq!(followers(&fleet), (5, 4));
+    }
+}
+
+/// Pattern: another node becomes the keeper in the middle of the day.
+#[test]
+fn a_planner_that_starts_anew_goes_on_with_the_shares() {
+    let mut fleet = Fleet::new(9, &["a", "b"]);
+    fleet.work = BTreeMap::from([("a".into(), 300.0), ("b".into(), 100.0)]);
+    for step in 1..10 {
+        fleet.name("a", step + 1);
+        fleet.name("b", step + 1);
+        for now_ms in (step * 4_000..(step + 1) * 4_000).step_by(500) {
+            for load in fleet.plan(now_ms) {
+                fleet.carry_out(now_ms, &load);
+            }
+        }
+    }
+    let before: Vec<_> = fleet
+        .engines
+        .iter()
+        .map(|(name, ..)| fleet.planner.share(name).map(str::to_owned))
+        .collect();
+    fleet.planner = Planner::new();
+    fleet.plan(50_000);
+    let after: Vec<_> = fleet
+        .engines
+        .iter()
+        .map(|(name, ..)| fleet.planner.share(name).map(str::to_owned))
+        .collect();
+    assert_eq!(after, before);
+}
