Look owners of batch jobs up by reads that may be stale

Change: the first look is a stale read at a tenth of the price; the owner itself says if it is not the one, and only then, or without a row, follows the linearizable read, as before every "no such job".

--- a/crates/node/src/control/keeper.rs
+++ b/crates/node/src/control/keeper.rs
@@ -81,7 +81,7 @@
 }
 
 async fn claim<D: Dialect>(node: &Rc<Node<D>>) -> Result<Claim, Error> {
-    let row = node.store.row(KEEPER).await;
+    let row = node.store.row(KEEPER, Freshness::Linearizable).await;
     node.note_store("keeper", &row);
     let (row, revision) = row?;
     let (key, value) = (KEEPER, members::row(&node.owner)?.1);
@@ -196,7 +196,7 @@
     match changes {
         Ok((changes, revision)) => Ok(changes.is_empty().then_some(revision)),
         Err(error) if error.is_history_gone() => {
-            let row = node.store.row(KEEPER).await;
+            let row = node.store.row(KEEPER, Freshness::Linearizable).await;
             node.note_store("keeper", &row);
             let (row, revision) = row?;
             let is_ours = row.is_some_and(|row| row.revision == fence);
--- a/crates/node/src/jobs/parts.rs
+++ b/crates/node/src/jobs/parts.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::sleep;
 use wisteriapoint_batch::Part;
-use wisteriapoint_store::{Ledger, Transaction};
+use wisteriapoint_store::{Freshness, Ledger, Transaction};
 
 use super::{Owned, keys};
 use crate::dialect::Dialect;
@@ -62,7 +62,10 @@
 
 /// The texts that an earlier owner stored; none if they can't be read, since items may run anew.
 pub async fn stored<D: Dialect>(node: &Node<D>, job: &str) -> Vec<Part> {
-    let row = node.store.row(&keys::parts(job)).await;
+    let row = node
+        .store
+        .row(&keys::parts(job), Freshness::Linearizable)
+        .await;
     node.note_store("read-parts", &row);
     match row {
         Ok((Some(row), _)) => match postcard::from_bytes(&row.value) {
--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use tokio::time::{sleep, timeout};
-use wisteriapoint_batch::{ItemResult, JobState, Page};
-use wisteriapoint_store::{Committed, Freshness, Ledger, Transaction};
+use wisteriapoint_batch::{ItemResult, JobState, Owner, Page};
+use wisteriapoint_store::{Committed, Error, Freshness, Ledger, Transaction};
 
-use super::takeover::{read_record, read_state};
+use super::takeover::{read_record, read_state, read_state_as};
 use super::{Owned, commit, keys, takeover};
 use crate::callers::batch::MAX_PAGE_BYTES;
 use crate::dialect::Dialect;
@@ -199,10 +199,17 @@
     job: &str,
     question: &Question,
 ) -> Found<Owners> {
-    if let Some(owner) = node.jobs.owner(job) {
+    let likely = match likely_owner(node, job).await {
+        Ok(likely) => likely,
+        Err(error) => return Found::Unsure(error.to_string().into()),
+    };
+    if let Some(owner) = likely {
         match ask(node, owner.address, question).await {
             Some(Reply::NotOwner) | None => node.jobs.set_owner(job, None),
-            Some(reply) => return Found::Yes(Owners::Answer(reply)),
+            Some(reply) => {
+                node.jobs.set_owner(job, Some(owner));
+                return Found::Yes(Owners::Answer(reply));
+            }
         }
     }
     let state = match read_state(node, job).await {
@@ -224,6 +231,17 @@
     }
 }
 
+/// The owner that was met last, else another node that a read of a tenth of the price names: it
+/// says itself if it is not the owner.
+async fn likely_owner<D: Dialect>(node: &Node<D>, job: &str) -> Result<Option<Owner>, Error> {
+    if let Some(owner) = node.jobs.owner(job) {
+        return Ok(Some(owner));
+    }
+    let state = read_state_as(node, job, Freshness::Stale).await?;
+    let owner = state.map(|(_, state)| state.owner);
+    Ok(owner.filter(|owner| *owner != node.owner))
+}
+
 async fn stored_results<D: Dialect>(
     node: &Node<D>,
     job: &str,
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -33,7 +33,16 @@
     node: &Node<D>,
     job: &str,
 ) -> Result<Option<(Index, JobState)>, Error> {
-    let row = node.store.row(&keys::state(job)).await;
+    read_state_as(node, job, Freshness::Linearizable).await
+}
+
+/// Reads the row of a batch job; a stale one may lack the batch job or name a former owner.
+pub async fn read_state_as<D: Dialect>(
+    node: &Node<D>,
+    job: &str,
+    freshness: Freshness,
+) -> Result<Option<(Index, JobState)>, Error> {
+    let row = node.store.row(&keys::state(job), freshness).await;
     node.note_store("state", &row);
     match row?.0 {
         Some(row) => match serde_json::from_slice(&row.value) {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -28,7 +28,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum StoreCall {
     /// [`Ledger::row`].
-    Row(Box<str>),
+    Row(Box<str>, Freshness),
     /// [`Ledger::range`].
     Range(Box<str>, Freshness),
     /// [`Ledger::watch`] with its wait in milliseconds.
@@ -182,8 +182,8 @@
 
 async fn run<L: Ledger>(ledger: &L, call: StoreCall) -> Result<StoreAnswer, Error> {
     match call {
-        StoreCall::Row(key) => {
-            let (row, at) = ledger.row(&key).await?;
+        StoreCall::Row(key, freshness) => {
+            let (row, at) = ledger.row(&key, freshness).await?;
             Ok(StoreAnswer::Row(row, at))
         }
         StoreCall::Range(prefix, freshness) => {
@@ -213,8 +213,8 @@
 }
 
 impl<L: Ledger> Ledger for Relayed<L> {
-    async fn row(&self, key: &str) -> Result<(Option<Row>, Index), Error> {
-        match self.call(StoreCall::Row(key.into())).await? {
+    async fn row(&self, key: &str, freshness: Freshness) -> Result<(Option<Row>, Index), Error> {
+        match self.call(StoreCall::Row(key.into(), freshness)).await? {
             StoreAnswer::Row(row, at) => Ok((row, at)),
             _ => other(),
         }
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -111,7 +111,11 @@
 /// [`may_have_taken_effect`](Error::may_have_taken_effect) holds may also take effect later.
 pub trait Ledger: Clone + 'static {
     /// Reads one row, and the revision of the store.
-    fn row(&self, key: &str) -> impl Future<Output = Result<(Option<Row>, Index), Error>>;
+    fn row(
+        &self,
+        key: &str,
+        freshness: Freshness,
+    ) -> impl Future<Output = Result<(Option<Row>, Index), Error>>;
 
     /// Reads all rows under a prefix, and the revision from which a watch may go on.
     fn range(
