Tell nodes of new versions as engines report them

Change: the keeper, which asks each engine after its load, tells the others what the engine reported; rows are watched every 0.9 s, still well within the two seconds of an endpoint that drains. Within one incarnation a row no longer takes a version back. Test: a_stale_record_takes_no_weight_version_back_within_an_incarnation (before: version 3 again).

--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -97,6 +97,22 @@
             .map(|&(_, version)| version)
     }
 
+    /// Takes the weight versions that it is known to have, which may be newer than its record's;
+    /// gives whether any is.
+    pub fn raise(&mut self, models: &[(Box<str>, WeightVersion)]) -> bool {
+        let mut is_raised = false;
+        for (model, version) in models {
+            let mut known = self.record.models.iter_mut();
+            if let Some((_, known)) = known.find(|(name, _)| name == model)
+                && *known < *version
+            {
+                *known = *version;
+                is_raised = true;
+            }
+        }
+        is_raised
+    }
+
     /// Whether it could take a request, apart from pauses.
     pub fn fits(&self, now_ms: u64, need: &Need<'_>) -> bool {
         now_ms >= self.held_until_ms
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -54,8 +54,9 @@
 
     /// Takes what an endpoint says of itself now.
     ///
-    /// Within one incarnation an endpoint that drains goes on draining. The record of an
-    /// earlier incarnation is ignored. Gives whether anything changed.
+    /// Within one incarnation an endpoint that drains goes on draining, and its weight versions
+    /// never go back. The record of an earlier incarnation is ignored. Gives whether anything
+    /// changed.
     pub fn learn(&mut self, name: &EndpointName, record: EndpointRecord) -> bool {
         let Some(known) = self.endpoints.get_mut(name) else {
             let endpoint = self.returned(name, record);
@@ -72,11 +73,11 @@
                 return false;
             }
             _ => {
-                let was_draining = known.record.stage == EndpointStage::Draining;
-                known.record = record;
-                if was_draining {
+                let before = std::mem::replace(&mut known.record, record);
+                if before.stage == EndpointStage::Draining {
                     known.record.stage = EndpointStage::Draining;
                 }
+                known.raise(&before.models);
             }
         }
         self.vanished.remove(name);
--- a/crates/directory/tests/registry.rs
+++ b/crates/directory/tests/registry.rs
@@ -177,3 +177,20 @@
         "it has started again"
     );
 }
+
+#[test]
+fn a_stale_record_takes_no_weight_version_back_within_an_incarnation() {
+    let mut registry = registry(1);
+    let reported = [("m".into(), WeightVersion(5))];
+    assert!(registry.get_mut(&name(1)).unwrap().raise(&reported));
+    assert!(!registry.get_mut(&name(1)).unwrap().raise(&reported));
+    let stale = EndpointRecord {
+        slots: 3,
+        ..record(1)
+    };
+    registry.learn(&name(1), stale);
+    let version = |registry: &Registry| registry.get(&name(1)).unwrap().version_of("m");
+    assert_eq!(version(&registry), Some(WeightVersion(5)));
+    registry.learn(&name(1), record(2));
+    assert_eq!(version(&registry), Some(WeightVersion(3)));
+}
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -256,20 +256,23 @@
     let now_ms = node.now_ms();
     if let Some(report) = &end.report {
         planner.report(&end.endpoint, report.is_busy, &report.models);
-        let mut directory = node.directory.borrow_mut();
-        if let Some(known) = directory.registry.get_mut(&end.endpoint) {
-            for (model, version) in &report.models {
-                raise(&mut known.record.models, model, *version);
-            }
-        }
+        raise(node, &end.endpoint, &report.models);
     }
     planner.ended(now_ms, &end.endpoint, end.is_accepted);
 }
 
-fn raise(models: &mut [(Box<str>, WeightVersion)], model: &str, version: WeightVersion) {
-    let mut models = models.iter_mut();
-    if let Some((_, known)) = models.find(|(name, _)| **name == *model) {
-        *known = version.max(*known);
+/// Takes the versions that an engine reports, and tells the other nodes: its row follows with the
+/// next heartbeat.
+fn raise<D: Dialect>(
+    node: &Node<D>,
+    endpoint: &EndpointName,
+    models: &[(Box<str>, WeightVersion)],
+) {
+    let mut directory = node.directory.borrow_mut();
+    let known = directory.registry.get_mut(endpoint);
+    if known.is_some_and(|known| known.raise(models)) {
+        node.feed.push(endpoint, node.feed.revision());
+        node.feed.publish();
     }
 }
 
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -17,7 +17,7 @@
 pub const WAIT: Duration = Duration::from_secs(30);
 /// Least time between two watches of the endpoints: a change that several follow costs one call,
 /// and an endpoint that drains is still left within its two seconds.
-const ENDPOINTS_PAUSE: Duration = Duration::from_millis(500);
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(900);
 
 /// Pause after which a node that reads the rows itself looks again for a keeper that tells it.
 const KEEPER_POLL: Duration = Duration::from_millis(500);
