Share measured speeds of engines; share engines out by capacity

Speeds were known only to the node that had measured them, and each step is accepted by another node.

--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -14,6 +14,11 @@
 const LONGEST_PAUSE_MS: u64 = 3_200;
 /// Share of the newest time in the mean of an endpoint's times.
 const NEWEST_SHARE: f64 = 0.2;
+/// Share of another node's mean, which stands for several measurements.
+const HEARD_SHARE: f64 = 0.5;
+/// Age up to which a node goes by its own measurements of an endpoint, in milliseconds: beyond some
+/// events of a text, what others measured says more.
+const MEASURED_FRESH_MS: u64 = 2_000;
 /// Age at which a reported load says nothing any more, in milliseconds.
 const LOAD_MAX_AGE_MS: u64 = 300;
 
@@ -63,6 +68,7 @@
     pub in_flight: u32,
     /// Mean time for a unit of work, in milliseconds; 0 until one has been seen.
     pub unit_ms: f64,
+    measured_at_ms: Option<u64>,
     load: Option<(u64, Load)>,
     failures: u32,
     paused_until_ms: u64,
@@ -76,6 +82,7 @@
             record,
             in_flight: 0,
             unit_ms: 0.0,
+            measured_at_ms: None,
             load: None,
             failures: 0,
             paused_until_ms: 0,
@@ -130,19 +137,45 @@
         self.load = Some((now_ms, load));
     }
 
-    /// Notes an answer; `unit_ms` is the time for a unit of work, if it tells the speed.
-    pub fn succeeded(&mut self, unit_ms: Option<f64>) {
+    /// Notes an answer.
+    pub fn succeeded(&mut self) {
         self.failures = 0;
         self.paused_until_ms = 0;
-        match unit_ms {
-            Some(unit_ms) if self.unit_ms > 0.0 => {
-                self.unit_ms += (unit_ms - self.unit_ms) * NEWEST_SHARE;
-            }
-            Some(unit_ms) => self.unit_ms = unit_ms,
-            None => {}
+    }
+
+    /// Notes the time for a unit of work that this process has measured.
+    pub fn measured(&mut self, now_ms: u64, unit_ms: f64) {
+        self.succeeded();
+        self.measured_at_ms = Some(now_ms);
+        self.blend(unit_ms, NEWEST_SHARE);
+    }
+
+    /// Adds the mean of another node's measurements.
+    pub fn hear(&mut self, unit_ms: f64) {
+        self.blend(unit_ms, HEARD_SHARE);
+    }
+
+    fn blend(&mut self, unit_ms: f64, share: f64) {
+        self.unit_ms = match self.unit_ms {
+            known if known > 0.0 => known + (unit_ms - known) * share,
+            _ => unit_ms,
+        };
+    }
+
+    /// Takes the mean of all nodes, unless this process has measured of late.
+    pub fn take_mean(&mut self, now_ms: u64, unit_ms: f64) {
+        let is_fresh = |at_ms| now_ms < at_ms + MEASURED_FRESH_MS;
+        if !self.measured_at_ms.is_some_and(is_fresh) {
+            self.unit_ms = unit_ms;
         }
     }
 
+    /// The mean time for a unit of work, if this process measured one after a time.
+    pub fn measured_after(&self, after_ms: u64) -> Option<f64> {
+        let at_ms = self.measured_at_ms?;
+        (at_ms > after_ms).then_some(self.unit_ms)
+    }
+
     /// Notes that it failed to answer, and pauses it.
     pub fn failed(&mut self, now_ms: u64) {
         let pause_ms = (FIRST_PAUSE_MS << self.failures.min(8)).min(LONGEST_PAUSE_MS);
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -12,11 +12,13 @@
 pub mod configuration;
 pub mod endpoint;
 pub mod registry;
+pub mod speeds;
 pub mod subset;
 pub mod suspects;
 
 pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Split};
 pub use endpoint::{Endpoint, EndpointRecord, EndpointStage, Load};
 pub use registry::{Need, Registry};
+pub use speeds::Speeds;
 pub use subset::{Sizes, Subset};
 pub use suspects::CrashSuspects;
--- a/crates/directory/tests/registry.rs
+++ b/crates/directory/tests/registry.rs
@@ -56,8 +56,8 @@
 #[test]
 fn the_faster_of_two_endpoints_is_chosen() {
     let mut registry = registry(2);
-    registry.get_mut(&name(1)).unwrap().succeeded(Some(60.0));
-    registry.get_mut(&name(2)).unwrap().succeeded(Some(25.0));
+    registry.get_mut(&name(1)).unwrap().measured(0, 60.0);
+    registry.get_mut(&name(2)).unwrap().measured(0, 25.0);
     assert_eq!(choose(&registry, 0, &[]), Some(name(2)));
 }
 
@@ -88,7 +88,7 @@
     assert_eq!(choose(&registry, 200, &[]), Some(name(1)));
     registry.get_mut(&name(1)).unwrap().failed(200);
     assert_eq!(choose(&registry, 500, &[]), None);
-    registry.get_mut(&name(1)).unwrap().succeeded(None);
+    registry.get_mut(&name(1)).unwrap().succeeded();
     assert_eq!(choose(&registry, 501, &[]), Some(name(1)));
 }
 
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -258,7 +258,7 @@
             connection.give_back(reply.keep_alive_ms);
         }
         if let Some(known) = node.directory.borrow_mut().registry.get_mut(endpoint) {
-            known.succeeded(None);
+            known.succeeded();
         }
         Ok(())
     }
--- a/crates/node/src/control/feed.rs
+++ b/crates/node/src/control/feed.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout_at;
 use wisteriapoint_batch::Work;
-use wisteriapoint_directory::{EndpointRecord, Sizes, Subset};
+use wisteriapoint_directory::{EndpointRecord, Registry, Sizes, Speeds, Subset};
 use wisteriapoint_store::Index;
 use wisteriapoint_types::{EndpointName, ServiceName};
 
@@ -49,6 +49,8 @@
     pub run: u64,
     /// Number of the change at that keeper.
     pub number: u64,
+    /// Number of the newest speed at that keeper.
+    pub speed: u64,
 }
 
 /// A question for changes of endpoints.
@@ -62,6 +64,8 @@
     pub sizes: Sizes,
     /// Work that it has accepted of late, by model.
     pub work: Work,
+    /// Mean times for a unit of work that it measured since its last question, in milliseconds.
+    pub speeds: Vec<(EndpointName, f64)>,
 }
 
 /// Endpoints as the keeper knows them.
@@ -75,6 +79,8 @@
     pub is_all: bool,
     /// The endpoints; without a record, one is gone.
     pub endpoints: Vec<(EndpointName, Option<EndpointRecord>)>,
+    /// Mean times for a unit of work, of all nodes, that changed; in milliseconds.
+    pub speeds: Vec<(EndpointName, f64)>,
 }
 
 /// The changes that this node has seen in the store.
@@ -88,6 +94,9 @@
     is_fresh: Cell<bool>,
     changed: Notify,
     work: RefCell<BTreeMap<Box<str>, (u64, Work)>>,
+    speeds: RefCell<Speeds>,
+    /// Up to when this node's own measurements have been told, in milliseconds.
+    measured_told_ms: Cell<u64>,
 }
 
 /// A change: its number, the revision at which it was seen, and the endpoint.
@@ -162,6 +171,15 @@
         all
     }
 
+    /// Notes the mean times of all endpoints.
+    pub fn note_speeds(&self, registry: &Registry) {
+        let mut speeds = self.speeds.borrow_mut();
+        speeds.retain(|endpoint| registry.get(endpoint).is_some());
+        for (endpoint, known) in registry.iter() {
+            speeds.note(endpoint, known.unit_ms);
+        }
+    }
+
     /// Wakes those who wait for changes.
     pub fn publish(&self) {
         self.changed.notify_waiters();
@@ -193,6 +211,7 @@
 pub async fn answer<D: Dialect>(node: &Node<D>, asked: &EndpointQuestion) -> Option<Endpoints> {
     let now_ms = node.now_ms();
     node.feed.note_work(now_ms, asked);
+    hear_speeds(node, &asked.speeds);
     let end = node.clock.at(now_ms + WAIT_MS);
     loop {
         let changed = node.feed.changed.notified();
@@ -210,6 +229,38 @@
     node.feed.is_fresh.get() && !node.health.is_failing()
 }
 
+/// Takes the speeds that another node has measured.
+fn hear_speeds<D: Dialect>(node: &Node<D>, speeds: &[(EndpointName, f64)]) {
+    let mut directory = node.directory.borrow_mut();
+    let mut told = node.feed.speeds.borrow_mut();
+    for (endpoint, unit_ms) in speeds {
+        if let Some(known) = directory.registry.get_mut(endpoint) {
+            known.hear(*unit_ms);
+            told.note(endpoint, known.unit_ms);
+        }
+    }
+}
+
+/// The speeds that an asker does not know yet, of the endpoints that it uses.
+fn tell_speeds<D: Dialect>(node: &Node<D>, asked: &EndpointQuestion) -> Vec<(EndpointName, f64)> {
+    let told = asked.after.and_then(|after| after.told);
+    let known = match told {
+        Some(told) if told.run == node.owner.run => told.speed,
+        _ => 0,
+    };
+    let directory = node.directory.borrow();
+    let subset = Subset::new(&asked.vm);
+    let is_used = |name: &EndpointName| {
+        let known = directory.registry.get(name);
+        known.is_some_and(|known| subset.has(&directory.sizes, &known.record.service, name))
+    };
+    let speeds = node.feed.speeds.borrow();
+    let newer = speeds.after(known).filter(|(name, _)| is_used(name));
+    newer
+        .map(|(name, unit_ms)| (name.clone(), unit_ms))
+        .collect()
+}
+
 /// What an asker does not know yet of the endpoints that it uses.
 fn tell<D: Dialect>(node: &Node<D>, asked: &EndpointQuestion) -> Endpoints {
     let directory = node.directory.borrow();
@@ -244,11 +295,13 @@
             told: Some(Told {
                 run: node.owner.run,
                 number: node.feed.last.get(),
+                speed: node.feed.speeds.borrow().last(),
             }),
         },
         sizes: directory.sizes.clone(),
         is_all,
         endpoints,
+        speeds: tell_speeds(node, asked),
     }
 }
 
@@ -263,6 +316,7 @@
         after,
         sizes: node.directory.borrow().sizes.clone(),
         work: node.jobs.work(node.now_ms()),
+        speeds: measured(node),
     };
     match ask(node, keeper, &Question::Endpoints(asked)).await {
         Some(Reply::Endpoints(Some(endpoints))) => {
@@ -274,15 +328,39 @@
     }
 }
 
+/// The speeds that this node has measured since it told them last.
+fn measured<D: Dialect>(node: &Node<D>) -> Vec<(EndpointName, f64)> {
+    let after_ms = node.feed.measured_told_ms.replace(node.now_ms());
+    let directory = node.directory.borrow();
+    let all = directory.registry.iter();
+    all.filter_map(|(name, known)| Some((name.clone(), known.measured_after(after_ms)?)))
+        .collect()
+}
+
 fn take<D: Dialect>(node: &Rc<Node<D>>, told: Endpoints) {
     node.directory.borrow_mut().sizes = told.sizes;
-    if told.endpoints.is_empty() && !told.is_all {
+    take_endpoints(node, told.is_all, told.endpoints);
+    let now_ms = node.now_ms();
+    let mut directory = node.directory.borrow_mut();
+    for (name, unit_ms) in told.speeds {
+        if let Some(known) = directory.registry.get_mut(&name) {
+            known.take_mean(now_ms, unit_ms);
+        }
+    }
+}
+
+fn take_endpoints<D: Dialect>(
+    node: &Rc<Node<D>>,
+    is_all: bool,
+    endpoints: Vec<(EndpointName, Option<EndpointRecord>)>,
+) {
+    if endpoints.is_empty() && !is_all {
         return;
     }
-    match told.is_all {
-        true => replace(node, told.endpoints),
+    match is_all {
+        true => replace(node, endpoints),
         false => {
-            for (name, record) in told.endpoints {
+            for (name, record) in endpoints {
                 match record {
                     Some(record) => learn_endpoint(node, &name, record, "keeper"),
                     None => lose_endpoint(node, &name, None, "keeper"),
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -68,6 +68,7 @@
     for (model, tokens) in node.jobs.work(now_ms) {
         *work.entry(model).or_default() += tokens;
     }
+    node.feed.note_speeds(&directory.registry);
     let mut loads = Vec::new();
     for service in configuration
         .services
@@ -95,6 +96,7 @@
             name,
             models: &endpoint.record.models,
             born_unix_ms: endpoint.record.born_unix_ms,
+            unit_ms: endpoint.unit_ms,
         })
 }
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -274,7 +274,7 @@
         Ok(Ending::Answer { status, reply, .. }) => {
             directory.suspects.acquit(digest);
             if let Some(known) = directory.registry.get_mut(endpoint) {
-                known.succeeded(None);
+                known.succeeded();
                 if let Some(load) = reply.load {
                     known.report(now_ms, load);
                 }
--- a/crates/weights/src/planner.rs
+++ b/crates/weights/src/planner.rs
@@ -24,6 +24,8 @@
     pub models: &'a [(Box<str>, WeightVersion)],
     /// Start of its incarnation, Unix milliseconds.
     pub born_unix_ms: u64,
+    /// Its mean time for a unit of work, in milliseconds; 0 if not known.
+    pub unit_ms: f64,
 }
 
 /// A version that an engine should load.
@@ -41,6 +43,11 @@
 /// a load, and the work asked for shows within a few steps of the trainers.
 const CHANGE_PAUSE_MS: u64 = 2_000;
 
+/// Least and most that an engine counts for among others: one that is slow for a moment may be
+/// well again after its change.
+const LEAST_CAPACITY: f64 = 0.4;
+const MOST_CAPACITY: f64 = 2.5;
+
 /// Shares the engines of services out among their models and plans loads.
 ///
 /// Each engine follows the versions of one model, so a new version costs as many loads as
@@ -81,9 +88,10 @@
     ) -> Vec<Load> {
         let present: BTreeMap<_, _> = engines.iter().map(|engine| (engine.name, engine)).collect();
         self.forget(models, &present);
-        let targets = shares::targets(models, engines.len(), work);
-        self.share_out(&targets, engines, named);
-        self.change_over(now_ms, &targets, engines);
+        let capacities = capacities(engines);
+        let targets = shares::targets(models, capacities.iter().sum(), work);
+        self.share_out(&targets, engines, &capacities, named);
+        self.change_over(now_ms, &targets, engines, &capacities);
         let mut loads = Vec::new();
         for loading in self.loading.values_mut() {
             let is_here = present.contains_key(&loading.load.endpoint);
@@ -169,10 +177,11 @@
         &mut self,
         targets: &BTreeMap<Box<str>, f64>,
         engines: &[Engine<'_>],
+        capacities: &[f64],
         named: &BTreeMap<Box<str>, WeightVersion>,
     ) {
-        let mut counts = self.counts(targets);
-        for engine in engines {
+        let mut shares = self.capacity_of_models(engines, capacities);
+        for (engine, capacity) in engines.iter().zip(capacities) {
             if self.shares.contains_key(engine.name) {
                 continue;
             }
@@ -180,14 +189,14 @@
                 Some((model, target, version_of(engine.models, model)?))
             });
             let best = held.min_by_key(|(model, target, has)| {
-                let count = counts.get(*model).copied().unwrap_or(0);
                 let newest = named.get(*model).copied().unwrap_or_default();
                 let behind = newest.0.saturating_sub(has.0);
-                let filled = (count as f64 / target.max(f64::MIN_POSITIVE) * 1_000.0) as u64;
-                (behind, filled)
+                let share = shares.get(&***model).copied().unwrap_or(0.0);
+                let filled = share / target.max(f64::MIN_POSITIVE);
+                (behind, (filled * 1_000.0) as u64)
             });
             if let Some((model, ..)) = best {
-                *counts.entry(model.clone()).or_default() += 1;
+                *shares.entry(model.clone()).or_default() += capacity;
                 self.shares.insert(engine.name.clone(), model.clone());
             }
         }
@@ -199,39 +208,61 @@
         now_ms: u64,
         targets: &BTreeMap<Box<str>, f64>,
         engines: &[Engine<'_>],
+        capacities: &[f64],
     ) {
         let is_early = |at_ms| now_ms < at_ms + CHANGE_PAUSE_MS;
         if self.changed_at_ms.is_some_and(is_early) {
             return;
         }
-        let Some((from, to)) = shares::change(targets, &self.counts(targets)) else {
+        let shares = self.capacity_of_models(engines, capacities);
+        let Some(change) = shares::change(targets, &shares) else {
             return;
         };
-        let idle = engines.iter().find(|engine| {
-            self.share(engine.name) == Some(&*from)
+        let idle = engines.iter().zip(capacities).filter(|(engine, capacity)| {
+            self.share(engine.name) == Some(&*change.from)
                 && !self.loading.contains_key(engine.name)
-                && version_of(engine.models, &to).is_some()
+                && version_of(engine.models, &change.to).is_some()
+                && change.fits(**capacity)
         });
-        if let Some(engine) = idle {
+        let largest = idle.max_by(|(_, a), (_, b)| a.total_cmp(b));
+        if let Some((engine, _)) = largest {
             self.changed_at_ms = Some(now_ms);
-            self.shares.insert(engine.name.clone(), to);
+            self.shares.insert(engine.name.clone(), change.to);
         }
     }
 
-    /// Engines that follow each model.
-    fn counts(&self, models: &BTreeMap<Box<str>, f64>) -> BTreeMap<Box<str>, usize> {
-        let mut counts = BTreeMap::new();
-        for followed in self
-            .shares
-            .values()
-            .filter(|model| models.contains_key(*model))
-        {
-            *counts.entry(followed.clone()).or_default() += 1;
+    /// Capacity of the engines that follow each model.
+    fn capacity_of_models(
+        &self,
+        engines: &[Engine<'_>],
+        capacities: &[f64],
+    ) -> BTreeMap<Box<str>, f64> {
+        let mut shares: BTreeMap<Box<str>, f64> = BTreeMap::new();
+        for (engine, capacity) in engines.iter().zip(capacities) {
+            if let Some(model) = self.shares.get(engine.name) {
+                *shares.entry(model.clone()).or_default() += capacity;
+            }
         }
-        counts
+        shares
     }
 }
 
+/// What each engine can do, in engines of mean speed; one whose speed is not known counts as one.
+fn capacities(engines: &[Engine<'_>]) -> Vec<f64> {
+    let known = || {
+        engines
+            .iter()
+            .map(|engine| engine.unit_ms)
+            .filter(|&unit_ms| unit_ms > 0.0)
+    };
+    let mean_ms = known().sum::<f64>() / known().count().max(1) as f64;
+    let capacity = |engine: &Engine<'_>| match engine.unit_ms {
+        unit_ms if unit_ms > 0.0 => (mean_ms / unit_ms).clamp(LEAST_CAPACITY, MOST_CAPACITY),
+        _ => 1.0,
+    };
+    engines.iter().map(capacity).collect()
+}
+
 fn version_of(models: &[(Box<str>, WeightVersion)], model: &str) -> Option<WeightVersion> {
     let mut models = models.iter();
     models
--- a/crates/weights/tests/planner.rs
+++ b/crates/weights/tests/planner.rs
@@ -12,6 +12,7 @@
     models: Vec<Box<str>>,
     named: BTreeMap<Box<str>, WeightVersion>,
     work: BTreeMap<Box<str>, f64>,
+    unit_ms: BTreeMap<EndpointName, f64>,
     planner: Planner,
 }
 
@@ -36,6 +37,7 @@
             models,
             named: BTreeMap::new(),
             work: BTreeMap::new(),
+            unit_ms: BTreeMap::new(),
             planner: Planner::new(),
         }
     }
@@ -52,6 +54,7 @@
                 name,
                 models,
                 born_unix_ms: *born_unix_ms,
+                unit_ms: self.unit_ms.get(name).copied().unwrap_or(0.0),
             })
             .collect();
         self.planner
@@ -225,3 +228,28 @@
         .collect();
     assert_eq!(after, before);
 }
+
+/// Pattern: back ends were bought over years, and by chance one model has all the slow ones.
+#[test]
+fn shares_go_by_the_speed_of_the_engines() {
+    let mut fleet = Fleet::new(8, &["a", "b"]);
+    fleet.plan(0);
+    let name = |fleet: &Fleet, place: usize| fleet.engines[place].0.clone();
+    for place in 0..8 {
+        let engine = name(&fleet, place);
+        let is_slow = fleet.planner.share(&engine) == Some("a");
+        fleet
+            .unit_ms
+            .insert(engine, if is_slow { 40.0 } else { 16.0 });
+    }
+    for now_ms in (0..30_000).step_by(500) {
+        fleet.plan(now_ms);
+    }
+    let capacity = |model: &str| -> f64 {
+        let names = fleet.unit_ms.iter();
+        let followed = names.filter(|(name, _)| fleet.planner.share(name) == Some(model));
+        followed.map(|(_, unit_ms)| 1.0 / unit_ms).sum()
+    };
+    let ratio = capacity("a") / capacity("b");
+    assert!((0.6..=1.6).contains(&ratio), "{ratio}");
+}
