Join no queue that is longer than the objective allows

Change: nodes learn each endpoint's mean time for an answer; a request goes only where a slot is free or where it would be answered within nine tenths of the objective, waits for such a place for a quarter of the objective, and is then told "not run" and when to come back. What may have run elsewhere waits in any queue. Tests, pure: crates/directory/tests/overload.rs; without the bound more are late than in time.

--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -14,6 +14,12 @@
 const LONGEST_PAUSE_MS: u64 = 3_200;
 /// Share of the newest time in the mean of an endpoint's times.
 const NEWEST_SHARE: f64 = 0.2;
+/// Share of the newest answer in the mean time of an endpoint's answers: requests differ by
+/// more than events of texts do.
+const NEWEST_ANSWER_SHARE: f64 = 0.1;
+/// Share of an objective that an endpoint may need by what is known of it: the ways to and from it
+/// and what other nodes sent it meanwhile come on top.
+const IN_TIME_SHARE: f64 = 0.9;
 /// Share of another node's mean, which stands for several measurements.
 const HEARD_SHARE: f64 = 0.5;
 /// Age up to which a node goes by its own measurements of an endpoint, in milliseconds: beyond some
@@ -69,6 +75,7 @@
     /// Mean time for a unit of work, in milliseconds; 0 until one has been seen.
     pub unit_ms: f64,
     measured_at_ms: Option<u64>,
+    service_ms: f64,
     load: Option<(u64, Load)>,
     failures: u32,
     paused_until_ms: u64,
@@ -83,6 +90,7 @@
             in_flight: 0,
             unit_ms: 0.0,
             measured_at_ms: None,
+            service_ms: 0.0,
             load: None,
             failures: 0,
             paused_until_ms: 0,
@@ -143,6 +151,28 @@
         self.paused_until_ms = 0;
     }
 
+    /// Notes the time of a whole answer, and how many requests the endpoint had with it.
+    pub fn answered(&mut self, elapsed_ms: u64, occupancy: u32) {
+        self.succeeded();
+        let turns = (f64::from(occupancy) / self.slots()).max(1.0);
+        let service_ms = elapsed_ms as f64 / turns;
+        self.service_ms = match self.service_ms {
+            known if known > 0.0 => known + (service_ms - known) * NEWEST_ANSWER_SHARE,
+            _ => service_ms,
+        };
+    }
+
+    /// Whether a request would start at once, or be answered well within an objective after its
+    /// turn has come.
+    pub fn is_in_time(&self, now_ms: u64, objective_ms: u64) -> bool {
+        let turns = f64::from(self.occupancy(now_ms) + 1) / self.slots();
+        turns <= 1.0 || self.service_ms * turns <= objective_ms as f64 * IN_TIME_SHARE
+    }
+
+    fn slots(&self) -> f64 {
+        f64::from(self.record.slots.max(1))
+    }
+
     /// Notes the time for a unit of work that this process has measured.
     pub fn measured(&mut self, now_ms: u64, unit_ms: f64) {
         self.succeeded();
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -27,6 +27,9 @@
     pub model: Option<(&'a str, WeightVersion)>,
     /// Whether the endpoint must have a free slot; else it may let the request wait.
     pub within_slots: bool,
+    /// The time within which an answer is of full use, where a queue that is longer should
+    /// not be joined.
+    pub objective_ms: Option<u64>,
     /// Where the sender runs; wins among equals.
     pub near: &'a FailureDomain,
 }
@@ -203,10 +206,14 @@
         need: Need<'_>,
         excluded: &[EndpointName],
     ) -> Option<&EndpointName> {
+        let is_in_time = |endpoint: &Endpoint| {
+            let objective_ms = need.objective_ms;
+            objective_ms.is_none_or(|objective_ms| endpoint.is_in_time(now_ms, objective_ms))
+        };
         let candidates = || {
-            self.endpoints
-                .iter()
-                .filter(|(name, endpoint)| endpoint.fits(now_ms, &need) && !excluded.contains(name))
+            self.endpoints.iter().filter(|(name, endpoint)| {
+                endpoint.fits(now_ms, &need) && is_in_time(endpoint) && !excluded.contains(name)
+            })
         };
         let mean_unit_ms = self.mean_unit_ms(need.service);
         let best = candidates()
@@ -222,6 +229,12 @@
         }
     }
 
+    /// Whether any endpoint that is not in a list takes requests like this one, be it later.
+    pub fn has_any(&self, now_ms: u64, need: Need<'_>, excluded: &[EndpointName]) -> bool {
+        let mut endpoints = self.endpoints.iter();
+        endpoints.any(|(name, endpoint)| endpoint.fits(now_ms, &need) && !excluded.contains(name))
+    }
+
     /// Mean time for a unit of work over the endpoints of a service; 1 if none is known.
     pub fn mean_unit_ms(&self, service: &ServiceName) -> f64 {
         let known = || {
--- /dev/null
+++ b/crates/directory/tests/overload.rs
@@ -0,0 +1,135 @@
+//! More requests than the endpoints of a plain service can serve.
+
+use std::collections::BTreeMap;
+
+use wisteriapoint_directory::{EndpointRecord, EndpointStage, Need, Registry};
+use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName};
+
+const SLOTS: u32 = 6;
+const SERVICE_MS: u64 = 25;
+const OBJECTIVE_MS: u64 = 150;
+
+/// An endpoint that serves requests in the order of their arrival.
+#[derive(Default)]
+struct Server {
+    /// When each slot is free again.
+    free_at_ms: Vec<u64>,
+}
+
+impl Server {
+    fn finish_ms(&mut self, now_ms: u64, service_ms: u64) -> u64 {
+        self.free_at_ms.resize(SLOTS as usize, 0);
+        let slot = self.free_at_ms.iter_mut().min().unwrap();
+        *slot = now_ms.max(*slot) + service_ms;
+        *slot
+    }
+}
+
+fn record() -> EndpointRecord {
+    EndpointRecord {
+        service: ServiceName::new("shop"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        failure_domain: FailureDomain::new("dk-east-a"),
+        slots: SLOTS,
+        stage: EndpointStage::Ready,
+        models: Vec::new(),
+        born_unix_ms: 1,
+    }
+}
+
+struct Outcome {
+    in_time: usize,
+    late: usize,
+    refused: usize,
+}
+
+/// Sends so many requests a second for ten seconds to three endpoints.
+fn run(per_s: u64, service_ms: u64, objective_ms: Option<u64>) -> Outcome {
+    let (service, near) = (ServiceName::new("shop"), FailureDomain::new("dk-east-a"));
+    let mut registry = Registry::new();
+    let mut servers: BTreeMap<EndpointName, Server> = BTreeMap::new();
+    for number in 0..3 {
+        let name = EndpointName::new(format!("shop-{number}"));
+        registry.learn(&name, record());
+        servers.insert(name, Server::default());
+    }
+    let need = Need {
+        service: &service,
+        model: None,
+        within_slots: false,
+        objective_ms,
+        near: &near,
+    };
+    let mut outcome = Outcome {
+        in_time: 0,
+        late: 0,
+        refused: 0,
+    };
+    // By the time of the answer: endpoint, arrival, requests that it had then.
+    let mut running: Vec<(u64, EndpointName, u64, u32)> = Vec::new();
+    for number in 0..per_s * 10 {
+        let now_ms = number * 1_000 / per_s;
+        running.sort();
+        while running
+            .first()
+            .is_some_and(|(end_ms, ..)| *end_ms <= now_ms)
+        {
+            let (end_ms, name, since_ms, occupancy) = running.remove(0);
+            let endpoint = registry.get_mut(&name).unwrap();
+            endpoint.in_flight -= 1;
+            endpoint.answered(end_ms - since_ms, occupancy);
+            match end_ms - since_ms <= OBJECTIVE_MS {
+                true => outcome.in_time += 1,
+                false => outcome.late += 1,
+            }
+        }
+        let Some(name) = registry.choose(now_ms, need, &[]).cloned() else {
+            outcome.refused += 1;
+            continue;
+        };
+        let endpoint = registry.get_mut(&name).unwrap();
+        endpoint.in_flight += 1;
+        let occupancy = endpoint.in_flight;
+        let end_ms = servers
+            .get_mut(&name)
+            .unwrap()
+            .finish_ms(now_ms, service_ms);
+        running.push((end_ms, name, now_ms, occupancy));
+    }
+    outcome
+}
+
+/// Pattern: a third more requests than can be served, for seconds.
+#[test]
+fn who_would_wait_too_long_is_refused_and_the_others_are_in_time() {
+    let capacity = u64::from(SLOTS) * 3 * 1_000 / SERVICE_MS;
+    let bounded = run(capacity * 4 / 3, SERVICE_MS, Some(OBJECTIVE_MS));
+    let served = bounded.in_time + bounded.late;
+    assert!(
+        bounded.in_time * 100 >= served * 99,
+        "{} late",
+        bounded.late
+    );
+    assert!(served as u64 >= capacity * 10 * 95 / 100, "{served} served");
+    assert!(bounded.refused > 0);
+    let unbounded = run(capacity * 4 / 3, SERVICE_MS, None);
+    assert!(
+        unbounded.late > unbounded.in_time,
+        "what a queue without bound does"
+    );
+}
+
+/// Pattern: the usual load.
+#[test]
+fn nobody_is_refused_below_capacity() {
+    let outcome = run(600, SERVICE_MS, Some(OBJECTIVE_MS));
+    assert_eq!((outcome.refused, outcome.late), (0, 0));
+}
+
+/// Pattern: all endpoints are slower than the objective, but have room.
+#[test]
+fn a_free_slot_is_used_however_slow() {
+    let outcome = run(40, 400, Some(OBJECTIVE_MS));
+    assert_eq!((outcome.refused, outcome.in_time), (0, 0));
+    assert!(outcome.late > 380);
+}
--- a/crates/directory/tests/registry.rs
+++ b/crates/directory/tests/registry.rs
@@ -40,6 +40,7 @@
         service: &service,
         model: None,
         within_slots: true,
+        objective_ms: None,
         near: &near,
     };
     registry.choose(now_ms, need, excluded).cloned()
@@ -101,6 +102,7 @@
             service: &service,
             model: Some((model, WeightVersion(oldest))),
             within_slots: true,
+            objective_ms: None,
             near: &near,
         };
         registry.choose(0, need, &[]).is_some()
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::time::{sleep, timeout};
-use wisteriapoint_directory::{Route, RouteKind};
+use wisteriapoint_directory::{Need, Route, RouteKind};
 use wisteriapoint_types::{Digest, EndpointName, ServiceName, Verdict};
 
 use crate::dialect::{Addressed, Dialect, Reply};
@@ -143,9 +143,14 @@
         if now_ms >= end_at_ms {
             return tried.give_up("its time is over", true);
         }
-        let Some((endpoint, address)) = node.choose(node.need(&service), &tried.excluded) else {
-            let has_asked_all = !tried.excluded.is_empty() && tried.may_have_run == 0;
-            match has_asked_all {
+        // What may have run elsewhere can't be refused any more, so it may wait in any queue.
+        let objective_ms = (tried.may_have_run == 0).then_some(forward.route.objective_ms);
+        let need = Need {
+            objective_ms,
+            ..node.need(&service)
+        };
+        let Some((endpoint, address)) = node.choose(need, &tried.excluded) else {
+            match may_place_later(node, need, &tried) {
                 true if now_ms < placing_end_ms => {
                     tried.excluded.clear();
                     sleep(Duration::from_millis(FULL_PAUSE_MS)).await;
@@ -155,12 +160,19 @@
                 false => return tried.give_up("no endpoint is left to ask", false),
             }
         };
+        let occupancy = node.occupancy(&endpoint);
         let limit_ms = limit_ms(forward, &tried, end_at_ms - now_ms);
         let attempt = attempt(node, forward, &endpoint, address, end_at_ms - now_ms);
         let result = timeout(Duration::from_millis(limit_ms), attempt).await;
         let result = result
             .unwrap_or_else(|_| Err(SendFailure::cut(format!("no answer for {limit_ms} ms"))));
+        let elapsed_ms = node.now_ms() - now_ms;
         note(node, &endpoint, &service, digest, &result);
+        if result.is_ok()
+            && let Some(known) = node.directory.borrow_mut().registry.get_mut(&endpoint)
+        {
+            known.answered(elapsed_ms, occupancy + 1);
+        }
         let failure = match result {
             Ok(answer) if may_retry_answer(forward.route, &answer, &tried) => {
                 tried.may_have_run += 1;
@@ -187,6 +199,15 @@
     }
 }
 
+/// Whether a request that nothing has run could be placed if it waited a moment.
+fn may_place_later<D: Dialect>(node: &Node<D>, need: Need<'_>, tried: &Tried) -> bool {
+    let directory = node.directory.borrow();
+    let is_only_busy = directory
+        .registry
+        .has_any(node.now_ms(), need, &tried.excluded);
+    tried.may_have_run == 0 && (is_only_busy || !tried.excluded.is_empty())
+}
+
 /// Time for one attempt: all that is left, unless another endpoint may still be asked.
 fn limit_ms(forward: &Forward<'_>, tried: &Tried, left_ms: u64) -> u64 {
     let may_repeat = forward.route.kind == RouteKind::Idempotent
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -197,6 +197,13 @@
         Some((name, address))
     }
 
+    /// Requests that are known to be at an endpoint.
+    pub fn occupancy(&self, endpoint: &EndpointName) -> u32 {
+        let directory = self.directory.borrow();
+        let known = directory.registry.get(endpoint);
+        known.map_or(0, |known| known.occupancy(self.now_ms()))
+    }
+
     /// Whether this node is the keeper.
     pub fn is_keeper(&self) -> bool {
         self.keeper.borrow().as_ref() == Some(&self.owner)
@@ -213,6 +220,7 @@
             service,
             model: None,
             within_slots: false,
+            objective_ms: None,
             near: &self.settings.failure_domain,
         }
     }
