--- a/crates/node/src/control/feed.rs
+++ b/crates/node/src/control/feed.rs
@@ -20,7 +20,7 @@
 use crate::node::Node;
 use crate::peers::{Question, Reply, ask};
 
-use super::watch::{learn_endpoint, lose_endpoint};
+use super::endpoints::{learn_endpoint, lose_endpoint};
 
 /// Changes that are kept; one that asks for older ones gets all endpoints. Some seconds of a
 /// fleet of thousands of engines that change their weights.
@@ -187,22 +187,23 @@
 
     /// The endpoints that changed after a mark; `None` if these are no longer known.
     fn changed_after(&self, run: u64, after: Mark) -> Option<BTreeSet<EndpointName>> {
-        let changes = self.changes.borrow();
         let (floor_number, floor_revision) = self.floor.get();
-        let is_newer = |noted: &&Noted| match after {
-            Mark {
-                told: Some(told), ..
-            } if told.run == run => noted.number > told.number,
-            Mark { revision, .. } => revision.is_some_and(|revision| noted.revision > revision),
-        };
-        let is_covered = match after {
-            Mark {
-                told: Some(told), ..
-            } if told.run == run => told.number >= floor_number,
-            Mark { revision, .. } => revision.is_some_and(|revision| revision >= floor_revision),
-        };
-        let newer = changes.iter().filter(is_newer);
-        is_covered.then(|| newer.map(|noted| noted.endpoint.clone()).collect())
+        let told = after.told.filter(|told| told.run == run);
+        match (told, after.revision) {
+            (Some(told), _) if told.number >= floor_number => {
+                Some(self.changed(|noted| noted.number > told.number))
+            }
+            (None, Some(revision)) if revision >= floor_revision => {
+                Some(self.changed(|noted| noted.revision > revision))
+            }
+            _ => None,
+        }
+    }
+
+    fn changed(&self, is_newer: impl Fn(&Noted) -> bool) -> BTreeSet<EndpointName> {
+        let changes = self.changes.borrow();
+        let newer = changes.iter().filter(|noted| is_newer(noted));
+        newer.map(|noted| noted.endpoint.clone()).collect()
     }
 }
 
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! What a node believes of the store, the configuration and the endpoints, and its duties.
 
+pub mod endpoints;
 pub mod feed;
 pub mod health;
 pub mod keeper;
@@ -26,7 +27,7 @@
 /// Starts all tasks of control.
 pub fn start<D: Dialect>(node: &Rc<Node<D>>) {
     spawn_local(watch::configuration(node.clone()));
-    spawn_local(watch::endpoints(node.clone()));
+    spawn_local(endpoints::follow(node.clone()));
     spawn_local(lease::hold(node.clone()));
     spawn_local(keeper::run(node.clone()));
     spawn_local(jobs::take_over_former(node.clone()));
--- a/crates/weights/src/shares.rs
+++ b/crates/weights/src/shares.rs
@@ -30,8 +30,8 @@
 
 /// The share of each model in the capacity of some engines, not rounded.
 ///
-/// Shares follow the work in proportion, beyond a part of an equal share that each model keeps. Without any work all
-/// are equal.
+/// Shares follow the work in proportion, beyond a part of an equal share that each model keeps.
+/// Without any work all are equal.
 pub fn targets(
     models: &[Box<str>],
     capacity: f64,
