--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -1,10 +1,12 @@
 //! Runs experiments and prints their figures.
 
+use std::collections::BTreeMap;
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use wisteriapoint_experiment::plot::{self, Series};
 use wisteriapoint_experiment::policy::{self, Scenario};
 use wisteriapoint_experiment::report;
 
@@ -19,6 +21,16 @@
 enum Experiment {
     /// Choice of endpoint, limits, retries and crash suspects.
     Policy(PolicyArguments),
+    /// Scores of rounds on the users' platform.
+    Rounds(RoundsArguments),
+}
+
+#[derive(Debug, clap::Args)]
+struct RoundsArguments {
+    /// A JSON object of the scores of each site, round by round.
+    scores: PathBuf,
+    /// The plot to draw.
+    plot: PathBuf,
 }
 
 #[derive(Debug, clap::Args)]
@@ -43,6 +55,7 @@
 fn main() -> ExitCode {
     let result = match Cli::parse().experiment {
         Experiment::Policy(arguments) => run_policy(&arguments),
+        Experiment::Rounds(arguments) => plot_rounds(&arguments),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -53,6 +66,18 @@
     }
 }
 
+fn plot_rounds(arguments: &RoundsArguments) -> Result<(), Box<dyn Error>> {
+    let scores = std::fs::read(&arguments.scores)?;
+    let scores: BTreeMap<Box<str>, Vec<f64>> = serde_json::from_slice(&scores)?;
+    let series = scores.into_iter().map(|(name, scores)| Series {
+        name,
+        points: (1_u32..).map(f64::from).zip(scores).collect(),
+    });
+    let series: Vec<_> = series.collect();
+    let axes = ("round", "score");
+    plot::lines(&arguments.plot, "score by round", axes, &series)
+}
+
 fn run_policy(arguments: &PolicyArguments) -> Result<(), Box<dyn Error>> {
     let mut runs = Vec::new();
     for path in &arguments.scenarios {
