Check the lease again when the connection to an engine stands

The lease was checked before the connection was opened, and the order left when that had come about, after the pause. Change: who sends may say, once the connection stands, that it must not any more; orders ask the lease, on the clock that counts suspension.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -155,7 +155,7 @@
     address: SocketAddr,
 ) -> Option<EngineReport> {
     let question = sending(Method::GET, D::REPORT_PATH, Vec::new());
-    let (status, body) = ask::<D>(node, endpoint, address, &question).await?;
+    let (status, body) = ask::<D>(node, endpoint, address, &question, || true).await?;
     match D::report(&body) {
         Ok(report) if status.is_success() => Some(report),
         Ok(_) => None,
@@ -180,7 +180,9 @@
 ) -> bool {
     let (path, body) = D::order(order);
     let sending = sending(Method::POST, path, body);
-    let answer = ask::<D>(node, endpoint, address, &sending).await;
+    // A former keeper must not order anything after a pause, wherever it began.
+    let is_keeper = || node.lease.is_sure();
+    let answer = ask::<D>(node, endpoint, address, &sending, is_keeper).await;
     let reply = match &answer {
         Some((status, _)) => status.as_str().to_owned(),
         None => "none".to_owned(),
@@ -216,6 +218,7 @@
     endpoint: &EndpointName,
     address: SocketAddr,
     sending: &Sending,
+    may_send: impl Fn() -> bool,
 ) -> Option<(StatusCode, Bytes)> {
     let addressed = Addressed {
         id: "",
@@ -223,7 +226,7 @@
         left_ms: None,
         last_event: None,
     };
-    let asked = exchange::<D>(&node.pool, address, sending, addressed);
+    let asked = exchange::<D>(&node.pool, address, sending, addressed, may_send);
     match timeout(ANSWER_TIMEOUT, asked).await {
         Ok(Ok(answer)) => Some(answer),
         Ok(Err(failure)) => {
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -135,6 +135,8 @@
 
 /// Asks an endpoint about itself and reads the whole answer, whatever its status.
 ///
+/// `may_send` is asked once the connection stands, which may be after a long pause of this VM.
+///
 /// # Errors
 ///
 /// As [`send`], apart from what only answers to callers' requests carry.
@@ -143,11 +145,15 @@
     address: SocketAddr,
     sending: &Sending,
     addressed: Addressed<'_>,
+    may_send: impl Fn() -> bool,
 ) -> Result<(StatusCode, Bytes), SendFailure> {
     let mut connection = match pool.idle(addressed.endpoint) {
         Some(connection) => connection,
         None => connect(pool, address, addressed.endpoint).await?,
     };
+    if !may_send() {
+        return Err(SendFailure::new(Verdict::NotRun, "no longer allowed"));
+    }
     let request = request::<D>(sending, addressed)?;
     let response = connection.sender().send_request(request).await;
     let response = response.map_err(SendFailure::broke_off)?;
