Take only silence of the store for an outage, not a refusal to one node

Each time it counted as trouble of the store, in whose grace an endpoint whose row is removed stays in use, and the grace began anew. Change: an outage is 0.3 s or more without an answer on any way; rows lapse after several seconds of silence. Also, a grace that was extended while the store was silent ended never; it is now counted from the last look.

--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -161,10 +161,9 @@
     records.retain(|(name, record)| node.uses(&directory.sizes, &record.service, name));
     event!(info, "endpoints read", count = count, used = records.len());
     node.feed.start_over(revision);
-    let trouble_end_ms = node.health.trouble_end_ms();
-    directory
-        .registry
-        .replace(node.now_ms(), records, trouble_end_ms);
+    let now_ms = node.now_ms();
+    let outage_end_ms = node.health.outage_end_ms(now_ms);
+    directory.registry.replace(now_ms, records, outage_end_ms);
     directory.endpoints_known = true;
 }
 
@@ -187,7 +186,8 @@
             }
         },
         Change::Removed(_) => {
-            lose_endpoint(node, &name, node.health.trouble_end_ms(), "store");
+            let outage_end_ms = node.health.outage_end_ms(node.now_ms());
+            lose_endpoint(node, &name, outage_end_ms, "store");
         }
     }
 }
@@ -219,11 +219,11 @@
     }
 }
 
-/// Notes that an endpoint has left; around trouble of the store it may come back.
+/// Notes that an endpoint has left; around an outage of the store it may come back.
 pub fn lose_endpoint<D: Dialect>(
     node: &Node<D>,
     name: &EndpointName,
-    trouble_end_ms: Option<u64>,
+    outage_end_ms: Option<u64>,
     told_by: &str,
 ) {
     let mut directory = node.directory.borrow_mut();
@@ -234,12 +234,12 @@
         info,
         "endpoint gone",
         endpoint = name,
-        in_trouble = trouble_end_ms.is_some(),
+        after_outage = outage_end_ms.is_some(),
         told_by = told_by
     );
     directory
         .registry
-        .vanish(node.now_ms(), name, trouble_end_ms);
+        .vanish(node.now_ms(), name, outage_end_ms);
     if directory.registry.get(name).is_none() {
         node.pool.forget(name);
     }
@@ -250,11 +250,12 @@
     const POLL: Duration = Duration::from_millis(200);
     loop {
         sleep(POLL).await;
+        let now_ms = node.now_ms();
         let mut directory = node.directory.borrow_mut();
-        if let Some(end_ms) = node.health.trouble_end_ms() {
+        if let Some(end_ms) = node.health.outage_end_ms(now_ms) {
             directory.registry.extend_graces(end_ms);
         }
-        for name in directory.registry.expire(node.now_ms()) {
+        for name in directory.registry.expire(now_ms) {
             event!(info, "endpoint did not come back", endpoint = name);
             node.feed.push(&name, node.feed.revision());
             node.feed.publish();
--- a/crates/node/src/control/health.rs
+++ b/crates/node/src/control/health.rs
@@ -9,11 +9,16 @@
 
 use crate::event;
 
-/// Whether the store answers, and when trouble with it ended last.
+/// Time without any answer from which on rows may have lapsed, in milliseconds. Shorter trouble
+/// is that of this node's own way: the next call goes through a peer, and the store serves those
+/// who write the rows.
+const OUTAGE_MS: u64 = 300;
+
+/// Whether the store answers, and when it was out of reach last.
 #[derive(Debug, Default)]
 pub struct Health {
     failing_since_ms: Cell<Option<u64>>,
-    trouble_end_ms: Cell<Option<u64>>,
+    outage_end_ms: Cell<Option<u64>>,
     regained: Notify,
 }
 
@@ -34,7 +39,9 @@
     /// Notes an answer.
     pub fn answered(&self, now_ms: u64) {
         if let Some(since_ms) = self.failing_since_ms.take() {
-            self.trouble_end_ms.set(Some(now_ms));
+            if now_ms >= since_ms + OUTAGE_MS {
+                self.outage_end_ms.set(Some(now_ms));
+            }
             event!(info, "store regained", after_ms = now_ms - since_ms);
             self.regained.notify_waiters();
         }
@@ -60,11 +67,11 @@
         self.failing_since_ms.get().is_some()
     }
 
-    /// When trouble ended last; in the far future while it lasts.
-    pub fn trouble_end_ms(&self) -> Option<u64> {
+    /// When the last outage of the store ended; now, while one lasts.
+    pub fn outage_end_ms(&self, now_ms: u64) -> Option<u64> {
         match self.failing_since_ms.get() {
-            Some(_) => Some(u64::MAX / 2),
-            None => self.trouble_end_ms.get(),
+            Some(since_ms) if now_ms >= since_ms + OUTAGE_MS => Some(now_ms),
+            _ => self.outage_end_ms.get(),
         }
     }
 }
