--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -54,6 +54,12 @@
         self.id.get().is_some() && boot_ms() + MARGIN_MS < self.holds_until_boot_ms.get()
     }
 
+    /// Whether this very lease is sure to hold for a while: a later one of this node says nothing of
+    /// a duty that hung on it.
+    pub fn is_sure_of(&self, lease: LeaseId) -> bool {
+        self.id.get() == Some(lease) && self.is_sure()
+    }
+
     /// Waits until the lease is had or lost.
     pub async fn changed(&self) {
         self.changed.notified().await;
@@ -65,14 +71,16 @@
         self.id.take()
     }
 
-    fn renewed(&self, id: LeaseId, asked_boot_ms: u64, ttl_ms: u64) {
+    /// Notes that a lease was obtained or renewed by a call that began at a time.
+    pub fn renewed(&self, id: LeaseId, asked_boot_ms: u64, ttl_ms: u64) {
         self.holds_until_boot_ms.set(asked_boot_ms + ttl_ms);
         if self.id.replace(Some(id)) != Some(id) {
             self.changed.notify_waiters();
         }
     }
 
-    fn lost(&self) {
+    /// Notes that the lease has lapsed.
+    pub fn lost(&self) {
         self.id.set(None);
         self.holds_until_boot_ms.set(0);
         self.changed.notify_waiters();
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Method, StatusCode};
 use tokio::task::{JoinError, JoinSet};
 use tokio::time::{sleep, timeout};
-use wisteriapoint_store::{Committed, Index, Ledger, Transaction};
+use wisteriapoint_store::{Committed, Index, LeaseId, Ledger, Transaction};
 use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
 use wisteriapoint_weights::{Engine, Load, Planner};
 
@@ -27,6 +27,15 @@
 /// Time for an engine to answer a question or an order: it needs no slot for them.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// What an order is given under.
+#[derive(Debug, Clone, Copy)]
+struct Duty {
+    /// The fencing token.
+    fence: Index,
+    /// The lease that the keeper's row hangs on.
+    lease: LeaseId,
+}
+
 /// How an order ended.
 #[derive(Debug)]
 struct OrderEnd {
@@ -38,13 +47,17 @@
 /// Gives orders after a quiet time, until the task is dropped.
 pub async fn run<D: Dialect>(node: Rc<Node<D>>, fence: Index, quiet: Duration) {
     sleep(quiet).await;
+    let Some(lease) = node.lease.id() else {
+        return;
+    };
+    let duty = Duty { fence, lease };
     let mut planner = Planner::new();
     let mut orders: JoinSet<OrderEnd> = JoinSet::new();
     loop {
         report_retired(&node).await;
         let loads = plan(&node, &mut planner);
         for load in loads {
-            orders.spawn_local(order(node.clone(), load, fence));
+            orders.spawn_local(order(node.clone(), load, duty));
         }
         tokio::select! {
             Some(end) = orders.join_next() => take_end(&node, &mut planner, end),
@@ -100,7 +113,7 @@
         })
 }
 
-async fn order<D: Dialect>(node: Rc<Node<D>>, load: Load, fence: Index) -> OrderEnd {
+async fn order<D: Dialect>(node: Rc<Node<D>>, load: Load, duty: Duty) -> OrderEnd {
     let endpoint = load.endpoint.clone();
     let known = node
         .directory
@@ -124,7 +137,7 @@
         .models
         .iter()
         .any(|(model, version)| **model == *load.model && *version >= load.version);
-    if report.is_busy || has_it || !node.lease.is_sure() {
+    if report.is_busy || has_it || !node.lease.is_sure_of(duty.lease) {
         return end;
     }
     let order = VersionOrder {
@@ -132,10 +145,10 @@
         version: load.version,
         keeps_running: !is_single_version(&node, &service),
         holder: &node.settings.vm,
-        fence: fence.0,
+        fence: duty.fence.0,
         expected_orders: Some(report.orders),
     };
-    end.is_accepted = give(&node, &endpoint, address, &order).await;
+    end.is_accepted = give(&node, &endpoint, address, &order, duty.lease).await;
     end
 }
 
@@ -177,11 +190,12 @@
     endpoint: &EndpointName,
     address: SocketAddr,
     order: &VersionOrder<'_>,
+    lease: LeaseId,
 ) -> bool {
     let (path, body) = D::order(order);
     let sending = sending(Method::POST, path, body);
     // A former keeper must not order anything after a pause, wherever it began.
-    let is_keeper = || node.lease.is_sure();
+    let is_keeper = || node.lease.is_sure_of(lease);
     let answer = ask::<D>(node, endpoint, address, &sending, is_keeper).await;
     let reply = match &answer {
         Some((status, _)) => status.as_str().to_owned(),
