Note an answer of an endpoint in one place

No change of behaviour: a plain request's answer was noted twice, in note() and once more after it with a second look-up of the endpoint; note() now takes when it was sent and how many the endpoint had with it. The reason of a lost store is generic, not dyn.

--- a/crates/node/src/control/health.rs
+++ b/crates/node/src/control/health.rs
@@ -29,7 +29,7 @@
     }
 
     /// Notes a call that got no answer.
-    pub fn failed(&self, now_ms: u64, why: &dyn Display) {
+    pub fn failed(&self, now_ms: u64, why: &impl Display) {
         if self.failing_since_ms.get().is_none() {
             self.failing_since_ms.set(Some(now_ms));
             event!(warn, "store lost", why = why);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -166,13 +166,11 @@
         let result = timeout(Duration::from_millis(limit_ms), attempt).await;
         let result = result
             .unwrap_or_else(|_| Err(SendFailure::cut(format!("no answer for {limit_ms} ms"))));
-        let elapsed_ms = node.now_ms() - now_ms;
-        note(node, &endpoint, &service, digest, &result);
-        if result.is_ok()
-            && let Some(known) = node.directory.borrow_mut().registry.get_mut(&endpoint)
-        {
-            known.answered(elapsed_ms, occupancy + 1);
-        }
+        let sent = Sent {
+            at_ms: now_ms,
+            occupancy: occupancy + 1,
+        };
+        note(node, &endpoint, &service, digest, sent, &result);
         let failure = match result {
             Ok(answer) if may_retry_answer(forward.route, &answer, &tried) => {
                 tried.may_have_run += 1;
@@ -282,11 +280,19 @@
     }
 }
 
+/// When a request was sent, and how many the endpoint had with it.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    at_ms: u64,
+    occupancy: u32,
+}
+
 fn note<D: Dialect>(
     node: &Node<D>,
     endpoint: &EndpointName,
     service: &ServiceName,
     digest: Digest,
+    sent: Sent,
     result: &Result<Ending, SendFailure>,
 ) {
     let now_ms = node.now_ms();
@@ -295,7 +301,7 @@
         Ok(Ending::Answer { status, reply, .. }) => {
             directory.suspects.acquit(digest);
             if let Some(known) = directory.registry.get_mut(endpoint) {
-                known.succeeded();
+                known.answered(now_ms - sent.at_ms, sent.occupancy);
                 if let Some(load) = reply.load {
                     known.report(now_ms, load);
                 }
