Log each answer of a scorer, its connection, and why an item is abandoned

An item that was listed as dead left no line for the last counted answer of its scorer, and no line named the endpoint or whether its connection was new, so a second late answer on a kept connection and an answer that is counted for more than it says looked the same. Logic is unchanged: the log lines 'item not scored', 'item abandoned', 'batch job expired; remaining items abandoned', 'response with another id; connection closed', and the counter wisteriapoint_abandoned_items_total. A forwarded response is a type of its own, boxed, since it grew.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -201,14 +201,17 @@
         self.pending.push((now_ms, key, ItemResult { id, outcome }));
     }
 
-    /// Finishes all remaining items as [`Outcome::Dead`] once the batch job has expired.
-    pub fn expire(&mut self, now_ms: u64) {
+    /// Finishes all remaining items as [`Outcome::Dead`] once the batch job has expired, and
+    /// returns their number.
+    pub fn expire(&mut self, now_ms: u64) -> usize {
         if now_ms < self.expires_at_ms {
-            return;
+            return 0;
         }
+        let unlisted = self.pending.len();
         for index in 0..self.states.len() {
             self.finish(now_ms, ItemKey(index as u32), Outcome::Dead);
         }
+        self.pending.len() - unlisted
     }
 
     /// Returns the time at which the remaining items expire, in milliseconds on the clock of
--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -198,12 +198,10 @@
         return stream::handle_stream(node, request, metadata.last_event).await;
     }
     match forward(node, &request).await {
-        ForwardOutcome::Response {
-            status,
-            headers,
-            body,
-            ..
-        } => response::endpoint_response::<D>(status, &headers, Payload::Full(Some(body))),
+        ForwardOutcome::Response(response) => {
+            let payload = Payload::Full(Some(response.body));
+            response::endpoint_response::<D>(response.status, &response.headers, payload)
+        }
         ForwardOutcome::Failed(failure) => {
             event!(
                 info,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -47,20 +47,28 @@
 #[derive(Debug)]
 pub enum ForwardOutcome {
     /// An endpoint sent a complete response.
-    Response {
-        /// HTTP status.
-        status: StatusCode,
-        /// All headers from the endpoint.
-        headers: HeaderMap,
-        /// Values parsed from the headers.
-        head: ResponseHead,
-        /// Complete body.
-        body: Bytes,
-    },
+    Response(Box<ForwardResponse>),
     /// No endpoint sent a complete response.
     Failed(ForwardFailure),
 }
 
+/// Complete response of an endpoint.
+#[derive(Debug)]
+pub struct ForwardResponse {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// All headers from the endpoint.
+    pub headers: HeaderMap,
+    /// Values parsed from the headers.
+    pub head: ResponseHead,
+    /// Complete body.
+    pub body: Bytes,
+    /// Endpoint that sent the response.
+    pub endpoint: EndpointName,
+    /// Number of requests that were sent on its connection, including this one.
+    pub sent_requests: u32,
+}
+
 /// Failure of a request that got no complete response.
 #[derive(Debug, Clone)]
 pub struct ForwardFailure {
@@ -242,7 +250,7 @@
 /// Returns `true` if a response is a server error and another endpoint may be tried.
 fn may_retry_response(route: &Route, response: &ForwardOutcome, history: &AttemptHistory) -> bool {
     let is_server_error =
-        matches!(response, ForwardOutcome::Response { status, .. } if status.is_server_error());
+        matches!(response, ForwardOutcome::Response(response) if response.status.is_server_error());
     is_server_error
         && route.kind.allows_rerun()
         && history.possibly_run_attempts + 1 < route.max_attempts
@@ -269,13 +277,16 @@
         response.headers.clone(),
         response.head.clone(),
     );
+    let sent_requests = response.connection.sent_requests();
     let body = response.read_body().await?;
-    Ok(ForwardOutcome::Response {
+    Ok(ForwardOutcome::Response(Box::new(ForwardResponse {
         status,
         headers,
         head,
         body,
-    })
+        endpoint: endpoint.clone(),
+        sent_requests,
+    })))
 }
 
 /// Counts a request in flight at an endpoint as long as the guard exists.
@@ -324,15 +335,15 @@
     let now_ms = node.now_ms();
     let mut directory = node.directory.borrow_mut();
     let outcome = match result {
-        Ok(ForwardOutcome::Response { status, head, .. }) => {
+        Ok(ForwardOutcome::Response(response)) => {
             directory.suspects.clear(digest);
             if let Some(entry) = directory.registry.get_mut(endpoint) {
                 entry.record_response(now_ms - start.at_ms, start.occupancy);
-                if let Some(load) = head.load {
+                if let Some(load) = response.head.load {
                     entry.record_load(now_ms, load);
                 }
             }
-            match status.is_success() {
+            match response.status.is_success() {
                 true => "answered",
                 false => "failed",
             }
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -55,6 +55,31 @@
     pub outcome: AttemptOutcome,
 }
 
+/// Reason for which an item is abandoned.
+#[derive(Debug, Clone, Copy)]
+pub enum AbandonReason {
+    /// Its path or headers cannot be sent.
+    Malformed,
+    /// An endpoint answered that it can never be done.
+    Rejected,
+    /// Endpoints failed it as often as its route allows.
+    Failed,
+    /// Its scorer failed as often as the scorer's route allows.
+    NotScored,
+}
+
+impl AbandonReason {
+    /// Returns the reason as it stands in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::Rejected => "rejected",
+            Self::Failed => "failed",
+            Self::NotScored => "not-scored",
+        }
+    }
+}
+
 /// Outcome of an attempt at an item.
 #[derive(Debug)]
 pub enum AttemptOutcome {
@@ -69,8 +94,8 @@
     },
     /// The endpoint answered with an internal error, which counts as a failure of the item.
     Failed,
-    /// The item cannot be completed at any endpoint, or its scorer failed too often.
-    Unservable,
+    /// The item cannot be completed at any endpoint, for the given reason.
+    Unservable(AbandonReason),
     /// The item has to resume at another endpoint.
     Unfinished,
 }
@@ -148,7 +173,7 @@
                 score,
             },
             (Ok(_), None) => AttemptOutcome::Unfinished,
-            (Err(score::ScoringError), _) => AttemptOutcome::Unservable,
+            (Err(score::ScoringError), _) => AttemptOutcome::Unservable(AbandonReason::NotScored),
         }
     }
 
@@ -199,6 +224,7 @@
     }
 
     fn build_request(&self, route: &Route) -> Result<UpstreamRequest, AttemptOutcome> {
+        const MALFORMED: AttemptOutcome = AttemptOutcome::Unservable(AbandonReason::Malformed);
         let mut headers = HeaderMap::new();
         let item_headers = self.item.headers.iter();
         let host = (HOST.as_str(), &*route.host);
@@ -206,16 +232,11 @@
             .map(|(name, value)| (&**name, &**value))
             .chain([host])
         {
-            let name =
-                HeaderName::from_bytes(name.as_bytes()).map_err(|_| AttemptOutcome::Unservable)?;
-            let value = HeaderValue::from_str(value).map_err(|_| AttemptOutcome::Unservable)?;
+            let name = HeaderName::from_bytes(name.as_bytes()).map_err(|_| MALFORMED)?;
+            let value = HeaderValue::from_str(value).map_err(|_| MALFORMED)?;
             headers.insert(name, value);
         }
-        let uri = self
-            .item
-            .path
-            .parse()
-            .map_err(|_| AttemptOutcome::Unservable)?;
+        let uri = self.item.path.parse().map_err(|_| MALFORMED)?;
         Ok(post_request(
             uri,
             headers,
@@ -237,7 +258,9 @@
     ) -> Result<Result<(), AttemptOutcome>, SendFailure> {
         match response.status {
             status if status.is_success() => {}
-            StatusCode::UNPROCESSABLE_ENTITY => return Ok(Err(AttemptOutcome::Unservable)),
+            StatusCode::UNPROCESSABLE_ENTITY => {
+                return Ok(Err(AttemptOutcome::Unservable(AbandonReason::Rejected)));
+            }
             StatusCode::INTERNAL_SERVER_ERROR => return Ok(Err(AttemptOutcome::Failed)),
             status => {
                 return Err(SendFailure::ambiguous(format_args!(
@@ -379,7 +402,7 @@
     match outcome {
         AttemptOutcome::Completed { .. } => "completed",
         AttemptOutcome::Failed => "failed",
-        AttemptOutcome::Unservable => "hopeless",
+        AttemptOutcome::Unservable(_) => "hopeless",
         AttemptOutcome::Unfinished => "unfinished",
     }
 }
--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -12,7 +12,7 @@
 use wisteriapoint_directory::{Requirements, Route};
 use wisteriapoint_types::ServiceName;
 
-use super::attempt::{Attempt, AttemptOutcome, AttemptResult};
+use super::attempt::{AbandonReason, Attempt, AttemptOutcome, AttemptResult};
 use super::{OwnedJob, commit, partial_outputs};
 use crate::dialect::Dialect;
 use crate::event;
@@ -51,7 +51,18 @@
     let mut handles: BTreeMap<ItemKey, AbortHandle> = BTreeMap::new();
     let mut migrated_at_ms = 0;
     while owned.is_open.get() && !owned.job.borrow().is_done() {
-        owned.job.borrow_mut().expire(node.now_ms());
+        let expired_items = owned.job.borrow_mut().expire(node.now_ms());
+        if expired_items > 0 {
+            event!(
+                info,
+                "batch job expired; remaining items abandoned",
+                id = owned.id,
+                items = expired_items
+            );
+            let abandoned = &node.metrics.abandoned_items;
+            let expired = abandoned.with_label_values(&["expired"]);
+            expired.inc_by(expired_items as u64);
+        }
         start_items(&node, &owned, &mut attempts, &mut handles);
         if node.now_ms() >= migrated_at_ms + MIGRATION_INTERVAL_MS {
             migrated_at_ms = node.now_ms();
@@ -213,12 +224,12 @@
             );
             "completed"
         }
-        AttemptOutcome::Unservable => {
-            job.finish(now_ms, result.key, Outcome::Dead);
+        AttemptOutcome::Unservable(reason) => {
+            abandon(node, owned, &mut job, result.key, reason);
             "dead"
         }
         AttemptOutcome::Failed if job.record_failure(result.key) => {
-            job.finish(now_ms, result.key, Outcome::Dead);
+            abandon(node, owned, &mut job, result.key, AbandonReason::Failed);
             "dead"
         }
         AttemptOutcome::Failed => {
@@ -235,3 +246,23 @@
     }
     node.metrics.items.with_label_values(&[outcome]).inc();
 }
+
+fn abandon<D: Dialect>(
+    node: &Node<D>,
+    owned: &OwnedJob,
+    job: &mut Job,
+    key: ItemKey,
+    reason: AbandonReason,
+) {
+    let item = job.item(key).map_or("", |item| &*item.id);
+    event!(
+        info,
+        "item abandoned",
+        id = owned.id,
+        item = item,
+        reason = reason.as_str()
+    );
+    let abandoned = &node.metrics.abandoned_items;
+    abandoned.with_label_values(&[reason.as_str()]).inc();
+    job.finish(node.now_ms(), key, Outcome::Dead);
+}
--- a/crates/node/src/jobs/score.rs
+++ b/crates/node/src/jobs/score.rs
@@ -45,33 +45,46 @@
             let path = scorer.path.split('?').next().unwrap_or_default();
             configuration.route(&scorer.host, path).cloned()
         });
-        let reason: Box<str> = match route {
-            Some(route) => match call_scorer(node, scorer, &route).await {
-                ForwardOutcome::Response { status, head, .. } if status.is_success() => {
-                    if let Some(signature) = head.signature {
-                        return Ok(signature);
-                    }
-                    "response without a signature".into()
-                }
-                ForwardOutcome::Response { status, .. } => {
-                    failures += u32::from(status.is_server_error());
-                    if failures >= route.max_attempts.max(1) {
-                        return Err(ScoringError);
-                    }
-                    status.to_string().into()
-                }
-                ForwardOutcome::Failed(failure) => failure.reason,
-            },
-            None => "no route to the scorer".into(),
+        let outcome = match &route {
+            Some(route) => call_scorer(node, scorer, route).await,
+            None => ForwardOutcome::not_sent("no route to the scorer"),
         };
-        event!(
-            info,
-            "item not scored; retrying",
-            id = owned.id,
-            scorer = scorer.id,
-            failures = failures,
-            reason = reason
-        );
+        let max_failures = route.map_or(u32::MAX, |route| route.max_attempts.max(1));
+        match outcome {
+            ForwardOutcome::Response(response) => {
+                let signature = match response.status.is_success() {
+                    true => response.head.signature,
+                    false => None,
+                };
+                if let Some(signature) = signature {
+                    return Ok(signature);
+                }
+                failures += u32::from(response.status.is_server_error());
+                event!(
+                    info,
+                    "item not scored",
+                    id = owned.id,
+                    scorer = scorer.id,
+                    failures = failures,
+                    max_failures = max_failures,
+                    reason = response.status,
+                    endpoint = response.endpoint,
+                    sent_requests = response.sent_requests,
+                );
+            }
+            ForwardOutcome::Failed(failure) => event!(
+                info,
+                "item not scored",
+                id = owned.id,
+                scorer = scorer.id,
+                failures = failures,
+                max_failures = max_failures,
+                reason = failure.reason,
+            ),
+        }
+        if failures >= max_failures {
+            return Err(ScoringError);
+        }
         sleep(RETRY_PAUSE).await;
     }
 }
@@ -86,7 +99,7 @@
         headers.insert(HOST, host);
     }
     let Ok(uri) = scorer.path.parse() else {
-        return ForwardOutcome::invalid_path();
+        return ForwardOutcome::not_sent("malformed scorer path");
     };
     // The loop in `score` counts failures, so each call must send the request only once.
     let route = Route {
@@ -105,12 +118,12 @@
 }
 
 impl ForwardOutcome {
-    fn invalid_path() -> Self {
+    fn not_sent(reason: &str) -> Self {
         use crate::forward::ForwardFailure;
         use wisteriapoint_types::Verdict;
         Self::Failed(ForwardFailure {
             verdict: Verdict::NotRun,
-            reason: "malformed scorer path".into(),
+            reason: reason.into(),
             is_timeout: false,
             retry_after_ms: 0,
         })
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -29,6 +29,8 @@
     pub item_seconds: HistogramVec,
     /// Items of batch jobs by outcome.
     pub items: IntCounterVec,
+    /// Items given up by reason.
+    pub abandoned_items: IntCounterVec,
     /// Calls to the store by operation and result.
     pub store_calls: IntCounterVec,
     /// Orders to engines by HTTP status, or `none` for an order without a response.
@@ -53,6 +55,7 @@
                 sends: counter("sends_total", "Sends to endpoints", &["service", "outcome"])?,
                 item_seconds: histogram("item_seconds", "Time of an item", &["service"])?,
                 items: counter("items_total", "Items of batch jobs", &["outcome"])?,
+                abandoned_items: counter("abandoned_items_total", "Items given up", &["reason"])?,
                 store_calls: counter("store_calls_total", "Calls", &["call", "result"])?,
                 orders: counter("orders_total", "Orders to engines", &["reply"])?,
                 state: IntGaugeVec::new(
@@ -67,6 +70,7 @@
             registry.register(Box::new(metrics.sends.clone()))?;
             registry.register(Box::new(metrics.item_seconds.clone()))?;
             registry.register(Box::new(metrics.items.clone()))?;
+            registry.register(Box::new(metrics.abandoned_items.clone()))?;
             registry.register(Box::new(metrics.store_calls.clone()))?;
             registry.register(Box::new(metrics.orders.clone()))?;
             registry.register(Box::new(metrics.state.clone()))?;
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -44,6 +44,8 @@
 struct Connection {
     sender: SendRequest<Body>,
     task: AbortHandle,
+    /// Number of requests that were sent on the connection.
+    sent_requests: u32,
 }
 
 impl Drop for Connection {
@@ -101,7 +103,12 @@
             }
         });
         let task = task.abort_handle();
-        Ok(self.check_out(endpoint, Connection { sender, task }))
+        let connection = Connection {
+            sender,
+            task,
+            sent_requests: 0,
+        };
+        Ok(self.check_out(endpoint, connection))
     }
 
     fn check_out(&self, endpoint: &EndpointName, connection: Connection) -> PooledConnection {
@@ -119,10 +126,17 @@
 }
 
 impl PooledConnection {
-    pub(super) fn sender(&mut self) -> &mut SendRequest<Body> {
+    /// Counts a request and returns the sender for it.
+    pub(super) fn begin_request(&mut self) -> &mut SendRequest<Body> {
+        self.connection.sent_requests += 1;
         &mut self.connection.sender
     }
 
+    /// Returns the number of requests that were sent on the connection.
+    pub fn sent_requests(&self) -> u32 {
+        self.connection.sent_requests
+    }
+
     /// Returns the connection to the pool.
     ///
     /// Closes it if its keep-alive time is too short or the pool holds enough for its endpoint.
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -12,6 +12,7 @@
 
 use super::{Pool, PooledConnection};
 use crate::dialect::{Dialect, OutboundMetadata, ResponseHead};
+use crate::event;
 
 /// Largest response body that is read into memory.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
@@ -107,14 +108,14 @@
         None => connect(pool, address, outbound.endpoint).await?,
     };
     let request = build_request::<D>(upstream_request, outbound)?;
-    let response = match connection.sender().try_send_request(request).await {
+    let response = match connection.begin_request().try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => match error.take_message() {
             // The pooled connection was closed before a byte of the request was sent.
             Some(request) => {
                 pool.close_idle(outbound.endpoint);
                 connection = connect(pool, address, outbound.endpoint).await?;
-                let response = connection.sender().send_request(request).await;
+                let response = connection.begin_request().send_request(request).await;
                 response.map_err(SendFailure::connection_lost)?
             }
             None => return Err(SendFailure::connection_lost(error.into_error())),
@@ -123,6 +124,17 @@
     let (parts, body) = response.into_parts();
     let head = D::parse_response_head(parts.status, &parts.headers);
     if let Err(failure) = check_response(&head, parts.status, outbound.id) {
+        if head.id.as_deref() != Some(outbound.id) {
+            event!(
+                info,
+                "response with another id; connection closed",
+                id = outbound.id,
+                endpoint = outbound.endpoint,
+                response_id = head.id.as_deref().unwrap_or_default(),
+                status = parts.status.as_u16(),
+                sent_requests = connection.sent_requests(),
+            );
+        }
         if failure.verdict == Verdict::NotRun {
             drain_refusal(head, body, connection).await;
         }
@@ -163,7 +175,7 @@
         ));
     }
     let request = build_request::<D>(upstream_request, outbound)?;
-    let response = connection.sender().send_request(request).await;
+    let response = connection.begin_request().send_request(request).await;
     let response = response.map_err(SendFailure::connection_lost)?;
     let status = response.status();
     let head = D::parse_response_head(status, response.headers());
