Count only answers of 500 as failures of a scorer

Cause: any 5xx counted as a failure. The scorer's call has a deadline of three objectives, and an endpoint that is slow answers 504 there; such an answer says nothing about the call. An item whose scorer fails often and is slow meanwhile was given up too early.

Only the status that the promise names counts now, as it does for items themselves.

--- a/crates/node/src/jobs/score.rs
+++ b/crates/node/src/jobs/score.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::HeaderMap;
 use hyper::header::{HOST, HeaderValue};
+use hyper::{HeaderMap, StatusCode};
 use tokio::time::sleep;
 use wisteriapoint_batch::Scorer;
 use wisteriapoint_directory::Route;
@@ -22,7 +22,7 @@
 /// is dropped.
 const CALL_TIMEOUT_OBJECTIVES: u64 = 3;
 
-/// The scorer answered with a server error as often as its route allows.
+/// The scorer answered with an internal error as often as its route allows.
 #[derive(Debug, Clone, Copy)]
 pub struct ScoringError;
 
@@ -33,7 +33,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the scorer has answered with a server error as often as its route allows.
+/// Fails if the scorer has answered with an internal error as often as its route allows.
 pub async fn score<D: Dialect>(
     node: &Rc<Node<D>>,
     owned: &OwnedJob,
@@ -59,7 +59,8 @@
                 if let Some(signature) = signature {
                     return Ok(signature);
                 }
-                failures += u32::from(response.status.is_server_error());
+                // A 504 only means that the endpoint was too slow at this deadline.
+                failures += u32::from(response.status == StatusCode::INTERNAL_SERVER_ERROR);
                 event!(
                     info,
                     "item not scored",
