Send no request on a connection that last carried the same id

Callers can see a request that is not idempotent run twice, or a 503 for one that has run, and a result that is dead after too few failures of its scorer; nodes can take an order for accepted that the engine has refused.

Cause: an endpoint may answer a request twice, the second time late, before its answer to the next request on the connection. The id in the answer tells the two apart, but a retry of a request, the repeated call of a scorer, and reports and orders, which have none, carry the same id as the request before them, and the pool hands out the connection that was used last. The class of fault: an answer is matched by an id that is not unique on its connection.

The pool now remembers the id of the last request on each connection and skips it for a request with that id, so that the answer before the awaited one always has another id and is dropped with its connection. Connections stay usable for all other requests.

--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -46,6 +46,8 @@
     task: AbortHandle,
     /// Number of requests that were sent on the connection.
     sent_requests: u32,
+    /// Id of the last request that was sent on the connection; empty for one without an id.
+    last_id: Box<str>,
 }
 
 impl Drop for Connection {
@@ -68,17 +70,20 @@
         Self::default()
     }
 
-    /// Removes a usable idle connection to an endpoint from the pool.
-    pub(super) fn take_idle(&self, endpoint: &EndpointName) -> Option<PooledConnection> {
+    /// Removes an idle connection that a request can use from the pool.
+    ///
+    /// An endpoint may repeat its last response before the next one. Only the id tells the two
+    /// apart, so the last request on the connection must have had another one.
+    pub(super) fn take_idle(&self, endpoint: &EndpointName, id: &str) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(endpoint)?;
         let now = Instant::now();
-        while let Some(candidate) = connections.pop() {
-            if candidate.expires_at > now && candidate.connection.sender.is_ready() {
-                return Some(self.check_out(endpoint, candidate.connection));
-            }
-        }
-        None
+        connections.retain(|idle| idle.expires_at > now && idle.connection.sender.is_ready());
+        let index = connections
+            .iter()
+            .rposition(|idle| &*idle.connection.last_id != id)?;
+        let idle = connections.remove(index);
+        Some(self.check_out(endpoint, idle.connection))
     }
 
     /// Opens a new connection.
@@ -107,6 +112,7 @@
             sender,
             task,
             sent_requests: 0,
+            last_id: "".into(),
         };
         Ok(self.check_out(endpoint, connection))
     }
@@ -126,9 +132,10 @@
 }
 
 impl PooledConnection {
-    /// Counts a request and returns the sender for it.
-    pub(super) fn begin_request(&mut self) -> &mut SendRequest<Body> {
+    /// Records that a request is sent and returns the sender for it.
+    pub(super) fn begin_request(&mut self, id: &str) -> &mut SendRequest<Body> {
         self.connection.sent_requests += 1;
+        self.connection.last_id = id.into();
         &mut self.connection.sender
     }
 
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -103,19 +103,26 @@
     upstream_request: &UpstreamRequest,
     outbound: OutboundMetadata<'_>,
 ) -> Result<UpstreamResponse, SendFailure> {
-    let mut connection = match pool.take_idle(outbound.endpoint) {
+    let mut connection = match pool.take_idle(outbound.endpoint, outbound.id) {
         Some(connection) => connection,
         None => connect(pool, address, outbound.endpoint).await?,
     };
     let request = build_request::<D>(upstream_request, outbound)?;
-    let response = match connection.begin_request().try_send_request(request).await {
+    let response = match connection
+        .begin_request(outbound.id)
+        .try_send_request(request)
+        .await
+    {
         Ok(response) => response,
         Err(mut error) => match error.take_message() {
             // The pooled connection was closed before a byte of the request was sent.
             Some(request) => {
                 pool.close_idle(outbound.endpoint);
                 connection = connect(pool, address, outbound.endpoint).await?;
-                let response = connection.begin_request().send_request(request).await;
+                let response = connection
+                    .begin_request(outbound.id)
+                    .send_request(request)
+                    .await;
                 response.map_err(SendFailure::connection_lost)?
             }
             None => return Err(SendFailure::connection_lost(error.into_error())),
@@ -164,7 +171,7 @@
     outbound: OutboundMetadata<'_>,
     may_send: impl Fn() -> bool,
 ) -> Result<(StatusCode, Bytes), SendFailure> {
-    let mut connection = match pool.take_idle(outbound.endpoint) {
+    let mut connection = match pool.take_idle(outbound.endpoint, outbound.id) {
         Some(connection) => connection,
         None => connect(pool, address, outbound.endpoint).await?,
     };
@@ -175,7 +182,10 @@
         ));
     }
     let request = build_request::<D>(upstream_request, outbound)?;
-    let response = connection.begin_request().send_request(request).await;
+    let response = connection
+        .begin_request(outbound.id)
+        .send_request(request)
+        .await;
     let response = response.map_err(SendFailure::connection_lost)?;
     let status = response.status();
     let head = D::parse_response_head(status, response.headers());
