Let reports use any idle connection to their engine

A repeated response to a report is a report of a moment before, and an order that rests on it is refused by the engine, since it names the number of orders that the engine must have accepted.

--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -70,18 +70,22 @@
         Self::default()
     }
 
-    /// Removes an idle connection that a request can use from the pool.
+    /// Removes an idle connection whose last request had another id from the pool.
     ///
-    /// An endpoint may repeat its last response before the next one. Only the id tells the two
-    /// apart, so the last request on the connection must have had another one.
-    pub(super) fn take_idle(&self, endpoint: &EndpointName, id: &str) -> Option<PooledConnection> {
+    /// An endpoint may repeat its last response before the next one, and only the id tells the two
+    /// apart. Without `id`, any idle connection is used.
+    pub(super) fn take_idle(
+        &self,
+        endpoint: &EndpointName,
+        id: Option<&str>,
+    ) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(endpoint)?;
         let now = Instant::now();
         connections.retain(|idle| idle.expires_at > now && idle.connection.sender.is_ready());
         let index = connections
             .iter()
-            .rposition(|idle| &*idle.connection.last_id != id)?;
+            .rposition(|idle| Some(&*idle.connection.last_id) != id)?;
         let idle = connections.remove(index);
         Some(self.check_out(endpoint, idle.connection))
     }
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -103,7 +103,7 @@
     upstream_request: &UpstreamRequest,
     outbound: OutboundMetadata<'_>,
 ) -> Result<UpstreamResponse, SendFailure> {
-    let mut connection = match pool.take_idle(outbound.endpoint, outbound.id) {
+    let mut connection = match pool.take_idle(outbound.endpoint, Some(outbound.id)) {
         Some(connection) => connection,
         None => connect(pool, address, outbound.endpoint).await?,
     };
@@ -171,7 +171,9 @@
     outbound: OutboundMetadata<'_>,
     may_send: impl Fn() -> bool,
 ) -> Result<(StatusCode, Bytes), SendFailure> {
-    let mut connection = match pool.take_idle(outbound.endpoint, outbound.id) {
+    // A repeated response to a safe request is only out of date.
+    let id = (!upstream_request.method.is_safe()).then_some(outbound.id);
+    let mut connection = match pool.take_idle(outbound.endpoint, id) {
         Some(connection) => connection,
         None => connect(pool, address, outbound.endpoint).await?,
     };
