Check the id of every response of an endpoint first

A caller could be told that a request has not run (503) on the word of a response without an id, and an order could count as accepted on the word of a response that names another request.

Cause: send() believed a refusal before it asked whose it was, if it had no id at all, and exchange(), which reports and orders use on the same pooled connections, asked for no id. A repeated answer to an order (409, 421, 503 without an id) may precede the answer to a request, and a repeated answer to a request may precede the one to an order.

Both now pass one check before anything else of the response is believed: it names this request, or it names none and the request had no id. Anything else may have run, and closes the connection.

--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -130,18 +130,8 @@
     };
     let (parts, body) = response.into_parts();
     let head = D::parse_response_head(parts.status, &parts.headers);
-    if let Err(failure) = check_response(&head, parts.status, outbound.id) {
-        if head.id.as_deref() != Some(outbound.id) {
-            event!(
-                info,
-                "response with another id; connection closed",
-                id = outbound.id,
-                endpoint = outbound.endpoint,
-                response_id = head.id.as_deref().unwrap_or_default(),
-                status = parts.status.as_u16(),
-                sent_requests = connection.sent_requests(),
-            );
-        }
+    check_id(&head, parts.status, outbound, &connection)?;
+    if let Err(failure) = check_response(&head, parts.status) {
         if failure.verdict == Verdict::NotRun {
             drain_refusal(head, body, connection).await;
         }
@@ -162,8 +152,8 @@
 ///
 /// # Errors
 ///
-/// Same as [`send`], except that the id and the signature of the response are not checked. Also
-/// fails if `may_send` returns `false`; the request has not run then.
+/// Same as [`send`], except that the signature of the response is not checked. Also fails if
+/// `may_send` returns `false`; the request has not run then.
 pub async fn exchange<D: Dialect>(
     pool: &Pool,
     address: SocketAddr,
@@ -191,6 +181,7 @@
     let response = response.map_err(SendFailure::connection_lost)?;
     let status = response.status();
     let head = D::parse_response_head(status, response.headers());
+    check_id(&head, status, outbound, &connection)?;
     let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
         .collect()
         .await;
@@ -232,13 +223,34 @@
     Ok(request)
 }
 
-fn check_response(head: &ResponseHead, status: StatusCode, id: &str) -> Result<(), SendFailure> {
-    let is_same_id = head.id.as_deref() == Some(id);
+fn check_id(
+    head: &ResponseHead,
+    status: StatusCode,
+    outbound: OutboundMetadata<'_>,
+    connection: &PooledConnection,
+) -> Result<(), SendFailure> {
+    let response_id = head.id.as_deref();
+    if response_id.unwrap_or_default() == outbound.id {
+        return Ok(());
+    }
+    event!(
+        info,
+        "response with another id; connection closed",
+        id = outbound.id,
+        endpoint = outbound.endpoint,
+        response_id = response_id.unwrap_or_default(),
+        status = status.as_u16(),
+        sent_requests = connection.sent_requests(),
+    );
+    let reason = match response_id {
+        Some(_) => "answer to another request",
+        None => "answer without the id of a request",
+    };
+    Err(SendFailure::new(Verdict::MayHaveRun, reason))
+}
+
+fn check_response(head: &ResponseHead, status: StatusCode) -> Result<(), SendFailure> {
     match head {
-        _ if head.id.is_some() && !is_same_id => Err(SendFailure::new(
-            Verdict::MayHaveRun,
-            "answer to another request",
-        )),
         _ if head.is_misdirected => Err(SendFailure::new(
             Verdict::NotRun,
             "another endpoint has the address",
@@ -247,10 +259,6 @@
             was_overloaded: true,
             ..SendFailure::new(Verdict::NotRun, format_args!("refused with {status}"))
         }),
-        _ if !is_same_id => Err(SendFailure::new(
-            Verdict::MayHaveRun,
-            "answer without the id of a request",
-        )),
         _ if head.is_encoded => Err(SendFailure::new(Verdict::MayHaveRun, "encoded answer")),
         _ if status.is_success() && head.signature.is_none() => Err(SendFailure::new(
             Verdict::MayHaveRun,
