Abandon the items of a batch job only if its route has really ended

Callers could read all items of a batch job as dead right after its owner had changed, though the route was in force and nothing had failed.

The new owner looked for the route in the configuration that its watch had delivered. A route that was missing there counted as ended: one failure, a retention of 0. The configuration may be older than the route, for instance if the connection of its watch has gone silent. Where there was none yet, the takeover failed after the row already named the node as owner.

A takeover now reads the configuration from the store, with a linearizable read after that of the state, and before it writes the row. The batch job was accepted under a configuration that the store already had, so the one read is at least as new: if it lacks the route, the route has ended, and dead items are allowed. It also gives max-attempts and retention-s of the right route if an older configuration has a shorter prefix. If the read fails, the takeover fails and is repeated as for the other reads. It costs one read of a row for each takeover; stored records are unchanged.

--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -132,19 +132,39 @@
     Ok(revision)
 }
 
-fn apply_operator_row<D: Dialect>(node: &Node<D>, row: &Row) {
-    let parsed = match D::parse_operator_row(&row.key, &row.value) {
-        Ok(parsed) => parsed,
-        Err(error) => {
-            event!(
-                warn,
-                "operator row could not be parsed; ignored",
-                key = row.key,
-                error = error
-            );
-            return;
-        }
+/// Reads the configuration from the store, and applies it if it is newer than the one in force.
+///
+/// # Errors
+///
+/// Fails if the store does not answer, or stores no configuration or a malformed one.
+pub async fn read_configuration<D: Dialect>(node: &Node<D>) -> Result<(), Error> {
+    let row = node
+        .store
+        .row(D::CONFIGURATION_KEY, Freshness::Linearizable)
+        .await;
+    node.record_store_call("read", &row);
+    let Some(row) = row?.0 else {
+        return Err(Error::Malformed("no configuration".into()));
     };
+    let parsed = D::parse_operator_row(&row.key, &row.value)
+        .map_err(|error| Error::Malformed(error.to_string().into()))?;
+    apply_parsed_row(node, parsed, row.revision);
+    Ok(())
+}
+
+fn apply_operator_row<D: Dialect>(node: &Node<D>, row: &Row) {
+    match D::parse_operator_row(&row.key, &row.value) {
+        Ok(parsed) => apply_parsed_row(node, parsed, row.revision),
+        Err(error) => event!(
+            warn,
+            "operator row could not be parsed; ignored",
+            key = row.key,
+            error = error
+        ),
+    }
+}
+
+fn apply_parsed_row<D: Dialect>(node: &Node<D>, parsed: OperatorRow, revision: Index) {
     let mut directory = node.directory.borrow_mut();
     match parsed {
         OperatorRow::Configuration(new) => {
@@ -158,7 +178,7 @@
                     "configuration in force",
                     version = new.version,
                     routes = new.routes.len(),
-                    revision = row.revision.0,
+                    revision = revision.0,
                 );
                 node.metrics
                     .set_state("configuration_version", new.version as i64);
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -12,7 +12,7 @@
 
 use super::owned::{OwnedJob, StateRow};
 use super::{keys, partial_outputs, read, run};
-use crate::control::members;
+use crate::control::{members, watch};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::{Node, Stage};
@@ -159,6 +159,7 @@
     };
     let listed = read::listed_results(node, job).await?;
     let submission = D::parse_submission(&record.body).map_err(|error| error.to_string())?;
+    let (max_failures, retention_ms) = read_limits(node, &record).await?;
     let from = state.owner.vm.clone();
     let new_state = JobState {
         owner: node.owner.clone(),
@@ -178,12 +179,6 @@
     if listed.len() != new_state.listed as usize {
         return Err("number of stored results differs from the state".into());
     }
-    let configuration = node.configuration().ok_or("no configuration")?;
-    let route = configuration.route(&record.host, &record.path);
-    let (max_attempts, retention_ms) = match route {
-        Some(route) => (route.max_attempts, route.retention_ms),
-        None => (1, 0),
-    };
     // Counted anew, since the clocks of two VMs don't give the age of a batch job: an item may expire
     // late, but never early.
     let expires_at_ms = node.now_ms() + retention_ms;
@@ -196,7 +191,7 @@
         revision = revision.0
     );
     let state = new_state;
-    let resumed_job = Job::new(submission, max_attempts, expires_at_ms).with_listed(listed);
+    let resumed_job = Job::new(submission, max_failures, expires_at_ms).with_listed(listed);
     let owned = OwnedJob::new(job, &record, resumed_job, StateRow { revision, state });
     owned.merge_partial_outputs(outputs);
     owned.merge_partial_outputs(partial_outputs::read_stored(node, job).await);
@@ -205,6 +200,28 @@
     Ok(true)
 }
 
+/// Reads the number of failures and the time in milliseconds after which the items of a batch job may
+/// be abandoned.
+///
+/// # Errors
+///
+/// Fails if the configuration can't be read.
+async fn read_limits<D: Dialect>(
+    node: &Node<D>,
+    record: &JobRecord,
+) -> Result<(u32, u64), Box<str>> {
+    // At least as new as the one under which the batch job was accepted, so a route that it lacks has
+    // ended.
+    watch::read_configuration(node)
+        .await
+        .map_err(|error| error.to_string())?;
+    let configuration = node.configuration().ok_or("no configuration")?;
+    Ok(match configuration.route(&record.host, &record.path) {
+        Some(route) => (route.max_attempts, route.retention_ms),
+        None => (1, 0),
+    })
+}
+
 /// Takes over the open batch jobs whose owner is not live; returns `true` if none of them is left.
 ///
 /// # Errors
