Don't take an error response to a resume for the end of a stream

What callers could see: on a resumable route, a stream that broke off after event k and was resumed at an endpoint that answered an error with an empty body reached the caller as a whole stream of k events, with the status and the signature of the first endpoint.

Cause: open_upstream returns every response that belongs to the request, whatever its status. Only handle_stream compared the status, for the first response; forward_stream passed each resumed response to forward_events, which reads an empty body as a body that has ended after its last event. The endpoint was recorded as a success too. An error with a body failed, because the body is no event.

That the endpoint counted as a success and that an error with a body failed is read, not shown.

Why it works: resume_upstream returns a response only if it is a success. Any other status uses up an attempt, the response is dropped, which closes its connection, and the stream goes on at another endpoint as long as the route allows attempts and the caller listens; else it is aborted. The endpoint is not recorded as failed, as for an error status of the first response: it has answered.

--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -210,15 +210,9 @@
             if let Some(entry) = node.directory.borrow_mut().registry.get_mut(&endpoint) {
                 entry.record_failure(node.now_ms());
             }
-            // Endpoints that failed earlier may have recovered; only the last one is excluded.
-            self.excluded = vec![endpoint];
-            let next = match self.may_resume() && !events.is_closed() {
-                true => self.open_upstream(&node).await,
-                false => Err((Verdict::MayHaveRun, "stream can't be resumed".into())),
-            };
-            match next {
+            match self.resume_upstream(&node, endpoint, &events).await {
                 Ok(next) => (endpoint, response) = next,
-                Err((_, reason)) => {
+                Err(reason) => {
                     event!(info, "stream aborted", id = self.id, reason = reason);
                     // Sending fails if the caller has disconnected.
                     let _is_delivered = events.send(Err(StreamAborted)).await.is_ok();
@@ -228,6 +222,35 @@
         }
     }
 
+    /// Resumes the stream at one endpoint after another until one responds with a success.
+    async fn resume_upstream<D: Dialect>(
+        &mut self,
+        node: &Rc<Node<D>>,
+        interrupted: EndpointName,
+        events: &Sender<Result<Bytes, StreamAborted>>,
+    ) -> Result<(EndpointName, UpstreamResponse), Box<str>> {
+        // Endpoints that failed earlier may have recovered; only the last one is excluded.
+        self.excluded = vec![interrupted];
+        while self.may_resume() && !events.is_closed() {
+            let (endpoint, response) = self
+                .open_upstream(node)
+                .await
+                .map_err(|(_, reason)| reason)?;
+            if response.status.is_success() {
+                return Ok((endpoint, response));
+            }
+            event!(
+                info,
+                "send to endpoint failed",
+                id = self.id,
+                endpoint = endpoint,
+                reason = format_args!("unexpected status {}", response.status),
+            );
+            self.excluded = vec![endpoint];
+        }
+        Err("stream can't be resumed".into())
+    }
+
     async fn forward_events<D: Dialect>(
         &mut self,
         node: &Rc<Node<D>>,
