End a stream request at its deadline when an error body doesn't arrive

What callers could see: no response at all, past their deadline and the route's timeout, when the endpoint of a stream request sent the head of an error response and then nothing. The connection to the endpoint stayed in use as well.

Cause: handle_stream waits for the head with a timeout, but read the body of an error response without one.

That the connection stayed in use is read, not shown.

Why it works: the body is read within the time that is left. After that the read is dropped, which closes the connection, and the caller gets 504 without the endpoint's signature and without a promise that the request has not run. A body that breaks off before the deadline is still a 502.

--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -22,7 +22,7 @@
 };
 use crate::node::Node;
 use crate::upstream::send::send;
-use crate::upstream::{EventReader, UpstreamRequest, UpstreamResponse};
+use crate::upstream::{EventReader, SendFailure, UpstreamRequest, UpstreamResponse};
 
 /// Events buffered for a slow caller.
 const MAX_BUFFERED_EVENTS: usize = 64;
@@ -85,7 +85,9 @@
     match forwarder.open_upstream(node).await {
         Ok((endpoint, response)) if !response.status.is_success() => {
             let (headers, status) = (response.headers.clone(), response.status);
-            match response.read_body().await {
+            let left_ms = forwarder.end_at_ms.saturating_sub(node.now_ms());
+            let body = timeout(Duration::from_millis(left_ms), response.read_body()).await;
+            match body.unwrap_or_else(|_| Err(SendFailure::ambiguous("its time is over"))) {
                 Ok(body) => endpoint_response::<D>(status, &headers, Payload::Full(Some(body))),
                 Err(failure) => {
                     event!(
@@ -95,7 +97,8 @@
                         endpoint = endpoint,
                         reason = failure.reason
                     );
-                    fail(failure.verdict, &failure.reason, false)
+                    let is_timeout = node.now_ms() >= forwarder.end_at_ms;
+                    fail(failure.verdict, &failure.reason, is_timeout)
                 }
             }
         }
