--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -22,7 +22,7 @@
 };
 use crate::node::Node;
 use crate::upstream::send::send;
-use crate::upstream::{EventReader, UpstreamRequest, UpstreamResponse};
+use crate::upstream::{EventReader, SendFailure, UpstreamRequest, UpstreamResponse};
 
 /// Events buffered for a slow caller.
 const MAX_BUFFERED_EVENTS: usize = 64;
@@ -85,7 +85,9 @@
     match forwarder.open_upstream(node).await {
         Ok((endpoint, response)) if !response.status.is_success() => {
             let (headers, status) = (response.headers.clone(), response.status);
-            match response.read_body().await {
+            let left_ms = forwarder.end_at_ms.saturating_sub(node.now_ms());
+            let body = timeout(Duration::from_millis(left_ms), response.read_body()).await;
+            match body.unwrap_or_else(|_| Err(SendFailure::ambiguous("its time is over"))) {
                 Ok(body) => endpoint_response::<D>(status, &headers, Payload::Full(Some(body))),
                 Err(failure) => {
                     event!(
@@ -95,7 +97,8 @@
                         endpoint = endpoint,
                         reason = failure.reason
                     );
-                    fail(failure.verdict, &failure.reason, false)
+                    let is_timeout = node.now_ms() >= forwarder.end_at_ms;
+                    fail(failure.verdict, &failure.reason, is_timeout)
                 }
             }
         }
@@ -210,15 +213,9 @@
             if let Some(entry) = node.directory.borrow_mut().registry.get_mut(&endpoint) {
                 entry.record_failure(node.now_ms());
             }
-            // Endpoints that failed earlier may have recovered; only the last one is excluded.
-            self.excluded = vec![endpoint];
-            let next = match self.may_resume() && !events.is_closed() {
-                true => self.open_upstream(&node).await,
-                false => Err((Verdict::MayHaveRun, "stream can't be resumed".into())),
-            };
-            match next {
+            match self.resume_upstream(&node, endpoint, &events).await {
                 Ok(next) => (endpoint, response) = next,
-                Err((_, reason)) => {
+                Err(reason) => {
                     event!(info, "stream aborted", id = self.id, reason = reason);
                     // Sending fails if the caller has disconnected.
                     let _is_delivered = events.send(Err(StreamAborted)).await.is_ok();
@@ -228,6 +225,35 @@
         }
     }
 
+    /// Resumes the stream at one endpoint after another until one responds with a success.
+    async fn resume_upstream<D: Dialect>(
+        &mut self,
+        node: &Rc<Node<D>>,
+        interrupted: EndpointName,
+        events: &Sender<Result<Bytes, StreamAborted>>,
+    ) -> Result<(EndpointName, UpstreamResponse), Box<str>> {
+        // Endpoints that failed earlier may have recovered; only the last one is excluded.
+        self.excluded = vec![interrupted];
+        while self.may_resume() && !events.is_closed() {
+            let (endpoint, response) = self
+                .open_upstream(node)
+                .await
+                .map_err(|(_, reason)| reason)?;
+            if response.status.is_success() {
+                return Ok((endpoint, response));
+            }
+            event!(
+                info,
+                "send to endpoint failed",
+                id = self.id,
+                endpoint = endpoint,
+                reason = format_args!("unexpected status {}", response.status),
+            );
+            self.excluded = vec![endpoint];
+        }
+        Err("stream can't be resumed".into())
+    }
+
     async fn forward_events<D: Dialect>(
         &mut self,
         node: &Rc<Node<D>>,
