Read an engine's status on a connection of its own

What operators could see: an engine that sends a response twice, the second time before the response to the next request on that connection, made a daemon record an old status as the present one. Its version, load and draining state were those of an earlier time, under the time of the later read, so a controller could order a version that the engine already served, and the router could send work to an engine that drains. What callers could see: the duplicate of a status that came before a completion on the same connection failed that attempt as `crossed`.

Cause: `engine_status` took the pooled client directly, past the rule of `Clients::for_request` that a connection is used again only if the endpoint echoes the request id, and it checked no id.

Why it works: a connection that carries one request has no earlier response to duplicate, and what comes after the first response is dropped with the connection. Weight orders and probes already work so. The pooled client is now private to the module with the rule, so no request can pass it by. The checked exchange was the other way; it needs engines that echo the id of a status request too, and one that echoes it only on completions would have had no status at all.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -49,7 +49,7 @@
         }
     }
 
-    pub(crate) fn pooled(&self) -> Client {
+    fn pooled(&self) -> Client {
         Client::clone(&self.pooled.load())
     }
 
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -182,14 +182,16 @@
         })
     }
 
-    /// Requests the status of an engine.
+    /// Requests the status of an engine, on a connection that is used only once.
     ///
     /// # Errors
     ///
     /// Fails if no response arrives or it is malformed.
     pub async fn engine_status(&self, target: &Target) -> Result<EngineStatus, Failure> {
+        // Engines need not echo a request id here, so on a reused connection a duplicate of an
+        // earlier response could not be recognized.
         let outgoing = self
-            .pooled()
+            .single_use
             .get(format!("http://{}/admin/status", target.address))
             .timeout(STATUS_TIMEOUT);
         let response = outgoing.send().await.map_err(Failure::from_reqwest)?;
--- a/crates/stand-in/src/scripted.rs
+++ b/crates/stand-in/src/scripted.rs
@@ -73,6 +73,26 @@
     ///
     /// Returns an error if no port can be bound.
     pub async fn start<F>(script: F) -> io::Result<Self>
+    where
+        F: Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
+    {
+        Self::start_with(script, false).await
+    }
+
+    /// Starts a server that sends each response a second time, before the response to the next
+    /// request on the same connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn start_duplicating<F>(script: F) -> io::Result<Self>
+    where
+        F: Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
+    {
+        Self::start_with(script, true).await
+    }
+
+    async fn start_with<F>(script: F, duplicates: bool) -> io::Result<Self>
     where
         F: Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
     {
@@ -82,6 +102,7 @@
         let sent_bytes = Arc::default();
         let task = ServerTask {
             script: Arc::new(script),
+            duplicates,
             requests: Arc::clone(&requests),
             sent_bytes: Arc::clone(&sent_bytes),
         };
@@ -114,6 +135,8 @@
 
 struct ServerTask<F> {
     script: Arc<F>,
+    /// Whether each response is sent again before the next one.
+    duplicates: bool,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     sent_bytes: Arc<AtomicU64>,
 }
@@ -135,6 +158,7 @@
     }
 
     async fn serve_connection(&self, connection: usize, mut stream: TcpStream) -> io::Result<()> {
+        let mut duplicate = String::new();
         loop {
             let head = read_request(&mut stream).await?;
             let request = record_request(&self.requests, connection, head);
@@ -142,15 +166,24 @@
                 Reply::KeepAlive(text) => (text, true),
                 Reply::Close(text) => (text, false),
             };
-            for chunk in text.as_bytes().chunks(CHUNK_BYTES) {
-                stream.write_all(chunk).await?;
-                let sent = &self.sent_bytes;
-                sent.fetch_add(chunk.len() as u64, Ordering::AcqRel);
-            }
+            self.send(&mut stream, &duplicate).await?;
+            self.send(&mut stream, &text).await?;
             if !keep_alive {
                 return Ok(());
             }
+            if self.duplicates {
+                duplicate = text;
+            }
+        }
+    }
+
+    async fn send(&self, stream: &mut TcpStream, text: &str) -> io::Result<()> {
+        for chunk in text.as_bytes().chunks(CHUNK_BYTES) {
+            stream.write_all(chunk).await?;
+            let sent = &self.sent_bytes;
+            sent.fetch_add(chunk.len() as u64, Ordering::AcqRel);
         }
+        Ok(())
     }
 }
 
