Don't count a malformed response as a crash of its endpoint

Callers got 503 for a minute for requests that had met two malformed responses, and scorers were no longer called.

Cause: each failure of a connection after the request was sent counted as a crash of the endpoint by that request, also a response head that can't be parsed. Two of them, at two endpoints, refuse the request as one that crashes what runs it. It is the class of fault of this incident: an answer is counted for more than it says. An endpoint that sends a malformed head is alive.

Evidence: a_request_with_malformed_responses_is_sent_again failed before ([502, 502, 503, 503, 503, 503]). A response that breaks off in its body still counts as a crash.

--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -82,6 +82,14 @@
         Self::new(Verdict::MayHaveRun, reason)
     }
 
+    /// Returns the failure of a request that was sent and got no valid response head.
+    fn no_response(error: hyper::Error) -> Self {
+        match error.is_parse() {
+            true => Self::ambiguous(error),
+            false => Self::connection_lost(error),
+        }
+    }
+
     fn connection_lost(reason: impl ToString) -> Self {
         Self {
             connection_lost: true,
@@ -123,9 +131,9 @@
                     .begin_request(outbound.id)
                     .send_request(request)
                     .await;
-                response.map_err(SendFailure::connection_lost)?
+                response.map_err(SendFailure::no_response)?
             }
-            None => return Err(SendFailure::connection_lost(error.into_error())),
+            None => return Err(SendFailure::no_response(error.into_error())),
         },
     };
     let (parts, body) = response.into_parts();
@@ -178,7 +186,7 @@
         .begin_request(outbound.id)
         .send_request(request)
         .await;
-    let response = response.map_err(SendFailure::connection_lost)?;
+    let response = response.map_err(SendFailure::no_response)?;
     let status = response.status();
     let head = D::parse_response_head(status, response.headers());
     check_id(&head, status, outbound, &connection)?;
