Keep a store error ambiguous when a relayed copy of the call is refused

What callers could see: a submission of a batch job was answered 503, which promises that no part of it will run, and was stored seconds later. The row then named this node as owner, but the node did not look for it, so the items waited for a query, a restart of the node or a takeover.

Cause: the direct commit got no response in time (Unavailable: it may take effect later). The call was then relayed, the peer's store call was refused (Refused or RateLimited: nothing took effect), and RelayedStore returned only the second error. accept::submit took it for the outcome of both.

Why this works: the error of a call that was sent on two paths is the more cautious of the two. A refusal on the second path keeps an ambiguous error of the first; success, and regular responses such as an expired lease, stay definite. A submission then takes the existing path for ambiguous outcomes: it reads its row, answers 502 and looks for a late write.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -111,19 +111,20 @@
         {
             return response;
         }
-        let response = self.call_directly(call.clone()).await;
-        match &response {
-            Err(error) if !error.is_healthy_response() => {
-                let until = Instant::now() + FAILED_PATH_BACKOFF;
-                self.shared.direct_backoff_until.set(Some(until));
-                // A failed watch may have missed a change, so its caller must read all rows again.
-                if let StoreCall::Watch(..) = call {
-                    return response;
-                }
-                self.shared.direct_failed.notify_waiters();
-                self.relay(&call).await.unwrap_or(response)
-            }
-            _ => response,
+        let direct_error = match self.call_directly(call.clone()).await {
+            Err(error) if !error.is_healthy_response() => error,
+            response => return response,
+        };
+        let until = Instant::now() + FAILED_PATH_BACKOFF;
+        self.shared.direct_backoff_until.set(Some(until));
+        // A failed watch may have missed a change, so its caller must read all rows again.
+        if let StoreCall::Watch(..) = call {
+            return Err(direct_error);
+        }
+        self.shared.direct_failed.notify_waiters();
+        match self.relay(&call).await {
+            Some(response) => response.map_err(|error| error.after(direct_error)),
+            None => Err(direct_error),
         }
     }
 
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -32,6 +32,24 @@
         matches!(self, Self::Unavailable(_) | Self::Malformed(_))
     }
 
+    /// Returns the error of a call that failed with `earlier` on one path and then with `self` on
+    /// another.
+    ///
+    /// A refusal on the second path says nothing of a write that was sent on the first.
+    ///
+    /// ```
+    /// use wisteriapoint_store::Error;
+    ///
+    /// let timed_out = Error::Unavailable("timeout".into());
+    /// assert!(Error::RateLimited.after(timed_out).may_have_taken_effect());
+    /// ```
+    pub fn after(self, earlier: Self) -> Self {
+        match self {
+            Self::Refused(_) | Self::RateLimited if earlier.may_have_taken_effect() => earlier,
+            error => error,
+        }
+    }
+
     /// Returns `true` if a watch has to be restarted with a read of all rows.
     pub fn is_history_gone(&self) -> bool {
         matches!(self, Self::HistoryGone)
