Report an earlier copy of a peer request that may have been executed

It needs a node whose store calls are relayed, and a peer that ends, or whose connection breaks, while it commits for that node.

Cause: the peer client sends a request again if a reused connection breaks, and returned only the outcome of the second copy. If the peer had received the first copy and refused the second, the relay took the refusal for the outcome of both. If the second connection was refused, the error's is_connect() said that the message did not reach the peer; nothing calls it so far. The relay makes an ambiguous error of each transport error, so that path was right.

Why this works: Client::call_for_reply says whether an earlier copy was written completely; only then can the peer have executed it. The relay combines a refusal of the second copy with the lost outcome of the first, as for a call that was sent on two paths. A failed second connection is an error of its own, which is_connect() leaves out and is_connection_refused() includes: that no process listens holds for it too.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use wisteriapoint_peer::Client;
+use wisteriapoint_peer::{Client, Reply};
 use wisteriapoint_store::{
     Change, CommitOutcome, Error, Freshness, Index, LeaseId, Row, Transaction, TransactionalStore,
 };
@@ -158,12 +158,11 @@
             timeout += MAX_RELAYED_WATCH;
         }
         let request = PeerRequest::Store(call.clone());
-        let response = self.peers.call(peer, &request, timeout).await;
-        let response = match response {
-            Ok(PeerResponse::Store(response)) => response,
-            Ok(_) => Err(Error::Unavailable("the peer did not understand".into())),
-            Err(error) => Err(Error::Unavailable(error.to_string().into())),
-        };
+        let reply = self.peers.call_for_reply(peer, &request, timeout).await;
+        let response = reply.map_or_else(
+            |error| Err(Error::Unavailable(error.to_string().into())),
+            relayed_response,
+        );
         match &response {
             Err(error) if !error.is_healthy_response() => {
                 event!(
@@ -182,6 +181,18 @@
     }
 }
 
+fn relayed_response(reply: Reply<PeerResponse>) -> Result<StoreResponse, Error> {
+    let PeerResponse::Store(response) = reply.response else {
+        return Err(Error::Unavailable("the peer did not understand".into()));
+    };
+    response.map_err(|error| match reply.was_resent {
+        true => error.after(Error::Unavailable(
+            "the connection to the peer broke".into(),
+        )),
+        false => error,
+    })
+}
+
 async fn execute<S: TransactionalStore>(
     store: &S,
     call: StoreCall,
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -15,6 +15,15 @@
 
 const MAX_IDLE_PER_PEER: usize = 4;
 
+/// A response, and whether its request was sent more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reply<Resp> {
+    /// The response to the last copy of the request.
+    pub response: Resp,
+    /// Whether the peer may also have executed an earlier copy, whose response was lost.
+    pub was_resent: bool,
+}
+
 /// Sends requests to other daemons over reused TCP connections.
 ///
 /// A request that fails on a reused connection is sent again on a new one, so the peer may
@@ -43,6 +52,25 @@
         request: &Req,
         time_limit: Duration,
     ) -> Result<Resp, Error>
+    where
+        Req: Serialize,
+        Resp: DeserializeOwned,
+    {
+        let reply = self.call_for_reply(address, request, time_limit).await?;
+        Ok(reply.response)
+    }
+
+    /// As [`call`](Self::call); also returns whether the request was sent more than once.
+    ///
+    /// # Errors
+    ///
+    /// As [`call`](Self::call).
+    pub async fn call_for_reply<Req, Resp>(
+        &self,
+        address: SocketAddr,
+        request: &Req,
+        time_limit: Duration,
+    ) -> Result<Reply<Resp>, Error>
     where
         Req: Serialize,
         Resp: DeserializeOwned,
@@ -63,18 +91,34 @@
         &self,
         address: SocketAddr,
         frame: &[u8],
-    ) -> Result<Resp, Error> {
+    ) -> Result<Reply<Resp>, Error> {
+        let mut was_resent = false;
+        // A frame that was not written completely is not executed.
         if let Some(mut stream) = self.take_idle(address)
-            && let Ok(response) = round_trip(&mut stream, frame).await
+            && frame::write(&mut stream, frame).await.is_ok()
         {
-            self.return_idle(address, stream);
-            return Ok(response);
+            if let Ok(response) = frame::read(&mut stream).await {
+                self.return_idle(address, stream);
+                return Ok(Reply {
+                    response,
+                    was_resent,
+                });
+            }
+            was_resent = true;
         }
-        let mut stream = TcpStream::connect(address).await.map_err(Kind::Connect)?;
+        let connected = TcpStream::connect(address).await;
+        let mut stream = connected.map_err(|error| match was_resent {
+            true => Kind::Reconnect(error),
+            false => Kind::Connect(error),
+        })?;
         stream.set_nodelay(true)?;
-        let response = round_trip(&mut stream, frame).await?;
+        frame::write(&mut stream, frame).await?;
+        let response = frame::read(&mut stream).await?;
         self.return_idle(address, stream);
-        Ok(response)
+        Ok(Reply {
+            response,
+            was_resent,
+        })
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
@@ -90,11 +134,3 @@
         }
     }
 }
-
-async fn round_trip<Resp: DeserializeOwned>(
-    stream: &mut TcpStream,
-    frame: &[u8],
-) -> Result<Resp, Error> {
-    frame::write(stream, frame).await?;
-    frame::read(stream).await
-}
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -11,6 +11,8 @@
 pub(crate) enum Kind {
     #[error("connecting to the peer failed: {0}")]
     Connect(io::Error),
+    #[error("connecting again failed after the connection to the peer broke: {0}")]
+    Reconnect(io::Error),
     #[error("the connection to the peer failed: {0}")]
     Io(#[from] io::Error),
     #[error("the peer did not answer in time")]
@@ -32,14 +34,17 @@
 }
 
 impl Error {
-    /// Returns `true` if no connection was made, so the message did not reach the peer.
+    /// Returns `true` if the message was sent on no connection, so it did not reach the peer.
     pub fn is_connect(&self) -> bool {
         matches!(self.0, Kind::Connect(_))
     }
 
     /// Returns `true` if the peer's host refused the connection: no process listens there.
     pub fn is_connection_refused(&self) -> bool {
-        matches!(&self.0, Kind::Connect(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+        let (Kind::Connect(error) | Kind::Reconnect(error)) = &self.0 else {
+            return false;
+        };
+        error.kind() == io::ErrorKind::ConnectionRefused
     }
 
     /// Returns `true` if the response did not arrive within the time limit.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod frame;
 pub mod server;
 
-pub use client::Client;
+pub use client::{Client, Reply};
 pub use datagram::DatagramSocket;
 pub use error::Error;
 pub use frame::{MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION};
