Keep reports off connections whose last request was an order

An engine could get no order for a while: a repeated answer to an order passed for the report that follows on its connection, since neither has an id; it can't be parsed, no order is sent, and the connection goes back to the pool with the report outstanding.

Only a report may precede a report, or a request with an id. The pool now compares a key of two requests, in place of an optional id with two meanings of none.

--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Method;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -46,8 +47,35 @@
     task: AbortHandle,
     /// Number of requests that were sent on the connection.
     sent_requests: u32,
-    /// Id of the last request that was sent on the connection; empty for one without an id.
-    last_id: Box<str>,
+    last_request: RequestKey,
+}
+
+/// What tells the response to a request from that to the request before it on the connection.
+#[derive(Debug, Clone, Default)]
+pub(super) struct RequestKey {
+    /// Id that the endpoint echoes; empty for a request without an id.
+    id: Box<str>,
+    is_safe: bool,
+}
+
+impl RequestKey {
+    pub(super) fn new(id: &str, method: &Method) -> Self {
+        Self {
+            id: id.into(),
+            is_safe: method.is_safe(),
+        }
+    }
+
+    /// Returns `true` if no response to the request before can pass for the one to this request.
+    ///
+    /// An endpoint may repeat its last response before the next one. A repeated response to a safe
+    /// request without an id is only out of date.
+    fn may_follow(&self, last: &Self) -> bool {
+        match self.id.is_empty() && last.id.is_empty() {
+            true => self.is_safe && last.is_safe,
+            false => self.id != last.id,
+        }
+    }
 }
 
 impl Drop for Connection {
@@ -70,14 +98,11 @@
         Self::default()
     }
 
-    /// Removes an idle connection whose last request had another id from the pool.
-    ///
-    /// An endpoint may repeat its last response before the next one, and only the id tells the two
-    /// apart. Without `id`, any idle connection is used.
+    /// Removes an idle connection on which a request may follow the last one from the pool.
     pub(super) fn take_idle(
         &self,
         endpoint: &EndpointName,
-        id: Option<&str>,
+        key: &RequestKey,
     ) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(endpoint)?;
@@ -85,7 +110,7 @@
         connections.retain(|idle| idle.expires_at > now && idle.connection.sender.is_ready());
         let index = connections
             .iter()
-            .rposition(|idle| Some(&*idle.connection.last_id) != id)?;
+            .rposition(|idle| key.may_follow(&idle.connection.last_request))?;
         let idle = connections.remove(index);
         Some(self.check_out(endpoint, idle.connection))
     }
@@ -116,7 +141,7 @@
             sender,
             task,
             sent_requests: 0,
-            last_id: "".into(),
+            last_request: RequestKey::default(),
         };
         Ok(self.check_out(endpoint, connection))
     }
@@ -137,9 +162,9 @@
 
 impl PooledConnection {
     /// Records that a request is sent and returns the sender for it.
-    pub(super) fn begin_request(&mut self, id: &str) -> &mut SendRequest<Body> {
+    pub(super) fn begin_request(&mut self, key: &RequestKey) -> &mut SendRequest<Body> {
         self.connection.sent_requests += 1;
-        self.connection.last_id = id.into();
+        self.connection.last_request.clone_from(key);
         &mut self.connection.sender
     }
 
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 use wisteriapoint_types::{EndpointName, Verdict};
 
+use super::pool::RequestKey;
 use super::{Pool, PooledConnection};
 use crate::dialect::{Dialect, OutboundMetadata, ResponseHead};
 use crate::event;
@@ -111,13 +112,14 @@
     upstream_request: &UpstreamRequest,
     outbound: OutboundMetadata<'_>,
 ) -> Result<UpstreamResponse, SendFailure> {
-    let mut connection = match pool.take_idle(outbound.endpoint, Some(outbound.id)) {
+    let key = RequestKey::new(outbound.id, &upstream_request.method);
+    let mut connection = match pool.take_idle(outbound.endpoint, &key) {
         Some(connection) => connection,
         None => connect(pool, address, outbound.endpoint).await?,
     };
     let request = build_request::<D>(upstream_request, outbound)?;
     let response = match connection
-        .begin_request(outbound.id)
+        .begin_request(&key)
         .try_send_request(request)
         .await
     {
@@ -127,10 +129,7 @@
             Some(request) => {
                 pool.close_idle(outbound.endpoint);
                 connection = connect(pool, address, outbound.endpoint).await?;
-                let response = connection
-                    .begin_request(outbound.id)
-                    .send_request(request)
-                    .await;
+                let response = connection.begin_request(&key).send_request(request).await;
                 response.map_err(SendFailure::no_response)?
             }
             None => return Err(SendFailure::no_response(error.into_error())),
@@ -160,8 +159,8 @@
 ///
 /// # Errors
 ///
-/// Same as [`send`], except that the signature of the response is not checked. Also fails if
-/// `may_send` returns `false`; the request has not run then.
+/// Same as [`send`], except that of the response only the id is checked. Also fails if `may_send`
+/// returns `false`; the request has not run then.
 pub async fn exchange<D: Dialect>(
     pool: &Pool,
     address: SocketAddr,
@@ -169,9 +168,8 @@
     outbound: OutboundMetadata<'_>,
     may_send: impl Fn() -> bool,
 ) -> Result<(StatusCode, Bytes), SendFailure> {
-    // A repeated response to a safe request is only out of date.
-    let id = (!upstream_request.method.is_safe()).then_some(outbound.id);
-    let mut connection = match pool.take_idle(outbound.endpoint, id) {
+    let key = RequestKey::new(outbound.id, &upstream_request.method);
+    let mut connection = match pool.take_idle(outbound.endpoint, &key) {
         Some(connection) => connection,
         None => connect(pool, address, outbound.endpoint).await?,
     };
@@ -182,10 +180,7 @@
         ));
     }
     let request = build_request::<D>(upstream_request, outbound)?;
-    let response = connection
-        .begin_request(outbound.id)
-        .send_request(request)
-        .await;
+    let response = connection.begin_request(&key).send_request(request).await;
     let response = response.map_err(SendFailure::no_response)?;
     let status = response.status();
     let head = D::parse_response_head(status, response.headers());
