Read the configuration at every takeover of a batch job

An item could be dead after fewer failures than its route allows: a new owner whose configuration is older than the batch job uses the limits of the former version of the route, or of a route with a shorter prefix.

--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -205,24 +205,21 @@
 ///
 /// # Errors
 ///
-/// Fails if the configuration in force has no route for the batch job and no newer one can be read.
+/// Fails if the configuration can't be read from the store.
 async fn read_limits<D: Dialect>(
     node: &Node<D>,
     record: &JobRecord,
 ) -> Result<(u32, u64), Box<str>> {
-    let limits = || {
-        let configuration = node.configuration()?;
-        let route = configuration.route(&record.host, &record.path)?;
-        Some((route.max_attempts, route.retention_ms))
-    };
-    if let Some(limits) = limits() {
-        return Ok(limits);
-    }
-    // A configuration that is read now is at least as new as the one under which the batch job was
-    // accepted, so a route that it lacks has ended.
-    let configuration = watch::read_configuration(node).await;
-    configuration.map_err(|error| error.to_string())?;
-    Ok(limits().unwrap_or((1, 0)))
+    // At least as new as the configuration under which the batch job was accepted. The one in force may
+    // be older, and then lack its route or have lower limits.
+    watch::read_configuration(node)
+        .await
+        .map_err(|error| error.to_string())?;
+    let configuration = node.configuration().ok_or("no configuration")?;
+    Ok(match configuration.route(&record.host, &record.path) {
+        Some(route) => (route.max_attempts, route.retention_ms),
+        None => (1, 0),
+    })
 }
 
 /// Takes over the open batch jobs whose owner is not live; returns `true` if none of them is left.
