Don't count an oversized response as a crash of its endpoint

Callers could get 503 for a minute for requests that had met two responses over the size limit, as with malformed responses: the request counted as one that crashes its endpoints. Such an endpoint is alive, and the same response comes again from the next.

--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use tokio::time::timeout;
@@ -91,6 +91,14 @@
         }
     }
 
+    /// Returns the failure of a request whose response has no complete body, or too large a one.
+    fn no_body(error: Box<dyn std::error::Error + Send + Sync>) -> Self {
+        match error.is::<LengthLimitError>() {
+            true => Self::ambiguous(error),
+            false => Self::connection_lost(error),
+        }
+    }
+
     fn connection_lost(reason: impl ToString) -> Self {
         Self {
             connection_lost: true,
@@ -188,7 +196,7 @@
     let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
         .collect()
         .await;
-    let body = body.map_err(SendFailure::connection_lost)?;
+    let body = body.map_err(SendFailure::no_body)?;
     if !head.closes {
         connection.return_to_pool(head.keep_alive_ms);
     }
@@ -286,7 +294,7 @@
         } = self;
         let limited = Limited::new(body, MAX_RESPONSE_BYTES);
         let collected = limited.collect().await;
-        let body = collected.map_err(SendFailure::connection_lost)?;
+        let body = collected.map_err(SendFailure::no_body)?;
         if !head.closes {
             connection.return_to_pool(head.keep_alive_ms);
         }
