Give the reasons for which items are abandoned a module of their own

No change of logic. An abandoned item was Unservable, hopeless, given up and abandoned in code, log lines and metrics; it is abandoned now, and its result dead, as in the protocol. Expiry is one of the reasons.

--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -12,6 +12,7 @@
 use wisteriapoint_directory::Route;
 use wisteriapoint_types::{EndpointName, WeightVersion};
 
+use super::abandon::AbandonReason;
 use super::{OwnedJob, score};
 use crate::dialect::{Dialect, OutboundMetadata};
 use crate::event;
@@ -55,31 +56,6 @@
     pub outcome: AttemptOutcome,
 }
 
-/// Reason for which an item is abandoned.
-#[derive(Debug, Clone, Copy)]
-pub enum AbandonReason {
-    /// Its path or headers cannot be sent.
-    Malformed,
-    /// An endpoint answered that it can never be done.
-    Rejected,
-    /// Endpoints failed it as often as its route allows.
-    Failed,
-    /// Its scorer failed as often as the scorer's route allows.
-    NotScored,
-}
-
-impl AbandonReason {
-    /// Returns the reason as it stands in log lines and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Malformed => "malformed",
-            Self::Rejected => "rejected",
-            Self::Failed => "failed",
-            Self::NotScored => "not-scored",
-        }
-    }
-}
-
 /// Outcome of an attempt at an item.
 #[derive(Debug)]
 pub enum AttemptOutcome {
@@ -94,8 +70,8 @@
     },
     /// The endpoint answered with an internal error, which counts as a failure of the item.
     Failed,
-    /// The item cannot be completed at any endpoint, for the given reason.
-    Unservable(AbandonReason),
+    /// The item can't be completed, for the given reason.
+    Abandoned(AbandonReason),
     /// The item has to resume at another endpoint.
     Unfinished,
 }
@@ -173,7 +149,7 @@
                 score,
             },
             (Ok(_), None) => AttemptOutcome::Unfinished,
-            (Err(score::ScoringError), _) => AttemptOutcome::Unservable(AbandonReason::NotScored),
+            (Err(score::ScoringError), _) => AttemptOutcome::Abandoned(AbandonReason::NotScored),
         }
     }
 
@@ -224,7 +200,7 @@
     }
 
     fn build_request(&self, route: &Route) -> Result<UpstreamRequest, AttemptOutcome> {
-        const MALFORMED: AttemptOutcome = AttemptOutcome::Unservable(AbandonReason::Malformed);
+        const MALFORMED: AttemptOutcome = AttemptOutcome::Abandoned(AbandonReason::Malformed);
         let mut headers = HeaderMap::new();
         let item_headers = self.item.headers.iter();
         let host = (HOST.as_str(), &*route.host);
@@ -259,7 +235,7 @@
         match response.status {
             status if status.is_success() => {}
             StatusCode::UNPROCESSABLE_ENTITY => {
-                return Ok(Err(AttemptOutcome::Unservable(AbandonReason::Rejected)));
+                return Ok(Err(AttemptOutcome::Abandoned(AbandonReason::Rejected)));
             }
             StatusCode::INTERNAL_SERVER_ERROR => return Ok(Err(AttemptOutcome::Failed)),
             status => {
@@ -402,7 +378,7 @@
     match outcome {
         AttemptOutcome::Completed { .. } => "completed",
         AttemptOutcome::Failed => "failed",
-        AttemptOutcome::Unservable(_) => "hopeless",
+        AttemptOutcome::Abandoned(_) => "abandoned",
         AttemptOutcome::Unfinished => "unfinished",
     }
 }
--- a/crates/node/src/jobs/mod.rs
+++ b/crates/node/src/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! Batch jobs, which are stored on submission, run by the node that owns them, and readable at
 //! every node.
 
+pub mod abandon;
 pub mod accept;
 pub mod attempt;
 pub mod commit;
--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -12,7 +12,8 @@
 use wisteriapoint_directory::{Requirements, Route};
 use wisteriapoint_types::ServiceName;
 
-use super::attempt::{AbandonReason, Attempt, AttemptOutcome, AttemptResult};
+use super::abandon::{AbandonReason, abandon_expired, abandon_item};
+use super::attempt::{Attempt, AttemptOutcome, AttemptResult};
 use super::{OwnedJob, commit, partial_outputs};
 use crate::dialect::Dialect;
 use crate::event;
@@ -51,18 +52,7 @@
     let mut handles: BTreeMap<ItemKey, AbortHandle> = BTreeMap::new();
     let mut migrated_at_ms = 0;
     while owned.is_open.get() && !owned.job.borrow().is_done() {
-        let expired_items = owned.job.borrow_mut().expire(node.now_ms());
-        if expired_items > 0 {
-            event!(
-                info,
-                "batch job expired; remaining items abandoned",
-                id = owned.id,
-                items = expired_items
-            );
-            let abandoned = &node.metrics.abandoned_items;
-            let expired = abandoned.with_label_values(&["expired"]);
-            expired.inc_by(expired_items as u64);
-        }
+        abandon_expired(&node, &owned);
         start_items(&node, &owned, &mut attempts, &mut handles);
         if node.now_ms() >= migrated_at_ms + MIGRATION_INTERVAL_MS {
             migrated_at_ms = node.now_ms();
@@ -224,12 +214,12 @@
             );
             "completed"
         }
-        AttemptOutcome::Unservable(reason) => {
-            abandon(node, owned, &mut job, result.key, reason);
+        AttemptOutcome::Abandoned(reason) => {
+            abandon_item(node, owned, &mut job, result.key, reason);
             "dead"
         }
         AttemptOutcome::Failed if job.record_failure(result.key) => {
-            abandon(node, owned, &mut job, result.key, AbandonReason::Failed);
+            abandon_item(node, owned, &mut job, result.key, AbandonReason::Failed);
             "dead"
         }
         AttemptOutcome::Failed => {
@@ -246,23 +236,3 @@
     }
     node.metrics.items.with_label_values(&[outcome]).inc();
 }
-
-fn abandon<D: Dialect>(
-    node: &Node<D>,
-    owned: &OwnedJob,
-    job: &mut Job,
-    key: ItemKey,
-    reason: AbandonReason,
-) {
-    let item = job.item(key).map_or("", |item| &*item.id);
-    event!(
-        info,
-        "item abandoned",
-        id = owned.id,
-        item = item,
-        reason = reason.as_str()
-    );
-    let abandoned = &node.metrics.abandoned_items;
-    abandoned.with_label_values(&[reason.as_str()]).inc();
-    job.finish(node.now_ms(), key, Outcome::Dead);
-}
--- a/crates/node/src/jobs/score.rs
+++ b/crates/node/src/jobs/score.rs
@@ -102,7 +102,7 @@
     let Ok(uri) = scorer.path.parse() else {
         return ForwardOutcome::not_sent("malformed scorer path");
     };
-    // The loop in `score` counts failures, so each call must send the request only once.
+    // The loop in `score` counts failures, so a call must end with the first of them.
     let route = Route {
         max_attempts: 1,
         ..route.clone()
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -29,7 +29,7 @@
     pub item_seconds: HistogramVec,
     /// Items of batch jobs by outcome.
     pub items: IntCounterVec,
-    /// Items given up by reason.
+    /// Abandoned items of batch jobs by reason.
     pub abandoned_items: IntCounterVec,
     /// Calls to the store by operation and result.
     pub store_calls: IntCounterVec,
@@ -55,7 +55,11 @@
                 sends: counter("sends_total", "Sends to endpoints", &["service", "outcome"])?,
                 item_seconds: histogram("item_seconds", "Time of an item", &["service"])?,
                 items: counter("items_total", "Items of batch jobs", &["outcome"])?,
-                abandoned_items: counter("abandoned_items_total", "Items given up", &["reason"])?,
+                abandoned_items: counter(
+                    "abandoned_items_total",
+                    "Abandoned items of batch jobs",
+                    &["reason"],
+                )?,
                 store_calls: counter("store_calls_total", "Calls", &["call", "result"])?,
                 orders: counter("orders_total", "Orders to engines", &["reply"])?,
                 state: IntGaugeVec::new(
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -246,7 +246,7 @@
     }
     event!(
         info,
-        "response with another id; connection closed",
+        "response without the id of its request; connection closed",
         id = outbound.id,
         endpoint = outbound.endpoint,
         response_id = response_id.unwrap_or_default(),
