Let a node know a peer as soon as it knows the members or the leader

Callers got 503 for submissions at a node that the store alone refused, for as long as the refusal lasted, although another node could have written for it. The known-red test waited its 30 s in vain.

Cause: a node learnt its peers only from a stale read after its lease was obtained, and again every 6 s. A node that read before its peer had registered knew none; refused before the next read, it could not relay its calls, so it could not read the members either, and as reads follow a renewed lease, it tried none.

Evidence: an_owner_that_the_store_refuses_writes_through_a_peer failed in 5 of 40 runs one after another beside builds, and in 9 of 40 runs four at a time with traces of the peers. In all 9 the refused node had set an empty list once and never again.

The leader reads the members after each change of their rows anyway, and now takes its peers from these reads; its stale reads fall away. Other nodes read the leader's row to claim leadership, and now take the leader as a peer. No store call is added.

A node that is refused before it has read either the leader's row or a peer's row still knows no peer.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -56,6 +56,9 @@
                 Ok(())
             }
             Ok(ClaimOutcome::Follower(leader, revision)) => {
+                if let Some(leader) = &leader {
+                    node.store.add_peer(leader.address);
+                }
                 node.leader.replace(leader);
                 wait_for_change(&node, LEADER_KEY, revision).await
             }
@@ -248,12 +251,14 @@
     previous: &mut BTreeSet<Owner>,
 ) -> Result<(), Error> {
     let (members, revision) = members::members_with_revision(node, Freshness::Linearizable).await?;
+    members::set_peers(node, &members);
     let members: BTreeSet<_> = members.into_iter().collect();
     let is_first = previous.is_empty();
     let is_member_missing = !previous.is_subset(&members);
     if is_first || is_member_missing {
         sleep(MEMBER_RETURN_PAUSE).await;
-        let (live, _) = members::members_with_revision(node, Freshness::Linearizable).await?;
+        let live = members::members(node, Freshness::Linearizable).await?;
+        members::set_peers(node, &live);
         let live: BTreeSet<_> = live.into_iter().collect();
         if !jobs::take_over_ownerless_jobs(node, &live).await? {
             event!(info, "ownerless batch jobs not all taken over; retrying");
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -107,7 +107,8 @@
         match result {
             Ok(()) => {
                 backoff = Backoff::new();
-                if Instant::now() >= members_due {
+                // The leader watches the members.
+                if !node.is_leader() && Instant::now() >= members_due {
                     members_due = Instant::now() + MEMBERS_READ_INTERVAL;
                     update_peer_addresses(&node).await;
                 }
@@ -128,11 +129,9 @@
 /// Updates the addresses of the other nodes, through which the store may be reached.
 async fn update_peer_addresses<D: Dialect>(node: &Rc<Node<D>>) {
     match members::members(node, Freshness::Stale).await {
-        Ok(members) => {
-            let peers = members.iter().filter(|member| **member != node.owner);
-            node.store
-                .set_peers(peers.map(|member| member.address).collect());
-        }
+        // A node that became the leader during the read has newer rows.
+        Ok(_) if node.is_leader() => {}
+        Ok(members) => members::set_peers(node, &members),
         Err(error) => event!(debug, "members could not be read", error = error),
     }
 }
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -1,5 +1,7 @@
 //! Rows of the live nodes, each under the lease of its node.
 
+use std::collections::BTreeSet;
+
 use wisteriapoint_batch::Owner;
 use wisteriapoint_store::{Error, Freshness, Index, TransactionalStore};
 
@@ -66,3 +68,15 @@
         .collect();
     Ok((members, revision))
 }
+
+/// Sets the nodes through which the store may be reached: the other members and the leader.
+pub fn set_peers<D: Dialect>(node: &Node<D>, members: &[Owner]) {
+    let leader = node.leader.borrow();
+    // A stale read may not have the leader's row yet.
+    let known = members.iter().chain(leader.as_ref());
+    let peers: BTreeSet<_> = known
+        .filter(|member| **member != node.owner)
+        .map(|member| member.address)
+        .collect();
+    node.store.set_peers(peers.into_iter().collect());
+}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -82,7 +82,8 @@
 }
 
 impl<S: TransactionalStore> RelayedStore<S> {
-    /// Wraps a direct client; relays no call until [`set_peers`](Self::set_peers) is called.
+    /// Wraps a direct client; relays no call until a peer is [set](Self::set_peers) or
+    /// [added](Self::add_peer).
     pub fn new(direct: S, peers: Client) -> Self {
         Self {
             direct,
@@ -96,6 +97,14 @@
         self.shared.peer_addresses.replace(addresses);
     }
 
+    /// Adds the address of a node through which calls may be relayed.
+    pub fn add_peer(&self, address: SocketAddr) {
+        let mut addresses = self.shared.peer_addresses.borrow_mut();
+        if !addresses.contains(&address) {
+            addresses.push(address);
+        }
+    }
+
     /// Executes a call for another node, without relaying it further.
     ///
     /// # Errors
