Don't count a lease that ended before the member row as obtained

A node that got the answer that its lease had ended, when it wrote its member row, went on as if it held that lease: it claimed leadership and stored rows under it, in vain, and had no member row until its next renewal, half a second later, told it so. Read in the code, not seen by callers: a node whose lease was revoked could take itself for the definite owner of batch jobs meanwhile, which the leader takes over from nodes without a member row.

Cause: obtain checked that the transaction was answered and dropped its outcome.

Any outcome other than a written row is now the error of an expired lease, after which a new one is obtained, after a pause. The transaction has no conditions, so a conflict is not expected.

--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -6,7 +6,9 @@
 
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
-use wisteriapoint_store::{Backoff, Error, Freshness, LeaseId, Transaction, TransactionalStore};
+use wisteriapoint_store::{
+    Backoff, CommitOutcome, Error, Freshness, LeaseId, Transaction, TransactionalStore,
+};
 
 use super::members;
 use crate::clock::boot_ms;
@@ -145,7 +147,10 @@
     let transaction = Transaction::new().with_leased_put(key, value, lease);
     let committed = node.store.commit(&transaction).await;
     node.record_store_call("member", &committed);
-    committed?;
+    match committed? {
+        CommitOutcome::Done(_) => {}
+        CommitOutcome::LeaseEnded | CommitOutcome::Conflict => return Err(Error::LeaseExpired),
+    }
     node.lease.record_renewal(lease, call_boot_ms, ttl_ms);
     event!(info, "lease obtained", lease = lease.0);
     // While this node had no lease, other nodes may have taken over its batch jobs.
