--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -6,7 +6,9 @@
 
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
-use wisteriapoint_store::{Backoff, Error, Freshness, LeaseId, Transaction, TransactionalStore};
+use wisteriapoint_store::{
+    Backoff, CommitOutcome, Error, Freshness, LeaseId, Transaction, TransactionalStore,
+};
 
 use super::members;
 use crate::clock::boot_ms;
@@ -107,7 +109,8 @@
         match result {
             Ok(()) => {
                 backoff = Backoff::new();
-                if Instant::now() >= members_due {
+                // The leader watches the members.
+                if !node.is_leader() && Instant::now() >= members_due {
                     members_due = Instant::now() + MEMBERS_READ_INTERVAL;
                     update_peer_addresses(&node).await;
                 }
@@ -128,11 +131,9 @@
 /// Updates the addresses of the other nodes, through which the store may be reached.
 async fn update_peer_addresses<D: Dialect>(node: &Rc<Node<D>>) {
     match members::members(node, Freshness::Stale).await {
-        Ok(members) => {
-            let peers = members.iter().filter(|member| **member != node.owner);
-            node.store
-                .set_peers(peers.map(|member| member.address).collect());
-        }
+        // A node that became the leader during the read has newer rows.
+        Ok(_) if node.is_leader() => {}
+        Ok(members) => members::set_peers(node, &members),
         Err(error) => event!(debug, "members could not be read", error = error),
     }
 }
@@ -146,7 +147,10 @@
     let transaction = Transaction::new().with_leased_put(key, value, lease);
     let committed = node.store.commit(&transaction).await;
     node.record_store_call("member", &committed);
-    committed?;
+    match committed? {
+        CommitOutcome::Done(_) => {}
+        CommitOutcome::LeaseEnded | CommitOutcome::Conflict => return Err(Error::LeaseExpired),
+    }
     node.lease.record_renewal(lease, call_boot_ms, ttl_ms);
     event!(info, "lease obtained", lease = lease.0);
     // While this node had no lease, other nodes may have taken over its batch jobs.
