Wait for open partitions before holds are sent in process tests

Callers saw nothing wrong. a_hold_whose_daemon_is_killed_before_its_dispatch_runs_at_most_once can time out waiting until most daemons hold both claims.

Cause: the fixture waited until each daemon had three members in its view, but not until their partitions were open. A claim is granted by two of three holders, and a holder whose partition isn't open yet refuses it. If one daemon refuses the first claim and another one the second, both are granted and only one daemon holds both, for good. The test waits for two.

The fixture now also waits until all partitions are open at each daemon, as the tests in one process do; the condition on the claims is unchanged. The metric was set by the next tick only, so that it still told of the earlier view for up to 20 ms; it is now 0 as soon as a view is adopted.

--- a/crates/wisteriapoint/src/daemon/control/members.rs
+++ b/crates/wisteriapoint/src/daemon/control/members.rs
@@ -22,6 +22,7 @@
         );
         self.shared.metrics.view_number.set(view.number.0 as i64);
         self.shared.metrics.members.set(view.members.len() as i64);
+        self.shared.metrics.open_partitions.set(0);
         self.shared
             .peers
             .retain(|address| view.members.iter().any(|m| m.peer_address == address));
--- a/crates/wisteriapoint/tests/processes.rs
+++ b/crates/wisteriapoint/tests/processes.rs
@@ -20,6 +20,7 @@
 };
 use wisteriapoint_store::{HttpStore, keys};
 use wisteriapoint_types::VmName;
+use wisteriapoint_types::key::PARTITION_COUNT;
 
 const DEADLINE_MS: u64 = 60_000;
 
@@ -111,6 +112,12 @@
                 .all(|&members| members == 3)
         })
         .await;
+        // A claim is held only where its partition is open. Three daemons hold all partitions.
+        wait_until("all partitions are open", || async {
+            let open = fixture.metric("wisteriapoint_open_partitions").await;
+            open.iter().all(|&open| open == u32::from(PARTITION_COUNT))
+        })
+        .await;
         fixture
     }
 
@@ -171,25 +178,25 @@
         let queued = tokio::spawn(self.daemons[0].hold(queued_key).send());
         // A claim needs two of three holders; the third may receive no request for it.
         wait_until("most daemons hold both claims", || async {
-            let claims = self.claim_counts().await;
+            let claims = self.metric("wisteriapoint_claims").await;
             claims.iter().filter(|&&claims| claims == 2).count() >= 2
         })
         .await;
         [running, queued]
     }
 
-    /// Returns the number of claims that each daemon holds.
-    async fn claim_counts(&self) -> Vec<u32> {
-        let mut claims = Vec::new();
+    /// Returns the value of a metric without labels at each daemon.
+    async fn metric(&self, name: &str) -> Vec<u32> {
+        let mut values = Vec::new();
         for daemon in &self.daemons {
             let url = format!("http://{}/metrics", daemon.addresses.admin);
             let response = deployment::client().get(url).send().await.unwrap();
             let text = response.text().await.unwrap();
-            let mut lines = text.lines();
-            let claim = lines.find_map(|line| line.strip_prefix("wisteriapoint_claims "));
-            claims.push(claim.and_then(|number| number.parse().ok()).unwrap_or(0));
+            let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+            let value = lines.find(|(metric, _)| *metric == name);
+            values.push(value.and_then(|(_, value)| value.parse().ok()).unwrap_or(0));
         }
-        claims
+        values
     }
 
     /// Retries a hold at the other daemons and checks that each verdict matches the number of runs.
@@ -223,6 +230,7 @@
     assert_eq!(fixture.runs("a"), 1);
 }
 
+// Guards against a second dispatch of a hold whose claimant is killed while the hold is queued.
 #[tokio::test]
 async fn a_hold_whose_daemon_is_killed_before_its_dispatch_runs_at_most_once() {
     let mut fixture = Fixture::start().await;
