Name the error of a limited body by its trait

No change of behaviour: the type was written as a boxed dyn error, which the product's request path doesn't name. fmt and clippy are clean; requests.rs covers both branches.

--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use tokio::time::timeout;
 use wisteriapoint_types::{EndpointName, Verdict};
@@ -92,7 +92,7 @@
     }
 
     /// Returns the failure of a request whose response has no complete body, or too large a one.
-    fn no_body(error: Box<dyn std::error::Error + Send + Sync>) -> Self {
+    fn no_body(error: <Limited<Incoming> as Body>::Error) -> Self {
         match error.is::<LengthLimitError>() {
             true => Self::ambiguous(error),
             false => Self::connection_lost(error),
