--- a/crates/directory/src/suspects.rs
+++ b/crates/directory/src/suspects.rs
@@ -48,6 +48,18 @@
         }
     }
 
+    /// Returns the endpoints that crashed on a request, and the time since the last crash in
+    /// milliseconds.
+    pub fn crashes(&self, now_ms: u64, digest: Digest) -> (&[EndpointName], u64) {
+        match self.suspects.get(&digest) {
+            Some(suspect) => (
+                &suspect.endpoints,
+                now_ms.saturating_sub(suspect.last_crash_ms),
+            ),
+            None => (&[], 0),
+        }
+    }
+
     /// Clears a request that an endpoint responded to, since it does not crash all of them.
     pub fn clear(&mut self, digest: Digest) {
         self.suspects.remove(&digest);
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -163,7 +163,7 @@
                 &mut node.directory.borrow_mut(),
                 now_ms,
                 &endpoint,
-                digest,
+                (&self.id, digest),
                 &failure,
                 OVERLOAD_BACKOFF_MS,
             );
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -144,12 +144,7 @@
         return AttemptHistory::default().into_outcome("route without a service", false);
     };
     let digest = request_digest(&request.upstream_request);
-    if node
-        .directory
-        .borrow()
-        .suspects
-        .is_quarantined(node.now_ms(), digest)
-    {
+    if is_quarantined(node, request.id, digest) {
         return AttemptHistory::default()
             .into_outcome("it has crashed the endpoints that ran it", false);
     }
@@ -196,7 +191,14 @@
             at_ms: now_ms,
             occupancy: occupancy + 1,
         };
-        record_result(node, &endpoint, &service, digest, start, &result);
+        record_result(
+            node,
+            &endpoint,
+            &service,
+            (request.id, digest),
+            start,
+            &result,
+        );
         let failure = match result {
             Ok(response) if may_retry_response(request.route, &response, &history) => {
                 history.possibly_run_attempts += 1;
@@ -223,6 +225,26 @@
     }
 }
 
+/// Returns `true` if the request has crashed too many endpoints; logs which.
+fn is_quarantined<D: Dialect>(node: &Node<D>, id: &str, digest: Digest) -> bool {
+    let now_ms = node.now_ms();
+    let directory = node.directory.borrow();
+    if !directory.suspects.is_quarantined(now_ms, digest) {
+        return false;
+    }
+    let (endpoints, age_ms) = directory.suspects.crashes(now_ms, digest);
+    let endpoints: Vec<_> = endpoints.iter().map(|name| name.as_str()).collect();
+    event!(
+        info,
+        "request refused as a crash suspect",
+        id = id,
+        digest = digest,
+        endpoints = endpoints.join(","),
+        age_ms = age_ms,
+    );
+    true
+}
+
 /// Returns `true` if the request has not run and an endpoint may have capacity for it soon.
 fn may_place_later<D: Dialect>(
     node: &Node<D>,
@@ -328,7 +350,7 @@
     node: &Node<D>,
     endpoint: &EndpointName,
     service: &ServiceName,
-    digest: Digest,
+    (id, digest): (&str, Digest),
     start: SendStart,
     result: &Result<ForwardOutcome, SendFailure>,
 ) {
@@ -353,7 +375,7 @@
             &mut directory,
             now_ms,
             endpoint,
-            digest,
+            (id, digest),
             failure,
             OVERLOAD_BACKOFF_MS,
         ),
@@ -369,12 +391,21 @@
     directory: &mut crate::node::Directory,
     now_ms: u64,
     endpoint: &EndpointName,
-    digest: Digest,
+    (id, digest): (&str, Digest),
     failure: &SendFailure,
     overload_backoff_ms: u64,
 ) -> &'static str {
     if failure.connection_lost {
         directory.suspects.record_crash(now_ms, digest, endpoint);
+        event!(
+            info,
+            "crash of endpoint recorded",
+            id = id,
+            digest = digest,
+            endpoint = endpoint,
+            crashed_endpoints = directory.suspects.crashes(now_ms, digest).0.len(),
+            reason = failure.reason,
+        );
     }
     match directory.registry.get_mut(endpoint) {
         Some(entry) if failure.was_overloaded => entry.record_overload(now_ms, overload_backoff_ms),
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -190,7 +190,7 @@
                     &mut directory,
                     node.now_ms(),
                     &endpoint,
-                    digest,
+                    (&self.item.id, digest),
                     &failure,
                     REFUSAL_PAUSE_MS,
                 );
--- a/crates/types/src/hash.rs
+++ b/crates/types/src/hash.rs
@@ -1,5 +1,7 @@
 //! Stable hashes that are equal on every daemon and in every version.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64_with_seed, xxh3_128};
 
@@ -24,3 +26,9 @@
         Self(xxh3_128(&joined))
     }
 }
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
