Keep items and scorers' calls out of the crash suspects

What callers saw: an item whose scorers lost the answer to its call twice got no score for 60 s, and was listed as dead where its time was shorter.

Cause: calls of batch jobs were recorded and refused like requests of callers. They are handed in for later and owed, so they are neither refused nor do they make a caller's request with the same path and body one that is.

--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -15,7 +15,7 @@
 use super::{batch, stream};
 use crate::dialect::{Dialect, InboundMetadata, Operation};
 use crate::event;
-use crate::forward::{ForwardOutcome, ForwardRequest, forward};
+use crate::forward::{ForwardOutcome, ForwardRequest, forward, request_digest};
 use crate::node::{Node, Stage};
 use crate::upstream::UpstreamRequest;
 
@@ -182,15 +182,17 @@
     copy_headers(&head.headers, &mut headers, |name| {
         name == ACCEPT_ENCODING.as_str()
     });
+    let upstream_request = UpstreamRequest {
+        method: head.method,
+        uri: head.uri,
+        headers,
+        body,
+    };
     let request = ForwardRequest {
         id: &id,
         route,
-        upstream_request: UpstreamRequest {
-            method: head.method,
-            uri: head.uri,
-            headers,
-            body,
-        },
+        digest: Some(request_digest(&upstream_request)),
+        upstream_request,
         deadline_at_ms: arrived_at_ms + deadline_ms,
         arrived_at_ms,
     };
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -158,7 +158,7 @@
                 Ok(Err(failure)) => failure,
                 Err(_) => return Err((Verdict::MayHaveRun, "its time is over".into())),
             };
-            let digest = request_digest(&self.upstream_request);
+            let digest = Some(request_digest(&self.upstream_request));
             record_send_failure(
                 &mut node.directory.borrow_mut(),
                 now_ms,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -37,6 +37,9 @@
     pub route: &'a Route,
     /// Request as sent to each endpoint.
     pub upstream_request: UpstreamRequest,
+    /// Digest by which a resent request is recognised; `None` for a call of a batch job, which is owed
+    /// whatever happened to its endpoints, and so never a crash suspect.
+    pub digest: Option<Digest>,
     /// Deadline of the caller on the node's clock, in milliseconds.
     pub deadline_at_ms: u64,
     /// Time of arrival on the node's clock, in milliseconds.
@@ -143,8 +146,8 @@
     let Some(service) = request.route.select_service(rand::random()).cloned() else {
         return AttemptHistory::default().into_outcome("route without a service", false);
     };
-    let digest = request_digest(&request.upstream_request);
-    if is_quarantined(node, request.id, digest) {
+    let digest = request.digest;
+    if digest.is_some_and(|digest| is_quarantined(node, request.id, digest)) {
         return AttemptHistory::default()
             .into_outcome("it has crashed the endpoints that ran it", false);
     }
@@ -350,7 +353,7 @@
     node: &Node<D>,
     endpoint: &EndpointName,
     service: &ServiceName,
-    (id, digest): (&str, Digest),
+    (id, digest): (&str, Option<Digest>),
     start: SendStart,
     result: &Result<ForwardOutcome, SendFailure>,
 ) {
@@ -358,7 +361,9 @@
     let mut directory = node.directory.borrow_mut();
     let outcome = match result {
         Ok(ForwardOutcome::Response(response)) => {
-            directory.suspects.clear(digest);
+            if let Some(digest) = digest {
+                directory.suspects.clear(digest);
+            }
             if let Some(entry) = directory.registry.get_mut(endpoint) {
                 entry.record_response(now_ms - start.at_ms, start.occupancy);
                 if let Some(load) = response.head.load {
@@ -391,11 +396,11 @@
     directory: &mut crate::node::Directory,
     now_ms: u64,
     endpoint: &EndpointName,
-    (id, digest): (&str, Digest),
+    (id, digest): (&str, Option<Digest>),
     failure: &SendFailure,
     overload_backoff_ms: u64,
 ) -> &'static str {
-    if failure.connection_lost {
+    if let Some(digest) = digest.filter(|_| failure.connection_lost) {
         directory.suspects.record_crash(now_ms, digest, endpoint);
         event!(
             info,
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -16,7 +16,7 @@
 use super::{OwnedJob, score};
 use crate::dialect::{Dialect, OutboundMetadata};
 use crate::event;
-use crate::forward::{InFlightGuard, post_request, record_send_failure, request_digest};
+use crate::forward::{InFlightGuard, post_request, record_send_failure};
 use crate::node::Node;
 use crate::upstream::send::send;
 use crate::upstream::{Event, EventReader, SendFailure, UpstreamRequest, UpstreamResponse};
@@ -184,13 +184,12 @@
                     verdict = failure.verdict,
                     reason = failure.reason,
                 );
-                let digest = request_digest(&upstream_request);
                 let mut directory = node.directory.borrow_mut();
                 record_send_failure(
                     &mut directory,
                     node.now_ms(),
                     &endpoint,
-                    (&self.item.id, digest),
+                    (&self.item.id, None),
                     &failure,
                     REFUSAL_PAUSE_MS,
                 );
--- a/crates/node/src/jobs/score.rs
+++ b/crates/node/src/jobs/score.rs
@@ -110,6 +110,7 @@
     let now_ms = node.now_ms();
     let request = ForwardRequest {
         id: &scorer.id,
+        digest: None,
         upstream_request: post_request(uri, headers, Bytes::from(scorer.body.clone())),
         deadline_at_ms: now_ms + route.objective_ms * CALL_TIMEOUT_OBJECTIVES,
         arrived_at_ms: now_ms,
