Don't count a lost answer as a crash of its endpoint

Cause: a connection that closes without an answer was taken for a crash. Evidence that tells them apart is at hand at once: an endpoint that has crashed accepts no connection, so a node opens one before it records a crash, and keeps it for reuse otherwise. An endpoint that drains or is no longer registered may end while it runs requests and is no evidence either.

--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -17,8 +17,8 @@
 use crate::dialect::{Dialect, OutboundMetadata};
 use crate::event;
 use crate::forward::{
-    ForwardFailure, ForwardRequest, InFlightGuard, OVERLOAD_BACKOFF_MS, record_send_failure,
-    request_digest,
+    ForwardFailure, ForwardRequest, InFlightGuard, OVERLOAD_BACKOFF_MS, record_crash,
+    record_send_failure, request_digest,
 };
 use crate::node::Node;
 use crate::upstream::send::send;
@@ -163,10 +163,10 @@
                 &mut node.directory.borrow_mut(),
                 now_ms,
                 &endpoint,
-                (&self.id, digest),
                 &failure,
                 OVERLOAD_BACKOFF_MS,
             );
+            record_crash(node, (&self.id, digest), &endpoint, address, &failure).await;
             event!(
                 info,
                 "send to endpoint failed",
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::time::{sleep, timeout};
-use wisteriapoint_directory::{Requirements, Route, RouteKind};
+use wisteriapoint_directory::{Endpoint, EndpointStage, Requirements, Route, RouteKind};
 use wisteriapoint_types::{Digest, EndpointName, ServiceName, Verdict};
 
 use crate::dialect::{Dialect, OutboundMetadata, ResponseHead};
@@ -194,14 +194,7 @@
             at_ms: now_ms,
             occupancy: occupancy + 1,
         };
-        record_result(
-            node,
-            &endpoint,
-            &service,
-            (request.id, digest),
-            start,
-            &result,
-        );
+        record_result(node, &endpoint, &service, digest, start, &result);
         let failure = match result {
             Ok(response) if may_retry_response(request.route, &response, &history) => {
                 history.possibly_run_attempts += 1;
@@ -212,6 +205,7 @@
             Ok(response) => return response,
             Err(failure) => failure,
         };
+        record_crash(node, (request.id, digest), &endpoint, address, &failure).await;
         event!(
             info,
             "send to endpoint failed",
@@ -248,6 +242,50 @@
     true
 }
 
+/// Records a crash if the connection was lost and the endpoint accepts no new one.
+///
+/// An endpoint that accepts connections has only lost its answer, and one that leaves its service
+/// may end while it runs requests.
+pub async fn record_crash<D: Dialect>(
+    node: &Node<D>,
+    (id, digest): (&str, Option<Digest>),
+    endpoint: &EndpointName,
+    address: std::net::SocketAddr,
+    failure: &SendFailure,
+) {
+    let is_ready = |entry: &Endpoint| entry.record.stage == EndpointStage::Ready;
+    let is_member = node
+        .directory
+        .borrow()
+        .registry
+        .get(endpoint)
+        .is_some_and(is_ready);
+    let Some(digest) = digest.filter(|_| failure.connection_lost && is_member) else {
+        return;
+    };
+    if node.pool.is_accepting(endpoint, address).await {
+        event!(
+            info,
+            "answer lost; endpoint accepts connections",
+            id = id,
+            endpoint = endpoint
+        );
+        return;
+    }
+    let mut directory = node.directory.borrow_mut();
+    let now_ms = node.now_ms();
+    directory.suspects.record_crash(now_ms, digest, endpoint);
+    event!(
+        info,
+        "crash of endpoint recorded",
+        id = id,
+        digest = digest,
+        endpoint = endpoint,
+        crashed_endpoints = directory.suspects.crashes(now_ms, digest).0.len(),
+        reason = failure.reason,
+    );
+}
+
 /// Returns `true` if the request has not run and an endpoint may have capacity for it soon.
 fn may_place_later<D: Dialect>(
     node: &Node<D>,
@@ -353,7 +391,7 @@
     node: &Node<D>,
     endpoint: &EndpointName,
     service: &ServiceName,
-    (id, digest): (&str, Option<Digest>),
+    digest: Option<Digest>,
     start: SendStart,
     result: &Result<ForwardOutcome, SendFailure>,
 ) {
@@ -380,7 +418,6 @@
             &mut directory,
             now_ms,
             endpoint,
-            (id, digest),
             failure,
             OVERLOAD_BACKOFF_MS,
         ),
@@ -396,22 +433,9 @@
     directory: &mut crate::node::Directory,
     now_ms: u64,
     endpoint: &EndpointName,
-    (id, digest): (&str, Option<Digest>),
     failure: &SendFailure,
     overload_backoff_ms: u64,
 ) -> &'static str {
-    if let Some(digest) = digest.filter(|_| failure.connection_lost) {
-        directory.suspects.record_crash(now_ms, digest, endpoint);
-        event!(
-            info,
-            "crash of endpoint recorded",
-            id = id,
-            digest = digest,
-            endpoint = endpoint,
-            crashed_endpoints = directory.suspects.crashes(now_ms, digest).0.len(),
-            reason = failure.reason,
-        );
-    }
     match directory.registry.get_mut(endpoint) {
         Some(entry) if failure.was_overloaded => entry.record_overload(now_ms, overload_backoff_ms),
         Some(entry) => entry.record_failure(now_ms),
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -189,7 +189,6 @@
                     &mut directory,
                     node.now_ms(),
                     &endpoint,
-                    (&self.item.id, None),
                     &failure,
                     REFUSAL_PAUSE_MS,
                 );
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -146,6 +146,17 @@
         Ok(self.check_out(endpoint, connection))
     }
 
+    /// Returns `true` if an endpoint accepts a new connection, which is then kept for reuse.
+    pub async fn is_accepting(&self, endpoint: &EndpointName, address: SocketAddr) -> bool {
+        match self.connect(endpoint, address).await {
+            Ok(connection) => {
+                connection.return_to_pool(None);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     fn check_out(&self, endpoint: &EndpointName, connection: Connection) -> PooledConnection {
         PooledConnection {
             pool: self.clone(),
