--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -16,11 +16,9 @@
 pub mod event_times;
 pub mod registry;
 pub mod subset;
-pub mod suspects;
 
 pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Split};
 pub use endpoint::{Endpoint, EndpointRecord, EndpointStage, Load};
 pub use event_times::EventTimes;
 pub use registry::{Registry, Requirements};
 pub use subset::{ServiceSizes, Subset};
-pub use suspects::CrashSuspects;
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -1,5 +1,6 @@
 //! Streams of server-sent events, forwarded to callers as they arrive.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use wisteriapoint_directory::Route;
-use wisteriapoint_types::{EndpointName, ServiceName, Verdict};
+use wisteriapoint_types::{Digest, EndpointName, ServiceName, Verdict};
 
 use super::response::{
     CallerResponse, Payload, StreamAborted, endpoint_response, failure_response,
@@ -17,10 +18,11 @@
 use crate::dialect::{Dialect, OutboundMetadata};
 use crate::event;
 use crate::forward::{
-    ForwardFailure, ForwardRequest, InFlightGuard, OVERLOAD_BACKOFF_MS, record_crash,
-    record_send_failure, request_digest,
+    ForwardFailure, ForwardRequest, InFlightGuard, OVERLOAD_BACKOFF_MS, QUARANTINE_REASON,
+    pause_suspect, record_send_failure,
 };
 use crate::node::Node;
+use crate::suspects::{self, Isolation, Placement, Run};
 use crate::upstream::send::send;
 use crate::upstream::{EventReader, SendFailure, UpstreamRequest, UpstreamResponse};
 
@@ -28,6 +30,9 @@
 const MAX_BUFFERED_EVENTS: usize = 64;
 /// Longest gap between two events of an endpoint; callers disconnect after 2 s.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest wait of a suspect for an endpoint without other suspects, in milliseconds: a part of the
+/// gap after which callers disconnect.
+const MAX_ISOLATION_WAIT_MS: u64 = 500;
 /// Retry delay sent to a caller whose request has not run.
 const RETRY_AFTER_MS: u64 = 150;
 
@@ -36,6 +41,7 @@
 struct StreamForwarder {
     id: Box<str>,
     upstream_request: UpstreamRequest,
+    digest: Option<Digest>,
     route: Route,
     service: ServiceName,
     end_at_ms: u64,
@@ -52,27 +58,14 @@
     last_event: Option<u64>,
 ) -> CallerResponse {
     let route = request.route;
-    let fail = |verdict, reason: &str, is_timeout| {
-        event!(
-            info,
-            "stream request failed",
-            id = request.id,
-            verdict = verdict,
-            reason = reason
-        );
-        failure_response::<D>(&ForwardFailure {
-            verdict,
-            reason: reason.into(),
-            is_timeout,
-            retry_after_ms: RETRY_AFTER_MS,
-        })
-    };
+    let id = request.id;
     let Some(service) = route.select_service(rand::random()).cloned() else {
-        return fail(Verdict::NotRun, "route without a service", false);
+        return fail::<D>(id, &failure(Verdict::NotRun, "route without a service"));
     };
     let mut forwarder = StreamForwarder {
-        id: request.id.into(),
+        id: id.into(),
         upstream_request: request.upstream_request,
+        digest: request.digest,
         route: route.clone(),
         service,
         end_at_ms: request
@@ -83,41 +76,63 @@
         attempts: 0,
     };
     match forwarder.open_upstream(node).await {
-        Ok((endpoint, response)) if !response.status.is_success() => {
-            let (headers, status) = (response.headers.clone(), response.status);
-            let left_ms = forwarder.end_at_ms.saturating_sub(node.now_ms());
-            let body = timeout(Duration::from_millis(left_ms), response.read_body()).await;
-            match body.unwrap_or_else(|_| Err(SendFailure::ambiguous("its time is over"))) {
-                Ok(body) => endpoint_response::<D>(status, &headers, Payload::Full(Some(body))),
-                Err(failure) => {
-                    event!(
-                        info,
-                        "send to endpoint failed",
-                        id = forwarder.id,
-                        endpoint = endpoint,
-                        reason = failure.reason
-                    );
-                    let is_timeout = node.now_ms() >= forwarder.end_at_ms;
-                    fail(failure.verdict, &failure.reason, is_timeout)
-                }
+        Ok(stream) if !stream.response.status.is_success() => {
+            match forwarder.read_failure(node, stream).await {
+                Ok(response) => response,
+                Err(failure) => fail::<D>(id, &failure),
             }
         }
-        Ok((endpoint, response)) => {
-            let headers = response.headers.clone();
-            let status = response.status;
+        Ok(stream) => {
+            let headers = stream.response.headers.clone();
+            let status = stream.response.status;
             let (events, chunks) = channel(MAX_BUFFERED_EVENTS);
-            spawn_local(forwarder.forward_stream(node.clone(), endpoint, response, events));
+            spawn_local(forwarder.forward_stream(node.clone(), stream, events));
             let mut response = endpoint_response::<D>(status, &headers, Payload::Chunks(chunks));
             response.headers_mut().remove(CONTENT_LENGTH);
             response
         }
-        Err((verdict, reason)) => {
-            let is_timeout = node.now_ms() >= forwarder.end_at_ms;
-            fail(verdict, &reason, is_timeout)
-        }
+        Err(failure) => fail::<D>(id, &failure),
     }
 }
 
+/// Returns the failure of a request whose time is not over.
+fn failure(verdict: Verdict, reason: &str) -> ForwardFailure {
+    ForwardFailure {
+        verdict,
+        reason: reason.into(),
+        is_timeout: false,
+        retry_after_ms: RETRY_AFTER_MS,
+    }
+}
+
+/// Logs a failure before the first event and returns the response to the caller.
+fn fail<D: Dialect>(id: &str, failure: &ForwardFailure) -> CallerResponse {
+    event!(
+        info,
+        "stream request failed",
+        id = id,
+        verdict = failure.verdict,
+        reason = failure.reason
+    );
+    failure_response::<D>(failure)
+}
+
+/// How the forwarding of an endpoint's events ended.
+enum StreamEnd {
+    /// The caller has all events.
+    Complete,
+    /// The caller has disconnected.
+    CallerLeft,
+}
+
+/// A stream that an endpoint has begun.
+struct UpstreamStream<D: Dialect> {
+    run: Run<D>,
+    endpoint: EndpointName,
+    address: SocketAddr,
+    response: UpstreamResponse,
+}
+
 impl StreamForwarder {
     /// Returns `true` if the route allows another attempt.
     fn may_resume(&self) -> bool {
@@ -128,93 +143,195 @@
     async fn open_upstream<D: Dialect>(
         &mut self,
         node: &Rc<Node<D>>,
-    ) -> Result<(EndpointName, UpstreamResponse), (Verdict, Box<str>)> {
-        let mut verdict = match self.attempts {
-            0 => Verdict::NotRun,
-            _ => Verdict::MayHaveRun,
+    ) -> Result<UpstreamStream<D>, ForwardFailure> {
+        let mut failure = match self.attempts {
+            0 => failure(Verdict::NotRun, "no endpoint has room"),
+            _ => failure(Verdict::MayHaveRun, "no endpoint has room"),
         };
-        let mut reason: Box<str> = "no endpoint has room".into();
+        let isolation_end_ms = node.now_ms() + MAX_ISOLATION_WAIT_MS;
         loop {
-            let now_ms = node.now_ms();
-            let left_ms = self.end_at_ms.saturating_sub(now_ms);
-            let Some((endpoint, address)) = node
-                .choose_endpoint(node.plain_requirements(&self.service), &self.excluded)
-                .filter(|_| left_ms > 0)
-            else {
-                return Err((verdict, reason));
-            };
-            let outbound = OutboundMetadata {
-                id: &self.id,
-                endpoint: &endpoint,
-                remaining_ms: Some(left_ms),
-                last_event: self.last_event,
+            if node.now_ms() >= self.end_at_ms {
+                failure.is_timeout = true;
+                return Err(failure);
+            }
+            let (run, endpoint, address) = match self.place(node, isolation_end_ms).await {
+                Placement::Run {
+                    run,
+                    endpoint,
+                    address,
+                } => (run, endpoint, address),
+                Placement::Conflict => {
+                    pause_suspect().await;
+                    continue;
+                }
+                Placement::NoEndpoint => return Err(failure),
+                Placement::Quarantined(quarantine) => {
+                    failure.reason = QUARANTINE_REASON.into();
+                    failure.retry_after_ms = quarantine.expires_in_ms;
+                    return Err(failure);
+                }
             };
-            let pending = send::<D>(&node.pool, address, &self.upstream_request, outbound);
-            let failure = match timeout(Duration::from_millis(left_ms), pending).await {
-                Ok(Ok(response)) => {
+            let error = match self.send(node, &endpoint, address).await {
+                Ok(response) => {
                     self.attempts += 1;
-                    return Ok((endpoint, response));
+                    return Ok(UpstreamStream {
+                        run,
+                        endpoint,
+                        address,
+                        response,
+                    });
                 }
-                Ok(Err(failure)) => failure,
-                Err(_) => return Err((Verdict::MayHaveRun, "its time is over".into())),
+                Err(error) => error,
             };
-            let digest = Some(request_digest(&self.upstream_request));
-            record_send_failure(
-                &mut node.directory.borrow_mut(),
-                now_ms,
-                &endpoint,
-                &failure,
-                OVERLOAD_BACKOFF_MS,
-            );
-            record_crash(node, (&self.id, digest), &endpoint, address, &failure).await;
-            event!(
-                info,
-                "send to endpoint failed",
-                id = self.id,
-                endpoint = endpoint,
-                verdict = failure.verdict,
-                reason = failure.reason,
-            );
+            if error.connection_lost {
+                run.record_lost_connection(address, &error.reason).await;
+            }
             self.excluded.push(endpoint);
-            reason = failure.reason;
-            if failure.verdict != Verdict::NotRun {
-                verdict = Verdict::MayHaveRun;
+            failure.reason = error.reason;
+            failure.is_timeout = node.now_ms() >= self.end_at_ms;
+            if error.verdict != Verdict::NotRun {
+                failure.verdict = Verdict::MayHaveRun;
                 self.attempts += 1;
-                if !self.may_resume() {
-                    return Err((verdict, reason));
+                if failure.is_timeout || !self.may_resume() {
+                    return Err(failure);
+                }
+            }
+        }
+    }
+
+    /// Chooses an endpoint for the stream.
+    ///
+    /// A suspect runs beside others if it has crashed one endpoint only and none is free for it in time:
+    /// all streams of a crashed engine are suspects, and most of them are innocent.
+    async fn place<D: Dialect>(&self, node: &Rc<Node<D>>, isolation_end_ms: u64) -> Placement<D> {
+        let now_ms = node.now_ms();
+        let crashes = |digest| node.suspects.reports(now_ms, digest).len();
+        let isolation = match self.digest.map_or(0, crashes) {
+            ..=1 if now_ms >= isolation_end_ms => Isolation::Waived,
+            _ => Isolation::Required,
+        };
+        let requirements = node.plain_requirements(&self.service);
+        let key = (&*self.id, self.digest);
+        suspects::place(node, key, requirements, &self.excluded, isolation).await
+    }
+
+    /// Sends the request to an endpoint, and records and logs a failure.
+    async fn send<D: Dialect>(
+        &self,
+        node: &Node<D>,
+        endpoint: &EndpointName,
+        address: SocketAddr,
+    ) -> Result<UpstreamResponse, SendFailure> {
+        let left_ms = self.end_at_ms.saturating_sub(node.now_ms());
+        let outbound = OutboundMetadata {
+            id: &self.id,
+            endpoint,
+            remaining_ms: Some(left_ms),
+            last_event: self.last_event,
+        };
+        let pending = send::<D>(&node.pool, address, &self.upstream_request, outbound);
+        let sent = timeout(Duration::from_millis(left_ms), pending).await;
+        // The endpoint is not to blame for a request whose time was short.
+        let failure = match sent {
+            Ok(Ok(response)) => return Ok(response),
+            Ok(Err(failure)) => failure,
+            Err(_) => return Err(SendFailure::ambiguous("its time is over")),
+        };
+        record_send_failure(
+            &mut node.directory.borrow_mut(),
+            node.now_ms(),
+            endpoint,
+            &failure,
+            OVERLOAD_BACKOFF_MS,
+        );
+        event!(
+            info,
+            "send to endpoint failed",
+            id = self.id,
+            endpoint = endpoint,
+            verdict = failure.verdict,
+            reason = failure.reason,
+        );
+        Err(failure)
+    }
+
+    /// Reads the body of a response that is no success, and returns the response to the caller.
+    async fn read_failure<D: Dialect>(
+        &self,
+        node: &Rc<Node<D>>,
+        stream: UpstreamStream<D>,
+    ) -> Result<CallerResponse, ForwardFailure> {
+        let (headers, status) = (stream.response.headers.clone(), stream.response.status);
+        let left_ms = self.end_at_ms.saturating_sub(node.now_ms());
+        let body = stream.response.read_body();
+        let body = timeout(Duration::from_millis(left_ms), body).await;
+        let error = match body.unwrap_or_else(|_| Err(SendFailure::ambiguous("its time is over"))) {
+            Ok(body) => {
+                if !status.is_server_error() {
+                    stream.run.record_completion();
                 }
+                let payload = Payload::Full(Some(body));
+                return Ok(endpoint_response::<D>(status, &headers, payload));
             }
+            Err(error) => error,
+        };
+        event!(
+            info,
+            "send to endpoint failed",
+            id = self.id,
+            endpoint = stream.endpoint,
+            reason = error.reason
+        );
+        if error.connection_lost {
+            let address = stream.address;
+            stream
+                .run
+                .record_lost_connection(address, &error.reason)
+                .await;
         }
+        Err(ForwardFailure {
+            is_timeout: node.now_ms() >= self.end_at_ms,
+            ..failure(error.verdict, &error.reason)
+        })
     }
 
     /// Forwards events, and resumes at another endpoint when one fails.
     async fn forward_stream<D: Dialect>(
         mut self,
         node: Rc<Node<D>>,
-        mut endpoint: EndpointName,
-        mut response: UpstreamResponse,
+        mut stream: UpstreamStream<D>,
         events: Sender<Result<Bytes, StreamAborted>>,
     ) {
         loop {
-            let reason = match self
+            let UpstreamStream {
+                run,
+                endpoint,
+                address,
+                response,
+            } = stream;
+            let forwarded = self
                 .forward_events(&node, &endpoint, response, &events)
-                .await
-            {
-                Ok(()) => return,
-                Err(reason) => reason,
+                .await;
+            let failure = match forwarded {
+                Ok(StreamEnd::Complete) => return run.record_completion(),
+                Ok(StreamEnd::CallerLeft) => return,
+                Err(failure) => failure,
             };
             event!(
                 info,
                 "stream interrupted at endpoint",
                 id = self.id,
                 endpoint = endpoint,
-                reason = reason
+                reason = failure.reason
             );
             if let Some(entry) = node.directory.borrow_mut().registry.get_mut(&endpoint) {
                 entry.record_failure(node.now_ms());
             }
+            if failure.connection_lost {
+                run.record_lost_connection(address, &failure.reason).await;
+            }
             match self.resume_upstream(&node, endpoint, &events).await {
-                Ok(next) => (endpoint, response) = next,
+                Ok(next) => stream = next,
                 Err(reason) => {
                     event!(info, "stream aborted", id = self.id, reason = reason);
                     // Sending fails if the caller has disconnected.
@@ -231,36 +348,39 @@
         node: &Rc<Node<D>>,
         interrupted: EndpointName,
         events: &Sender<Result<Bytes, StreamAborted>>,
-    ) -> Result<(EndpointName, UpstreamResponse), Box<str>> {
+    ) -> Result<UpstreamStream<D>, Box<str>> {
         // Endpoints that failed earlier may have recovered; only the last one is excluded.
         self.excluded = vec![interrupted];
         while self.may_resume() && !events.is_closed() {
-            let (endpoint, response) = self
-                .open_upstream(node)
-                .await
-                .map_err(|(_, reason)| reason)?;
-            if response.status.is_success() {
-                return Ok((endpoint, response));
+            let opened = self.open_upstream(node).await;
+            let stream = opened.map_err(|failure| failure.reason)?;
+            if stream.response.status.is_success() {
+                return Ok(stream);
             }
             event!(
                 info,
                 "send to endpoint failed",
                 id = self.id,
-                endpoint = endpoint,
-                reason = format_args!("unexpected status {}", response.status),
+                endpoint = stream.endpoint,
+                reason = format_args!("unexpected status {}", stream.response.status),
             );
-            self.excluded = vec![endpoint];
+            self.excluded = vec![stream.endpoint];
         }
         Err("stream can't be resumed".into())
     }
 
+    /// Forwards events until the response ends or the caller disconnects.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the response is incomplete, breaks off or pauses for too long.
     async fn forward_events<D: Dialect>(
         &mut self,
         node: &Rc<Node<D>>,
         endpoint: &EndpointName,
         response: UpstreamResponse,
         events: &Sender<Result<Bytes, StreamAborted>>,
-    ) -> Result<(), Box<str>> {
+    ) -> Result<StreamEnd, SendFailure> {
         let _in_flight = InFlightGuard::new(node, endpoint);
         let UpstreamResponse {
             head,
@@ -272,9 +392,10 @@
         loop {
             let next = tokio::select! {
                 next = timeout(EVENT_TIMEOUT, reader.next()) => next,
-                () = events.closed() => return Ok(()),
+                () = events.closed() => return Ok(StreamEnd::CallerLeft),
             };
-            let event = match next.map_err(|_| "no event within the timeout")?? {
+            let next = next.map_err(|_| SendFailure::ambiguous("no event within the timeout"))?;
+            let event = match next? {
                 Some(event) => event,
                 None => break,
             };
@@ -283,10 +404,10 @@
                 Some(id) if expected.is_none_or(|expected| expected == id) => {
                     self.last_event = Some(id);
                 }
-                _ => return Err("event out of order".into()),
+                _ => return Err(SendFailure::ambiguous("event out of order")),
             }
             if events.send(Ok(event.raw)).await.is_err() {
-                return Ok(());
+                return Ok(StreamEnd::CallerLeft);
             }
         }
         if !head.closes {
@@ -295,6 +416,6 @@
         if let Some(entry) = node.directory.borrow_mut().registry.get_mut(endpoint) {
             entry.record_success();
         }
-        Ok(())
+        Ok(StreamEnd::Complete)
     }
 }
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -58,6 +58,9 @@
             Ok(ClaimOutcome::Follower(leader, revision)) => {
                 if let Some(leader) = &leader {
                     node.store.add_peer(leader.address);
+                    if leader.address != node.owner.address {
+                        node.suspects.peers.add(node.now_ms(), leader.address);
+                    }
                 }
                 node.leader.replace(leader);
                 wait_for_change(&node, LEADER_KEY, revision).await
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -16,6 +16,7 @@
 use crate::event;
 use crate::jobs;
 use crate::node::{Node, Stage};
+use crate::suspects;
 
 /// Time to live of the lease, in milliseconds: short enough that the batch jobs of a dead node
 /// continue on another node well before their deadlines, long enough that a short delay of the
@@ -155,6 +156,7 @@
     event!(info, "lease obtained", lease = lease.0);
     // While this node had no lease, other nodes may have taken over its batch jobs.
     tokio::task::spawn_local(jobs::verify_ownership(node.clone()));
+    tokio::task::spawn_local(suspects::exchange::load_history(node.clone()));
     Ok(())
 }
 
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -69,7 +69,8 @@
     Ok((members, revision))
 }
 
-/// Sets the nodes through which the store may be reached: the other members and the leader.
+/// Sets the nodes through which the store may be reached, and which get crash reports: the other
+/// members and the leader.
 pub fn set_peers<D: Dialect>(node: &Node<D>, members: &[Owner]) {
     let leader = node.leader.borrow();
     // A stale read may not have the leader's row yet.
@@ -78,5 +79,6 @@
         .filter(|member| **member != node.owner)
         .map(|member| member.address)
         .collect();
+    node.suspects.peers.set(node.now_ms(), &peers);
     node.store.set_peers(peers.into_iter().collect());
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -1,17 +1,19 @@
 //! Forwarding of plain requests: choice of the endpoint, retries, and the outcome for the caller.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::time::{sleep, timeout};
-use wisteriapoint_directory::{Endpoint, EndpointStage, Requirements, Route, RouteKind};
+use wisteriapoint_directory::{Requirements, Route, RouteKind};
 use wisteriapoint_types::{Digest, EndpointName, ServiceName, Verdict};
 
 use crate::dialect::{Dialect, OutboundMetadata, ResponseHead};
 use crate::event;
 use crate::node::Node;
+use crate::suspects::{self, Isolation, Placement, Quarantine, Run};
 use crate::upstream::send::send;
 use crate::upstream::{SendFailure, UpstreamRequest, UpstreamResponse};
 
@@ -24,10 +26,16 @@
 /// The latency objective divided by this is the time to find an endpoint with capacity; after that
 /// the request is refused, so that the caller still has time to retry.
 const PLACEMENT_OBJECTIVE_DIVISOR: u64 = 4;
+/// Longest random pause before a crash suspect is placed again, in milliseconds: a few network hops
+/// and the duration of a short request.
+const MAX_SUSPECT_PAUSE_MS: u64 = 25;
 /// Retry delay sent to a caller whose request has not run: a few times the duration of a plain
 /// request.
 const RETRY_AFTER_MS: u64 = 100;
 
+/// Reason of the refusal of a quarantined request.
+pub const QUARANTINE_REASON: &str = "it has crashed the endpoints that ran it";
+
 /// A request to forward.
 #[derive(Debug)]
 pub struct ForwardRequest<'a> {
@@ -119,6 +127,15 @@
         may_repeat && self.possibly_run_attempts < route.max_attempts.max(1)
     }
 
+    /// Returns the last response if there was one, else the failure of a quarantined request.
+    fn into_refusal(self, quarantine: Quarantine) -> ForwardOutcome {
+        let mut outcome = self.into_outcome(QUARANTINE_REASON, false);
+        if let ForwardOutcome::Failed(failure) = &mut outcome {
+            failure.retry_after_ms = quarantine.expires_in_ms;
+        }
+        outcome
+    }
+
     /// Returns the last response if there was one, else a failure with `reason`.
     fn into_outcome(self, reason: &str, is_timeout: bool) -> ForwardOutcome {
         let verdict = self.verdict();
@@ -147,10 +164,6 @@
         return AttemptHistory::default().into_outcome("route without a service", false);
     };
     let digest = request.digest;
-    if digest.is_some_and(|digest| is_quarantined(node, request.id, digest)) {
-        return AttemptHistory::default()
-            .into_outcome("it has crashed the endpoints that ran it", false);
-    }
     let end_at_ms = request
         .deadline_at_ms
         .min(request.arrived_at_ms + request.route.timeout_ms);
@@ -169,9 +182,24 @@
             objective_ms,
             ..node.plain_requirements(&service)
         };
-        let Some((endpoint, address)) = node.choose_endpoint(requirements, &history.excluded)
-        else {
-            match may_place_later(node, requirements, &history) {
+        let key = (request.id, digest);
+        let (excluded, isolation) = (&history.excluded, Isolation::Required);
+        let placed = suspects::place(node, key, requirements, excluded, isolation).await;
+        let (run, endpoint, address) = match placed {
+            Placement::Run {
+                run,
+                endpoint,
+                address,
+            } => (run, endpoint, address),
+            Placement::Quarantined(quarantine) => return history.into_refusal(quarantine),
+            Placement::Conflict if may_wait(request, &history, now_ms) => {
+                pause_suspect().await;
+                continue;
+            }
+            Placement::Conflict => {
+                return history.into_outcome("no endpoint is free for a crash suspect", false);
+            }
+            Placement::NoEndpoint => match may_place_later(node, requirements, &history) {
                 true if now_ms < placement_end_ms => {
                     history.excluded.clear();
                     sleep(Duration::from_millis(OVERLOAD_BACKOFF_MS)).await;
@@ -179,8 +207,12 @@
                 }
                 true => return history.into_outcome("no endpoint has room", false),
                 false => return history.into_outcome("no endpoint is left to ask", false),
-            }
+            },
         };
+        let now_ms = node.now_ms();
+        if now_ms >= end_at_ms {
+            return history.into_outcome("its time is over", true);
+        }
         let occupancy = node.occupancy(&endpoint);
         let timeout_ms = attempt_timeout_ms(request, &history, end_at_ms - now_ms);
         let attempt = send_to_endpoint(node, request, &endpoint, address, end_at_ms - now_ms);
@@ -194,7 +226,8 @@
             at_ms: now_ms,
             occupancy: occupancy + 1,
         };
-        record_result(node, &endpoint, &service, digest, start, &result);
+        record_result(node, &endpoint, &service, start, &result);
+        end_run(run, address, &result).await;
         let failure = match result {
             Ok(response) if may_retry_response(request.route, &response, &history) => {
                 history.possibly_run_attempts += 1;
@@ -205,7 +238,6 @@
             Ok(response) => return response,
             Err(failure) => failure,
         };
-        record_crash(node, (request.id, digest), &endpoint, address, &failure).await;
         event!(
             info,
             "send to endpoint failed",
@@ -222,68 +254,34 @@
     }
 }
 
-/// Returns `true` if the request has crashed too many endpoints; logs which.
-fn is_quarantined<D: Dialect>(node: &Node<D>, id: &str, digest: Digest) -> bool {
-    let now_ms = node.now_ms();
-    let directory = node.directory.borrow();
-    if !directory.suspects.is_quarantined(now_ms, digest) {
-        return false;
-    }
-    let (endpoints, age_ms) = directory.suspects.crashes(now_ms, digest);
-    let endpoints: Vec<_> = endpoints.iter().map(|name| name.as_str()).collect();
-    event!(
-        info,
-        "request refused as a crash suspect",
-        id = id,
-        digest = digest,
-        endpoints = endpoints.join(","),
-        age_ms = age_ms,
-    );
-    true
+/// Waits before a crash suspect is placed again, so that two of them don't meet once more.
+pub async fn pause_suspect() {
+    let pause_ms = rand::random_range(1..=MAX_SUSPECT_PAUSE_MS);
+    sleep(Duration::from_millis(pause_ms)).await;
 }
 
-/// Records a crash if the connection was lost and the endpoint accepts no new one.
-///
-/// An endpoint that accepts connections has only lost its answer, and one that leaves its service
-/// may end while it runs requests.
-pub async fn record_crash<D: Dialect>(
-    node: &Node<D>,
-    (id, digest): (&str, Option<Digest>),
-    endpoint: &EndpointName,
-    address: std::net::SocketAddr,
-    failure: &SendFailure,
+/// Returns `true` if a crash suspect may wait for an endpoint: within its objective if it has not run,
+/// else within its deadline.
+fn may_wait(request: &ForwardRequest<'_>, history: &AttemptHistory, now_ms: u64) -> bool {
+    let objective_end_ms = request.arrived_at_ms + request.route.objective_ms;
+    history.possibly_run_attempts > 0 || now_ms < objective_end_ms
+}
+
+/// Records what the end of a run says about the request.
+async fn end_run<D: Dialect>(
+    run: Run<D>,
+    address: SocketAddr,
+    result: &Result<ForwardOutcome, SendFailure>,
 ) {
-    let is_ready = |entry: &Endpoint| entry.record.stage == EndpointStage::Ready;
-    let is_member = node
-        .directory
-        .borrow()
-        .registry
-        .get(endpoint)
-        .is_some_and(is_ready);
-    let Some(digest) = digest.filter(|_| failure.connection_lost && is_member) else {
-        return;
-    };
-    if node.pool.is_accepting(endpoint, address).await {
-        event!(
-            info,
-            "answer lost; endpoint accepts connections",
-            id = id,
-            endpoint = endpoint
-        );
-        return;
+    match result {
+        Ok(ForwardOutcome::Response(response)) if !response.status.is_server_error() => {
+            run.record_completion();
+        }
+        Err(failure) if failure.connection_lost => {
+            run.record_lost_connection(address, &failure.reason).await;
+        }
+        _ => {}
     }
-    let mut directory = node.directory.borrow_mut();
-    let now_ms = node.now_ms();
-    directory.suspects.record_crash(now_ms, digest, endpoint);
-    event!(
-        info,
-        "crash of endpoint recorded",
-        id = id,
-        digest = digest,
-        endpoint = endpoint,
-        crashed_endpoints = directory.suspects.crashes(now_ms, digest).0.len(),
-        reason = failure.reason,
-    );
 }
 
 /// Returns `true` if the request has not run and an endpoint may have capacity for it soon.
@@ -323,7 +321,7 @@
     node: &Rc<Node<D>>,
     request: &ForwardRequest<'_>,
     endpoint: &EndpointName,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     left_ms: u64,
 ) -> Result<ForwardOutcome, SendFailure> {
     let _in_flight = InFlightGuard::new(node, endpoint);
@@ -391,7 +389,6 @@
     node: &Node<D>,
     endpoint: &EndpointName,
     service: &ServiceName,
-    digest: Option<Digest>,
     start: SendStart,
     result: &Result<ForwardOutcome, SendFailure>,
 ) {
@@ -399,9 +396,6 @@
     let mut directory = node.directory.borrow_mut();
     let outcome = match result {
         Ok(ForwardOutcome::Response(response)) => {
-            if let Some(digest) = digest {
-                directory.suspects.clear(digest);
-            }
             if let Some(entry) = directory.registry.get_mut(endpoint) {
                 entry.record_response(now_ms - start.at_ms, start.occupancy);
                 if let Some(load) = response.head.load {
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -257,7 +257,7 @@
                 match next.map_err(|_| SendFailure::ambiguous("no event within the timeout"))? {
                     Ok(Some(event)) => event,
                     Ok(None) => break,
-                    Err(error) => return Err(SendFailure::ambiguous(error)),
+                    Err(failure) => return Err(failure),
                 };
             let reported = event
                 .other_lines
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod relay;
 pub mod settings;
+pub mod suspects;
 pub mod upstream;
 
 pub use dialect::Dialect;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,6 +31,9 @@
     pub items: IntCounterVec,
     /// Abandoned items of batch jobs by reason.
     pub abandoned_items: IntCounterVec,
+    /// Decisions about requests suspected of crashing endpoints: `recorded`, `received`,
+    /// `lost-answer`, `isolated`, `deferred`, `cleared`, `refused`, `sent-again`, `evicted`.
+    pub suspects: IntCounterVec,
     /// Calls to the store by operation and result.
     pub store_calls: IntCounterVec,
     /// Orders to engines by HTTP status, or `none` for an order without a response.
@@ -60,6 +63,11 @@
                     "Abandoned items of batch jobs",
                     &["reason"],
                 )?,
+                suspects: counter(
+                    "crash_suspects_total",
+                    "Decisions about crash suspects",
+                    &["decision"],
+                )?,
                 store_calls: counter("store_calls_total", "Calls", &["call", "result"])?,
                 orders: counter("orders_total", "Orders to engines", &["reply"])?,
                 state: IntGaugeVec::new(
@@ -75,6 +83,7 @@
             registry.register(Box::new(metrics.item_seconds.clone()))?;
             registry.register(Box::new(metrics.items.clone()))?;
             registry.register(Box::new(metrics.abandoned_items.clone()))?;
+            registry.register(Box::new(metrics.suspects.clone()))?;
             registry.register(Box::new(metrics.store_calls.clone()))?;
             registry.register(Box::new(metrics.orders.clone()))?;
             registry.register(Box::new(metrics.state.clone()))?;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,9 +13,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wisteriapoint_batch::Owner;
-use wisteriapoint_directory::{
-    Configuration, CrashSuspects, Registry, Requirements, ServiceSizes, Subset,
-};
+use wisteriapoint_directory::{Configuration, Registry, Requirements, ServiceSizes, Subset};
 use wisteriapoint_peer::Client;
 use wisteriapoint_store::Error as StoreError;
 use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
@@ -27,8 +25,9 @@
 use crate::metrics::Metrics;
 use crate::relay::RelayedStore;
 use crate::settings::NodeSettings;
+use crate::suspects::SuspectRequests;
 use crate::upstream::Pool;
-use crate::{Error, callers, control, event, jobs, peers};
+use crate::{Error, callers, control, event, jobs, peers, suspects};
 
 /// Time for which a stopping node still accepts new connections: the balancer probes once a
 /// second and removes a node after two failed probes.
@@ -75,6 +74,8 @@
     pub directory_changed: Notify,
     /// Idle connections to endpoints, kept for reuse.
     pub pool: Pool,
+    /// Callers' requests suspected of crashing endpoints.
+    pub suspects: SuspectRequests,
     /// Batch jobs that this node owns.
     pub jobs: Jobs,
     /// Client for requests to other nodes.
@@ -109,8 +110,6 @@
     pub published_versions: BTreeMap<Box<str>, WeightVersion>,
     /// VMs to retire whose retirement has not been reported to the operators yet.
     pub retiring_vms: BTreeSet<Box<str>>,
-    /// Requests suspected of crashing endpoints.
-    pub suspects: CrashSuspects,
 }
 
 impl<D: Dialect> Node<D> {
@@ -135,6 +134,7 @@
             directory: RefCell::default(),
             directory_changed: Notify::new(),
             pool: Pool::new(),
+            suspects: SuspectRequests::new(),
             jobs: Jobs::new(),
             peers,
             metrics: Metrics::new()?,
@@ -253,10 +253,13 @@
         self.jobs.remove(job);
     }
 
-    /// Marks the node as ready once the configuration and the endpoints have been read.
+    /// Marks the node as ready once the configuration and the endpoints have been read, and the
+    /// crashes that other nodes know have been requested.
     pub fn update_readiness(&self) {
         let directory = self.directory.borrow();
-        let is_loaded = directory.configuration.is_some() && directory.endpoints_loaded;
+        let is_loaded = directory.configuration.is_some()
+            && directory.endpoints_loaded
+            && self.suspects.is_history_loaded();
         if self.stage.get() == Stage::Starting && is_loaded {
             self.stage.set(Stage::Serving);
             self.metrics.set_state("ready", 1);
@@ -312,6 +315,7 @@
         spawn_local(callers::serve_readiness_and_metrics(node.clone(), metrics));
         let peers = bind(node.settings.peer_address).await?;
         peers::start(&node, peers);
+        suspects::exchange::start(&node);
         control::start(&node);
         Ok(node)
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -9,7 +9,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use wisteriapoint_batch::{Page, PartialOutput};
+use wisteriapoint_route::CrashReport;
 use wisteriapoint_store::Error as StoreError;
+use wisteriapoint_types::{Digest, EndpointName};
 
 use crate::control::feed::{self, FeedRequest, FeedResponse};
 use crate::dialect::Dialect;
@@ -17,10 +19,14 @@
 use crate::jobs::{self, read};
 use crate::node::Node;
 use crate::relay::{StoreCall, StoreResponse};
+use crate::suspects;
 
 /// Time for a peer's response beyond the wait that the request allows: some network hops, and a
 /// peer whose process waits for CPU time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for a peer's response to a call about crash suspects, for which a caller's request waits:
+/// many network hops.
+const SUSPECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Capacity of the queue of requests from peers.
 const MAX_PENDING_REQUESTS: usize = 256;
 
@@ -60,6 +66,27 @@
     Endpoints(FeedRequest),
     /// Asks the node to call the store, which does not serve the requester.
     Store(StoreCall),
+    /// Reports crashes of endpoints.
+    Crashes {
+        /// Address at which the sender accepts requests of peers.
+        from: SocketAddr,
+        /// The crashes.
+        reports: Vec<CrashReport>,
+    },
+    /// Requests reports of all crashes, and introduces the sender.
+    CrashHistory {
+        /// Address at which the sender accepts requests of peers.
+        from: SocketAddr,
+    },
+    /// Asks whether a crash suspect can run isolated at an endpoint.
+    RunIsolated {
+        /// Digest of the suspect.
+        digest: Digest,
+        /// The endpoint.
+        endpoint: EndpointName,
+    },
+    /// Reports that an endpoint completed a crash suspect.
+    Completed(Digest),
 }
 
 /// The response to a [`PeerRequest`].
@@ -88,6 +115,15 @@
     Store(Result<StoreResponse, StoreError>),
     /// The request could not be executed.
     Failed,
+    /// Crashes of endpoints.
+    Crashes(Vec<CrashReport>),
+    /// Whether a crash suspect can run isolated.
+    RunIsolated {
+        /// `true` if another suspect runs at the endpoint, or the suspect itself anywhere.
+        is_conflicting: bool,
+        /// The crashes of the suspect.
+        reports: Vec<CrashReport>,
+    },
 }
 
 type PendingRequest = (PeerRequest, oneshot::Sender<PeerResponse>);
@@ -155,6 +191,23 @@
             PeerResponse::Endpoints(feed::handle_request(node, &query).await)
         }
         PeerRequest::Store(call) => PeerResponse::Store(node.store.execute_for_peer(call).await),
+        PeerRequest::Crashes { from, reports } => {
+            node.suspects.peers.add(node.now_ms(), from);
+            suspects::apply_reports(node, from, &reports);
+            PeerResponse::Done
+        }
+        PeerRequest::CrashHistory { from } => {
+            node.suspects.peers.add(node.now_ms(), from);
+            PeerResponse::Crashes(node.suspects.history(node.now_ms()))
+        }
+        PeerRequest::RunIsolated { digest, endpoint } => PeerResponse::RunIsolated {
+            is_conflicting: node.suspects.conflicts(digest, &endpoint),
+            reports: node.suspects.reports(node.now_ms(), digest),
+        },
+        PeerRequest::Completed(digest) => {
+            suspects::apply_completion(node, digest);
+            PeerResponse::Done
+        }
         PeerRequest::TakeOver { job, parts } => match jobs::take_over(node, &job, parts).await {
             true => PeerResponse::Done,
             false => PeerResponse::Failed,
@@ -168,12 +221,12 @@
     address: SocketAddr,
     request: &PeerRequest,
 ) -> Option<PeerResponse> {
-    let wait_ms = match request {
-        PeerRequest::Results { wait_ms, .. } => *wait_ms,
-        PeerRequest::Endpoints(_) => feed::MAX_WAIT_MS,
-        _ => 0,
+    let timeout = match request {
+        PeerRequest::Results { wait_ms, .. } => RESPONSE_TIMEOUT + Duration::from_millis(*wait_ms),
+        PeerRequest::Endpoints(_) => RESPONSE_TIMEOUT + Duration::from_millis(feed::MAX_WAIT_MS),
+        PeerRequest::Crashes { .. } | PeerRequest::RunIsolated { .. } => SUSPECT_TIMEOUT,
+        _ => RESPONSE_TIMEOUT,
     };
-    let timeout = RESPONSE_TIMEOUT + Duration::from_millis(wait_ms);
     match node.peers.call(address, request, timeout).await {
         Ok(response) => Some(response),
         Err(error) => {
--- /dev/null
+++ b/crates/node/src/suspects/mod.rs
@@ -0,0 +1,136 @@
+//! Requests of callers that are suspected of crashing endpoints, over all nodes.
+//!
+//! A node that sees a crash tells all others before the caller gets a failure, so that the request
+//! is known wherever it is resent. [`Suspects`] decides which requests run, isolated or at all.
+
+pub mod exchange;
+pub mod peers;
+pub mod run;
+
+pub use peers::KnownPeers;
+pub use run::{Isolation, Placement, Quarantine, Run, place};
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use tokio::sync::Notify;
+use wisteriapoint_route::{CrashReport, Recorded, SuspectStatus, Suspects};
+use wisteriapoint_types::{Digest, EndpointName};
+
+use crate::dialect::Dialect;
+use crate::event;
+use crate::node::Node;
+
+/// State of a node about suspects.
+#[derive(Debug, Default)]
+pub struct SuspectRequests {
+    crashes: RefCell<Suspects>,
+    /// Suspects that run at this node, or are about to, with their endpoints.
+    isolated: RefCell<BTreeMap<Digest, EndpointName>>,
+    /// Requests whose crashes a peer has not acknowledged.
+    undelivered: RefCell<BTreeMap<SocketAddr, BTreeSet<Digest>>>,
+    undelivered_added: Notify,
+    /// The nodes that get crash reports.
+    pub peers: KnownPeers,
+    is_history_loaded: Cell<bool>,
+}
+
+impl SuspectRequests {
+    /// Creates a state without crashes and peers.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns `true` once the crashes that other nodes know have been requested.
+    pub fn is_history_loaded(&self) -> bool {
+        self.is_history_loaded.get()
+    }
+
+    /// Returns the status of a request.
+    pub fn status(&self, now_ms: u64, digest: Digest) -> SuspectStatus {
+        self.crashes.borrow().status(now_ms, digest)
+    }
+
+    /// Returns the endpoints at which suspects run isolated.
+    pub fn reserved_endpoints(&self) -> Vec<EndpointName> {
+        self.isolated.borrow().values().cloned().collect()
+    }
+
+    /// Reserves an endpoint for a suspect, unless [`conflicts`](Self::conflicts).
+    fn try_reserve(&self, digest: Digest, endpoint: &EndpointName) -> bool {
+        let is_free = !self.conflicts(digest, endpoint);
+        if is_free {
+            let mut isolated = self.isolated.borrow_mut();
+            isolated.insert(digest, endpoint.clone());
+        }
+        is_free
+    }
+
+    /// Returns `true` if the request runs isolated at this node, or another suspect does at the
+    /// endpoint.
+    pub fn conflicts(&self, digest: Digest, endpoint: &EndpointName) -> bool {
+        let isolated = self.isolated.borrow();
+        isolated.contains_key(&digest) || isolated.values().any(|other| other == endpoint)
+    }
+
+    /// Returns reports of the crashes of a request.
+    pub fn reports(&self, now_ms: u64, digest: Digest) -> Vec<CrashReport> {
+        self.crashes.borrow().reports(now_ms, digest)
+    }
+
+    /// Returns reports of all crashes.
+    pub fn history(&self, now_ms: u64) -> Vec<CrashReport> {
+        self.crashes.borrow().export(now_ms, u64::MAX)
+    }
+}
+
+/// Records the crash reports of another node.
+pub fn apply_reports<D: Dialect>(node: &Node<D>, source: SocketAddr, reports: &[CrashReport]) {
+    for report in reports {
+        let recorded = node
+            .suspects
+            .crashes
+            .borrow_mut()
+            .import(node.now_ms(), report);
+        if !recorded.is_new {
+            continue;
+        }
+        event!(
+            info,
+            "crash report received",
+            digest = report.digest,
+            endpoint = report.endpoint,
+            age_ms = report.age_ms,
+            isolated = report.isolated,
+            correlated = report.correlated,
+            source = source,
+        );
+        count(node, "received");
+        log_eviction(node, recorded);
+    }
+}
+
+/// Clears a request that was completed at another node.
+pub fn apply_completion<D: Dialect>(node: &Node<D>, digest: Digest) {
+    node.suspects
+        .crashes
+        .borrow_mut()
+        .clear(node.now_ms(), digest);
+}
+
+fn log_eviction<D: Dialect>(node: &Node<D>, recorded: Recorded) {
+    if let Some(digest) = recorded.evicted {
+        event!(
+            warn,
+            "too many crash suspects; oldest one discarded",
+            digest = digest
+        );
+        count(node, "evicted");
+    }
+}
+
+/// Counts a decision about a suspect.
+fn count<D: Dialect>(node: &Node<D>, decision: &str) {
+    node.metrics.suspects.with_label_values(&[decision]).inc();
+}
--- /dev/null
+++ b/crates/node/src/suspects/peers.rs
@@ -0,0 +1,45 @@
+//! The nodes that get crash reports.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Time for which a node that is not listed as a member still gets reports, in milliseconds: longer
+/// than the interval at which nodes read the members.
+const UNLISTED_RETENTION_MS: u64 = 10_000;
+
+/// The members as last read, and the nodes that were members or introduced themselves lately.
+///
+/// A node may be alive and not listed: its lease may have expired while the store was unavailable, or
+/// it may have started after the last read.
+#[derive(Debug, Default)]
+pub struct KnownPeers {
+    listed: RefCell<BTreeSet<SocketAddr>>,
+    /// Other nodes, with the time at which they were last known, in milliseconds.
+    unlisted: RefCell<BTreeMap<SocketAddr, u64>>,
+}
+
+impl KnownPeers {
+    /// Sets the addresses of the members, without this node.
+    pub fn set(&self, now_ms: u64, members: &BTreeSet<SocketAddr>) {
+        let previous = self.listed.replace(members.clone());
+        let mut unlisted = self.unlisted.borrow_mut();
+        unlisted.retain(|_, at_ms| now_ms < *at_ms + UNLISTED_RETENTION_MS);
+        unlisted.extend(previous.into_iter().map(|address| (address, now_ms)));
+    }
+
+    /// Adds a node that has introduced itself.
+    pub fn add(&self, now_ms: u64, address: SocketAddr) {
+        self.unlisted.borrow_mut().insert(address, now_ms);
+    }
+
+    /// Returns the addresses of all nodes that may be alive.
+    pub fn addresses(&self, now_ms: u64) -> BTreeSet<SocketAddr> {
+        let unlisted = self.unlisted.borrow();
+        let recent = unlisted
+            .iter()
+            .filter(|&(_, &at_ms)| now_ms < at_ms + UNLISTED_RETENTION_MS)
+            .map(|(&address, _)| address);
+        self.listed.borrow().iter().copied().chain(recent).collect()
+    }
+}
--- /dev/null
+++ b/crates/node/src/suspects/run.rs
@@ -0,0 +1,282 @@
+//! One run of a request at an endpoint, and what its end says about the request.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::task::spawn_local;
+use wisteriapoint_directory::{EndpointStage, Requirements};
+use wisteriapoint_route::SuspectStatus;
+use wisteriapoint_types::{Digest, EndpointName, FailureDomain};
+
+use super::{count, exchange, log_eviction};
+use crate::dialect::Dialect;
+use crate::event;
+use crate::node::Node;
+
+/// Endpoint at which a request may run, or the reason why there is none.
+pub enum Placement<D: Dialect> {
+    /// The request may be sent to an endpoint.
+    Run {
+        /// The run, which ends when it is dropped.
+        run: Run<D>,
+        /// Name of the endpoint.
+        endpoint: EndpointName,
+        /// Address of the endpoint.
+        address: SocketAddr,
+    },
+    /// Other suspects run at all suitable endpoints, or the request itself elsewhere.
+    Conflict,
+    /// No endpoint is suitable.
+    NoEndpoint,
+    /// The request is quarantined.
+    Quarantined(Quarantine),
+}
+
+/// Whether a suspect may run beside other suspects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Isolation {
+    /// It runs isolated or not at all.
+    Required,
+    /// It may run beside other suspects.
+    Waived,
+}
+
+/// A request that may not run because of its crashes.
+#[derive(Debug, Clone, Copy)]
+pub struct Quarantine {
+    /// Time until it may run again, in milliseconds.
+    pub expires_in_ms: u64,
+}
+
+/// A run of a request at an endpoint; an isolated one excludes other suspects until it is dropped.
+pub struct Run<D: Dialect> {
+    node: Rc<Node<D>>,
+    id: Box<str>,
+    /// `None` for calls of batch jobs, which are never suspects.
+    digest: Option<Digest>,
+    endpoint: EndpointName,
+    is_isolated: bool,
+}
+
+impl<D: Dialect> Drop for Run<D> {
+    fn drop(&mut self) {
+        if let Some(digest) = self.digest.filter(|_| self.is_isolated) {
+            self.node.suspects.isolated.borrow_mut().remove(&digest);
+        }
+    }
+}
+
+/// Chooses an endpoint for a request, other than the excluded ones, and decides whether it may run.
+///
+/// A suspect runs isolated: at an endpoint where no other suspect runs, and nowhere else at the same
+/// time. Requests without a history may run beside it, since they are the less likely cause of a
+/// crash, and engines with long streams are never idle.
+pub async fn place<D: Dialect>(
+    node: &Rc<Node<D>>,
+    (id, digest): (&str, Option<Digest>),
+    requirements: Requirements<'_>,
+    excluded: &[EndpointName],
+    isolation: Isolation,
+) -> Placement<D> {
+    let status = digest.map(|digest| node.suspects.status(node.now_ms(), digest));
+    let suspect = match (digest, status) {
+        (Some(digest), Some(SuspectStatus::Quarantined)) => {
+            return Placement::Quarantined(quarantine(node, id, digest));
+        }
+        (Some(digest), Some(SuspectStatus::Suspect)) if isolation == Isolation::Required => digest,
+        _ => {
+            return match node.choose_endpoint(requirements, excluded) {
+                Some((endpoint, address)) => Placement::Run {
+                    run: Run::new(node, id, digest, &endpoint),
+                    endpoint,
+                    address,
+                },
+                None => Placement::NoEndpoint,
+            };
+        }
+    };
+    let mut unavailable = node.suspects.reserved_endpoints();
+    unavailable.extend_from_slice(excluded);
+    match node.choose_endpoint(requirements, &unavailable) {
+        Some((endpoint, address)) => place_isolated(node, (id, suspect), endpoint, address).await,
+        None if node.choose_endpoint(requirements, excluded).is_some() => Placement::Conflict,
+        None => Placement::NoEndpoint,
+    }
+}
+
+async fn place_isolated<D: Dialect>(
+    node: &Rc<Node<D>>,
+    (id, digest): (&str, Digest),
+    endpoint: EndpointName,
+    address: SocketAddr,
+) -> Placement<D> {
+    // Reserved before the peers are asked, so that of two nodes at least one sees the other.
+    if !node.suspects.try_reserve(digest, &endpoint) {
+        count(node, "deferred");
+        return Placement::Conflict;
+    }
+    let mut run = Run::new(node, id, Some(digest), &endpoint);
+    run.is_isolated = true;
+    let is_conflicting = exchange::conflicts(node, digest, &endpoint).await;
+    match node.suspects.status(node.now_ms(), digest) {
+        SuspectStatus::Quarantined => Placement::Quarantined(quarantine(node, id, digest)),
+        _ if is_conflicting => {
+            count(node, "deferred");
+            Placement::Conflict
+        }
+        _ => {
+            event!(
+                info,
+                "crash suspect runs isolated",
+                id = id,
+                digest = digest,
+                endpoint = endpoint
+            );
+            count(node, "isolated");
+            Placement::Run {
+                run,
+                endpoint,
+                address,
+            }
+        }
+    }
+}
+
+/// Returns the quarantine of a request, and logs its crashes.
+fn quarantine<D: Dialect>(node: &Node<D>, id: &str, digest: Digest) -> Quarantine {
+    let now_ms = node.now_ms();
+    let crashes = node.suspects.crashes.borrow();
+    let reports = crashes.reports(now_ms, digest);
+    let join = |texts: Vec<String>| texts.join(",");
+    event!(
+        info,
+        "request refused as a crash suspect",
+        id = id,
+        digest = digest,
+        endpoints = join(
+            reports
+                .iter()
+                .map(|crash| crash.endpoint.to_string())
+                .collect()
+        ),
+        ages_ms = join(
+            reports
+                .iter()
+                .map(|crash| crash.age_ms.to_string())
+                .collect()
+        ),
+        isolated = reports.iter().filter(|crash| crash.isolated).count(),
+        correlated = reports.iter().filter(|crash| crash.correlated).count(),
+    );
+    count(node, "refused");
+    Quarantine {
+        expires_in_ms: crashes.expires_in_ms(now_ms, digest),
+    }
+}
+
+impl<D: Dialect> Run<D> {
+    fn new(node: &Rc<Node<D>>, id: &str, digest: Option<Digest>, endpoint: &EndpointName) -> Self {
+        Self {
+            node: node.clone(),
+            id: id.into(),
+            digest,
+            endpoint: endpoint.clone(),
+            is_isolated: false,
+        }
+    }
+
+    /// Records that the endpoint completed the request, which clears it.
+    pub fn record_completion(&self) {
+        let Some(digest) = self.digest else {
+            return;
+        };
+        let now_ms = self.node.now_ms();
+        let mut crashes = self.node.suspects.crashes.borrow_mut();
+        if crashes.clear(now_ms, digest) {
+            event!(
+                info,
+                "crash suspect completed and cleared",
+                id = self.id,
+                digest = digest,
+                endpoint = self.endpoint
+            );
+            count(&self.node, "cleared");
+            exchange::report_completion(&self.node, digest);
+        }
+    }
+
+    /// Records that the connection was lost during the run.
+    ///
+    /// Returns once it is known whether the endpoint has crashed, and all nodes that can be reached
+    /// know of the crash. This continues if the caller of the request disconnects meanwhile.
+    pub async fn record_lost_connection(self, address: SocketAddr, reason: &str) {
+        let Some(digest) = self.digest else {
+            return;
+        };
+        let (reason, lost_at_ms) = (Box::<str>::from(reason), self.node.now_ms());
+        let investigation = spawn_local(async move {
+            if let Some(failure_domain) = self.crashed_failure_domain(address).await {
+                self.record_crash(digest, lost_at_ms, &failure_domain, &reason)
+                    .await;
+            }
+        });
+        if let Err(error) = investigation.await {
+            event!(error, "crash of endpoint not recorded", error = error);
+        }
+    }
+
+    /// Returns the failure domain of the endpoint if it has crashed.
+    ///
+    /// An endpoint that accepts a new connection has only lost its answer, and one that leaves its
+    /// service may end while it runs requests.
+    async fn crashed_failure_domain(&self, address: SocketAddr) -> Option<FailureDomain> {
+        let record = {
+            let directory = self.node.directory.borrow();
+            directory.registry.get(&self.endpoint)?.record.clone()
+        };
+        if record.stage == EndpointStage::Draining {
+            return None;
+        }
+        if !self.node.pool.is_accepting(&self.endpoint, address).await {
+            return Some(record.failure_domain);
+        }
+        event!(
+            info,
+            "answer lost; endpoint accepts connections",
+            id = self.id,
+            endpoint = self.endpoint
+        );
+        count(&self.node, "lost-answer");
+        None
+    }
+
+    async fn record_crash(
+        &self,
+        digest: Digest,
+        at_ms: u64,
+        failure_domain: &FailureDomain,
+        reason: &str,
+    ) {
+        let node = &self.node;
+        let recorded = node.suspects.crashes.borrow_mut().record_crash(
+            at_ms,
+            digest,
+            &self.endpoint,
+            failure_domain,
+            self.is_isolated,
+        );
+        event!(
+            info,
+            "crash of endpoint recorded",
+            id = self.id,
+            digest = digest,
+            endpoint = self.endpoint,
+            isolated = self.is_isolated,
+            crashes = node.suspects.reports(node.now_ms(), digest).len(),
+            reason = reason,
+        );
+        count(node, "recorded");
+        log_eviction(node, recorded);
+        exchange::report(node, digest).await;
+    }
+}
--- a/crates/node/src/upstream/events.rs
+++ b/crates/node/src/upstream/events.rs
@@ -4,6 +4,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use super::SendFailure;
+
 const MAX_EVENT_BYTES: usize = 4 << 20;
 
 /// One server-sent event.
@@ -43,15 +45,16 @@
     ///
     /// Fails if the body can't be read, ends within an event, or holds an event that is too large
     /// or not UTF-8.
-    pub async fn next(&mut self) -> Result<Option<Event>, Box<str>> {
+    pub async fn next(&mut self) -> Result<Option<Event>, SendFailure> {
         loop {
             if let Some(end) = self.find_end() {
                 let raw: Vec<u8> = self.buffer.drain(..end).collect();
                 self.searched_bytes = 0;
-                return parse_event(raw.into()).map(Some);
+                let event = parse_event(raw.into());
+                return event.map(Some).map_err(SendFailure::ambiguous);
             }
             if self.buffer.len() > MAX_EVENT_BYTES {
-                return Err("event too large".into());
+                return Err(SendFailure::ambiguous("event too large"));
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
@@ -59,9 +62,12 @@
                         self.buffer.extend_from_slice(&data);
                     }
                 }
-                Some(Err(error)) => return Err(error.to_string().into()),
+                Some(Err(error)) => return Err(SendFailure::connection_lost(error)),
                 None if self.buffer.is_empty() => return Ok(None),
-                None => return Err("body ended in the middle of an event".into()),
+                None => {
+                    let reason = "body ended in the middle of an event";
+                    return Err(SendFailure::connection_lost(reason));
+                }
             }
         }
     }
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -99,7 +99,8 @@
         }
     }
 
-    fn connection_lost(reason: impl ToString) -> Self {
+    /// Returns the failure of a request whose connection was lost before the response was complete.
+    pub fn connection_lost(reason: impl ToString) -> Self {
         Self {
             connection_lost: true,
             ..Self::new(Verdict::MayHaveRun, reason)
--- a/crates/route/src/pool/isolation.rs
+++ b/crates/route/src/pool/isolation.rs
@@ -1,13 +1,9 @@
 //! Isolated execution of requests that are suspected of crashing endpoints.
 
-use wisteriapoint_types::EndpointName;
-
 use super::{Dequeued, Pool, State, Ticket};
 use crate::suspect::SuspectStatus;
 use crate::{Admission, Demand, Dispatch, EndpointKey, Reason, TicketKey};
 
-/// Crashes in one failure domain within this time count as one event.
-const CORRELATION_WINDOW_MS: u64 = 100;
 /// At most one in this many available endpoints, but at least one, is reserved for suspects.
 const ISOLATION_DIVISOR: usize = 4;
 
@@ -36,25 +32,6 @@
         }
     }
 
-    /// Discards suspicions from endpoints of one failure domain that crashed at about the same
-    /// time, since that points to the failure domain rather than to a request.
-    pub(super) fn discard_correlated_crashes(&mut self, now_ms: u64, endpoint: EndpointKey) {
-        self.crashes
-            .retain(|&(at_ms, other)| at_ms + CORRELATION_WINDOW_MS > now_ms && other != endpoint);
-        self.crashes.push((now_ms, endpoint));
-        let failure_domain = self.endpoints[endpoint].failure_domain.clone();
-        let recent = self.crashes.iter();
-        let correlated: Vec<EndpointName> = recent
-            .filter_map(|&(_, other)| self.endpoints.get(other))
-            .filter(|state| state.failure_domain == failure_domain)
-            .map(|state| state.endpoint.clone())
-            .collect();
-        if correlated.len() > 1 {
-            let since_ms = now_ms.saturating_sub(CORRELATION_WINDOW_MS);
-            self.suspects.discard_correlated(since_ms, &correlated);
-        }
-    }
-
     pub(super) fn dispatch_isolated(&mut self, now_ms: u64, dequeued: &mut Vec<Dequeued>) {
         for ticket in self.awaiting_isolation.clone() {
             let demand = &self.tickets[ticket].demand;
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -66,7 +66,6 @@
     /// Rollouts in flight by the time of their dispatch, in milliseconds.
     rollouts: BTreeSet<(u64, TicketKey)>,
     suspects: Suspects,
-    crashes: Vec<(u64, EndpointKey)>,
     retry_budget: RetryBudget,
     /// Smoothed ratio of generated tokens to [`Demand::max_tokens`].
     token_share: f64,
@@ -89,7 +88,6 @@
             preempting: 0,
             rollouts: BTreeSet::new(),
             suspects: Suspects::default(),
-            crashes: Vec::new(),
             retry_budget: RetryBudget::new(DEFAULT_RETRY_RATIO),
             token_share: 1.0,
             responses: 0,
@@ -149,14 +147,19 @@
         self.retry_budget.withdraw()
     }
 
-    /// Returns the crash reports of the last minute, for the other daemons.
+    /// Returns the crash reports of the last minute about suspects, for the other daemons.
     pub fn crash_reports(&self, now_ms: u64) -> Vec<CrashReport> {
-        self.suspects.export(now_ms, CRASH_REPORT_MAX_AGE_MS)
+        let mut reports = self.suspects.export(now_ms, CRASH_REPORT_MAX_AGE_MS);
+        reports
+            .retain(|report| self.suspects.status(now_ms, report.digest) != SuspectStatus::Normal);
+        reports
     }
 
     /// Records the crash reports of another daemon.
     pub fn apply_crash_reports(&mut self, now_ms: u64, reports: &[CrashReport]) {
-        self.suspects.import(now_ms, reports);
+        for report in reports {
+            self.suspects.import(now_ms, report);
+        }
     }
 
     /// Returns the dispatched rollouts to cancel in favour of waiting callers, each only once.
@@ -295,11 +298,18 @@
             }
             match (outcome, digest) {
                 (Outcome::Crashed, Some(digest)) => {
+                    let (endpoint, domain) = (&state.endpoint, &state.failure_domain);
+                    self.suspects
+                        .record_crash(now_ms, digest, endpoint, domain, isolated);
+                }
+                (Outcome::Crashed, None) => {
+                    let (endpoint, domain) = (&state.endpoint, &state.failure_domain);
                     self.suspects
-                        .record_crash(now_ms, digest, &state.endpoint, isolated);
-                    self.discard_correlated_crashes(now_ms, endpoint);
+                        .record_endpoint_crash(now_ms, endpoint, domain);
+                }
+                (Outcome::Completed { .. }, Some(digest)) => {
+                    self.suspects.clear(now_ms, digest);
                 }
-                (Outcome::Completed { .. }, Some(digest)) => self.suspects.clear(now_ms, digest),
                 _ => {}
             }
         }
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -1,13 +1,26 @@
-//! Tracking of requests that are suspected of crashing endpoints.
+//! Crash history of requests, and the decision which of them may run.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
-use wisteriapoint_types::{Digest, EndpointName};
+use wisteriapoint_types::{Digest, EndpointName, FailureDomain};
 
+/// Time for which a crash counts, in milliseconds: callers resend within minutes.
 const RETENTION_MS: u64 = 600_000;
+/// Number of requests whose crashes are kept.
 const MAX_DIGESTS: usize = 4_096;
+/// Crashes after which a request is refused even if each had another likely cause.
 const MAX_CRASHES_PER_DIGEST: usize = 4;
+/// Reports of one endpoint within this time are of the same crash: an endpoint is back after
+/// seconds, and daemons notice its crash within the timeout of a connection.
+const SAME_CRASH_MS: u64 = 1_000;
+/// Crashes of several endpoints within this time may have a common cause.
+const CORRELATION_WINDOW_MS: u64 = 100;
+/// Crashes of this many other endpoints at the same time suggest a common cause in any failure
+/// domain; in one failure domain, a single one does.
+const BURST_ENDPOINTS: usize = 2;
+/// Number of recent endpoint crashes that are compared; a burst is recognised by the first few.
+const MAX_RECENT_CRASHES: usize = 64;
 
 /// Report that an endpoint crashed while it ran a request; daemons exchange these reports.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,11 +29,15 @@
     pub digest: Digest,
     /// Endpoint that crashed.
     pub endpoint: EndpointName,
+    /// Failure domain of the endpoint.
+    pub failure_domain: FailureDomain,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
-    /// `true` if no other request of the reporting daemon ran on the endpoint.
+    /// `true` if the request ran isolated, so that no other suspect explains the crash.
     #[serde(rename = "alone")]
     pub isolated: bool,
+    /// `true` if other endpoints, which did not run the request, crashed at the same time.
+    pub correlated: bool,
 }
 
 /// Treatment of a request by its crash history.
@@ -28,7 +45,7 @@
 pub enum SuspectStatus {
     /// The request is dispatched without restriction.
     Normal,
-    /// The request runs isolated: alone on a reserved endpoint.
+    /// The request runs isolated.
     Suspect,
     /// The request is refused.
     Quarantined,
@@ -36,19 +53,44 @@
 
 /// Crash history of requests by digest.
 ///
-/// A crash while the request was not isolated only makes it suspect, since the loss of a
-/// failure domain leaves many requests with several such crashes. A crash while the request
-/// ran isolated quarantines it.
+/// A crash while the request was not isolated only makes it suspect, since other requests may have
+/// caused it. A crash while it ran isolated quarantines it, unless other endpoints crashed at
+/// the same time. So a request that is resent after each failure crashes two endpoints, and at most
+/// [`MAX_CRASHES_PER_DIGEST`] during a burst of other crashes.
 #[derive(Debug, Default)]
 pub struct Suspects {
     records: BTreeMap<Digest, Vec<CrashRecord>>,
+    /// Recent crashes of endpoints, the last one first.
+    recent: VecDeque<EndpointCrash>,
+    /// Times and digests of the recent crash records, the last one first.
+    recent_records: VecDeque<(u64, Digest)>,
 }
 
-#[derive(Debug)]
+/// A crash of an endpoint while it ran a request.
+#[derive(Debug, Clone)]
 struct CrashRecord {
     endpoint: EndpointName,
+    failure_domain: FailureDomain,
     at_ms: u64,
     isolated: bool,
+    correlated: bool,
+}
+
+/// A recent crash of an endpoint, whatever it ran.
+#[derive(Debug)]
+struct EndpointCrash {
+    endpoint: EndpointName,
+    failure_domain: FailureDomain,
+    at_ms: u64,
+}
+
+/// Effect of a recorded crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Recorded {
+    /// `true` if the crash was not known before, or not as isolated.
+    pub is_new: bool,
+    /// Request whose unexpired history was discarded, because too many are kept.
+    pub evicted: Option<Digest>,
 }
 
 impl Suspects {
@@ -58,70 +100,150 @@
         now_ms: u64,
         digest: Digest,
         endpoint: &EndpointName,
+        failure_domain: &FailureDomain,
         isolated: bool,
-    ) {
-        self.evict(now_ms);
+    ) -> Recorded {
+        let crash = CrashRecord {
+            endpoint: endpoint.clone(),
+            failure_domain: failure_domain.clone(),
+            at_ms: now_ms,
+            isolated,
+            correlated: false,
+        };
+        self.record(now_ms, digest, crash)
+    }
+
+    /// Adds a crash record; `now_ms` is the present, which may be later than the crash.
+    fn record(&mut self, now_ms: u64, digest: Digest, crash: CrashRecord) -> Recorded {
+        let evicted = match self.records.contains_key(&digest) {
+            true => None,
+            false => self.evict(now_ms),
+        };
         let crashes = self.records.entry(digest).or_default();
         crashes.retain(|record| record.at_ms + RETENTION_MS > now_ms);
-        match crashes
-            .iter_mut()
-            .find(|record| record.endpoint == *endpoint)
-        {
+        let known = crashes.iter_mut().find(|record| record.is_same(&crash));
+        let is_new = match known {
             Some(record) => {
-                record.at_ms = record.at_ms.max(now_ms);
-                record.isolated |= isolated;
+                let is_new = crash.isolated && !record.isolated;
+                record.isolated |= crash.isolated;
+                record.correlated |= crash.correlated;
+                is_new
             }
-            None => crashes.push(CrashRecord {
-                endpoint: endpoint.clone(),
-                at_ms: now_ms,
-                isolated,
-            }),
-        }
+            None => {
+                crashes.push(crash.clone());
+                self.recent_records.push_front((crash.at_ms, digest));
+                true
+            }
+        };
         // Isolated crashes sort last, so that the limit removes the others first.
         crashes.sort_by_key(|record| (record.isolated, record.at_ms));
         let surplus = crashes.len().saturating_sub(MAX_CRASHES_PER_DIGEST);
         crashes.drain(..surplus);
+        self.record_endpoint_crash(crash.at_ms, &crash.endpoint, &crash.failure_domain);
+        Recorded { is_new, evicted }
     }
 
-    /// Clears a suspect whose request was completed; a quarantined request stays quarantined.
-    pub fn clear(&mut self, now_ms: u64, digest: Digest) {
-        if self.status(now_ms, digest) == SuspectStatus::Suspect {
-            self.records.remove(&digest);
+    /// Records that an endpoint crashed, whatever it ran.
+    ///
+    /// Endpoints that crash at about the same time have a common cause, which can't be a request
+    /// that ran on only some of them. Their crashes alone raise no suspicion and quarantine no
+    /// request.
+    pub fn record_endpoint_crash(
+        &mut self,
+        at_ms: u64,
+        endpoint: &EndpointName,
+        failure_domain: &FailureDomain,
+    ) {
+        self.recent
+            .retain(|crash| crash.at_ms + SAME_CRASH_MS > at_ms);
+        self.recent_records
+            .retain(|&(record_ms, _)| record_ms + SAME_CRASH_MS > at_ms);
+        self.recent_records.truncate(MAX_DIGESTS);
+        let is_known = |crash: &EndpointCrash| {
+            crash.endpoint == *endpoint && is_within(CORRELATION_WINDOW_MS, crash.at_ms, at_ms)
+        };
+        if !self.recent.iter().any(is_known) {
+            self.recent.truncate(MAX_RECENT_CRASHES - 1);
+            self.recent.push_front(EndpointCrash {
+                endpoint: endpoint.clone(),
+                failure_domain: failure_domain.clone(),
+                at_ms,
+            });
         }
+        self.mark_correlated(at_ms);
     }
 
-    /// Discards crash records since `since_ms` on endpoints that crashed at about the same
-    /// time.
-    ///
-    /// Such crashes have a common cause, which can't be a request that ran on only one of the
-    /// endpoints. The records of a request that ran on several of them are not discarded.
-    pub fn discard_correlated(&mut self, since_ms: u64, endpoints: &[EndpointName]) {
-        let is_correlated = |record: &CrashRecord| {
-            !record.isolated && record.at_ms >= since_ms && endpoints.contains(&record.endpoint)
-        };
-        self.records.retain(|_, crashes| {
-            if crashes
+    /// Marks the crash records around `at_ms` that other crashes explain better than the request.
+    fn mark_correlated(&mut self, at_ms: u64) {
+        let recent = &self.recent;
+        let is_affected = |record_ms: u64| is_within(CORRELATION_WINDOW_MS, record_ms, at_ms);
+        let mut endpoints = recent.iter().map(|crash| &crash.endpoint);
+        let first = endpoints.next();
+        if endpoints.all(|other| Some(other) == first) {
+            return;
+        }
+        let recent_records = self.recent_records.iter();
+        for &(_, digest) in recent_records.filter(|&&(record_ms, _)| is_affected(record_ms)) {
+            let Some(crashes) = self.records.get_mut(&digest) else {
+                continue;
+            };
+            let own: Vec<_> = crashes
                 .iter()
-                .filter(|record| is_correlated(record))
-                .count()
-                == 1
-            {
-                crashes.retain(|record| !is_correlated(record));
+                .map(|record| record.endpoint.clone())
+                .collect();
+            let uncorrelated = crashes.iter_mut().filter(|record| !record.correlated);
+            for record in uncorrelated.filter(|record| is_affected(record.at_ms)) {
+                let others = recent.iter().filter(|crash| {
+                    is_within(CORRELATION_WINDOW_MS, crash.at_ms, record.at_ms)
+                        && !own.contains(&crash.endpoint)
+                });
+                let (mut others_count, mut is_same_domain) = (0, false);
+                for other in others {
+                    others_count += 1;
+                    is_same_domain |= other.failure_domain == record.failure_domain;
+                }
+                record.correlated = is_same_domain || others_count >= BURST_ENDPOINTS;
             }
-            !crashes.is_empty()
-        });
+        }
+    }
+
+    /// Clears a request that was completed; a quarantined request stays quarantined.
+    ///
+    /// Returns `true` if it had a crash history.
+    pub fn clear(&mut self, now_ms: u64, digest: Digest) -> bool {
+        self.status(now_ms, digest) != SuspectStatus::Quarantined
+            && self.records.remove(&digest).is_some()
     }
 
     /// Returns the status of a request; crash records expire after ten minutes.
     pub fn status(&self, now_ms: u64, digest: Digest) -> SuspectStatus {
-        match self.records.get(&digest) {
-            None => SuspectStatus::Normal,
-            Some(crashes) if latest_ms(crashes) + RETENTION_MS <= now_ms => SuspectStatus::Normal,
-            Some(crashes) if crashes.iter().any(|record| record.isolated) => {
-                SuspectStatus::Quarantined
+        let (mut count, mut uncorrelated) = (0, 0);
+        for record in self.live(now_ms, digest) {
+            if record.isolated && !record.correlated {
+                return SuspectStatus::Quarantined;
             }
-            Some(_) => SuspectStatus::Suspect,
+            count += 1;
+            uncorrelated += usize::from(!record.correlated);
         }
+        match count {
+            MAX_CRASHES_PER_DIGEST.. => SuspectStatus::Quarantined,
+            // A second crash in which others crashed as well is no coincidence any more.
+            2.. => SuspectStatus::Suspect,
+            _ if uncorrelated > 0 => SuspectStatus::Suspect,
+            _ => SuspectStatus::Normal,
+        }
+    }
+
+    fn live(&self, now_ms: u64, digest: Digest) -> impl Iterator<Item = &CrashRecord> {
+        let crashes = self.records.get(&digest).into_iter().flatten();
+        crashes.filter(move |record| record.at_ms + RETENTION_MS > now_ms)
+    }
+
+    /// Returns the time in milliseconds until the history of a request has expired.
+    pub fn expires_in_ms(&self, now_ms: u64, digest: Digest) -> u64 {
+        let expires_ms = self.live(now_ms, digest).map(|record| record.at_ms);
+        let expires_ms = expires_ms.max().map_or(0, |at_ms| at_ms + RETENTION_MS);
+        expires_ms.saturating_sub(now_ms)
     }
 
     /// Returns `true` if the endpoint crashed while it ran the request.
@@ -130,47 +252,80 @@
         crashes.is_some_and(|crashes| crashes.iter().any(|record| record.endpoint == *endpoint))
     }
 
+    /// Returns reports of the crashes of one request.
+    pub fn reports(&self, now_ms: u64, digest: Digest) -> Vec<CrashReport> {
+        self.live(now_ms, digest)
+            .map(|record| record.report(now_ms, digest))
+            .collect()
+    }
+
     /// Returns reports of the crashes that are not older than `max_age_ms`.
     pub fn export(&self, now_ms: u64, max_age_ms: u64) -> Vec<CrashReport> {
-        let all = self.records.iter();
-        all.flat_map(|(&digest, crashes)| crashes.iter().map(move |record| (digest, record)))
-            .map(|(digest, record)| CrashReport {
-                digest,
-                endpoint: record.endpoint.clone(),
-                age_ms: now_ms.saturating_sub(record.at_ms),
-                isolated: record.isolated,
-            })
+        let digests = self.records.keys();
+        digests
+            .flat_map(|&digest| self.reports(now_ms, digest))
             .filter(|report| report.age_ms <= max_age_ms)
             .collect()
     }
 
-    /// Records the crash reports of another daemon.
-    pub fn import(&mut self, now_ms: u64, reports: &[CrashReport]) {
-        for report in reports.iter().filter(|report| report.age_ms < RETENTION_MS) {
-            let at_ms = now_ms.saturating_sub(report.age_ms);
-            self.record_crash(at_ms, report.digest, &report.endpoint, report.isolated);
+    /// Records the crash report of another daemon.
+    pub fn import(&mut self, now_ms: u64, report: &CrashReport) -> Recorded {
+        if report.age_ms >= RETENTION_MS {
+            return Recorded {
+                is_new: false,
+                evicted: None,
+            };
         }
+        let crash = CrashRecord {
+            endpoint: report.endpoint.clone(),
+            failure_domain: report.failure_domain.clone(),
+            at_ms: now_ms.saturating_sub(report.age_ms),
+            isolated: report.isolated,
+            correlated: report.correlated,
+        };
+        self.record(now_ms, report.digest, crash)
     }
 
-    fn evict(&mut self, now_ms: u64) {
+    /// Makes room for one more request; returns the one whose unexpired history was discarded.
+    fn evict(&mut self, now_ms: u64) -> Option<Digest> {
         if self.records.len() < MAX_DIGESTS {
-            return;
+            return None;
         }
         self.records
             .retain(|_, crashes| latest_ms(crashes) + RETENTION_MS > now_ms);
-        while self.records.len() >= MAX_DIGESTS {
-            let oldest = self
-                .records
-                .iter()
-                .min_by_key(|(_, crashes)| latest_ms(crashes));
-            match oldest.map(|(&digest, _)| digest) {
-                Some(digest) => self.records.remove(&digest),
-                None => return,
-            };
+        if self.records.len() < MAX_DIGESTS {
+            return None;
+        }
+        let all = self.records.iter();
+        let oldest = all.min_by_key(|(_, crashes)| latest_ms(crashes));
+        let digest = oldest.map(|(&digest, _)| digest)?;
+        self.records.remove(&digest);
+        Some(digest)
+    }
+}
+
+impl CrashRecord {
+    /// Returns `true` if both records are of one crash of one endpoint.
+    fn is_same(&self, other: &Self) -> bool {
+        self.endpoint == other.endpoint && is_within(SAME_CRASH_MS, self.at_ms, other.at_ms)
+    }
+
+    fn report(&self, now_ms: u64, digest: Digest) -> CrashReport {
+        CrashReport {
+            digest,
+            endpoint: self.endpoint.clone(),
+            failure_domain: self.failure_domain.clone(),
+            age_ms: now_ms.saturating_sub(self.at_ms),
+            isolated: self.isolated,
+            correlated: self.correlated,
         }
     }
 }
 
+fn is_within(window_ms: u64, a_ms: u64, b_ms: u64) -> bool {
+    a_ms.abs_diff(b_ms) <= window_ms
+}
+
 fn latest_ms(crashes: &[CrashRecord]) -> u64 {
     crashes.iter().map(|record| record.at_ms).max().unwrap_or(0)
 }
--- a/crates/route/tests/suspects.rs
+++ b/crates/route/tests/suspects.rs
@@ -6,7 +6,7 @@
     Admission, Demand, Dispatch, EndpointKey, EndpointState, Load, Outcome, Pool, Reason, Subset,
     SuspectStatus, Suspects,
 };
-use wisteriapoint_types::{Digest, EndpointName, MemberId};
+use wisteriapoint_types::{Digest, EndpointName, FailureDomain, MemberId};
 
 const BAD: Digest = Digest(1);
 const GOOD: Digest = Digest(2);
@@ -19,6 +19,10 @@
     pool
 }
 
+fn domain() -> FailureDomain {
+    FailureDomain::new("a")
+}
+
 fn demand(digest: Digest) -> Demand {
     Demand {
         digest: Some(digest),
@@ -125,7 +129,7 @@
     for (name, crashes, status) in cases {
         let mut suspects = Suspects::default();
         for &(endpoint, isolated, at_ms) in crashes {
-            suspects.record_crash(at_ms, BAD, &endpoints[endpoint], isolated);
+            suspects.record_crash(at_ms, BAD, &endpoints[endpoint], &domain(), isolated);
         }
         assert_eq!(suspects.status(10, BAD), status, "{name}");
         assert_eq!(suspects.status(10, GOOD), SuspectStatus::Normal, "{name}");
@@ -137,6 +141,137 @@
     }
 }
 
+#[test]
+fn crashes_of_one_endpoint_count_once_until_it_can_be_back() {
+    let endpoint = EndpointName::new("e");
+    let mut suspects = Suspects::default();
+    suspects.record_crash(0, BAD, &endpoint, &domain(), false);
+    suspects.record_crash(0, GOOD, &endpoint, &domain(), false);
+    suspects.record_crash(10, BAD, &endpoint, &domain(), false);
+    assert_eq!(suspects.reports(10, BAD).len(), 1);
+    for crash in 1..4 {
+        suspects.record_crash(crash * 2_000, BAD, &endpoint, &domain(), false);
+        assert_eq!(suspects.reports(10, BAD).len(), 1 + crash as usize);
+    }
+    assert_eq!(suspects.status(6_000, BAD), SuspectStatus::Quarantined);
+    assert_eq!(suspects.status(6_000, GOOD), SuspectStatus::Suspect);
+    let expires_ms = 6_000 + suspects.expires_in_ms(6_000, BAD);
+    assert_eq!(suspects.status(expires_ms, BAD), SuspectStatus::Normal);
+}
+
+#[test]
+fn a_completed_request_is_cleared_unless_it_is_quarantined() {
+    let endpoints = ["e", "f"].map(EndpointName::new);
+    let mut suspects = Suspects::default();
+    suspects.record_crash(0, GOOD, &endpoints[0], &domain(), false);
+    assert!(suspects.clear(5, GOOD));
+    assert!(!suspects.clear(5, GOOD), "it has no history any more");
+    suspects.record_crash(1_000, GOOD, &endpoints[1], &domain(), false);
+    assert_eq!(suspects.status(1_000, GOOD), SuspectStatus::Suspect);
+    suspects.record_crash(2_000, GOOD, &endpoints[0], &domain(), true);
+    assert!(!suspects.clear(3_000, GOOD));
+    assert_eq!(suspects.status(3_000, GOOD), SuspectStatus::Quarantined);
+}
+
+/// Records that `endpoints` crash at the same time while the request runs on the first of them.
+fn crash_in_burst(suspects: &mut Suspects, at_ms: u64, endpoints: &[(&str, &str)], isolated: bool) {
+    let names = endpoints
+        .iter()
+        .map(|&(name, domain)| (EndpointName::new(name), FailureDomain::new(domain)));
+    for (index, (endpoint, domain)) in names.enumerate() {
+        match index {
+            0 => {
+                suspects.record_crash(at_ms, BAD, &endpoint, &domain, isolated);
+            }
+            _ => suspects.record_endpoint_crash(at_ms + 50, &endpoint, &domain),
+        }
+    }
+}
+
+#[test]
+fn status_after_a_crash_among_others() {
+    let cases = [
+        ("alone", &[("e", "a")][..], SuspectStatus::Suspect),
+        (
+            "same failure domain",
+            &[("e", "a"), ("f", "a")],
+            SuspectStatus::Normal,
+        ),
+        (
+            "another failure domain",
+            &[("e", "a"), ("f", "b")],
+            SuspectStatus::Suspect,
+        ),
+        (
+            "several failure domains",
+            &[("e", "a"), ("f", "b"), ("g", "c")],
+            SuspectStatus::Normal,
+        ),
+    ];
+    for (name, endpoints, status) in cases {
+        let mut suspects = Suspects::default();
+        crash_in_burst(&mut suspects, 1_000, endpoints, false);
+        assert_eq!(suspects.status(2_000, BAD), status, "{name}");
+    }
+}
+
+// Guards against a request that is never refused because other endpoints crash whenever it does.
+#[test]
+fn bursts_of_crashes_quarantine_a_request_after_four() {
+    let mut suspects = Suspects::default();
+    let expected = [
+        SuspectStatus::Normal,
+        SuspectStatus::Suspect,
+        SuspectStatus::Suspect,
+        SuspectStatus::Quarantined,
+    ];
+    for (burst, status) in expected.into_iter().enumerate() {
+        let at_ms = 5_000 * (burst as u64 + 1);
+        let is_isolated = burst >= 2;
+        let endpoints = [("e", "a"), ("f", "a"), ("g", "a")];
+        crash_in_burst(&mut suspects, at_ms, &endpoints, is_isolated);
+        assert_eq!(suspects.status(at_ms, BAD), status, "burst {burst}");
+    }
+}
+
+// Guards against crashes that are not recorded because too many requests are suspects.
+#[test]
+fn the_oldest_suspect_makes_room_for_a_new_one() {
+    let mut suspects = Suspects::default();
+    let endpoint = EndpointName::new("e");
+    let mut evicted = Vec::new();
+    for number in 0..4_100 {
+        let digest = Digest(number.into());
+        let recorded = suspects.record_crash(number, digest, &endpoint, &domain(), false);
+        evicted.extend(recorded.evicted);
+    }
+    assert_eq!(evicted, (0..4).map(Digest).collect::<Vec<_>>());
+    assert_eq!(suspects.status(4_100, Digest(0)), SuspectStatus::Normal);
+    assert_eq!(
+        suspects.status(4_100, Digest(4_099)),
+        SuspectStatus::Suspect
+    );
+}
+
+#[test]
+fn reports_carry_the_status_of_a_request() {
+    let endpoints = ["e", "f", "g"].map(EndpointName::new);
+    for crashes in 1..=3 {
+        let (mut one, mut other) = (Suspects::default(), Suspects::default());
+        for (index, endpoint) in endpoints.iter().take(crashes).enumerate() {
+            let at_ms = 10_000 * index as u64;
+            one.record_crash(at_ms, BAD, endpoint, &domain(), index == 1);
+        }
+        for report in one.reports(40_000, BAD) {
+            assert!(other.import(100_000, &report).is_new);
+            assert!(!other.import(100_000, &report).is_new, "known already");
+        }
+        assert_eq!(other.status(100_000, BAD), one.status(40_000, BAD));
+        let (one, other) = (one.reports(40_000, BAD), other.reports(100_000, BAD));
+        assert_eq!(one, other, "ages and flags stay");
+    }
+}
+
 #[test]
 fn crash_reports_reach_other_daemons() {
     let mut one = pool(4);
@@ -159,7 +294,7 @@
     let mut suspects = Suspects::default();
     let endpoint = EndpointName::new("e");
     for number in 0..10_000 {
-        suspects.record_crash(number, Digest(number.into()), &endpoint, false);
+        suspects.record_crash(number, Digest(number.into()), &endpoint, &domain(), false);
     }
     assert!(suspects.export(10_000, u64::MAX).len() <= 4_096);
     assert_eq!(
