Send all new crash reports of a daemon at once

A daemon sent the first eight new reports of a moment and dropped the others, which came again with a later digest only if they were among the eight newest; with the failure domain, eight reports of the longest names no longer fit into a datagram, and its error is counted nowhere. New reports go out in digests of five, up to 64 in a moment; 5 x 216 bytes and the digest's own are below the 1,200 of a datagram. A report that a crash was isolated is news, also if one of that request and endpoint was sent before.

Found by reading; the fleet test of the daemon's bound (crash) passes.

--- a/crates/wisteriapoint/src/daemon/control/gossip.rs
+++ b/crates/wisteriapoint/src/daemon/control/gossip.rs
@@ -20,7 +20,10 @@
 
 const FANOUT: usize = 3;
 const DIGEST_EVERY_TICKS: u64 = 50;
-const MAX_CRASH_REPORTS_PER_DIGEST: usize = 8;
+/// Reports in one digest: with the longest names, they fit into a datagram.
+const MAX_CRASH_REPORTS_PER_DIGEST: usize = 5;
+/// New reports that are sent immediately; an engine runs fewer requests at once.
+const MAX_NEW_CRASH_REPORTS: usize = 64;
 const MAX_EXCHANGES: usize = 3;
 const MAX_UPDATE_BYTES: usize = 4 << 20;
 
@@ -78,12 +81,11 @@
     ) {
         recent.truncate(MAX_CRASH_REPORTS_PER_DIGEST);
         self.gossip.crash_reports = recent;
-        if new_reports.is_empty() {
-            return;
+        new_reports.truncate(MAX_NEW_CRASH_REPORTS);
+        for reports in new_reports.chunks(MAX_CRASH_REPORTS_PER_DIGEST) {
+            let digest = self.digest(reports.to_vec());
+            self.send_digest(self.other_members(), &digest);
         }
-        new_reports.truncate(MAX_CRASH_REPORTS_PER_DIGEST);
-        let digest = self.digest(new_reports);
-        self.send_digest(self.other_members(), &digest);
     }
 
     fn digest(&self, crash_reports: Vec<ServiceCrashReport>) -> StateDigest {
--- a/crates/wisteriapoint/src/daemon/crash_reports.rs
+++ b/crates/wisteriapoint/src/daemon/crash_reports.rs
@@ -18,7 +18,7 @@
 
 const TICK: Duration = Duration::from_millis(20);
 
-type ReportKeys = BTreeSet<(ServiceName, Digest, EndpointName)>;
+type ReportKeys = BTreeSet<(ServiceName, Digest, EndpointName, bool)>;
 
 /// Forwards crash reports from the routers to the control loop, and those of other daemons to the
 /// routers.
@@ -80,11 +80,13 @@
     shared.control.send(command).await.is_ok()
 }
 
-fn report_key(entry: &ServiceCrashReport) -> (ServiceName, Digest, EndpointName) {
+/// Returns what tells a new report from a distributed one; an isolated crash is news of its own.
+fn report_key(entry: &ServiceCrashReport) -> (ServiceName, Digest, EndpointName, bool) {
     let report = &entry.report;
     (
         entry.service.clone(),
         report.digest,
         report.endpoint.clone(),
+        report.isolated,
     )
 }
