Recognise the reports of one crash however late they arrive

In the trace of 31004, four crashes are counted where two happened: a node that was suspended received the reports seconds later, took the crashes for that much younger, and told them on, and reports of one endpoint count once only within a second of each other.

Cause: reports carry the age of a crash, to which the time on the way is not added, and a crash had no identity but endpoint and time. It has a random number now, given by the daemon that saw it; reports with a known one are of the known crash, and the earlier time is kept. Copies of a request at one endpoint from two daemons still are one crash by their time.

a_report_that_arrives_late_is_of_the_crash_that_is_known failed without it.

--- a/crates/node/src/suspects/mod.rs
+++ b/crates/node/src/suspects/mod.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 
 use tokio::sync::Notify;
-use wisteriapoint_route::{CrashReport, Recorded, SuspectStatus, Suspects};
+use wisteriapoint_route::{Crash, CrashReport, Recorded, SuspectStatus, Suspects};
 use wisteriapoint_types::{Digest, EndpointName};
 
 use crate::dialect::Dialect;
@@ -74,6 +74,11 @@
         isolated.contains_key(&digest) || isolated.values().any(|other| other == endpoint)
     }
 
+    fn record_crash(&self, at_ms: u64, digest: Digest, crash: Crash<'_>) -> Recorded {
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.record_crash(at_ms, digest, crash)
+    }
+
     /// Returns reports of the crashes of a request.
     pub fn reports(&self, now_ms: u64, digest: Digest) -> Vec<CrashReport> {
         self.crashes.borrow().reports(now_ms, digest)
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -5,7 +5,7 @@
 
 use tokio::task::spawn_local;
 use wisteriapoint_directory::{EndpointStage, Requirements};
-use wisteriapoint_route::SuspectStatus;
+use wisteriapoint_route::{Crash, SuspectStatus};
 use wisteriapoint_types::{Digest, EndpointName, FailureDomain};
 
 use super::{count, exchange, log_eviction};
@@ -258,13 +258,13 @@
         reason: &str,
     ) {
         let node = &self.node;
-        let recorded = node.suspects.crashes.borrow_mut().record_crash(
-            at_ms,
-            digest,
-            &self.endpoint,
+        let crash = Crash {
+            id: rand::random(),
+            endpoint: &self.endpoint,
             failure_domain,
-            self.is_isolated,
-        );
+            isolated: self.is_isolated,
+        };
+        let recorded = node.suspects.record_crash(at_ms, digest, crash);
         event!(
             info,
             "crash of endpoint recorded",
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -32,4 +32,4 @@
 pub use retry::RetryBudget;
 pub use state::{EndpointKey, EndpointState, Load, Outcome};
 pub use subset::Subset;
-pub use suspect::{CrashReport, Recorded, SuspectStatus, Suspects};
+pub use suspect::{Crash, CrashReport, Recorded, SuspectStatus, Suspects};
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::choice::{Choice, Chooser};
 use crate::queue::{Queue, QueueKey};
-use crate::suspect::{CrashReport, SuspectStatus, Suspects};
+use crate::suspect::{Crash, CrashReport, SuspectStatus, Suspects};
 use crate::{
     Admission, Class, Demand, Dispatch, EndpointKey, EndpointState, Load, Outcome, Reason, Refusal,
     RetryBudget, TicketKey,
@@ -298,9 +298,13 @@
             }
             match (outcome, digest) {
                 (Outcome::Crashed, Some(digest)) => {
-                    let (endpoint, domain) = (&state.endpoint, &state.failure_domain);
-                    self.suspects
-                        .record_crash(now_ms, digest, endpoint, domain, isolated);
+                    let crash = Crash {
+                        id: rand::random(),
+                        endpoint: &state.endpoint,
+                        failure_domain: &state.failure_domain,
+                        isolated,
+                    };
+                    self.suspects.record_crash(now_ms, digest, crash);
                 }
                 (Outcome::Crashed, None) => {
                     let (endpoint, domain) = (&state.endpoint, &state.failure_domain);
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -11,7 +11,7 @@
 const MAX_DIGESTS: usize = 4_096;
 /// Crashes after which a request is refused even if each had another likely cause.
 const MAX_CRASHES_PER_DIGEST: usize = 4;
-/// Reports of one endpoint within this time are of the same crash: an endpoint is back after
+/// Daemons that see an endpoint crash within this time see the same crash: it is back after
 /// seconds, and daemons notice its crash within the timeout of a connection.
 const SAME_CRASH_MS: u64 = 1_000;
 /// Crashes of several endpoints within this time may have a common cause.
@@ -25,6 +25,8 @@
 /// Report that an endpoint crashed while it ran a request; daemons exchange these reports.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
+    /// Random number that the daemon gave to the crash when it saw it.
+    pub id: u64,
     /// Digest of the request.
     pub digest: Digest,
     /// Endpoint that crashed.
@@ -66,9 +68,23 @@
     recent_records: VecDeque<(u64, Digest)>,
 }
 
+/// A crash of an endpoint while it ran a request, as this daemon saw it.
+#[derive(Debug, Clone, Copy)]
+pub struct Crash<'a> {
+    /// Random number by which reports of this crash are recognised, however late they arrive.
+    pub id: u64,
+    /// The endpoint.
+    pub endpoint: &'a EndpointName,
+    /// Failure domain of the endpoint.
+    pub failure_domain: &'a FailureDomain,
+    /// `true` if the request ran isolated.
+    pub isolated: bool,
+}
+
 /// A crash of an endpoint while it ran a request.
 #[derive(Debug, Clone)]
 struct CrashRecord {
+    id: u64,
     endpoint: EndpointName,
     failure_domain: FailureDomain,
     at_ms: u64,
@@ -95,19 +111,13 @@
 
 impl Suspects {
     /// Records that an endpoint crashed while it ran a request.
-    pub fn record_crash(
-        &mut self,
-        now_ms: u64,
-        digest: Digest,
-        endpoint: &EndpointName,
-        failure_domain: &FailureDomain,
-        isolated: bool,
-    ) -> Recorded {
+    pub fn record_crash(&mut self, now_ms: u64, digest: Digest, crash: Crash<'_>) -> Recorded {
         let crash = CrashRecord {
-            endpoint: endpoint.clone(),
-            failure_domain: failure_domain.clone(),
+            id: crash.id,
+            endpoint: crash.endpoint.clone(),
+            failure_domain: crash.failure_domain.clone(),
             at_ms: now_ms,
-            isolated,
+            isolated: crash.isolated,
             correlated: false,
         };
         self.record(now_ms, digest, crash)
@@ -125,6 +135,7 @@
         let is_new = match known {
             Some(record) => {
                 let is_new = crash.isolated && !record.isolated;
+                record.at_ms = record.at_ms.min(crash.at_ms);
                 record.isolated |= crash.isolated;
                 record.correlated |= crash.correlated;
                 is_new
@@ -277,6 +288,7 @@
             };
         }
         let crash = CrashRecord {
+            id: report.id,
             endpoint: report.endpoint.clone(),
             failure_domain: report.failure_domain.clone(),
             at_ms: now_ms.saturating_sub(report.age_ms),
@@ -306,12 +318,16 @@
 
 impl CrashRecord {
     /// Returns `true` if both records are of one crash of one endpoint.
+    ///
+    /// The time of a reported crash is too late by the time that its report took to arrive.
     fn is_same(&self, other: &Self) -> bool {
-        self.endpoint == other.endpoint && is_within(SAME_CRASH_MS, self.at_ms, other.at_ms)
+        let is_same_time = is_within(SAME_CRASH_MS, self.at_ms, other.at_ms);
+        self.id == other.id || (self.endpoint == other.endpoint && is_same_time)
     }
 
     fn report(&self, now_ms: u64, digest: Digest) -> CrashReport {
         CrashReport {
+            id: self.id,
             digest,
             endpoint: self.endpoint.clone(),
             failure_domain: self.failure_domain.clone(),
--- a/crates/route/tests/suspects.rs
+++ b/crates/route/tests/suspects.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use wisteriapoint_route::{
-    Admission, Demand, Dispatch, EndpointKey, EndpointState, Load, Outcome, Pool, Reason, Subset,
-    SuspectStatus, Suspects,
+    Admission, Crash, Demand, Dispatch, EndpointKey, EndpointState, Load, Outcome, Pool, Reason,
+    Recorded, Subset, SuspectStatus, Suspects,
 };
 use wisteriapoint_types::{Digest, EndpointName, FailureDomain, MemberId};
 
@@ -23,6 +23,23 @@
     FailureDomain::new("a")
 }
 
+/// Records a crash that no other daemon has seen.
+fn record_crash(
+    suspects: &mut Suspects,
+    at_ms: u64,
+    digest: Digest,
+    endpoint: &EndpointName,
+    isolated: bool,
+) -> Recorded {
+    let crash = Crash {
+        id: rand::random(),
+        endpoint,
+        failure_domain: &domain(),
+        isolated,
+    };
+    suspects.record_crash(at_ms, digest, crash)
+}
+
 fn demand(digest: Digest) -> Demand {
     Demand {
         digest: Some(digest),
@@ -129,7 +146,7 @@
     for (name, crashes, status) in cases {
         let mut suspects = Suspects::default();
         for &(endpoint, isolated, at_ms) in crashes {
-            suspects.record_crash(at_ms, BAD, &endpoints[endpoint], &domain(), isolated);
+            record_crash(&mut suspects, at_ms, BAD, &endpoints[endpoint], isolated);
         }
         assert_eq!(suspects.status(10, BAD), status, "{name}");
         assert_eq!(suspects.status(10, GOOD), SuspectStatus::Normal, "{name}");
@@ -145,12 +162,12 @@
 fn crashes_of_one_endpoint_count_once_until_it_can_be_back() {
     let endpoint = EndpointName::new("e");
     let mut suspects = Suspects::default();
-    suspects.record_crash(0, BAD, &endpoint, &domain(), false);
-    suspects.record_crash(0, GOOD, &endpoint, &domain(), false);
-    suspects.record_crash(10, BAD, &endpoint, &domain(), false);
+    record_crash(&mut suspects, 0, BAD, &endpoint, false);
+    record_crash(&mut suspects, 0, GOOD, &endpoint, false);
+    record_crash(&mut suspects, 10, BAD, &endpoint, false);
     assert_eq!(suspects.reports(10, BAD).len(), 1);
     for crash in 1..4 {
-        suspects.record_crash(crash * 2_000, BAD, &endpoint, &domain(), false);
+        record_crash(&mut suspects, crash * 2_000, BAD, &endpoint, false);
         assert_eq!(suspects.reports(10, BAD).len(), 1 + crash as usize);
     }
     assert_eq!(suspects.status(6_000, BAD), SuspectStatus::Quarantined);
@@ -163,16 +180,33 @@
 fn a_completed_request_is_cleared_unless_it_is_quarantined() {
     let endpoints = ["e", "f"].map(EndpointName::new);
     let mut suspects = Suspects::default();
-    suspects.record_crash(0, GOOD, &endpoints[0], &domain(), false);
+    record_crash(&mut suspects, 0, GOOD, &endpoints[0], false);
     assert!(suspects.clear(5, GOOD));
     assert!(!suspects.clear(5, GOOD), "it has no history any more");
-    suspects.record_crash(1_000, GOOD, &endpoints[1], &domain(), false);
+    record_crash(&mut suspects, 1_000, GOOD, &endpoints[1], false);
     assert_eq!(suspects.status(1_000, GOOD), SuspectStatus::Suspect);
-    suspects.record_crash(2_000, GOOD, &endpoints[0], &domain(), true);
+    record_crash(&mut suspects, 2_000, GOOD, &endpoints[0], true);
     assert!(!suspects.clear(3_000, GOOD));
     assert_eq!(suspects.status(3_000, GOOD), SuspectStatus::Quarantined);
 }
 
+// Guards against one crash that counts twice because a report of it was held up, for example by a
+// daemon that was suspended.
+#[test]
+fn a_report_that_arrives_late_is_of_the_crash_that_is_known() {
+    let endpoint = EndpointName::new("e");
+    let (mut one, mut other) = (Suspects::default(), Suspects::default());
+    record_crash(&mut one, 0, BAD, &endpoint, false);
+    let held_up = one.reports(1, BAD);
+    assert!(other.import(5_000, &held_up[0]).is_new);
+    for report in other.reports(9_000, BAD) {
+        assert!(!one.import(9_000, &report).is_new);
+    }
+    assert!(!other.import(9_000, &one.reports(9_000, BAD)[0]).is_new);
+    assert_eq!(one.reports(9_000, BAD).len(), 1);
+    assert_eq!(other.reports(9_000, BAD).len(), 1);
+}
+
 /// Records that `endpoints` crash at the same time while the request runs on the first of them.
 fn crash_in_burst(suspects: &mut Suspects, at_ms: u64, endpoints: &[(&str, &str)], isolated: bool) {
     let names = endpoints
@@ -181,7 +215,13 @@
     for (index, (endpoint, domain)) in names.enumerate() {
         match index {
             0 => {
-                suspects.record_crash(at_ms, BAD, &endpoint, &domain, isolated);
+                let crash = Crash {
+                    id: rand::random(),
+                    endpoint: &endpoint,
+                    failure_domain: &domain,
+                    isolated,
+                };
+                suspects.record_crash(at_ms, BAD, crash);
             }
             _ => suspects.record_endpoint_crash(at_ms + 50, &endpoint, &domain),
         }
@@ -242,7 +282,7 @@
     let mut evicted = Vec::new();
     for number in 0..4_100 {
         let digest = Digest(number.into());
-        let recorded = suspects.record_crash(number, digest, &endpoint, &domain(), false);
+        let recorded = record_crash(&mut suspects, number, digest, &endpoint, false);
         evicted.extend(recorded.evicted);
     }
     assert_eq!(evicted, (0..4).map(Digest).collect::<Vec<_>>());
@@ -260,7 +300,7 @@
         let (mut one, mut other) = (Suspects::default(), Suspects::default());
         for (index, endpoint) in endpoints.iter().take(crashes).enumerate() {
             let at_ms = 10_000 * index as u64;
-            one.record_crash(at_ms, BAD, endpoint, &domain(), index == 1);
+            record_crash(&mut one, at_ms, BAD, endpoint, index == 1);
         }
         for report in one.reports(40_000, BAD) {
             assert!(other.import(100_000, &report).is_new);
@@ -294,7 +334,13 @@
     let mut suspects = Suspects::default();
     let endpoint = EndpointName::new("e");
     for number in 0..10_000 {
-        suspects.record_crash(number, Digest(number.into()), &endpoint, &domain(), false);
+        record_crash(
+            &mut suspects,
+            number,
+            Digest(number.into()),
+            &endpoint,
+            false,
+        );
     }
     assert!(suspects.export(10_000, u64::MAX).len() <= 4_096);
     assert_eq!(
