Count the failures of an item and of its scorer over all owners

An item is given up after as many failures as its route allows, and so is one whose scorer fails, but a new owner of a batch job began at 0: an item that always fails ran up to the limit again under each of them.

The owner stores the failures of unfinished items in a row of their own, at most every 1.5 s and only if they have changed, and before it hands the batch job over; a new owner goes on from there. Formats of other rows and messages stay. What is lost is the failures of the last 1.5 s before a kill, and an attempt in progress.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -132,6 +132,17 @@
     pub versions: BTreeSet<WeightVersion>,
 }
 
+/// Failures of an item that has not finished, which another owner goes on counting.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemFailures {
+    /// Id of the item.
+    pub item: Box<str>,
+    /// Number of times that an endpoint failed the item.
+    pub failures: u32,
+    /// Number of times that an endpoint failed the call of its scorer.
+    pub scorer_failures: u32,
+}
+
 /// Partial output of an item, from which another owner resumes generation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartialOutput {
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -189,6 +189,23 @@
         }
     }
 
+    /// Returns the number of recorded failures of an item that has not finished.
+    pub fn failures(&self, key: ItemKey) -> u32 {
+        match self.states.get(key.0 as usize) {
+            Some(ItemState::Waiting { failures, .. } | ItemState::Running { failures }) => {
+                *failures
+            }
+            Some(ItemState::Done) | None => 0,
+        }
+    }
+
+    /// Adds failures that a previous owner has recorded for an item that has not started.
+    pub fn restore_failures(&mut self, key: ItemKey, previous: u32) {
+        if let Some(ItemState::Waiting { failures, .. }) = self.states.get_mut(key.0 as usize) {
+            *failures = previous.max(*failures);
+        }
+    }
+
     /// Marks an item as done and queues its result for the next commit.
     ///
     /// Has no effect on an item that is already done.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -22,7 +22,8 @@
 
 pub use commit::CommitBatch;
 pub use item::{
-    Item, ItemKey, ItemResult, Outcome, PartialOutput, Progress, Scorer, Step, Submission,
+    Item, ItemFailures, ItemKey, ItemResult, Outcome, PartialOutput, Progress, Scorer, Step,
+    Submission,
 };
 pub use job::{Job, Page};
 pub use record::{JobRecord, JobState, Owner};
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -110,7 +110,9 @@
         let outcome = match generated {
             Ok(()) => {
                 let score = match &self.item.scorer {
-                    Some(scorer) => score::score(&node, &self.owned, scorer).await.map(Some),
+                    Some(scorer) => score::score(&node, &self.owned, self.key, scorer)
+                        .await
+                        .map(Some),
                     None => Ok(None),
                 };
                 self.finish(score)
--- a/crates/node/src/jobs/commit.rs
+++ b/crates/node/src/jobs/commit.rs
@@ -107,8 +107,11 @@
             ..row.state.clone()
         };
         let outputs_key = keys::partial_outputs(&owned.id);
+        let failures_key = keys::failures(&owned.id);
         let outcome = write_state(&node, &owned, &mut row, state, |transaction| {
-            transaction.with_remove(outputs_key)
+            transaction
+                .with_remove(outputs_key)
+                .with_remove(failures_key)
         })
         .await;
         event!(
--- a/crates/node/src/jobs/keys.rs
+++ b/crates/node/src/jobs/keys.rs
@@ -40,6 +40,11 @@
     format!("{}{commit:06}", results_prefix(job))
 }
 
+/// Returns the key of the failures of unfinished items.
+pub fn failures(job: &str) -> String {
+    format!("wp/failures/{job}")
+}
+
 /// Returns the key of the partial outputs of unfinished items.
 pub fn partial_outputs(job: &str) -> String {
     format!("wp/parts/{job}")
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -6,8 +6,8 @@
 
 use tokio::sync::{Mutex, Notify};
 use wisteriapoint_batch::{
-    ItemKey, Job, JobRecord, JobState, Owner, PartialOutput, Progress, RequestedWork, Submission,
-    Work,
+    ItemFailures, ItemKey, Job, JobRecord, JobState, Owner, PartialOutput, Progress, RequestedWork,
+    Submission, Work,
 };
 use wisteriapoint_store::Index;
 use wisteriapoint_types::EndpointName;
@@ -48,6 +48,8 @@
     pub job: RefCell<Job>,
     /// Partial outputs of items that run or wait to resume.
     pub progress: RefCell<BTreeMap<ItemKey, Progress>>,
+    /// Number of failures of the scorers of unfinished items.
+    pub scorer_failures: RefCell<BTreeMap<ItemKey, u32>>,
     /// Endpoint at which each output is being generated, and the time in milliseconds of the node's
     /// clock at which that started.
     pub generating: RefCell<BTreeMap<ItemKey, (EndpointName, u64)>>,
@@ -185,6 +187,7 @@
             is_open: Cell::new(row.state.open),
             job: RefCell::new(job),
             progress: RefCell::default(),
+            scorer_failures: RefCell::default(),
             generating: RefCell::default(),
             row: Mutex::new(row),
             results_listed: Notify::new(),
@@ -217,6 +220,41 @@
             .collect()
     }
 
+    /// Returns the number of failures of an item's scorer.
+    pub fn scorer_failures(&self, key: ItemKey) -> u32 {
+        let failures = self.scorer_failures.borrow();
+        failures.get(&key).copied().unwrap_or(0)
+    }
+
+    /// Returns the failures of the unfinished items that have any.
+    pub fn failures(&self) -> Vec<ItemFailures> {
+        let job = self.job.borrow();
+        let items = job.submission().items.iter().enumerate();
+        let unfinished = items
+            .map(|(index, item)| (ItemKey(index as u32), item))
+            .filter(|&(key, _)| !job.is_item_done(key));
+        unfinished
+            .map(|(key, item)| ItemFailures {
+                item: item.id.clone(),
+                failures: job.failures(key),
+                scorer_failures: self.scorer_failures(key),
+            })
+            .filter(|failures| failures.failures + failures.scorer_failures > 0)
+            .collect()
+    }
+
+    /// Restores failures that a previous owner has recorded, before any item runs.
+    pub fn restore_failures(&self, previous: Vec<ItemFailures>) {
+        let mut job = self.job.borrow_mut();
+        let mut scorer_failures = self.scorer_failures.borrow_mut();
+        for failures in previous {
+            if let Some(key) = job.key_of(&failures.item) {
+                job.restore_failures(key, failures.failures);
+                scorer_failures.insert(key, failures.scorer_failures);
+            }
+        }
+    }
+
     /// Merges partial outputs from a previous owner; the longer one of two for an item is used.
     pub fn merge_partial_outputs(&self, outputs: Vec<PartialOutput>) {
         let job = self.job.borrow();
--- a/crates/node/src/jobs/partial_outputs.rs
+++ b/crates/node/src/jobs/partial_outputs.rs
@@ -1,10 +1,11 @@
-//! Partial outputs of unfinished items, stored periodically for the next owner of the batch job.
+//! Partial outputs and failures of unfinished items, stored for the next owner of the batch job.
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use tokio::time::sleep;
-use wisteriapoint_batch::PartialOutput;
+use wisteriapoint_batch::{ItemFailures, PartialOutput};
 use wisteriapoint_store::{Freshness, Transaction, TransactionalStore};
 
 use super::{OwnedJob, keys};
@@ -19,17 +20,24 @@
 /// its encoding as base64 text adds a third.
 const MAX_BYTES: usize = 700 << 10;
 
-/// Stores the partial outputs of unfinished items until the batch job is closed or done.
+/// Stores the partial outputs and failures of unfinished items until the batch job is closed or done.
 ///
-/// The write is unconditional, since the partial outputs of any owner are valid prefixes.
+/// The writes are unconditional, since the partial outputs of any owner are valid prefixes, and an
+/// owner that was replaced records few failures.
 pub async fn store_periodically<D: Dialect>(node: Rc<Node<D>>, owned: Rc<OwnedJob>) {
     let mut stored_event_count = 0;
+    let mut stored_failures = Vec::new();
     loop {
         sleep(WRITE_INTERVAL).await;
         if !owned.is_open.get() || owned.job.borrow().is_done() {
             return;
         }
         let outputs = owned.partial_outputs();
+        let failures = owned.failures();
+        if failures != stored_failures && node.is_definite_owner(&owned.id) {
+            stored_failures = failures;
+            store_failures(&node, &owned).await;
+        }
         let event_count: u64 = outputs
             .iter()
             .filter_map(|output| output.progress.last_event)
@@ -64,14 +72,36 @@
             return;
         }
     };
-    let transaction = Transaction::new().with_put(keys::partial_outputs(&owned.id), value);
+    write_row(node, owned, keys::partial_outputs(&owned.id), value).await;
+}
+
+/// Stores the failures of unfinished items.
+pub async fn store_failures<D: Dialect>(node: &Node<D>, owned: &OwnedJob) {
+    let failures = owned.failures();
+    if failures.is_empty() {
+        return;
+    }
+    match postcard::to_stdvec(&failures) {
+        Ok(value) => write_row(node, owned, keys::failures(&owned.id), value).await,
+        Err(error) => event!(
+            error,
+            "failures could not be encoded; not stored",
+            id = owned.id,
+            error = error
+        ),
+    }
+}
+
+async fn write_row<D: Dialect>(node: &Node<D>, owned: &OwnedJob, key: String, value: Vec<u8>) {
+    let transaction = Transaction::new().with_put(&*key, value);
     let committed = node.store.commit(&transaction).await;
     node.record_store_call("parts", &committed);
     if let Err(error) = committed {
         event!(
             info,
-            "partial outputs not stored",
+            "state of unfinished items not stored",
             id = owned.id,
+            key = key,
             error = error
         );
     }
@@ -81,19 +111,28 @@
 ///
 /// Returns an empty list if they cannot be read; items then restart from the beginning.
 pub async fn read_stored<D: Dialect>(node: &Node<D>, job: &str) -> Vec<PartialOutput> {
-    let row = node
-        .store
-        .row(&keys::partial_outputs(job), Freshness::Linearizable)
-        .await;
+    read_row(node, job, &keys::partial_outputs(job)).await
+}
+
+/// Returns the failures that a previous owner stored.
+///
+/// Returns an empty list if they cannot be read; they are then counted anew.
+pub async fn read_failures<D: Dialect>(node: &Node<D>, job: &str) -> Vec<ItemFailures> {
+    read_row(node, job, &keys::failures(job)).await
+}
+
+async fn read_row<D: Dialect, T: DeserializeOwned>(node: &Node<D>, job: &str, key: &str) -> Vec<T> {
+    let row = node.store.row(key, Freshness::Linearizable).await;
     node.record_store_call("read-parts", &row);
     match row {
         Ok((Some(row), _)) => match postcard::from_bytes(&row.value) {
-            Ok(outputs) => outputs,
+            Ok(entries) => entries,
             Err(error) => {
                 event!(
                     error,
-                    "stored partial outputs malformed; items may restart",
+                    "stored state of unfinished items malformed; ignored",
                     id = job,
+                    key = key,
                     error = error
                 );
                 Vec::new()
@@ -103,8 +142,9 @@
         Err(error) => {
             event!(
                 info,
-                "stored partial outputs not read; items may restart",
+                "stored state of unfinished items not read; ignored",
                 id = job,
+                key = key,
                 error = error
             );
             Vec::new()
--- a/crates/node/src/jobs/score.rs
+++ b/crates/node/src/jobs/score.rs
@@ -7,7 +7,7 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
 use tokio::time::sleep;
-use wisteriapoint_batch::Scorer;
+use wisteriapoint_batch::{ItemKey, Scorer};
 use wisteriapoint_directory::Route;
 
 use super::OwnedJob;
@@ -37,9 +37,10 @@
 pub async fn score<D: Dialect>(
     node: &Rc<Node<D>>,
     owned: &OwnedJob,
+    key: ItemKey,
     scorer: &Scorer,
 ) -> Result<Box<str>, ScoringError> {
-    let mut failures = 0;
+    let mut failures = owned.scorer_failures(key);
     loop {
         let route = node.configuration().and_then(|configuration| {
             let path = scorer.path.split('?').next().unwrap_or_default();
@@ -61,6 +62,7 @@
                 }
                 // A 504 only means that the endpoint was too slow at this deadline.
                 failures += u32::from(response.status == StatusCode::INTERNAL_SERVER_ERROR);
+                owned.scorer_failures.borrow_mut().insert(key, failures);
                 event!(
                     info,
                     "item not scored",
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -195,6 +195,7 @@
     let owned = OwnedJob::new(job, &record, resumed_job, StateRow { revision, state });
     owned.merge_partial_outputs(outputs);
     owned.merge_partial_outputs(partial_outputs::read_stored(node, job).await);
+    owned.restore_failures(partial_outputs::read_failures(node, job).await);
     node.jobs.insert(owned.clone());
     run::start_tasks(node, owned);
     Ok(true)
@@ -368,6 +369,7 @@
         // The row stays locked during the handover, so that no commit of this node conflicts with
         // the write of the new owner.
         let _row = owned.row.lock().await;
+        partial_outputs::store_failures(node, owned).await;
         let query = PeerRequest::TakeOver {
             job: owned.id.clone(),
             parts: owned.partial_outputs(),
