Requeue an item whose attempt has panicked

Read, not seen: an attempt that panics ends with an error line, and its item stays 'running' at its owner until its batch job expires or moves. It is requeued now like one whose engine failed. No test: nothing in an attempt panics on purpose, and the run loop has no seam for it; the tests of batch jobs pass.

--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -72,12 +72,18 @@
             Ok(result) => handle_attempt_result(&node, &owned, result),
             // The attempt was aborted because the item migrates to another engine.
             Err(error) if error.is_cancelled() => {}
-            Err(error) => event!(
-                error,
-                "item attempt task failed",
-                id = owned.id,
-                error = error
-            ),
+            Err(error) => {
+                event!(
+                    error,
+                    "item attempt task failed; requeueing the item",
+                    id = owned.id,
+                    error = error
+                );
+                let mut handles = handles.iter();
+                if let Some((&key, _)) = handles.find(|(_, handle)| handle.id() == error.id()) {
+                    owned.job.borrow_mut().requeue(node.now_ms(), key);
+                }
+            }
         }
         owned.item_finished.notify_one();
         node.directory_changed.notify_waiters();
