Keep quarantined requests in the store

A quarantine that only processes know ends with them: after the loss of all nodes at once, a request that is resent crashes two more endpoints, and two after the next loss. The node that records the crash by which a request is quarantined writes its crashes to a row under a lease of ten minutes, the time of a quarantine, which nobody renews, and a node reads these rows with the history of its peers whenever it has obtained a lease. Nothing waits for the write; suspects, of which there are many in a burst, are not written.

Log lines name each crash by its number, and a node logs that another one cleared a suspect.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -32,7 +32,8 @@
     /// Abandoned items of batch jobs by reason.
     pub abandoned_items: IntCounterVec,
     /// Decisions about requests suspected of crashing endpoints: `recorded`, `received`,
-    /// `lost-answer`, `isolated`, `deferred`, `cleared`, `refused`, `sent-again`, `evicted`.
+    /// `lost-answer`, `isolated`, `deferred`, `cleared`, `refused`, `stored`,
+    /// `sent-again`, `evicted`.
     pub suspects: IntCounterVec,
     /// Calls to the store by operation and result.
     pub store_calls: IntCounterVec,
--- a/crates/node/src/suspects/exchange.rs
+++ b/crates/node/src/suspects/exchange.rs
@@ -10,7 +10,7 @@
 use wisteriapoint_store::Freshness;
 use wisteriapoint_types::{Digest, EndpointName};
 
-use super::{apply_reports, count};
+use super::{apply_reports, count, stored};
 use crate::control::members;
 use crate::dialect::Dialect;
 use crate::event;
@@ -81,7 +81,7 @@
     conflicts
 }
 
-/// Requests the history of other nodes and introduces this node to them.
+/// Requests the history of other nodes and of the store, and introduces this node to the others.
 ///
 /// Called whenever a lease has been obtained: a node that has just started, or was suspended or cut
 /// off, has missed reports.
@@ -100,6 +100,7 @@
             apply_reports(&node, peer, &reports);
         }
     }
+    stored::load(&node).await;
     set_history_loaded(&node);
 }
 
--- a/crates/node/src/suspects/mod.rs
+++ b/crates/node/src/suspects/mod.rs
@@ -6,12 +6,14 @@
 pub mod exchange;
 pub mod peers;
 pub mod run;
+pub mod stored;
 
 pub use peers::KnownPeers;
 pub use run::{Isolation, Placement, Quarantine, Run, place};
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::net::SocketAddr;
 
 use tokio::sync::Notify;
@@ -90,8 +92,12 @@
     }
 }
 
-/// Records the crash reports of another node.
-pub fn apply_reports<D: Dialect>(node: &Node<D>, source: SocketAddr, reports: &[CrashReport]) {
+/// Records the crash reports of another node, or of the store; `source` is written to the log.
+pub fn apply_reports<D: Dialect>(
+    node: &Node<D>,
+    source: impl fmt::Display,
+    reports: &[CrashReport],
+) {
     for report in reports {
         let recorded = node
             .suspects
@@ -105,6 +111,7 @@
             info,
             "crash report received",
             digest = report.digest,
+            crash = format_args!("{:x}", report.id),
             endpoint = report.endpoint,
             age_ms = report.age_ms,
             isolated = report.isolated,
@@ -118,10 +125,14 @@
 
 /// Clears a request that was completed at another node.
 pub fn apply_completion<D: Dialect>(node: &Node<D>, digest: Digest) {
-    node.suspects
-        .crashes
-        .borrow_mut()
-        .clear(node.now_ms(), digest);
+    let mut crashes = node.suspects.crashes.borrow_mut();
+    if crashes.clear(node.now_ms(), digest) {
+        event!(
+            info,
+            "crash suspect cleared by another node",
+            digest = digest
+        );
+    }
 }
 
 fn log_eviction<D: Dialect>(node: &Node<D>, recorded: Recorded) {
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -5,10 +5,10 @@
 
 use tokio::task::spawn_local;
 use wisteriapoint_directory::{EndpointStage, Requirements};
-use wisteriapoint_route::{Crash, SuspectStatus};
+use wisteriapoint_route::{Crash, CrashReport, SuspectStatus};
 use wisteriapoint_types::{Digest, EndpointName, FailureDomain};
 
-use super::{count, exchange, log_eviction};
+use super::{count, exchange, log_eviction, stored};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::Node;
@@ -147,24 +147,18 @@
     let now_ms = node.now_ms();
     let crashes = node.suspects.crashes.borrow();
     let reports = crashes.reports(now_ms, digest);
-    let join = |texts: Vec<String>| texts.join(",");
+    let join = |text: fn(&CrashReport) -> String| {
+        let texts: Vec<_> = reports.iter().map(text).collect();
+        texts.join(",")
+    };
     event!(
         info,
         "request refused as a crash suspect",
         id = id,
         digest = digest,
-        endpoints = join(
-            reports
-                .iter()
-                .map(|crash| crash.endpoint.to_string())
-                .collect()
-        ),
-        ages_ms = join(
-            reports
-                .iter()
-                .map(|crash| crash.age_ms.to_string())
-                .collect()
-        ),
+        crashes = join(|crash| format!("{:x}", crash.id)),
+        endpoints = join(|crash| crash.endpoint.to_string()),
+        ages_ms = join(|crash| crash.age_ms.to_string()),
         isolated = reports.iter().filter(|crash| crash.isolated).count(),
         correlated = reports.iter().filter(|crash| crash.correlated).count(),
     );
@@ -270,13 +264,17 @@
             "crash of endpoint recorded",
             id = self.id,
             digest = digest,
+            crash = format_args!("{:x}", crash.id),
             endpoint = self.endpoint,
             isolated = self.is_isolated,
-            crashes = node.suspects.reports(node.now_ms(), digest).len(),
+            known_crashes = node.suspects.reports(node.now_ms(), digest).len(),
             reason = reason,
         );
         count(node, "recorded");
         log_eviction(node, recorded);
+        if node.suspects.status(node.now_ms(), digest) == SuspectStatus::Quarantined {
+            spawn_local(stored::store(node.clone(), digest));
+        }
         exchange::report(node, digest).await;
     }
 }
