Keep the endpoint of a suspect free of other requests

Cause: an isolated run excluded suspects only. Now all nodes keep the endpoint free of other callers' requests, use it only if there is no other, and say how many still run there; the suspect starts when none does, or after 0.2 s, since engines with long streams are never idle. The node releases the endpoint at the end of the run, and others do after 0.5 s. Calls of batch jobs are no suspects and go on. A crash of an isolated run is explained by it, so it no longer counts as a coincidence for requests on other endpoints: several crashing requests on a small service covered for each other that way.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -78,7 +78,7 @@
         /// Address at which the sender accepts requests of peers.
         from: SocketAddr,
     },
-    /// Asks whether a crash suspect can run isolated at an endpoint.
+    /// Asks to keep an endpoint for a crash suspect.
     RunIsolated {
         /// Digest of the suspect.
         digest: Digest,
@@ -87,6 +87,8 @@
     },
     /// Reports that an endpoint completed a crash suspect.
     Completed(Digest),
+    /// Reports that a crash suspect no longer needs an endpoint.
+    EndIsolated(Digest),
 }
 
 /// The response to a [`PeerRequest`].
@@ -119,8 +121,10 @@
     Crashes(Vec<CrashReport>),
     /// Whether a crash suspect can run isolated.
     RunIsolated {
-        /// `true` if another suspect runs at the endpoint, or the suspect itself anywhere.
+        /// `true` if the endpoint is kept for another suspect, or the suspect runs elsewhere.
         is_conflicting: bool,
+        /// Number of callers' requests that the node runs at the endpoint.
+        running: u32,
         /// The crashes of the suspect.
         reports: Vec<CrashReport>,
     },
@@ -201,13 +205,20 @@
             PeerResponse::Crashes(node.suspects.history(node.now_ms()))
         }
         PeerRequest::RunIsolated { digest, endpoint } => PeerResponse::RunIsolated {
-            is_conflicting: node.suspects.conflicts(digest, &endpoint),
+            is_conflicting: !node
+                .suspects
+                .keep_for_peer(node.now_ms(), digest, &endpoint),
+            running: node.suspects.running(&endpoint),
             reports: node.suspects.reports(node.now_ms(), digest),
         },
         PeerRequest::Completed(digest) => {
             suspects::apply_completion(node, digest);
             PeerResponse::Done
         }
+        PeerRequest::EndIsolated(digest) => {
+            node.suspects.release(digest);
+            PeerResponse::Done
+        }
         PeerRequest::TakeOver { job, parts } => match jobs::take_over(node, &job, parts).await {
             true => PeerResponse::Done,
             false => PeerResponse::Failed,
--- a/crates/node/src/suspects/exchange.rs
+++ b/crates/node/src/suspects/exchange.rs
@@ -54,31 +54,41 @@
     spawn_local(async move { call_all(&node, &PeerRequest::Completed(digest)).await });
 }
 
-/// Asks all peers whether another suspect runs at an endpoint, or the request at another one.
+/// Asks all peers to keep an endpoint for a suspect.
 ///
-/// A peer that does not answer in time counts as one without suspects. The peers also send what they
-/// know of the request.
-pub(super) async fn conflicts<D: Dialect>(
+/// Returns the number of callers' requests that they run there; `None` if the endpoint is kept for
+/// another suspect, or the suspect runs elsewhere. A peer that does not answer in time counts as one
+/// without requests. The peers also send what they know of the suspect.
+pub(super) async fn keep_endpoint<D: Dialect>(
     node: &Rc<Node<D>>,
     digest: Digest,
     endpoint: &EndpointName,
-) -> bool {
+) -> Option<u32> {
     let request = PeerRequest::RunIsolated {
         digest,
         endpoint: endpoint.clone(),
     };
-    let mut conflicts = false;
+    let mut all_running = Some(0);
     for (peer, response) in call_all(node, &request).await {
         if let Some(PeerResponse::RunIsolated {
             is_conflicting,
+            running,
             reports,
         }) = response
         {
-            conflicts |= is_conflicting;
+            all_running = all_running
+                .filter(|_| !is_conflicting)
+                .map(|sum: u32| sum.saturating_add(running));
             apply_reports(node, peer, &reports);
         }
     }
-    conflicts
+    all_running
+}
+
+/// Tells all peers that a suspect no longer needs an endpoint; does not wait for them.
+pub(super) fn release<D: Dialect>(node: &Rc<Node<D>>, digest: Digest) {
+    let node = node.clone();
+    spawn_local(async move { call_all(&node, &PeerRequest::EndIsolated(digest)).await });
 }
 
 /// Requests the history of other nodes and of the store, and introduces this node to the others.
--- a/crates/node/src/suspects/mod.rs
+++ b/crates/node/src/suspects/mod.rs
@@ -24,12 +24,20 @@
 use crate::event;
 use crate::node::Node;
 
+/// Time for which an endpoint is kept for a suspect of a node that does not release it, in
+/// milliseconds: the time of most requests.
+const RESERVATION_MS: u64 = 500;
+
 /// State of a node about suspects.
 #[derive(Debug, Default)]
 pub struct SuspectRequests {
     crashes: RefCell<Suspects>,
     /// Suspects that run at this node, or are about to, with their endpoints.
     isolated: RefCell<BTreeMap<Digest, EndpointName>>,
+    /// Endpoints that other nodes keep for suspects, with the time in milliseconds until which.
+    kept: RefCell<BTreeMap<EndpointName, (Digest, u64)>>,
+    /// Number of callers' requests that run at each endpoint.
+    running: RefCell<BTreeMap<EndpointName, u32>>,
     /// Requests whose crashes a peer has not acknowledged.
     undelivered: RefCell<BTreeMap<SocketAddr, BTreeSet<Digest>>>,
     undelivered_added: Notify,
@@ -54,14 +62,56 @@
         self.crashes.borrow().status(now_ms, digest)
     }
 
-    /// Returns the endpoints at which suspects run isolated.
-    pub fn reserved_endpoints(&self) -> Vec<EndpointName> {
-        self.isolated.borrow().values().cloned().collect()
+    /// Returns the endpoints that are kept for suspects, by this node or another one.
+    pub fn reserved_endpoints(&self, now_ms: u64) -> Vec<EndpointName> {
+        let mut kept = self.kept.borrow_mut();
+        kept.retain(|_, (_, until_ms)| now_ms < *until_ms);
+        let own = self.isolated.borrow();
+        own.values().chain(kept.keys()).cloned().collect()
+    }
+
+    /// Keeps an endpoint for the suspect of another node for a while.
+    ///
+    /// Returns `false` if it [conflicts](Self::conflicts).
+    pub fn keep_for_peer(&self, now_ms: u64, digest: Digest, endpoint: &EndpointName) -> bool {
+        let is_free = !self.conflicts(now_ms, digest, endpoint);
+        if is_free {
+            let until_ms = now_ms + RESERVATION_MS;
+            let mut kept = self.kept.borrow_mut();
+            kept.insert(endpoint.clone(), (digest, until_ms));
+        }
+        is_free
+    }
+
+    /// Ends what [`keep_for_peer`](Self::keep_for_peer) began.
+    pub fn release(&self, digest: Digest) {
+        let mut kept = self.kept.borrow_mut();
+        kept.retain(|_, (other, _)| *other != digest);
+    }
+
+    /// Returns the number of callers' requests that run at an endpoint.
+    pub fn running(&self, endpoint: &EndpointName) -> u32 {
+        self.running.borrow().get(endpoint).copied().unwrap_or(0)
+    }
+
+    fn begin_run(&self, endpoint: &EndpointName) {
+        let mut running = self.running.borrow_mut();
+        *running.entry(endpoint.clone()).or_default() += 1;
+    }
+
+    fn end_run(&self, endpoint: &EndpointName) {
+        let mut running = self.running.borrow_mut();
+        match running.get_mut(endpoint) {
+            Some(count) if *count > 1 => *count -= 1,
+            _ => {
+                running.remove(endpoint);
+            }
+        }
     }
 
-    /// Reserves an endpoint for a suspect, unless [`conflicts`](Self::conflicts).
-    fn try_reserve(&self, digest: Digest, endpoint: &EndpointName) -> bool {
-        let is_free = !self.conflicts(digest, endpoint);
+    /// Reserves an endpoint for a suspect, unless it [conflicts](Self::conflicts).
+    fn try_reserve(&self, now_ms: u64, digest: Digest, endpoint: &EndpointName) -> bool {
+        let is_free = !self.conflicts(now_ms, digest, endpoint);
         if is_free {
             let mut isolated = self.isolated.borrow_mut();
             isolated.insert(digest, endpoint.clone());
@@ -69,11 +119,15 @@
         is_free
     }
 
-    /// Returns `true` if the request runs isolated at this node, or another suspect does at the
-    /// endpoint.
-    pub fn conflicts(&self, digest: Digest, endpoint: &EndpointName) -> bool {
+    /// Returns `true` if the request runs isolated at this node, or the endpoint is kept for another
+    /// suspect.
+    pub fn conflicts(&self, now_ms: u64, digest: Digest, endpoint: &EndpointName) -> bool {
         let isolated = self.isolated.borrow();
-        isolated.contains_key(&digest) || isolated.values().any(|other| other == endpoint)
+        let kept = self.kept.borrow();
+        let is_kept = |&(other, until_ms): &(Digest, u64)| now_ms < until_ms && other != digest;
+        isolated.contains_key(&digest)
+            || isolated.values().any(|other| other == endpoint)
+            || kept.get(endpoint).is_some_and(is_kept)
     }
 
     fn record_crash(&self, at_ms: u64, digest: Digest, crash: Crash<'_>) -> Recorded {
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 use wisteriapoint_directory::{EndpointStage, Requirements};
 use wisteriapoint_route::{Crash, CrashReport, SuspectStatus};
 use wisteriapoint_types::{Digest, EndpointName, FailureDomain};
@@ -13,6 +15,12 @@
 use crate::event;
 use crate::node::Node;
 
+/// Longest wait until other requests have ended at the endpoint of a suspect, in milliseconds: the time
+/// of most plain requests.
+const MAX_IDLE_WAIT_MS: u64 = 200;
+/// Interval at which the nodes are asked whether they have ended.
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Endpoint at which a request may run, or the reason why there is none.
 pub enum Placement<D: Dialect> {
     /// The request may be sent to an endpoint.
@@ -60,17 +68,23 @@
 
 impl<D: Dialect> Drop for Run<D> {
     fn drop(&mut self) {
-        if let Some(digest) = self.digest.filter(|_| self.is_isolated) {
+        let Some(digest) = self.digest else {
+            return;
+        };
+        self.node.suspects.end_run(&self.endpoint);
+        if self.is_isolated {
             self.node.suspects.isolated.borrow_mut().remove(&digest);
+            exchange::release(&self.node, digest);
         }
     }
 }
 
 /// Chooses an endpoint for a request, other than the excluded ones, and decides whether it may run.
 ///
-/// A suspect runs isolated: at an endpoint where no other suspect runs, and nowhere else at the same
-/// time. Requests without a history may run beside it, since they are the less likely cause of a
-/// crash, and engines with long streams are never idle.
+/// A suspect runs isolated: at an endpoint that all nodes keep free of other requests of callers, and
+/// nowhere else at the same time. Requests that run there already may remain if they last too long,
+/// since engines with long streams are never idle. Other requests use an endpoint that is kept only
+/// if there is no other; calls of batch jobs use any, since they are no suspects.
 pub async fn place<D: Dialect>(
     node: &Rc<Node<D>>,
     (id, digest): (&str, Option<Digest>),
@@ -85,7 +99,7 @@
         }
         (Some(digest), Some(SuspectStatus::Suspect)) if isolation == Isolation::Required => digest,
         _ => {
-            return match node.choose_endpoint(requirements, excluded) {
+            return match choose_for_others(node, digest, requirements, excluded) {
                 Some((endpoint, address)) => Placement::Run {
                     run: Run::new(node, id, digest, &endpoint),
                     endpoint,
@@ -95,7 +109,7 @@
             };
         }
     };
-    let mut unavailable = node.suspects.reserved_endpoints();
+    let mut unavailable = node.suspects.reserved_endpoints(node.now_ms());
     unavailable.extend_from_slice(excluded);
     match node.choose_endpoint(requirements, &unavailable) {
         Some((endpoint, address)) => place_isolated(node, (id, suspect), endpoint, address).await,
@@ -104,6 +118,25 @@
     }
 }
 
+/// Chooses an endpoint for a request that is no suspect.
+fn choose_for_others<D: Dialect>(
+    node: &Node<D>,
+    digest: Option<Digest>,
+    requirements: Requirements<'_>,
+    excluded: &[EndpointName],
+) -> Option<(EndpointName, SocketAddr)> {
+    let mut unavailable = match digest {
+        Some(_) => node.suspects.reserved_endpoints(node.now_ms()),
+        None => Vec::new(),
+    };
+    if unavailable.is_empty() {
+        return node.choose_endpoint(requirements, excluded);
+    }
+    unavailable.extend_from_slice(excluded);
+    node.choose_endpoint(requirements, &unavailable)
+        .or_else(|| node.choose_endpoint(requirements, excluded))
+}
+
 async fn place_isolated<D: Dialect>(
     node: &Rc<Node<D>>,
     (id, digest): (&str, Digest),
@@ -111,13 +144,13 @@
     address: SocketAddr,
 ) -> Placement<D> {
     // Reserved before the peers are asked, so that of two nodes at least one sees the other.
-    if !node.suspects.try_reserve(digest, &endpoint) {
+    if !node.suspects.try_reserve(node.now_ms(), digest, &endpoint) {
         count(node, "deferred");
         return Placement::Conflict;
     }
     let mut run = Run::new(node, id, Some(digest), &endpoint);
     run.is_isolated = true;
-    let is_conflicting = exchange::conflicts(node, digest, &endpoint).await;
+    let is_conflicting = !await_idle(node, digest, &endpoint).await;
     match node.suspects.status(node.now_ms(), digest) {
         SuspectStatus::Quarantined => Placement::Quarantined(quarantine(node, id, digest)),
         _ if is_conflicting => {
@@ -142,6 +175,29 @@
     }
 }
 
+/// Keeps an endpoint for a suspect until no other request of a caller runs there, or long enough.
+///
+/// Returns `false` if it is kept for another suspect, or the suspect runs elsewhere.
+async fn await_idle<D: Dialect>(
+    node: &Rc<Node<D>>,
+    digest: Digest,
+    endpoint: &EndpointName,
+) -> bool {
+    let end_ms = node.now_ms() + MAX_IDLE_WAIT_MS;
+    loop {
+        let Some(running) = exchange::keep_endpoint(node, digest, endpoint).await else {
+            return false;
+        };
+        // One of those at this node is the suspect's own run.
+        let others = running + node.suspects.running(endpoint).saturating_sub(1);
+        let status = node.suspects.status(node.now_ms(), digest);
+        if others == 0 || status == SuspectStatus::Quarantined || node.now_ms() >= end_ms {
+            return true;
+        }
+        sleep(IDLE_POLL_INTERVAL).await;
+    }
+}
+
 /// Returns the quarantine of a request, and logs its crashes.
 fn quarantine<D: Dialect>(node: &Node<D>, id: &str, digest: Digest) -> Quarantine {
     let now_ms = node.now_ms();
@@ -170,6 +226,9 @@
 
 impl<D: Dialect> Run<D> {
     fn new(node: &Rc<Node<D>>, id: &str, digest: Option<Digest>, endpoint: &EndpointName) -> Self {
+        if digest.is_some() {
+            node.suspects.begin_run(endpoint);
+        }
         Self {
             node: node.clone(),
             id: id.into(),
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -98,6 +98,8 @@
     endpoint: EndpointName,
     failure_domain: FailureDomain,
     at_ms: u64,
+    /// `true` if a suspect ran isolated, which explains the crash.
+    is_explained: bool,
 }
 
 /// Effect of a recorded crash.
@@ -150,36 +152,50 @@
         crashes.sort_by_key(|record| (record.isolated, record.at_ms));
         let surplus = crashes.len().saturating_sub(MAX_CRASHES_PER_DIGEST);
         crashes.drain(..surplus);
-        self.record_endpoint_crash(crash.at_ms, &crash.endpoint, &crash.failure_domain);
+        self.record_recent(EndpointCrash {
+            endpoint: crash.endpoint,
+            failure_domain: crash.failure_domain,
+            at_ms: crash.at_ms,
+            is_explained: crash.isolated,
+        });
         Recorded { is_new, evicted }
     }
 
     /// Records that an endpoint crashed, whatever it ran.
     ///
     /// Endpoints that crash at about the same time have a common cause, which can't be a request
-    /// that ran on only some of them. Their crashes alone raise no suspicion and quarantine no
-    /// request.
+    /// that ran on only some of them, unless a suspect ran isolated on the others. Their crashes
+    /// alone raise no suspicion and quarantine no request.
     pub fn record_endpoint_crash(
         &mut self,
         at_ms: u64,
         endpoint: &EndpointName,
         failure_domain: &FailureDomain,
     ) {
+        self.record_recent(EndpointCrash {
+            endpoint: endpoint.clone(),
+            failure_domain: failure_domain.clone(),
+            at_ms,
+            is_explained: false,
+        });
+    }
+
+    fn record_recent(&mut self, crash: EndpointCrash) {
+        let at_ms = crash.at_ms;
         self.recent
-            .retain(|crash| crash.at_ms + SAME_CRASH_MS > at_ms);
+            .retain(|known| known.at_ms + SAME_CRASH_MS > at_ms);
         self.recent_records
             .retain(|&(record_ms, _)| record_ms + SAME_CRASH_MS > at_ms);
         self.recent_records.truncate(MAX_DIGESTS);
-        let is_known = |crash: &EndpointCrash| {
-            crash.endpoint == *endpoint && is_within(CORRELATION_WINDOW_MS, crash.at_ms, at_ms)
+        let is_same = |known: &&mut EndpointCrash| {
+            known.endpoint == crash.endpoint && is_within(CORRELATION_WINDOW_MS, known.at_ms, at_ms)
         };
-        if !self.recent.iter().any(is_known) {
-            self.recent.truncate(MAX_RECENT_CRASHES - 1);
-            self.recent.push_front(EndpointCrash {
-                endpoint: endpoint.clone(),
-                failure_domain: failure_domain.clone(),
-                at_ms,
-            });
+        match self.recent.iter_mut().find(is_same) {
+            Some(known) => known.is_explained |= crash.is_explained,
+            None => {
+                self.recent.truncate(MAX_RECENT_CRASHES - 1);
+                self.recent.push_front(crash);
+            }
         }
         self.mark_correlated(at_ms);
     }
@@ -206,6 +222,7 @@
             for record in uncorrelated.filter(|record| is_affected(record.at_ms)) {
                 let others = recent.iter().filter(|crash| {
                     is_within(CORRELATION_WINDOW_MS, crash.at_ms, record.at_ms)
+                        && !crash.is_explained
                         && !own.contains(&crash.endpoint)
                 });
                 let (mut others_count, mut is_same_domain) = (0, false);
