Count a crash as isolated only if no other request ran there

Cause: 'isolated' was what a node had asked for, not what was so. A crash counts as isolated now if at least half of the known peers confirmed the run, the members have been read, and no other caller's request has a record of the same crash, in whatever order they arrive; peers acknowledge a report with the endpoints at which they run requests, so that the reporting node knows before its caller does.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -119,6 +119,9 @@
     Failed,
     /// Crashes of endpoints.
     Crashes(Vec<CrashReport>),
+    /// The reports are recorded. Contains those of their endpoints at which the node runs callers'
+    /// requests, or has run some until the crash.
+    CrashesRecorded(Vec<EndpointName>),
     /// Whether a crash suspect can run isolated.
     RunIsolated {
         /// `true` if the endpoint is kept for another suspect, or the suspect runs elsewhere.
@@ -198,7 +201,12 @@
         PeerRequest::Crashes { from, reports } => {
             node.suspects.peers.add(node.now_ms(), from);
             suspects::apply_reports(node, from, &reports);
-            PeerResponse::Done
+            let endpoints = reports.into_iter().map(|report| report.endpoint);
+            PeerResponse::CrashesRecorded(
+                endpoints
+                    .filter(|endpoint| node.suspects.running(endpoint) > 0)
+                    .collect(),
+            )
         }
         PeerRequest::CrashHistory { from } => {
             node.suspects.peers.add(node.now_ms(), from);
--- a/crates/node/src/suspects/exchange.rs
+++ b/crates/node/src/suspects/exchange.rs
@@ -35,17 +35,28 @@
 }
 
 /// Sends all crash reports of a request to all peers, and waits for their acknowledgements.
-pub(super) async fn report<D: Dialect>(node: &Rc<Node<D>>, digest: Digest) {
+///
+/// Returns `true` if any of them ran requests of callers at the endpoint.
+pub(super) async fn report<D: Dialect>(
+    node: &Rc<Node<D>>,
+    digest: Digest,
+    endpoint: &EndpointName,
+) -> bool {
     let reports = node.suspects.reports(node.now_ms(), digest);
     let request = PeerRequest::Crashes {
         from: node.owner.address,
         reports,
     };
+    let mut is_shared = false;
     for (peer, response) in call_all(node, &request).await {
-        if response.is_none() {
-            add_undelivered(node, peer, digest);
+        match response {
+            Some(PeerResponse::CrashesRecorded(endpoints)) => {
+                is_shared |= endpoints.contains(endpoint);
+            }
+            _ => add_undelivered(node, peer, digest),
         }
     }
+    is_shared
 }
 
 /// Tells all peers that a suspect was completed; does not wait for them.
@@ -54,35 +65,48 @@
     spawn_local(async move { call_all(&node, &PeerRequest::Completed(digest)).await });
 }
 
+/// What the peers answered that keep an endpoint for a suspect.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Kept {
+    /// Number of callers' requests that they run there.
+    pub(super) running: u32,
+    /// `true` if at least half of the peers answered, so that the others are likely to have ended.
+    pub(super) is_confirmed: bool,
+}
+
 /// Asks all peers to keep an endpoint for a suspect.
 ///
-/// Returns the number of callers' requests that they run there; `None` if the endpoint is kept for
-/// another suspect, or the suspect runs elsewhere. A peer that does not answer in time counts as one
-/// without requests. The peers also send what they know of the suspect.
+/// Returns what they answered; `None` if the endpoint is kept for another suspect, or the suspect runs
+/// elsewhere. The peers also send what they know of the suspect.
 pub(super) async fn keep_endpoint<D: Dialect>(
     node: &Rc<Node<D>>,
     digest: Digest,
     endpoint: &EndpointName,
-) -> Option<u32> {
+) -> Option<Kept> {
     let request = PeerRequest::RunIsolated {
         digest,
         endpoint: endpoint.clone(),
     };
-    let mut all_running = Some(0);
-    for (peer, response) in call_all(node, &request).await {
+    let responses = call_all(node, &request).await;
+    let (asked, mut answered, mut running_at_peers) = (responses.len(), 0, 0_u32);
+    let mut is_kept = true;
+    for (peer, response) in responses {
         if let Some(PeerResponse::RunIsolated {
             is_conflicting,
             running,
             reports,
         }) = response
         {
-            all_running = all_running
-                .filter(|_| !is_conflicting)
-                .map(|sum: u32| sum.saturating_add(running));
+            answered += 1;
+            running_at_peers = running_at_peers.saturating_add(running);
+            is_kept &= !is_conflicting;
             apply_reports(node, peer, &reports);
         }
     }
-    all_running
+    is_kept.then_some(Kept {
+        running: running_at_peers,
+        is_confirmed: node.suspects.peers.is_read() && answered * 2 >= asked,
+    })
 }
 
 /// Tells all peers that a suspect no longer needs an endpoint; does not wait for them.
--- a/crates/node/src/suspects/mod.rs
+++ b/crates/node/src/suspects/mod.rs
@@ -135,6 +135,10 @@
         crashes.record_crash(at_ms, digest, crash)
     }
 
+    fn record_shared(&self, digest: Digest, crash_id: u64) {
+        self.crashes.borrow_mut().record_shared(digest, crash_id);
+    }
+
     /// Returns reports of the crashes of a request.
     pub fn reports(&self, now_ms: u64, digest: Digest) -> Vec<CrashReport> {
         self.crashes.borrow().reports(now_ms, digest)
@@ -169,6 +173,7 @@
             endpoint = report.endpoint,
             age_ms = report.age_ms,
             isolated = report.isolated,
+            shared = report.shared,
             correlated = report.correlated,
             source = source,
         );
--- a/crates/node/src/suspects/peers.rs
+++ b/crates/node/src/suspects/peers.rs
@@ -1,6 +1,6 @@
 //! The nodes that get crash reports.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -15,6 +15,7 @@
 #[derive(Debug, Default)]
 pub struct KnownPeers {
     listed: RefCell<BTreeSet<SocketAddr>>,
+    is_read: Cell<bool>,
     /// Other nodes, with the time at which they were last known, in milliseconds.
     unlisted: RefCell<BTreeMap<SocketAddr, u64>>,
 }
@@ -22,12 +23,18 @@
 impl KnownPeers {
     /// Sets the addresses of the members, without this node.
     pub fn set(&self, now_ms: u64, members: &BTreeSet<SocketAddr>) {
+        self.is_read.set(true);
         let previous = self.listed.replace(members.clone());
         let mut unlisted = self.unlisted.borrow_mut();
         unlisted.retain(|_, at_ms| now_ms < *at_ms + UNLISTED_RETENTION_MS);
         unlisted.extend(previous.into_iter().map(|address| (address, now_ms)));
     }
 
+    /// Returns `true` if the members have been read.
+    pub fn is_read(&self) -> bool {
+        self.is_read.get()
+    }
+
     /// Adds a node that has introduced itself.
     pub fn add(&self, now_ms: u64, address: SocketAddr) {
         self.unlisted.borrow_mut().insert(address, now_ms);
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -10,6 +10,7 @@
 use wisteriapoint_route::{Crash, CrashReport, SuspectStatus};
 use wisteriapoint_types::{Digest, EndpointName, FailureDomain};
 
+use super::exchange::Kept;
 use super::{count, exchange, log_eviction, stored};
 use crate::dialect::Dialect;
 use crate::event;
@@ -64,6 +65,8 @@
     digest: Option<Digest>,
     endpoint: EndpointName,
     is_isolated: bool,
+    /// `true` if the other nodes confirmed that the run is isolated.
+    is_confirmed: bool,
 }
 
 impl<D: Dialect> Drop for Run<D> {
@@ -150,10 +153,11 @@
     }
     let mut run = Run::new(node, id, Some(digest), &endpoint);
     run.is_isolated = true;
-    let is_conflicting = !await_idle(node, digest, &endpoint).await;
+    let kept = await_idle(node, digest, &endpoint).await;
+    run.is_confirmed = kept.is_some_and(|kept| kept.is_confirmed);
     match node.suspects.status(node.now_ms(), digest) {
         SuspectStatus::Quarantined => Placement::Quarantined(quarantine(node, id, digest)),
-        _ if is_conflicting => {
+        _ if kept.is_none() => {
             count(node, "deferred");
             Placement::Conflict
         }
@@ -177,22 +181,20 @@
 
 /// Keeps an endpoint for a suspect until no other request of a caller runs there, or long enough.
 ///
-/// Returns `false` if it is kept for another suspect, or the suspect runs elsewhere.
+/// Returns `None` if it is kept for another suspect, or the suspect runs elsewhere.
 async fn await_idle<D: Dialect>(
     node: &Rc<Node<D>>,
     digest: Digest,
     endpoint: &EndpointName,
-) -> bool {
+) -> Option<Kept> {
     let end_ms = node.now_ms() + MAX_IDLE_WAIT_MS;
     loop {
-        let Some(running) = exchange::keep_endpoint(node, digest, endpoint).await else {
-            return false;
-        };
+        let kept = exchange::keep_endpoint(node, digest, endpoint).await?;
         // One of those at this node is the suspect's own run.
-        let others = running + node.suspects.running(endpoint).saturating_sub(1);
+        let others = kept.running + node.suspects.running(endpoint).saturating_sub(1);
         let status = node.suspects.status(node.now_ms(), digest);
         if others == 0 || status == SuspectStatus::Quarantined || node.now_ms() >= end_ms {
-            return true;
+            return Some(kept);
         }
         sleep(IDLE_POLL_INTERVAL).await;
     }
@@ -216,6 +218,7 @@
         endpoints = join(|crash| crash.endpoint.to_string()),
         ages_ms = join(|crash| crash.age_ms.to_string()),
         isolated = reports.iter().filter(|crash| crash.isolated).count(),
+        shared = reports.iter().filter(|crash| crash.shared).count(),
         correlated = reports.iter().filter(|crash| crash.correlated).count(),
     );
     count(node, "refused");
@@ -235,6 +238,7 @@
             digest,
             endpoint: endpoint.clone(),
             is_isolated: false,
+            is_confirmed: false,
         }
     }
 
@@ -315,7 +319,7 @@
             id: rand::random(),
             endpoint: &self.endpoint,
             failure_domain,
-            isolated: self.is_isolated,
+            isolated: self.is_isolated && self.is_confirmed,
         };
         let recorded = node.suspects.record_crash(at_ms, digest, crash);
         event!(
@@ -325,15 +329,19 @@
             digest = digest,
             crash = format_args!("{:x}", crash.id),
             endpoint = self.endpoint,
-            isolated = self.is_isolated,
+            isolated = crash.isolated,
             known_crashes = node.suspects.reports(node.now_ms(), digest).len(),
             reason = reason,
         );
         count(node, "recorded");
         log_eviction(node, recorded);
+        // One of the requests at this node is the suspect itself.
+        let is_shared_here = node.suspects.running(&self.endpoint) > 1;
+        if exchange::report(node, digest, &self.endpoint).await || is_shared_here {
+            node.suspects.record_shared(digest, crash.id);
+        }
         if node.suspects.status(node.now_ms(), digest) == SuspectStatus::Quarantined {
             spawn_local(stored::store(node.clone(), digest));
         }
-        exchange::report(node, digest).await;
     }
 }
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -38,6 +38,8 @@
     /// `true` if the request ran isolated, so that no other suspect explains the crash.
     #[serde(rename = "alone")]
     pub isolated: bool,
+    /// `true` if another request of a caller ran there as well.
+    pub shared: bool,
     /// `true` if other endpoints, which did not run the request, crashed at the same time.
     pub correlated: bool,
 }
@@ -56,8 +58,8 @@
 /// Crash history of requests by digest.
 ///
 /// A crash while the request was not isolated only makes it suspect, since other requests may have
-/// caused it. A crash while it ran isolated quarantines it, unless other endpoints crashed at
-/// the same time. So a request that is resent after each failure crashes two endpoints, and at most
+/// caused it. A crash while it ran isolated quarantines it, unless another request ran there after
+/// all, or other endpoints crashed at the same time. So a request that is resent after each failure crashes two endpoints, and at most
 /// [`MAX_CRASHES_PER_DIGEST`] during a burst of other crashes.
 #[derive(Debug, Default)]
 pub struct Suspects {
@@ -89,6 +91,7 @@
     failure_domain: FailureDomain,
     at_ms: u64,
     isolated: bool,
+    shared: bool,
     correlated: bool,
 }
 
@@ -100,6 +103,8 @@
     at_ms: u64,
     /// `true` if a suspect ran isolated, which explains the crash.
     is_explained: bool,
+    /// One of the requests that ran there.
+    digest: Option<Digest>,
 }
 
 /// Effect of a recorded crash.
@@ -120,6 +125,7 @@
             failure_domain: crash.failure_domain.clone(),
             at_ms: now_ms,
             isolated: crash.isolated,
+            shared: false,
             correlated: false,
         };
         self.record(now_ms, digest, crash)
@@ -139,6 +145,7 @@
                 let is_new = crash.isolated && !record.isolated;
                 record.at_ms = record.at_ms.min(crash.at_ms);
                 record.isolated |= crash.isolated;
+                record.shared |= crash.shared;
                 record.correlated |= crash.correlated;
                 is_new
             }
@@ -152,12 +159,17 @@
         crashes.sort_by_key(|record| (record.isolated, record.at_ms));
         let surplus = crashes.len().saturating_sub(MAX_CRASHES_PER_DIGEST);
         crashes.drain(..surplus);
-        self.record_recent(EndpointCrash {
-            endpoint: crash.endpoint,
-            failure_domain: crash.failure_domain,
+        let other = self.record_recent(EndpointCrash {
+            endpoint: crash.endpoint.clone(),
+            failure_domain: crash.failure_domain.clone(),
             at_ms: crash.at_ms,
-            is_explained: crash.isolated,
+            is_explained: crash.isolated && !crash.shared,
+            digest: Some(digest),
         });
+        if let Some(other) = other {
+            self.mark_shared(digest, &crash);
+            self.mark_shared(other, &crash);
+        }
         Recorded { is_new, evicted }
     }
 
@@ -177,10 +189,20 @@
             failure_domain: failure_domain.clone(),
             at_ms,
             is_explained: false,
+            digest: None,
         });
     }
 
-    fn record_recent(&mut self, crash: EndpointCrash) {
+    /// Marks the record of a crash as that of an endpoint which also ran another request.
+    fn mark_shared(&mut self, digest: Digest, crash: &CrashRecord) {
+        let records = self.records.get_mut(&digest).into_iter().flatten();
+        for record in records.filter(|record| record.is_same(crash)) {
+            record.shared = true;
+        }
+    }
+
+    /// Records a crash of an endpoint; returns another request that ran there, if one is known.
+    fn record_recent(&mut self, crash: EndpointCrash) -> Option<Digest> {
         let at_ms = crash.at_ms;
         self.recent
             .retain(|known| known.at_ms + SAME_CRASH_MS > at_ms);
@@ -190,14 +212,22 @@
         let is_same = |known: &&mut EndpointCrash| {
             known.endpoint == crash.endpoint && is_within(CORRELATION_WINDOW_MS, known.at_ms, at_ms)
         };
-        match self.recent.iter_mut().find(is_same) {
-            Some(known) => known.is_explained |= crash.is_explained,
+        let other = match self.recent.iter_mut().find(is_same) {
+            Some(known) => {
+                let other = known.digest.filter(|_| known.digest != crash.digest);
+                known.digest = known.digest.or(crash.digest);
+                known.is_explained |= crash.is_explained;
+                known.is_explained &= other.is_none();
+                other
+            }
             None => {
                 self.recent.truncate(MAX_RECENT_CRASHES - 1);
                 self.recent.push_front(crash);
+                None
             }
-        }
+        };
         self.mark_correlated(at_ms);
+        other
     }
 
     /// Marks the crash records around `at_ms` that other crashes explain better than the request.
@@ -235,6 +265,14 @@
         }
     }
 
+    /// Records that the endpoint of a crash also ran another request, whose crash may be reported later.
+    pub fn record_shared(&mut self, digest: Digest, crash_id: u64) {
+        let records = self.records.get_mut(&digest).into_iter().flatten();
+        for record in records.filter(|record| record.id == crash_id) {
+            record.shared = true;
+        }
+    }
+
     /// Clears a request that was completed; a quarantined request stays quarantined.
     ///
     /// Returns `true` if it had a crash history.
@@ -247,7 +285,7 @@
     pub fn status(&self, now_ms: u64, digest: Digest) -> SuspectStatus {
         let (mut count, mut uncorrelated) = (0, 0);
         for record in self.live(now_ms, digest) {
-            if record.isolated && !record.correlated {
+            if record.isolated && !record.shared && !record.correlated {
                 return SuspectStatus::Quarantined;
             }
             count += 1;
@@ -310,6 +348,7 @@
             failure_domain: report.failure_domain.clone(),
             at_ms: now_ms.saturating_sub(report.age_ms),
             isolated: report.isolated,
+            shared: report.shared,
             correlated: report.correlated,
         };
         self.record(now_ms, report.digest, crash)
@@ -350,6 +389,7 @@
             failure_domain: self.failure_domain.clone(),
             age_ms: now_ms.saturating_sub(self.at_ms),
             isolated: self.isolated,
+            shared: self.shared,
             correlated: self.correlated,
         }
     }
--- a/crates/route/tests/suspects.rs
+++ b/crates/route/tests/suspects.rs
@@ -255,6 +255,31 @@
     }
 }
 
+// Guards against an innocent request that is quarantined since another one, without a history, crashed
+// the endpoint at which it ran isolated.
+#[test]
+fn a_crash_beside_another_request_is_not_isolated_whichever_is_recorded_first() {
+    for is_isolated_first in [true, false] {
+        let endpoints = ["e", "f"].map(EndpointName::new);
+        let mut suspects = Suspects::default();
+        record_crash(&mut suspects, 0, GOOD, &endpoints[0], false);
+        let mut order = [(GOOD, true), (BAD, false)];
+        if !is_isolated_first {
+            order.reverse();
+        }
+        for (digest, isolated) in order {
+            record_crash(&mut suspects, 5_000, digest, &endpoints[1], isolated);
+        }
+        assert_eq!(suspects.status(5_000, GOOD), SuspectStatus::Suspect);
+        assert_eq!(suspects.status(5_000, BAD), SuspectStatus::Suspect);
+        let mut other = Suspects::default();
+        for report in suspects.reports(5_010, GOOD) {
+            other.import(5_010, &report);
+        }
+        assert_eq!(other.status(5_010, GOOD), SuspectStatus::Suspect);
+    }
+}
+
 // Guards against a request that is never refused because other endpoints crash whenever it does.
 #[test]
 fn bursts_of_crashes_quarantine_a_request_after_four() {
