Count each isolated run of a daemon

Cause: the rule that a crash beside another request isn't isolated is right where the endpoint is kept free of all requests, as nodes do; a daemon keeps it free of its own only, so requests of others ran beside and no crash quarantined.

The rule is a setting of Suspects now, on for nodes and off for daemons, with a test of each. On nodes nothing changes.

--- a/crates/node/src/suspects/mod.rs
+++ b/crates/node/src/suspects/mod.rs
@@ -29,7 +29,7 @@
 const RESERVATION_MS: u64 = 500;
 
 /// State of a node about suspects.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SuspectRequests {
     crashes: RefCell<Suspects>,
     /// Suspects that run at this node, or are about to, with their endpoints.
@@ -46,6 +46,21 @@
     is_history_loaded: Cell<bool>,
 }
 
+impl Default for SuspectRequests {
+    fn default() -> Self {
+        Self {
+            crashes: RefCell::new(Suspects::default().with_exclusive_isolation()),
+            isolated: RefCell::default(),
+            kept: RefCell::default(),
+            running: RefCell::default(),
+            undelivered: RefCell::default(),
+            undelivered_added: Notify::new(),
+            peers: KnownPeers::default(),
+            is_history_loaded: Cell::default(),
+        }
+    }
+}
+
 impl SuspectRequests {
     /// Creates a state without crashes and peers.
     pub fn new() -> Self {
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -68,6 +68,7 @@
     recent: VecDeque<EndpointCrash>,
     /// Times and digests of the recent crash records, the last one first.
     recent_records: VecDeque<(u64, Digest)>,
+    is_isolation_exclusive: bool,
 }
 
 /// A crash of an endpoint while it ran a request, as this daemon saw it.
@@ -117,6 +118,15 @@
 }
 
 impl Suspects {
+    /// Lets a crash count as isolated only if no other request has a record of the same crash.
+    ///
+    /// For processes that keep the endpoint of an isolated run free of the requests of all others.
+    /// Where these may run beside it, such a rule would let a request crash a third endpoint.
+    pub fn with_exclusive_isolation(mut self) -> Self {
+        self.is_isolation_exclusive = true;
+        self
+    }
+
     /// Records that an endpoint crashed while it ran a request.
     pub fn record_crash(&mut self, now_ms: u64, digest: Digest, crash: Crash<'_>) -> Recorded {
         let crash = CrashRecord {
@@ -166,7 +176,7 @@
             is_explained: crash.isolated && !crash.shared,
             digest: Some(digest),
         });
-        if let Some(other) = other {
+        if let Some(other) = other.filter(|_| self.is_isolation_exclusive) {
             self.mark_shared(digest, &crash);
             self.mark_shared(other, &crash);
         }
@@ -217,7 +227,7 @@
                 let other = known.digest.filter(|_| known.digest != crash.digest);
                 known.digest = known.digest.or(crash.digest);
                 known.is_explained |= crash.is_explained;
-                known.is_explained &= other.is_none();
+                known.is_explained &= other.is_none() || !self.is_isolation_exclusive;
                 other
             }
             None => {
--- a/crates/route/tests/suspects.rs
+++ b/crates/route/tests/suspects.rs
@@ -255,13 +255,25 @@
     }
 }
 
+// Guards against a request that crashes a third endpoint since requests of other daemons ran beside it.
+#[test]
+fn a_crash_beside_requests_of_other_daemons_quarantines_an_isolated_suspect() {
+    let endpoints = ["e", "f"].map(EndpointName::new);
+    let mut suspects = Suspects::default();
+    record_crash(&mut suspects, 0, BAD, &endpoints[0], false);
+    record_crash(&mut suspects, 5_000, GOOD, &endpoints[1], false);
+    record_crash(&mut suspects, 5_000, BAD, &endpoints[1], true);
+    assert_eq!(suspects.status(5_000, BAD), SuspectStatus::Quarantined);
+    assert_eq!(suspects.status(5_000, GOOD), SuspectStatus::Suspect);
+}
+
 // Guards against an innocent request that is quarantined since another one, without a history, crashed
 // the endpoint at which it ran isolated.
 #[test]
 fn a_crash_beside_another_request_is_not_isolated_whichever_is_recorded_first() {
     for is_isolated_first in [true, false] {
         let endpoints = ["e", "f"].map(EndpointName::new);
-        let mut suspects = Suspects::default();
+        let mut suspects = Suspects::default().with_exclusive_isolation();
         record_crash(&mut suspects, 0, GOOD, &endpoints[0], false);
         let mut order = [(GOOD, true), (BAD, false)];
         if !is_isolated_first {
@@ -272,7 +284,7 @@
         }
         assert_eq!(suspects.status(5_000, GOOD), SuspectStatus::Suspect);
         assert_eq!(suspects.status(5_000, BAD), SuspectStatus::Suspect);
-        let mut other = Suspects::default();
+        let mut other = Suspects::default().with_exclusive_isolation();
         for report in suspects.reports(5_010, GOOD) {
             other.import(5_010, &report);
         }
