--- a/crates/wisteriapoint/tests/verdicts.rs
+++ b/crates/wisteriapoint/tests/verdicts.rs
@@ -189,8 +189,12 @@
         let response = request.send().await.unwrap();
         assert_eq!(verdict(&response), "may-have-run", "{name} {key}");
     }
-    let request_counts = servers.each_ref().map(|server| server.requests().len());
-    assert_eq!(request_counts[0] + request_counts[1], 1, "{name}");
+    let requests = servers.each_ref().map(|server| server.requests());
+    assert_eq!(
+        requests[0].len() + requests[1].len(),
+        1,
+        "{name}: {requests:?}"
+    );
 }
 
 #[tokio::test]
