--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -289,11 +289,23 @@
     async fn crashed_failure_domain(&self, address: SocketAddr) -> Option<FailureDomain> {
         let record = {
             let directory = self.node.directory.borrow();
-            directory.registry.get(&self.endpoint)?.record.clone()
+            let registered = directory.registry.get(&self.endpoint);
+            registered.map(|entry| entry.record.clone())
+        };
+        let record = match record {
+            Some(record) if record.stage != EndpointStage::Draining => record,
+            record => {
+                event!(
+                    info,
+                    "connection lost at an endpoint that leaves; no crash recorded",
+                    id = self.id,
+                    endpoint = self.endpoint,
+                    is_registered = record.is_some(),
+                );
+                count(&self.node, "leaving");
+                return None;
+            }
         };
-        if record.stage == EndpointStage::Draining {
-            return None;
-        }
         if !self.node.pool.is_accepting(&self.endpoint, address).await {
             return Some(record.failure_domain);
         }
