Count crashes of endpoints that are leaving

What callers saw: a request that crashes endpoints was sent to one after the other, as long as each had its row removed or was draining by then.

Cause: a lost connection was looked into only if the endpoint was registered and ready at that moment; a crash of any other left no record, so nothing bounded them.

Change: such a crash is recorded, as one with another likely cause, like one in a burst: it raises no suspicion alone, and the fourth quarantines. The failure domain is taken when the endpoint is chosen, since its row may be gone at the end. choose_endpoint returns it with name and address.

--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -17,7 +17,7 @@
 use crate::dialect::{Dialect, OutboundMetadata};
 use crate::event;
 use crate::forward::{InFlightGuard, post_request, record_send_failure};
-use crate::node::Node;
+use crate::node::{ChosenEndpoint, Node};
 use crate::upstream::send::send;
 use crate::upstream::{Event, EventReader, SendFailure, UpstreamRequest, UpstreamResponse};
 
@@ -85,20 +85,19 @@
         node: &Rc<Node<D>>,
         owned: &Rc<OwnedJob>,
         key: ItemKey,
-        endpoint: EndpointName,
-        address: SocketAddr,
+        chosen: ChosenEndpoint,
     ) -> Self {
         let job = owned.job.borrow();
         let step = job.submission().step.as_ref();
         Self {
             key,
             item: job.submission().items[key.0 as usize].clone(),
-            address,
+            address: chosen.address,
             min_version: step.map(|step| step.min_version).unwrap_or_default(),
             remaining_ms: job.expires_at_ms().saturating_sub(node.now_ms()),
             owned: owned.clone(),
-            in_flight: Some(InFlightGuard::new(node, &endpoint)),
-            endpoint,
+            in_flight: Some(InFlightGuard::new(node, &chosen.name)),
+            endpoint: chosen.name,
         }
     }
 
--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -111,13 +111,13 @@
             return;
         }
         let chosen = node.choose_endpoint(requirements(node, &owned.job.borrow(), &service), &[]);
-        let Some((endpoint, address)) = chosen else {
+        let Some(chosen) = chosen else {
             return;
         };
         let Some(key) = owned.job.borrow_mut().start_next(now_ms) else {
             return;
         };
-        let attempt = Attempt::new(node, owned, key, endpoint, address);
+        let attempt = Attempt::new(node, owned, key, chosen);
         let handle = attempts.spawn_local(attempt.run(node.clone(), route.clone()));
         handles.insert(key, handle);
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -32,7 +32,7 @@
     /// Abandoned items of batch jobs by reason.
     pub abandoned_items: IntCounterVec,
     /// Decisions about requests suspected of crashing endpoints: `recorded`, `received`,
-    /// `lost-answer`, `leaving`, `isolated`, `deferred`, `cleared`, `refused`, `stored`,
+    /// `lost-answer`, `isolated`, `deferred`, `cleared`, `refused`, `stored`,
     /// `sent-again`, `evicted`.
     pub suspects: IntCounterVec,
     /// Calls to the store by operation and result.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,7 +16,7 @@
 use wisteriapoint_directory::{Configuration, Registry, Requirements, ServiceSizes, Subset};
 use wisteriapoint_peer::Client;
 use wisteriapoint_store::Error as StoreError;
-use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
+use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, WeightVersion};
 
 use crate::clock::Clock;
 use crate::control::{Feed, Lease, StoreHealth};
@@ -112,6 +112,17 @@
     pub retiring_vms: BTreeSet<Box<str>>,
 }
 
+/// An endpoint that was chosen for a request.
+#[derive(Debug, Clone)]
+pub struct ChosenEndpoint {
+    /// Its name.
+    pub name: EndpointName,
+    /// Address on which it accepts requests.
+    pub address: SocketAddr,
+    /// Failure domain in which it runs.
+    pub failure_domain: FailureDomain,
+}
+
 impl<D: Dialect> Node<D> {
     fn new(settings: NodeSettings) -> Result<Rc<Self>, Error> {
         let owner = Owner {
@@ -193,20 +204,23 @@
             && !self.store_health.is_failing()
     }
 
-    /// Chooses an endpoint that meets the requirements and is not excluded; returns its name and
-    /// address.
+    /// Chooses an endpoint that meets the requirements and is not excluded.
     pub fn choose_endpoint(
         &self,
         requirements: Requirements<'_>,
         excluded: &[EndpointName],
-    ) -> Option<(EndpointName, SocketAddr)> {
+    ) -> Option<ChosenEndpoint> {
         let directory = self.directory.borrow();
         let registry = &directory.registry;
         let name = registry
             .choose(self.now_ms(), requirements, excluded)?
             .clone();
-        let address = registry.get(&name)?.record.address;
-        Some((name, address))
+        let record = &registry.get(&name)?.record;
+        Some(ChosenEndpoint {
+            address: record.address,
+            failure_domain: record.failure_domain.clone(),
+            name,
+        })
     }
 
     /// Returns the number of requests known to be at an endpoint; 0 if it is not registered.
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -14,7 +14,7 @@
 use super::{count, exchange, log_eviction, stored};
 use crate::dialect::Dialect;
 use crate::event;
-use crate::node::Node;
+use crate::node::{ChosenEndpoint, Node};
 
 /// Longest wait until other requests have ended at the endpoint of a suspect, in milliseconds: the time
 /// of most plain requests.
@@ -64,6 +64,7 @@
     /// `None` for calls of batch jobs, which are never suspects.
     digest: Option<Digest>,
     endpoint: EndpointName,
+    failure_domain: FailureDomain,
     is_isolated: bool,
     /// `true` if the other nodes confirmed that the run is isolated.
     is_confirmed: bool,
@@ -103,10 +104,10 @@
         (Some(digest), Some(SuspectStatus::Suspect)) if isolation == Isolation::Required => digest,
         _ => {
             return match choose_for_others(node, digest, requirements, excluded) {
-                Some((endpoint, address)) => Placement::Run {
-                    run: Run::new(node, id, digest, &endpoint),
-                    endpoint,
-                    address,
+                Some(chosen) => Placement::Run {
+                    run: Run::new(node, id, digest, &chosen),
+                    endpoint: chosen.name,
+                    address: chosen.address,
                 },
                 None => Placement::NoEndpoint,
             };
@@ -115,7 +116,7 @@
     let mut unavailable = node.suspects.reserved_endpoints(node.now_ms());
     unavailable.extend_from_slice(excluded);
     match node.choose_endpoint(requirements, &unavailable) {
-        Some((endpoint, address)) => place_isolated(node, (id, suspect), endpoint, address).await,
+        Some(chosen) => place_isolated(node, (id, suspect), chosen).await,
         None if node.choose_endpoint(requirements, excluded).is_some() => Placement::Conflict,
         None => Placement::NoEndpoint,
     }
@@ -127,7 +128,7 @@
     digest: Option<Digest>,
     requirements: Requirements<'_>,
     excluded: &[EndpointName],
-) -> Option<(EndpointName, SocketAddr)> {
+) -> Option<ChosenEndpoint> {
     let mut unavailable = match digest {
         Some(_) => node.suspects.reserved_endpoints(node.now_ms()),
         None => Vec::new(),
@@ -143,17 +144,17 @@
 async fn place_isolated<D: Dialect>(
     node: &Rc<Node<D>>,
     (id, digest): (&str, Digest),
-    endpoint: EndpointName,
-    address: SocketAddr,
+    chosen: ChosenEndpoint,
 ) -> Placement<D> {
+    let endpoint = &chosen.name;
     // Reserved before the peers are asked, so that of two nodes at least one sees the other.
-    if !node.suspects.try_reserve(node.now_ms(), digest, &endpoint) {
+    if !node.suspects.try_reserve(node.now_ms(), digest, endpoint) {
         count(node, "deferred");
         return Placement::Conflict;
     }
-    let mut run = Run::new(node, id, Some(digest), &endpoint);
+    let mut run = Run::new(node, id, Some(digest), &chosen);
     run.is_isolated = true;
-    let kept = await_idle(node, digest, &endpoint).await;
+    let kept = await_idle(node, digest, endpoint).await;
     run.is_confirmed = kept.is_some_and(|kept| kept.is_confirmed);
     match node.suspects.status(node.now_ms(), digest) {
         SuspectStatus::Quarantined => Placement::Quarantined(quarantine(node, id, digest)),
@@ -172,8 +173,8 @@
             count(node, "isolated");
             Placement::Run {
                 run,
-                endpoint,
-                address,
+                endpoint: chosen.name,
+                address: chosen.address,
             }
         }
     }
@@ -228,15 +229,16 @@
 }
 
 impl<D: Dialect> Run<D> {
-    fn new(node: &Rc<Node<D>>, id: &str, digest: Option<Digest>, endpoint: &EndpointName) -> Self {
+    fn new(node: &Rc<Node<D>>, id: &str, digest: Option<Digest>, chosen: &ChosenEndpoint) -> Self {
         if digest.is_some() {
-            node.suspects.begin_run(endpoint);
+            node.suspects.begin_run(&chosen.name);
         }
         Self {
             node: node.clone(),
             id: id.into(),
             digest,
-            endpoint: endpoint.clone(),
+            endpoint: chosen.name.clone(),
+            failure_domain: chosen.failure_domain.clone(),
             is_isolated: false,
             is_confirmed: false,
         }
@@ -272,9 +274,8 @@
         };
         let (reason, lost_at_ms) = (Box::<str>::from(reason), self.node.now_ms());
         let investigation = spawn_local(async move {
-            if let Some(failure_domain) = self.crashed_failure_domain(address).await {
-                self.record_crash(digest, lost_at_ms, &failure_domain, &reason)
-                    .await;
+            if self.has_crashed(address).await {
+                self.record_crash(digest, lost_at_ms, &reason).await;
             }
         });
         if let Err(error) = investigation.await {
@@ -282,56 +283,38 @@
         }
     }
 
-    /// Returns the failure domain of the endpoint if it has crashed.
-    ///
-    /// An endpoint that accepts a new connection has only lost its answer, and one that leaves its
-    /// service may end while it runs requests.
-    async fn crashed_failure_domain(&self, address: SocketAddr) -> Option<FailureDomain> {
-        let record = {
-            let directory = self.node.directory.borrow();
-            let registered = directory.registry.get(&self.endpoint);
-            registered.map(|entry| entry.record.clone())
-        };
-        let record = match record {
-            Some(record) if record.stage != EndpointStage::Draining => record,
-            record => {
-                event!(
-                    info,
-                    "connection lost at an endpoint that leaves; no crash recorded",
-                    id = self.id,
-                    endpoint = self.endpoint,
-                    is_registered = record.is_some(),
-                );
-                count(&self.node, "leaving");
-                return None;
-            }
-        };
-        if !self.node.pool.is_accepting(&self.endpoint, address).await {
-            return Some(record.failure_domain);
+    /// Returns `true` if the endpoint has crashed; one that accepts a new connection has only lost its
+    /// answer.
+    async fn has_crashed(&self, address: SocketAddr) -> bool {
+        let is_accepting = self.node.pool.is_accepting(&self.endpoint, address).await;
+        if is_accepting {
+            event!(
+                info,
+                "answer lost; endpoint accepts connections",
+                id = self.id,
+                endpoint = self.endpoint
+            );
+            count(&self.node, "lost-answer");
         }
-        event!(
-            info,
-            "answer lost; endpoint accepts connections",
-            id = self.id,
-            endpoint = self.endpoint
-        );
-        count(&self.node, "lost-answer");
-        None
+        !is_accepting
+    }
+
+    /// Returns `true` if the endpoint drains or is no longer registered, and so may end with requests in
+    /// flight.
+    fn is_endpoint_leaving(&self) -> bool {
+        let directory = self.node.directory.borrow();
+        let registered = directory.registry.get(&self.endpoint);
+        registered.is_none_or(|entry| entry.record.stage == EndpointStage::Draining)
     }
 
-    async fn record_crash(
-        &self,
-        digest: Digest,
-        at_ms: u64,
-        failure_domain: &FailureDomain,
-        reason: &str,
-    ) {
+    async fn record_crash(&self, digest: Digest, at_ms: u64, reason: &str) {
         let node = &self.node;
         let crash = Crash {
             id: rand::random(),
             endpoint: &self.endpoint,
-            failure_domain,
+            failure_domain: &self.failure_domain,
             isolated: self.is_isolated && self.is_confirmed,
+            is_leaving: self.is_endpoint_leaving(),
         };
         let recorded = node.suspects.record_crash(at_ms, digest, crash);
         event!(
@@ -342,6 +325,7 @@
             crash = format_args!("{:x}", crash.id),
             endpoint = self.endpoint,
             isolated = crash.isolated,
+            is_leaving = crash.is_leaving,
             known_crashes = node.suspects.reports(node.now_ms(), digest).len(),
             reason = reason,
         );
--- a/crates/route/src/pool/mod.rs
+++ b/crates/route/src/pool/mod.rs
@@ -303,6 +303,7 @@
                         endpoint: &state.endpoint,
                         failure_domain: &state.failure_domain,
                         isolated,
+                        is_leaving: false,
                     };
                     self.suspects.record_crash(now_ms, digest, crash);
                 }
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -40,7 +40,8 @@
     pub isolated: bool,
     /// `true` if another request of a caller ran there as well.
     pub shared: bool,
-    /// `true` if other endpoints, which did not run the request, crashed at the same time.
+    /// `true` if other endpoints, which did not run the request, crashed at the same time, or the
+    /// endpoint was leaving its service.
     pub correlated: bool,
 }
 
@@ -59,8 +60,8 @@
 ///
 /// A crash while the request was not isolated only makes it suspect, since other requests may have
 /// caused it. A crash while it ran isolated quarantines it, unless another request ran there after
-/// all, or other endpoints crashed at the same time. So a request that is resent after each failure crashes two endpoints, and at most
-/// [`MAX_CRASHES_PER_DIGEST`] during a burst of other crashes.
+/// all, other endpoints crashed at the same time, or the endpoint was leaving its service. So a request that is resent after each failure crashes two endpoints, and at most
+/// [`MAX_CRASHES_PER_DIGEST`] if each crash has another likely cause.
 #[derive(Debug, Default)]
 pub struct Suspects {
     records: BTreeMap<Digest, Vec<CrashRecord>>,
@@ -82,6 +83,8 @@
     pub failure_domain: &'a FailureDomain,
     /// `true` if the request ran isolated.
     pub isolated: bool,
+    /// `true` if the endpoint was leaving its service, which may have ended it.
+    pub is_leaving: bool,
 }
 
 /// A crash of an endpoint while it ran a request.
@@ -136,7 +139,7 @@
             at_ms: now_ms,
             isolated: crash.isolated,
             shared: false,
-            correlated: false,
+            correlated: crash.is_leaving,
         };
         self.record(now_ms, digest, crash)
     }
--- a/crates/route/tests/suspects.rs
+++ b/crates/route/tests/suspects.rs
@@ -36,6 +36,7 @@
         endpoint,
         failure_domain: &domain(),
         isolated,
+        is_leaving: false,
     };
     suspects.record_crash(at_ms, digest, crash)
 }
@@ -220,6 +221,7 @@
                     endpoint: &endpoint,
                     failure_domain: &domain,
                     isolated,
+                    is_leaving: false,
                 };
                 suspects.record_crash(at_ms, BAD, crash);
             }
@@ -228,6 +230,30 @@
     }
 }
 
+// Guards against a request that crashes endpoints without end because each of them was leaving.
+#[test]
+fn crashes_of_leaving_endpoints_quarantine_the_fourth_time() {
+    let mut suspects = Suspects::default();
+    let expected = [
+        SuspectStatus::Normal,
+        SuspectStatus::Suspect,
+        SuspectStatus::Suspect,
+        SuspectStatus::Quarantined,
+    ];
+    for (number, status) in expected.into_iter().enumerate() {
+        let crash = Crash {
+            id: number as u64,
+            endpoint: &EndpointName::new(format!("e{number}")),
+            failure_domain: &domain(),
+            isolated: true,
+            is_leaving: true,
+        };
+        let at_ms = 5_000 * number as u64;
+        suspects.record_crash(at_ms, BAD, crash);
+        assert_eq!(suspects.status(at_ms, BAD), status, "crash {number}");
+    }
+}
+
 #[test]
 fn status_after_a_crash_among_others() {
     let cases = [
