Tell crash suspects of different callers apart by their credentials

What callers saw: a request that crashes endpoints went on crashing them, twelve of twelve sends, while another caller sent one with the same path and body that completes; or that other caller would be refused with it.

Cause: the digest had path and body only, so each completed request of the other caller cleared the history at all nodes. Change: credentials, where a request has them, are part of the digest; others keep the digest that earlier versions compute.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::time::{sleep, timeout};
 use wisteriapoint_directory::{Requirements, Route, RouteKind};
@@ -442,13 +443,18 @@
     }
 }
 
-/// Returns the digest of path, query and body, which identifies a repeated request.
+/// Returns the digest of path, query, body and credentials, which identifies a repeated request.
+///
+/// Callers without credentials can't be told apart.
 pub fn request_digest(upstream_request: &UpstreamRequest) -> Digest {
     let path = upstream_request
         .uri
         .path_and_query()
         .map_or("", |path| path.as_str());
-    Digest::new(&[path.as_bytes(), &upstream_request.body])
+    let mut parts = vec![path.as_bytes(), &upstream_request.body];
+    let credentials = upstream_request.headers.get(AUTHORIZATION);
+    parts.extend(credentials.map(HeaderValue::as_bytes));
+    Digest::new(&parts)
 }
 
 /// Returns a POST request, as batch jobs send it.
