Read the limit that an endpoint states for all nodes, and log its changes

The limit is parsed in the adapter, kept with the endpoint until a response without one or a new incarnation, and each change has a log line. Nothing is decided by it yet.

--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -6,7 +6,7 @@
 
 use wisteriapoint_types::{FailureDomain, ServiceName, WeightVersion};
 
-use crate::Requirements;
+use crate::{RateLimit, Requirements, StatedLimit};
 
 /// Pause after the first failure of an endpoint: a few round trips.
 const FIRST_PAUSE_MS: u64 = 200;
@@ -80,6 +80,7 @@
     failures: u32,
     paused_until_ms: u64,
     held_until_ms: u64,
+    limit: Option<RateLimit>,
 }
 
 impl Endpoint {
@@ -95,6 +96,7 @@
             failures: 0,
             paused_until_ms: 0,
             held_until_ms: 0,
+            limit: None,
         }
     }
 
@@ -148,6 +150,23 @@
         self.load = Some((now_ms, load));
     }
 
+    /// Returns the limit that the endpoint states for all nodes together.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.limit
+    }
+
+    /// Records what a response says about the limit; returns `true` if the limit has changed.
+    pub fn record_limit(&mut self, stated: StatedLimit) -> bool {
+        let limit = match stated {
+            StatedLimit::Absent => None,
+            StatedLimit::Limit(limit) => Some(limit),
+            StatedLimit::Malformed => self.limit,
+        };
+        let is_changed = limit != self.limit;
+        self.limit = limit;
+        is_changed
+    }
+
     /// Records a success, which resets the failure count and ends any pause.
     pub fn record_success(&mut self) {
         self.failures = 0;
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -14,11 +14,13 @@
 pub mod configuration;
 pub mod endpoint;
 pub mod event_times;
+pub mod rate_limit;
 pub mod registry;
 pub mod subset;
 
 pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Split};
 pub use endpoint::{Endpoint, EndpointRecord, EndpointStage, Load};
 pub use event_times::EventTimes;
+pub use rate_limit::{RateLimit, StatedLimit};
 pub use registry::{Registry, Requirements};
 pub use subset::{ServiceSizes, Subset};
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -16,15 +16,14 @@
     CallerResponse, Payload, StreamAborted, endpoint_response, failure_response,
 };
 use crate::dialect::{Dialect, OutboundMetadata};
-use crate::event;
 use crate::forward::{
     ForwardFailure, ForwardRequest, InFlightGuard, OVERLOAD_BACKOFF_MS, QUARANTINE_REASON,
     pause_suspect, record_send_failure,
 };
 use crate::node::Node;
 use crate::suspects::{self, Isolation, Placement, Run};
-use crate::upstream::send::send;
 use crate::upstream::{EventReader, SendFailure, UpstreamRequest, UpstreamResponse};
+use crate::{event, limits};
 
 /// Events buffered for a slow caller.
 const MAX_BUFFERED_EVENTS: usize = 64;
@@ -229,7 +228,7 @@
             remaining_ms: Some(left_ms),
             last_event: self.last_event,
         };
-        let pending = send::<D>(&node.pool, address, &self.upstream_request, outbound);
+        let pending = limits::send(node, address, &self.upstream_request, outbound);
         let sent = timeout(Duration::from_millis(left_ms), pending).await;
         // The endpoint is not to blame for a request whose time was short.
         let failure = match sent {
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use wisteriapoint_batch::{Page, Submission};
-use wisteriapoint_directory::{Configuration, EndpointRecord, Load};
+use wisteriapoint_directory::{Configuration, EndpointRecord, Load, StatedLimit};
 use wisteriapoint_store::TransactionalStore;
 use wisteriapoint_types::{EndpointName, WeightVersion};
 
@@ -167,7 +167,7 @@
 }
 
 /// Parsed head of an endpoint's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseHead {
     /// Id of the attempt to which the endpoint responds.
     pub id: Option<Box<str>>,
@@ -181,6 +181,8 @@
     pub is_encoded: bool,
     /// Load that the endpoint reported.
     pub load: Option<Load>,
+    /// Limit on the requests of all nodes that the endpoint stated.
+    pub limit: StatedLimit,
     /// Time for which the connection may be idle, in milliseconds.
     pub keep_alive_ms: Option<u64>,
     /// Whether the endpoint closes the connection after this response.
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -12,11 +12,10 @@
 use wisteriapoint_types::{Digest, EndpointName, ServiceName, Verdict};
 
 use crate::dialect::{Dialect, OutboundMetadata, ResponseHead};
-use crate::event;
 use crate::node::Node;
 use crate::suspects::{self, Isolation, Placement, Quarantine, Run};
-use crate::upstream::send::send;
 use crate::upstream::{SendFailure, UpstreamRequest, UpstreamResponse};
+use crate::{event, limits};
 
 /// Timeout of an attempt that may be repeated, in latency objectives: after that, another endpoint
 /// is likely to respond sooner than one that is slow or unresponsive.
@@ -333,7 +332,7 @@
         last_event: None,
     };
     let response: UpstreamResponse =
-        send::<D>(&node.pool, address, &request.upstream_request, outbound).await?;
+        limits::send(node, address, &request.upstream_request, outbound).await?;
     let (status, headers, head) = (
         response.status,
         response.headers.clone(),
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -15,11 +15,10 @@
 use super::abandon::AbandonReason;
 use super::{OwnedJob, score};
 use crate::dialect::{Dialect, OutboundMetadata};
-use crate::event;
 use crate::forward::{InFlightGuard, post_request, record_send_failure};
 use crate::node::{ChosenEndpoint, Node};
-use crate::upstream::send::send;
 use crate::upstream::{Event, EventReader, SendFailure, UpstreamRequest, UpstreamResponse};
+use crate::{event, limits};
 
 /// Timeout for the head of the response; it covers the wait in a short queue and a load of weights
 /// before it.
@@ -165,7 +164,7 @@
             remaining_ms: Some(self.remaining_ms),
             last_event: self.last_event(),
         };
-        let pending = send::<D>(&node.pool, self.address, &upstream_request, outbound);
+        let pending = limits::send(node, self.address, &upstream_request, outbound);
         let result = match timeout(RESPONSE_HEAD_TIMEOUT, pending).await {
             Ok(Ok(response)) => self.read_output(node, route, response).await,
             Ok(Err(failure)) => Err(failure),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod forward;
 pub mod jobs;
+pub mod limits;
 pub mod logging;
 pub mod metrics;
 pub mod node;
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use tokio::time::timeout;
+use wisteriapoint_directory::StatedLimit;
 use wisteriapoint_types::{EndpointName, Verdict};
 
 use super::pool::RequestKey;
@@ -64,6 +65,8 @@
     pub connection_lost: bool,
     /// `true` if the endpoint refused the request, which is treated as a lack of capacity.
     pub was_overloaded: bool,
+    /// What the response said about the limit of the endpoint; `None` without a response.
+    pub limit: Option<StatedLimit>,
 }
 
 impl SendFailure {
@@ -73,6 +76,7 @@
             reason: reason.to_string().into(),
             connection_lost: false,
             was_overloaded: false,
+            limit: None,
         }
     }
 
@@ -147,7 +151,8 @@
     let (parts, body) = response.into_parts();
     let head = D::parse_response_head(parts.status, &parts.headers);
     check_id(&head, parts.status, outbound, &connection)?;
-    if let Err(failure) = check_response(&head, parts.status) {
+    if let Err(mut failure) = check_response(&head, parts.status) {
+        failure.limit = Some(head.limit);
         if failure.verdict == Verdict::NotRun {
             drain_refusal(head, body, connection).await;
         }
