Bound what endpoints send without end

What callers saw: while an endpoint sent interim responses without end, the node served nobody, answered 2 s after the deadline, and lost its place at the balancer; bodies without end took 415 to 637 MB, where a VM has 260 MB, so the process would end.

Cause: interim responses were parsed as fast as they came, in one task without a bound, and the bound on bodies was one of each body. Change: a connection accepts 256 kB from the begin of a request to the head of its response; all responses together hold 48 MB beyond 16 kB of each, counted until the caller has the data; reports and answers to orders 1 MB. The receive buffer of a connection is 64 kB, which also bounds a head.

--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -406,7 +406,7 @@
             connection,
             ..
         } = response;
-        let mut reader = EventReader::new(body);
+        let mut reader = EventReader::new(body, &connection);
         loop {
             let next = tokio::select! {
                 next = timeout(EVENT_TIMEOUT, reader.next()) => next,
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -249,7 +249,7 @@
             ..
         } = response;
         let mut version = head.version;
-        let mut reader = EventReader::new(body);
+        let mut reader = EventReader::new(body, &connection);
         let mut timer = EventTimer::new(node.now_ms());
         loop {
             let next = timeout(EVENT_TIMEOUT, reader.next()).await;
--- a/crates/node/src/upstream/events.rs
+++ b/crates/node/src/upstream/events.rs
@@ -4,8 +4,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use super::SendFailure;
+use super::{PooledConnection, ResponseBuffer, SendFailure};
 
+/// Largest event, with what has arrived of the next one.
 const MAX_EVENT_BYTES: usize = 4 << 20;
 
 /// One server-sent event.
@@ -25,16 +26,16 @@
 #[derive(Debug)]
 pub struct EventReader {
     body: Incoming,
-    buffer: Vec<u8>,
+    buffer: ResponseBuffer,
     searched_bytes: usize,
 }
 
 impl EventReader {
-    /// Creates a reader at the start of a body.
-    pub fn new(body: Incoming) -> Self {
+    /// Creates a reader at the start of a body that was received on `connection`.
+    pub fn new(body: Incoming, connection: &PooledConnection) -> Self {
         Self {
             body,
-            buffer: Vec::new(),
+            buffer: connection.buffer(MAX_EVENT_BYTES),
             searched_bytes: 0,
         }
     }
@@ -48,22 +49,21 @@
     pub async fn next(&mut self) -> Result<Option<Event>, SendFailure> {
         loop {
             if let Some(end) = self.find_end() {
-                let raw: Vec<u8> = self.buffer.drain(..end).collect();
+                let raw = self.buffer.take(end);
                 self.searched_bytes = 0;
-                let event = parse_event(raw.into());
+                let event = parse_event(raw);
                 return event.map(Some).map_err(SendFailure::ambiguous);
             }
-            if self.buffer.len() > MAX_EVENT_BYTES {
-                return Err(SendFailure::ambiguous("event too large"));
-            }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.buffer.extend_from_slice(&data);
+                    if let Ok(data) = frame.into_data()
+                        && !self.buffer.try_extend(&data)
+                    {
+                        return Err(SendFailure::ambiguous("event too large"));
                     }
                 }
                 Some(Err(error)) => return Err(SendFailure::connection_lost(error)),
-                None if self.buffer.is_empty() => return Ok(None),
+                None if self.buffer.data().is_empty() => return Ok(None),
                 None => {
                     let reason = "body ended in the middle of an event";
                     return Err(SendFailure::connection_lost(reason));
@@ -75,10 +75,10 @@
     /// Returns the index after the first empty line.
     fn find_end(&mut self) -> Option<usize> {
         let from = self.searched_bytes.saturating_sub(3);
-        let rest = &self.buffer[from..];
+        let rest = &self.buffer.data()[from..];
         let lf = rest.windows(2).position(|bytes| bytes == b"\n\n");
         let crlf = rest.windows(4).position(|bytes| bytes == b"\r\n\r\n");
-        self.searched_bytes = self.buffer.len();
+        self.searched_bytes = self.buffer.data().len();
         match (lf, crlf) {
             (Some(lf), Some(crlf)) if crlf < lf => Some(from + crlf + 4),
             (Some(lf), _) => Some(from + lf + 2),
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -16,6 +16,9 @@
 use tokio::time::{Instant, timeout};
 use wisteriapoint_types::EndpointName;
 
+use super::stream::{EndpointStream, HeadAllowance};
+use super::{ResponseBuffer, ResponseMemory};
+
 /// Timeout for opening a connection: many round trips, but far below a route's latency objective.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Keep-alive time assumed for an endpoint that states none.
@@ -26,6 +29,9 @@
 /// Most idle connections to one endpoint; eight nodes share the connections that it accepts.
 const MAX_IDLE_PER_ENDPOINT: usize = 12;
 
+/// Size of the buffer for what a connection receives, and so of the largest head of a response.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Body of a request to an endpoint.
 pub type Body = Full<Bytes>;
 
@@ -33,6 +39,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Pool {
     idle: Rc<RefCell<BTreeMap<EndpointName, Vec<IdleConnection>>>>,
+    memory: ResponseMemory,
 }
 
 #[derive(Debug)]
@@ -45,6 +52,7 @@
 struct Connection {
     sender: SendRequest<Body>,
     task: AbortHandle,
+    head_allowance: HeadAllowance,
     /// Number of requests that were sent on the connection.
     sent_requests: u32,
     last_request: RequestKey,
@@ -125,7 +133,11 @@
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let head_allowance = HeadAllowance::default();
+        let stream = EndpointStream::new(stream, head_allowance.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         let endpoint_name = endpoint.clone();
@@ -140,6 +152,7 @@
         let connection = Connection {
             sender,
             task,
+            head_allowance,
             sent_requests: 0,
             last_request: RequestKey::default(),
         };
@@ -176,9 +189,20 @@
     pub(super) fn begin_request(&mut self, key: &RequestKey) -> &mut SendRequest<Body> {
         self.connection.sent_requests += 1;
         self.connection.last_request.clone_from(key);
+        self.connection.head_allowance.begin();
         &mut self.connection.sender
     }
 
+    /// Records that the head of the response has been received.
+    pub(super) fn end_head(&self) {
+        self.connection.head_allowance.end();
+    }
+
+    /// Returns an empty buffer for a part of the response of at most `max_bytes`.
+    pub fn buffer(&self, max_bytes: usize) -> ResponseBuffer {
+        self.pool.memory.buffer(max_bytes)
+    }
+
     /// Returns the number of requests that were sent on the connection.
     pub fn sent_requests(&self) -> u32 {
         self.connection.sent_requests
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -4,21 +4,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use tokio::time::timeout;
 use wisteriapoint_directory::StatedLimit;
 use wisteriapoint_types::{EndpointName, Verdict};
 
 use super::pool::RequestKey;
-use super::{Pool, PooledConnection};
+use super::{Pool, PooledConnection, ResponseBuffer};
 use crate::dialect::{Dialect, OutboundMetadata, ResponseHead};
 use crate::event;
 
 /// Largest response body that is read into memory.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
+/// Largest body of a response to this node's own requests: reports and answers to orders.
+const MAX_EXCHANGE_BYTES: usize = 1 << 20;
 /// Largest body of a refusal that is read so that its connection can be reused.
 const MAX_REFUSAL_BYTES: usize = 4_096;
 /// Timeout for that body: it normally arrives with the head, and a longer wait costs more than
@@ -95,14 +97,6 @@
         }
     }
 
-    /// Returns the failure of a request whose response has no complete body, or too large a one.
-    fn no_body(error: <Limited<Incoming> as Body>::Error) -> Self {
-        match error.is::<LengthLimitError>() {
-            true => Self::ambiguous(error),
-            false => Self::connection_lost(error),
-        }
-    }
-
     /// Returns the failure of a request whose connection was lost before the response was complete.
     pub fn connection_lost(reason: impl ToString) -> Self {
         Self {
@@ -148,6 +142,7 @@
             None => return Err(SendFailure::no_response(error.into_error())),
         },
     };
+    connection.end_head();
     let (parts, body) = response.into_parts();
     let head = D::parse_response_head(parts.status, &parts.headers);
     check_id(&head, parts.status, outbound, &connection)?;
@@ -196,17 +191,29 @@
     let request = build_request::<D>(upstream_request, outbound)?;
     let response = connection.begin_request(&key).send_request(request).await;
     let response = response.map_err(SendFailure::no_response)?;
+    connection.end_head();
     let status = response.status();
     let head = D::parse_response_head(status, response.headers());
     check_id(&head, status, outbound, &connection)?;
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-        .collect()
-        .await;
-    let body = body.map_err(SendFailure::no_body)?;
+    let body = read_to_end(response.into_body(), connection.buffer(MAX_EXCHANGE_BYTES)).await?;
     if !head.closes {
         connection.return_to_pool(head.keep_alive_ms);
     }
-    Ok((status, body.to_bytes()))
+    Ok((status, body))
+}
+
+/// Reads a complete body.
+async fn read_to_end(mut body: Incoming, mut buffer: ResponseBuffer) -> Result<Bytes, SendFailure> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(SendFailure::connection_lost)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if !buffer.try_extend(&data) {
+            return Err(SendFailure::ambiguous("body too large"));
+        }
+    }
+    Ok(buffer.into_bytes())
 }
 
 /// Reads the body of a refusal so that its connection can be reused.
@@ -298,12 +305,10 @@
             connection,
             ..
         } = self;
-        let limited = Limited::new(body, MAX_RESPONSE_BYTES);
-        let collected = limited.collect().await;
-        let body = collected.map_err(SendFailure::no_body)?;
+        let body = read_to_end(body, connection.buffer(MAX_RESPONSE_BYTES)).await?;
         if !head.closes {
             connection.return_to_pool(head.keep_alive_ms);
         }
-        Ok(body.to_bytes())
+        Ok(body)
     }
 }
