Bound the output of an item

What callers saw: an item at an engine that sends events without end was never completed, and its output grew until the item expired, at the node and in the partial outputs that it stores. Same class as the bodies without end: a bound of each event, none of their sum.

Change: an output larger than a page of results fails the attempt, discards the output, and pauses the engine like other failures, so that another one runs the item.

--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -14,6 +14,7 @@
 
 use super::abandon::AbandonReason;
 use super::{OwnedJob, score};
+use crate::callers::batch::MAX_PAGE_BYTES;
 use crate::dialect::{Dialect, OutboundMetadata};
 use crate::forward::{InFlightGuard, post_request, record_send_failure};
 use crate::node::{ChosenEndpoint, Node};
@@ -314,6 +315,10 @@
                 "weight version changed within the output",
             ));
         }
+        if progress.text.len() + event.data.len() > MAX_PAGE_BYTES {
+            *progress = Progress::default();
+            return Err(SendFailure::ambiguous("output too large"));
+        }
         if progress.last_event.is_some() {
             progress.text.push('\n');
         }
