Place batch work only where it starts at once

Cause: scorers' calls joined any queue short enough for their own objective. Callers may queue as before.

--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -147,7 +147,7 @@
         now_ms >= self.held_until_ms
             && self.record.service == *requirements.service
             && self.record.stage == EndpointStage::Ready
-            && (!requirements.requires_free_slot || self.occupancy(now_ms) < self.record.slots)
+            && (!requirements.requires_free_slot || self.has_free_slot(now_ms))
             && requirements.model.is_none_or(|(model, oldest)| {
                 self.version_of(model)
                     .is_some_and(|version| version >= oldest)
@@ -221,6 +221,11 @@
         rounds <= 1.0 || self.service_ms * rounds <= objective_ms as f64 * USABLE_OBJECTIVE_SHARE
     }
 
+    /// Returns `true` if a new request would start at once.
+    pub fn has_free_slot(&self, now_ms: u64) -> bool {
+        self.occupancy(now_ms) < self.record.slots
+    }
+
     fn slots(&self) -> f64 {
         f64::from(self.record.slots.max(1))
     }
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -216,7 +216,8 @@
     /// Returns the endpoint that is expected to complete a new request first, other than the
     /// excluded ones.
     ///
-    /// A paused endpoint is selected only if no other is left and the request may wait: it may
+    /// Batch work is placed only where it starts at once, so that callers do not queue behind it. A
+    /// paused endpoint is selected only if no other is left and the request may wait: it may
     /// have recovered, and failing the request would be worse.
     pub fn choose(
         &self,
@@ -224,15 +225,15 @@
         requirements: Requirements<'_>,
         excluded: &[EndpointName],
     ) -> Option<&EndpointName> {
-        let meets_objective = |endpoint: &Endpoint| {
-            let objective_ms = requirements.objective_ms;
-            objective_ms
-                .is_none_or(|objective_ms| endpoint.can_meet_objective(now_ms, objective_ms))
+        let has_room = |endpoint: &Endpoint| match requirements.objective_ms {
+            _ if requirements.priority == Priority::Batch => endpoint.has_free_slot(now_ms),
+            Some(objective_ms) => endpoint.can_meet_objective(now_ms, objective_ms),
+            None => true,
         };
         let candidates = || {
             self.endpoints.iter().filter(|(name, endpoint)| {
                 endpoint.satisfies(now_ms, &requirements)
-                    && meets_objective(endpoint)
+                    && has_room(endpoint)
                     && !excluded.contains(name)
             })
         };
--- a/crates/directory/tests/rate_limit.rs
+++ b/crates/directory/tests/rate_limit.rs
@@ -205,6 +205,21 @@
     assert_eq!(choose(&registry, 0, Priority::Batch), Some(endpoint()));
 }
 
+// Guards against callers that queue behind batch work at the endpoint that has no limit.
+#[test]
+fn batch_work_joins_no_queue() {
+    let mut registry = registry(2);
+    let limited = registry.get_mut(&endpoint()).unwrap();
+    limited.record_limit(StatedLimit::Limit(limit(5.0)));
+    limited.record_denial(1_000, Priority::Caller);
+    let other = EndpointName::new("shop-2");
+    for (in_flight, chosen) in [(5, Some(&other)), (6, None), (9, None)] {
+        registry.get_mut(&other).unwrap().in_flight = in_flight;
+        assert_eq!(choose(&registry, 0, Priority::Batch).as_ref(), chosen);
+        assert_eq!(choose(&registry, 0, Priority::Caller), Some(other.clone()));
+    }
+}
+
 #[test]
 fn an_endpoint_is_not_chosen_until_a_permit_may_be_available() {
     let mut registry = registry(1);
