--- a/crates/stand-in/src/scripted.rs
+++ b/crates/stand-in/src/scripted.rs
@@ -67,7 +67,9 @@
 }
 
 impl ScriptedServer {
-    /// Starts a server on a free port of the loopback address; the script chooses each response.
+    /// Starts a server on a loopback address of this process; the script chooses each response.
+    ///
+    /// No other process uses the address, so a request for a port that was another's can't arrive here.
     ///
     /// # Errors
     ///
@@ -96,7 +98,9 @@
     where
         F: Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
     {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let [.., high, low] = (std::process::id() % 50_000 + 256).to_be_bytes();
+        let own = SocketAddr::from(([127, high, low, 1], 0));
+        let listener = TcpListener::bind(own).await?;
         let address = listener.local_addr()?;
         let requests = Arc::default();
         let sent_bytes = Arc::default();
