--- a/crates/directory/src/rate_limit.rs
+++ b/crates/directory/src/rate_limit.rs
@@ -68,7 +68,7 @@
     Malformed,
 }
 
-/// Precedence of a request at an endpoint with a limit.
+/// Precedence of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Priority {
     /// A caller waits for the response.
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -37,7 +37,7 @@
     pub objective_ms: Option<u64>,
     /// Failure domain of the sender; preferred among endpoints of equal cost.
     pub sender_domain: &'a FailureDomain,
-    /// Precedence at endpoints with a limit.
+    /// Precedence at endpoints with a limit, and whether the request may join a queue.
     pub priority: Priority,
 }
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -139,8 +139,8 @@
         outcome
     }
 
-    /// Returns the last response if there was one, else the failure of a request for which all endpoints
-    /// accept no more; its caller may return after `delay_ms`.
+    /// Returns the last response if there was one, else the failure of a request for which no endpoint
+    /// accepts more; its caller may return after `delay_ms`.
     fn into_limited(self, delay_ms: u64) -> ForwardOutcome {
         let mut outcome = self.into_outcome(LIMIT_REASON, false);
         if let ForwardOutcome::Failed(failure) = &mut outcome {
--- a/crates/node/src/limits/grantor.rs
+++ b/crates/node/src/limits/grantor.rs
@@ -35,7 +35,7 @@
     for _ in 0..MAX_GRANTORS {
         let grantor = grantor(node, endpoint);
         if grantor == node.owner.address {
-            return handle_request(node, endpoint, limit, priority);
+            return decide_permit(node, endpoint, limit, priority);
         }
         let request = PeerRequest::Permit {
             endpoint: endpoint.clone(),
@@ -81,7 +81,7 @@
 }
 
 /// Grants or denies a permit for an endpoint of which this node is the grantor.
-pub fn handle_request<D: Dialect>(
+pub fn decide_permit<D: Dialect>(
     node: &Node<D>,
     endpoint: &EndpointName,
     limit: RateLimit,
@@ -105,7 +105,7 @@
 }
 
 /// Records the limit of an endpoint that a peer has told.
-pub fn handle_told_limit<D: Dialect>(
+pub fn apply_told_limit<D: Dialect>(
     node: &Node<D>,
     endpoint: &EndpointName,
     limit: Option<RateLimit>,
--- a/crates/node/src/limits/mod.rs
+++ b/crates/node/src/limits/mod.rs
@@ -6,7 +6,7 @@
 pub mod grantor;
 
 pub(crate) use grantor::PERMIT_TIMEOUT;
-pub use grantor::{handle_request, handle_told_limit};
+pub use grantor::{apply_told_limit, decide_permit};
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -250,9 +250,9 @@
             endpoint,
             limit,
             priority,
-        } => PeerResponse::Permit(limits::handle_request(node, &endpoint, limit, priority)),
+        } => PeerResponse::Permit(limits::decide_permit(node, &endpoint, limit, priority)),
         PeerRequest::LimitChanged { endpoint, limit } => {
-            limits::handle_told_limit(node, &endpoint, limit);
+            limits::apply_told_limit(node, &endpoint, limit);
             PeerResponse::Done
         }
         PeerRequest::TakeOver { job, parts } => match jobs::take_over(node, &job, parts).await {
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -60,7 +60,8 @@
 ///
 /// A crash while the request was not isolated only makes it suspect, since other requests may have
 /// caused it. A crash while it ran isolated quarantines it, unless another request ran there after
-/// all, other endpoints crashed at the same time, or the endpoint was leaving its service. So a request that is resent after each failure crashes two endpoints, and at most
+/// all, other endpoints crashed at the same time, or the endpoint was leaving its service. So a
+/// request that is resent after each failure crashes two endpoints, and at most
 /// [`MAX_CRASHES_PER_DIGEST`] if each crash has another likely cause.
 #[derive(Debug, Default)]
 pub struct Suspects {
