Use endpoints without a limit first, and ask for few permits

What callers saw: on a deployment with 20 plain endpoints, most of them with a limit and some nodes suspended, 85 of 398 requests were late and 4 failed: each asked one grantor after the other for permits that were denied, up to 100 ms each at a suspended one, while endpoints without a limit were free.

Cause: a caller's request preferred an idle endpoint with a limit, and asked on after each denial.

--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -19,9 +19,11 @@
 /// equal cost: a hop between domains takes about a millisecond, an event of a text tens of them.
 const REMOTE_DOMAIN_COST_FACTOR: f64 = 1.02;
 
-/// Cost factor of batch work for an endpoint with a limit: others are used first, unless they are
-/// occupied to a quarter more. The permits are left to callers, who then need not queue behind it.
-const LIMIT_COST_FACTOR: f64 = 1.25;
+/// Cost factor of a caller's request for an endpoint with a limit: others are used first as long as
+/// they have a free slot, since a request for a permit takes time.
+const CALLER_LIMIT_COST_FACTOR: f64 = 2.0;
+/// The same of batch work: others are used first, unless they are occupied to a quarter more.
+const BATCH_LIMIT_COST_FACTOR: f64 = 1.25;
 
 /// Conditions that an endpoint has to meet for a request.
 #[derive(Debug, Clone, Copy)]
@@ -287,14 +289,20 @@
         waits.min().filter(|&wait_ms| wait_ms > 0)
     }
 
+    /// Returns the endpoints of a service that state a limit.
+    pub fn limited<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (&'a EndpointName, RateLimit)> {
+        let endpoints = self.endpoints.iter();
+        let of_service = endpoints.filter(|(_, endpoint)| endpoint.record.service == *service);
+        of_service.filter_map(|(name, endpoint)| Some((name, endpoint.limit()?)))
+    }
+
     /// Returns the sum of the limits of a service's endpoints, in requests a second.
     pub fn total_limit_per_s(&self, service: &ServiceName) -> f64 {
-        let endpoints = self.endpoints.values();
-        let of_service = endpoints.filter(|endpoint| endpoint.record.service == *service);
-        of_service
-            .filter_map(|endpoint| endpoint.limit())
-            .map(RateLimit::per_s)
-            .sum()
+        let limited = self.limited(service);
+        limited.map(|(_, limit)| limit.per_s()).sum()
     }
 
     /// Returns the mean time per event over the endpoints of a service, in milliseconds; 1 if none
@@ -335,8 +343,9 @@
         false => REMOTE_DOMAIN_COST_FACTOR,
     };
     let limit_factor = match requirements.priority {
-        Priority::Batch if endpoint.limit().is_some() => LIMIT_COST_FACTOR,
-        _ => 1.0,
+        _ if endpoint.limit().is_none() => 1.0,
+        Priority::Caller => CALLER_LIMIT_COST_FACTOR,
+        Priority::Batch => BATCH_LIMIT_COST_FACTOR,
     };
     ms_per_event * (1.0 + occupancy / slots) * domain_factor * limit_factor
 }
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -19,6 +19,9 @@
 /// Longest wait until other requests have ended at the endpoint of a suspect, in milliseconds: the time
 /// of most plain requests.
 const MAX_IDLE_WAIT_MS: u64 = 200;
+/// Number of denied permits after which a placement leaves out all endpoints with a limit: a caller waits
+/// for each request for a permit.
+const MAX_DENIALS: u32 = 3;
 /// Interval at which the nodes are asked whether they have ended.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -98,8 +101,10 @@
     excluded: &[EndpointName],
     isolation: Isolation,
 ) -> Placement<D> {
+    let mut unavailable = excluded.to_vec();
+    let mut denials = 0;
     loop {
-        match place_without_limit(node, key, requirements, excluded, isolation).await {
+        match place_without_limit(node, key, requirements, &unavailable, isolation).await {
             Placement::Run {
                 run,
                 endpoint,
@@ -112,6 +117,12 @@
                         address,
                     };
                 }
+                denials += 1;
+                if denials == MAX_DENIALS {
+                    let directory = node.directory.borrow();
+                    let limited = directory.registry.limited(requirements.service);
+                    unavailable.extend(limited.map(|(name, _)| name.clone()));
+                }
             }
             Placement::NoEndpoint => {
                 let directory = node.directory.borrow();
