--- a/crates/node/src/limits/grantor.rs
+++ b/crates/node/src/limits/grantor.rs
@@ -15,8 +15,8 @@
 use crate::peers::{PeerRequest, PeerResponse, call_peer};
 
 /// Time for the response to a request for a permit, for which a caller's request waits: many
-/// network hops, and a part of the objective of a plain request.
-pub(crate) const PERMIT_TIMEOUT: Duration = Duration::from_millis(40);
+/// network hops, also on a new connection between regions.
+pub(crate) const PERMIT_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time for which a node that did not answer is not asked again, in milliseconds; its requests
 /// would wait for each timeout.
 const UNREACHABLE_MS: u64 = 1_000;
