--- a/crates/node/src/limits/mod.rs
+++ b/crates/node/src/limits/mod.rs
@@ -60,14 +60,12 @@
     outbound: OutboundMetadata<'_>,
 ) -> Result<UpstreamResponse, SendFailure> {
     let result = upstream::send::send::<D>(&node.pool, address, upstream_request, outbound).await;
-    // A failure may come from a part that does not know the limit, so it can't end one.
-    let stated = match &result {
-        Ok(response) if response.status.is_success() => Some(response.head.limit),
-        Ok(response) => Some(response.head.limit).filter(|&stated| stated != StatedLimit::Absent),
-        Err(failure) => failure
-            .limit
-            .filter(|&stated| stated != StatedLimit::Absent),
+    let (stated, is_success) = match &result {
+        Ok(response) => (Some(response.head.limit), response.status.is_success()),
+        Err(failure) => (failure.limit, false),
     };
+    // A failure may come from a part that does not know the limit, so it can't end one.
+    let stated = stated.filter(|&stated| is_success || stated != StatedLimit::Absent);
     if let Some(stated) = stated
         && record_limit(node, outbound.endpoint, stated, "response")
     {
