Share expected statuses of a test, and say what ends a limit

Found in a second reading. Two tests of route had one table of statuses each. The doc comment of StatedLimit::Absent said that any response without a limit ends one; since only a success does.

--- a/crates/directory/src/rate_limit.rs
+++ b/crates/directory/src/rate_limit.rs
@@ -59,7 +59,7 @@
 /// What a response says about the limit of its endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum StatedLimit {
-    /// There is none, so one that was stated before has ended.
+    /// There is none; in a success, this ends one that was stated before.
     #[default]
     Absent,
     /// The endpoint has a limit.
--- a/crates/route/tests/suspects.rs
+++ b/crates/route/tests/suspects.rs
@@ -10,6 +10,13 @@
 
 const BAD: Digest = Digest(1);
 const GOOD: Digest = Digest(2);
+/// Status of a request after each crash, if all have another likely cause.
+const STATUSES_WITH_OTHER_CAUSES: [SuspectStatus; 4] = [
+    SuspectStatus::Normal,
+    SuspectStatus::Suspect,
+    SuspectStatus::Suspect,
+    SuspectStatus::Quarantined,
+];
 
 fn pool(count: usize) -> Pool {
     let mut pool = Pool::new(16, 1);
@@ -234,13 +241,7 @@
 #[test]
 fn crashes_of_leaving_endpoints_quarantine_the_fourth_time() {
     let mut suspects = Suspects::default();
-    let expected = [
-        SuspectStatus::Normal,
-        SuspectStatus::Suspect,
-        SuspectStatus::Suspect,
-        SuspectStatus::Quarantined,
-    ];
-    for (number, status) in expected.into_iter().enumerate() {
+    for (number, status) in STATUSES_WITH_OTHER_CAUSES.into_iter().enumerate() {
         let crash = Crash {
             id: number as u64,
             endpoint: &EndpointName::new(format!("e{number}")),
@@ -322,13 +323,7 @@
 #[test]
 fn bursts_of_crashes_quarantine_a_request_after_four() {
     let mut suspects = Suspects::default();
-    let expected = [
-        SuspectStatus::Normal,
-        SuspectStatus::Suspect,
-        SuspectStatus::Suspect,
-        SuspectStatus::Quarantined,
-    ];
-    for (burst, status) in expected.into_iter().enumerate() {
+    for (burst, status) in STATUSES_WITH_OTHER_CAUSES.into_iter().enumerate() {
         let at_ms = 5_000 * (burst as u64 + 1);
         let is_isolated = burst >= 2;
         let endpoints = [("e", "a"), ("f", "a"), ("g", "a")];
