Log the software version of the endpoint that writes a stream

Nothing read the version of an endpoint's software, so no line could tell a stream that goes on at another version. No decision uses it yet.

--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use wisteriapoint_types::{FailureDomain, ServiceName, WeightVersion};
+use wisteriapoint_types::{FailureDomain, ServiceName, SoftwareVersion, WeightVersion};
 
 use crate::{Priority, RateLimit, Requirements, StatedLimit};
 
@@ -45,6 +45,8 @@
     pub models: Vec<(Box<str>, WeightVersion)>,
     /// Start of this incarnation in Unix milliseconds; 0 if the record does not contain it.
     pub born_unix_ms: u64,
+    /// Version of its software; `None` if the record does not tell it.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Whether an endpoint accepts new requests.
--- a/crates/directory/tests/event_times.rs
+++ b/crates/directory/tests/event_times.rs
@@ -12,6 +12,7 @@
         stage: EndpointStage::Ready,
         models: Vec::new(),
         born_unix_ms: 1,
+        software: None,
     })
 }
 
--- a/crates/directory/tests/overload.rs
+++ b/crates/directory/tests/overload.rs
@@ -34,6 +34,7 @@
         stage: EndpointStage::Ready,
         models: Vec::new(),
         born_unix_ms: 1,
+        software: None,
     }
 }
 
--- a/crates/directory/tests/rate_limit.rs
+++ b/crates/directory/tests/rate_limit.rs
@@ -169,6 +169,7 @@
         stage: EndpointStage::Ready,
         models: Vec::new(),
         born_unix_ms,
+        software: None,
     }
 }
 
--- a/crates/directory/tests/registry.rs
+++ b/crates/directory/tests/registry.rs
@@ -14,6 +14,7 @@
         stage: EndpointStage::Ready,
         models: vec![("m".into(), WeightVersion(3))],
         born_unix_ms,
+        software: None,
     }
 }
 
--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -197,7 +197,7 @@
         arrived_at_ms,
     };
     if route.kind == RouteKind::Streaming {
-        return stream::handle_stream(node, request, metadata.last_event).await;
+        return stream::handle_stream(node, request, metadata).await;
     }
     match forward(node, &request).await {
         ForwardOutcome::Response(response) => {
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -10,12 +10,12 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use wisteriapoint_directory::Route;
-use wisteriapoint_types::{Digest, EndpointName, ServiceName, Verdict};
+use wisteriapoint_types::{Digest, EndpointName, ServiceName, SoftwareVersion, Verdict};
 
 use super::response::{
     CallerResponse, Payload, StreamAborted, endpoint_response, failure_response,
 };
-use crate::dialect::{Dialect, OutboundMetadata};
+use crate::dialect::{Dialect, InboundMetadata, OutboundMetadata};
 use crate::forward::{
     ForwardFailure, ForwardRequest, InFlightGuard, LIMIT_REASON, OVERLOAD_BACKOFF_MS,
     PLACEMENT_OBJECTIVE_DIVISOR, QUARANTINE_REASON, pause_suspect, record_send_failure,
@@ -47,6 +47,8 @@
     route: Route,
     service: ServiceName,
     end_at_ms: u64,
+    /// Attempt at which the caller got the first event, as it says.
+    first_attempt: Option<Box<str>>,
     last_event: Option<u64>,
     excluded: Vec<EndpointName>,
     /// Sends after which the request may have run.
@@ -57,7 +59,7 @@
 pub async fn handle_stream<D: Dialect>(
     node: &Rc<Node<D>>,
     request: ForwardRequest<'_>,
-    last_event: Option<u64>,
+    metadata: InboundMetadata,
 ) -> CallerResponse {
     let route = request.route;
     let id = request.id;
@@ -73,7 +75,8 @@
         end_at_ms: request
             .deadline_at_ms
             .min(request.arrived_at_ms + route.timeout_ms),
-        last_event,
+        first_attempt: metadata.first_attempt,
+        last_event: metadata.last_event,
         excluded: Vec::new(),
         attempts: 0,
     };
@@ -192,6 +195,7 @@
             let error = match self.send(node, &endpoint, address).await {
                 Ok(response) => {
                     self.attempts += 1;
+                    self.log_begin(&run, &endpoint, &response);
                     return Ok(UpstreamStream {
                         run,
                         endpoint,
@@ -217,6 +221,25 @@
         }
     }
 
+    /// Logs that an endpoint begins the stream, or goes on with it.
+    fn log_begin<D: Dialect>(
+        &self,
+        run: &Run<D>,
+        endpoint: &EndpointName,
+        response: &UpstreamResponse,
+    ) {
+        event!(
+            info,
+            "stream begins at endpoint",
+            id = self.id,
+            endpoint = endpoint,
+            software = run.software().map_or("", SoftwareVersion::as_str),
+            status = response.status.as_u16(),
+            last_event = self.last_event.unwrap_or(0),
+            first_attempt = self.first_attempt.as_deref().unwrap_or_default(),
+        );
+    }
+
     /// Chooses an endpoint for the stream.
     ///
     /// A suspect runs beside others if it has crashed one endpoint only and none is free for it in time:
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -151,6 +151,8 @@
     pub wait_ms: Option<u64>,
     /// Id of the last event of a stream that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the attempt at which the caller received the first event of that stream.
+    pub first_attempt: Option<Box<str>>,
 }
 
 /// Metadata that a node sends to an endpoint in the headers of a request.
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 use wisteriapoint_batch::{Item, ItemKey, Progress};
 use wisteriapoint_directory::Route;
-use wisteriapoint_types::{EndpointName, WeightVersion};
+use wisteriapoint_types::{EndpointName, SoftwareVersion, WeightVersion};
 
 use super::abandon::AbandonReason;
 use super::{OwnedJob, score};
@@ -39,6 +39,7 @@
     key: ItemKey,
     item: Item,
     endpoint: EndpointName,
+    software: Option<SoftwareVersion>,
     address: SocketAddr,
     min_version: WeightVersion,
     remaining_ms: u64,
@@ -98,6 +99,7 @@
             owned: owned.clone(),
             in_flight: Some(InFlightGuard::new(node, &chosen.name)),
             endpoint: chosen.name,
+            software: chosen.software,
         }
     }
 
@@ -124,6 +126,7 @@
             id = self.owned.id,
             item = self.item.id,
             endpoint = self.endpoint,
+            software = self.software.as_ref().map_or("", SoftwareVersion::as_str),
             outcome = outcome_name(&outcome),
             events = events,
             elapsed_ms = node.now_ms() - started_ms,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,7 +18,9 @@
 };
 use wisteriapoint_peer::Client;
 use wisteriapoint_store::Error as StoreError;
-use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, WeightVersion};
+use wisteriapoint_types::{
+    EndpointName, FailureDomain, ServiceName, SoftwareVersion, WeightVersion,
+};
 
 use crate::clock::Clock;
 use crate::control::{Feed, Lease, StoreHealth};
@@ -126,6 +128,8 @@
     pub address: SocketAddr,
     /// Failure domain in which it runs.
     pub failure_domain: FailureDomain,
+    /// Version of its software, if it is known.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl<D: Dialect> Node<D> {
@@ -225,6 +229,7 @@
         Some(ChosenEndpoint {
             address: record.address,
             failure_domain: record.failure_domain.clone(),
+            software: record.software.clone(),
             name,
         })
     }
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 use wisteriapoint_directory::{EndpointStage, Requirements};
 use wisteriapoint_route::{Crash, CrashReport, SuspectStatus};
-use wisteriapoint_types::{Digest, EndpointName, FailureDomain};
+use wisteriapoint_types::{Digest, EndpointName, FailureDomain, SoftwareVersion};
 
 use super::exchange::Kept;
 use super::{count, exchange, log_eviction, stored};
@@ -73,6 +73,7 @@
     digest: Option<Digest>,
     endpoint: EndpointName,
     failure_domain: FailureDomain,
+    software: Option<SoftwareVersion>,
     is_isolated: bool,
     /// `true` if the other nodes confirmed that the run is isolated.
     is_confirmed: bool,
@@ -294,11 +295,17 @@
             digest,
             endpoint: chosen.name.clone(),
             failure_domain: chosen.failure_domain.clone(),
+            software: chosen.software.clone(),
             is_isolated: false,
             is_confirmed: false,
         }
     }
 
+    /// Returns the software version of the endpoint, if it is known.
+    pub fn software(&self) -> Option<&SoftwareVersion> {
+        self.software.as_ref()
+    }
+
     /// Records that the endpoint completed the request, which clears it.
     pub fn record_completion(&self) {
         let Some(digest) = self.digest else {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,6 +17,8 @@
 
 pub use hash::{Digest, hash64};
 pub use key::RequestKey;
-pub use name::{EndpointName, FailureDomain, Region, ServiceName, TrainerName, VmName};
+pub use name::{
+    EndpointName, FailureDomain, Region, ServiceName, SoftwareVersion, TrainerName, VmName,
+};
 pub use number::{MemberId, Nonce, PartitionId, Revision, ViewNumber, WeightVersion};
 pub use verdict::Verdict;
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -51,6 +51,10 @@
     /// A back end: a model engine or an instance of a plain service.
     EndpointName
 }
+name_type! {
+    /// A version of the software that an endpoint runs, such as `2026.11`; versions have no order.
+    SoftwareVersion
+}
 name_type! {
     /// A process that trains a model on samples.
     TrainerName
