Bind a stream within one response to the software version that began it

Cause: what a stream is bound to was nowhere a value, so the choice of an endpoint to go on with could not depend on it. StreamOrigin is that value: none, a software version, or unknown. The first event sets it, and the requirements on an endpoint carry it, so it narrows the choice in the one place where endpoints are chosen: for suspects, limits and retries alike. While an endpoint of that version may have room soon, the stream waits for at most a second, half of the gap after which callers leave; without one it breaks off and never ends as complete.

--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -149,6 +149,7 @@
         now_ms >= self.held_until_ms
             && self.record.service == *requirements.service
             && self.record.stage == EndpointStage::Ready
+            && requirements.origin.admits(self.record.software.as_ref())
             && (!requirements.requires_free_slot || self.has_free_slot(now_ms))
             && requirements.model.is_none_or(|(model, oldest)| {
                 self.version_of(model)
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, WeightVersion};
+use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, StreamOrigin, WeightVersion};
 
 use crate::{Endpoint, EndpointRecord, EndpointStage, Priority, RateLimit};
 
@@ -41,6 +41,8 @@
     pub sender_domain: &'a FailureDomain,
     /// Precedence at endpoints with a limit, and whether the request may join a queue.
     pub priority: Priority,
+    /// What generated the beginning of the response, which the endpoint must be able to go on with.
+    pub origin: &'a StreamOrigin,
 }
 
 /// The endpoints that this process may send requests to.
--- a/crates/directory/tests/overload.rs
+++ b/crates/directory/tests/overload.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use wisteriapoint_directory::{EndpointRecord, EndpointStage, Priority, Registry, Requirements};
-use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName};
+use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, StreamOrigin};
 
 const SLOTS: u32 = 6;
 const SERVICE_MS: u64 = 25;
@@ -61,6 +61,7 @@
         objective_ms,
         sender_domain: &sender_domain,
         priority: Priority::Caller,
+        origin: &StreamOrigin::None,
     };
     let mut outcome = Outcome {
         in_time: 0,
--- a/crates/directory/tests/rate_limit.rs
+++ b/crates/directory/tests/rate_limit.rs
@@ -4,7 +4,7 @@
     EndpointRecord, EndpointStage, Permit, Priority, RateLimit, RateLimiter, Registry,
     Requirements, ReturnSchedule, StatedLimit,
 };
-use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName};
+use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, StreamOrigin};
 
 const WINDOW_MS: u64 = 4_000;
 
@@ -190,6 +190,7 @@
         objective_ms: None,
         sender_domain: &sender_domain,
         priority,
+        origin: &StreamOrigin::None,
     };
     registry.choose(now_ms, requirements, &[]).cloned()
 }
--- a/crates/directory/tests/registry.rs
+++ b/crates/directory/tests/registry.rs
@@ -3,7 +3,7 @@
 use wisteriapoint_directory::{
     EndpointRecord, EndpointStage, Load, Priority, Registry, Requirements,
 };
-use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, WeightVersion};
+use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, StreamOrigin, WeightVersion};
 
 fn record(born_unix_ms: u64) -> EndpointRecord {
     EndpointRecord {
@@ -46,6 +46,7 @@
         objective_ms: None,
         sender_domain: &sender_domain,
         priority: Priority::Caller,
+        origin: &StreamOrigin::None,
     };
     registry.choose(now_ms, requirements, excluded).cloned()
 }
@@ -115,6 +116,7 @@
             objective_ms: None,
             sender_domain: &sender_domain,
             priority: Priority::Caller,
+            origin: &StreamOrigin::None,
         };
         registry.choose(0, requirements, &[]).is_some()
     };
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -9,8 +9,10 @@
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use wisteriapoint_directory::Route;
-use wisteriapoint_types::{Digest, EndpointName, ServiceName, SoftwareVersion, Verdict};
+use wisteriapoint_directory::{Requirements, Route};
+use wisteriapoint_types::{
+    Digest, EndpointName, ServiceName, SoftwareVersion, StreamOrigin, Verdict,
+};
 
 use super::response::{
     CallerResponse, Payload, StreamAborted, endpoint_response, failure_response,
@@ -32,12 +34,17 @@
 /// Longest wait of a suspect for an endpoint without other suspects, in milliseconds: a part of the
 /// gap after which callers disconnect.
 const MAX_ISOLATION_WAIT_MS: u64 = 500;
-/// Longest wait of a stream that has begun for a permit at an endpoint with a limit, in milliseconds: a
-/// part of the gap after which callers disconnect.
-const MAX_PERMIT_WAIT_MS: u64 = 1_000;
+/// Longest wait of a stream that has begun for an endpoint that may go on with it, or for a permit there,
+/// in milliseconds: a part of the gap after which callers disconnect.
+const MAX_RESUME_WAIT_MS: u64 = 1_000;
+/// Interval at which such endpoints are asked again.
+const RESUME_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Retry delay sent to a caller whose request has not run.
 const RETRY_AFTER_MS: u64 = 150;
 
+/// Reason of the refusal of a stream that no endpoint may go on with.
+const NO_ORIGIN_REASON: &str = "no endpoint of the software version that began the stream has room";
+
 /// State needed to resume a stream at another endpoint.
 #[derive(Debug)]
 struct StreamForwarder {
@@ -50,6 +57,7 @@
     /// Attempt at which the caller got the first event, as it says.
     first_attempt: Option<Box<str>>,
     last_event: Option<u64>,
+    origin: StreamOrigin,
     excluded: Vec<EndpointName>,
     /// Sends after which the request may have run.
     attempts: u32,
@@ -76,6 +84,7 @@
             .deadline_at_ms
             .min(request.arrived_at_ms + route.timeout_ms),
         first_attempt: metadata.first_attempt,
+        origin: StreamOrigin::None,
         last_event: metadata.last_event,
         excluded: Vec::new(),
         attempts: 0,
@@ -154,9 +163,9 @@
             _ => failure(Verdict::MayHaveRun, "no endpoint has room"),
         };
         let isolation_end_ms = node.now_ms() + MAX_ISOLATION_WAIT_MS;
-        let permit_end_ms = match self.attempts {
+        let wait_end_ms = match self.attempts {
             0 => node.now_ms() + self.route.objective_ms / PLACEMENT_OBJECTIVE_DIVISOR,
-            _ => node.now_ms() + MAX_PERMIT_WAIT_MS,
+            _ => node.now_ms() + MAX_RESUME_WAIT_MS,
         };
         loop {
             if node.now_ms() >= self.end_at_ms {
@@ -174,17 +183,27 @@
                     continue;
                 }
                 Placement::Limited { wait_ms } => {
-                    if node.now_ms() + wait_ms < permit_end_ms {
+                    if node.now_ms() + wait_ms < wait_end_ms {
                         sleep(Duration::from_millis(wait_ms)).await;
                         continue;
                     }
-                    let requirements = node.plain_requirements(&self.service);
+                    let requirements = self.requirements(node);
                     let left_ms = self.end_at_ms.saturating_sub(node.now_ms());
                     failure.reason = LIMIT_REASON.into();
                     failure.retry_after_ms =
                         limits::return_delay_ms(node, requirements, wait_ms, left_ms);
                     return Err(failure);
                 }
+                // Others would not do, so endpoints that just refused it are asked again.
+                Placement::NoEndpoint if self.may_wait(node, wait_end_ms) => {
+                    sleep(RESUME_POLL_INTERVAL).await;
+                    self.excluded.clear();
+                    continue;
+                }
+                Placement::NoEndpoint if self.origin != StreamOrigin::None => {
+                    failure.reason = NO_ORIGIN_REASON.into();
+                    return Err(failure);
+                }
                 Placement::NoEndpoint => return Err(failure),
                 Placement::Quarantined(quarantine) => {
                     failure.reason = QUARANTINE_REASON.into();
@@ -240,6 +259,26 @@
         );
     }
 
+    /// Returns the requirements on an endpoint that begins the stream or goes on with it.
+    fn requirements<'a, D: Dialect>(&'a self, node: &'a Node<D>) -> Requirements<'a> {
+        Requirements {
+            origin: &self.origin,
+            ..node.plain_requirements(&self.service)
+        }
+    }
+
+    /// Returns `true` if the stream has begun, and an endpoint that may go on with it may have room
+    /// soon.
+    fn may_wait<D: Dialect>(&self, node: &Node<D>, end_ms: u64) -> bool {
+        let now_ms = node.now_ms();
+        let directory = node.directory.borrow();
+        self.origin != StreamOrigin::None
+            && now_ms < end_ms
+            && directory
+                .registry
+                .has_eligible(now_ms, self.requirements(node), &[])
+    }
+
     /// Chooses an endpoint for the stream.
     ///
     /// A suspect runs beside others if it has crashed one endpoint only and none is free for it in time:
@@ -251,7 +290,7 @@
             ..=1 if now_ms >= isolation_end_ms => Isolation::Waived,
             _ => Isolation::Required,
         };
-        let requirements = node.plain_requirements(&self.service);
+        let requirements = self.requirements(node);
         let key = (&*self.id, self.digest);
         suspects::place(node, key, requirements, &self.excluded, isolation).await
     }
@@ -350,9 +389,7 @@
                 address,
                 response,
             } = stream;
-            let forwarded = self
-                .forward_events(&node, &endpoint, response, &events)
-                .await;
+            let forwarded = self.forward_events(&node, &run, response, &events).await;
             let failure = match forwarded {
                 Ok(StreamEnd::Complete) => return run.record_completion(),
                 Ok(StreamEnd::CallerLeft) => return,
@@ -418,10 +455,11 @@
     async fn forward_events<D: Dialect>(
         &mut self,
         node: &Rc<Node<D>>,
-        endpoint: &EndpointName,
+        run: &Run<D>,
         response: UpstreamResponse,
         events: &Sender<Result<Bytes, StreamAborted>>,
     ) -> Result<StreamEnd, SendFailure> {
+        let endpoint = run.endpoint();
         let _in_flight = InFlightGuard::new(node, endpoint);
         let UpstreamResponse {
             head,
@@ -447,6 +485,7 @@
                 }
                 _ => return Err(SendFailure::ambiguous("event out of order")),
             }
+            self.origin.record_event(run.software());
             if events.send(Ok(event.raw)).await.is_err() {
                 return Ok(StreamEnd::CallerLeft);
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,7 +19,7 @@
 use wisteriapoint_peer::Client;
 use wisteriapoint_store::Error as StoreError;
 use wisteriapoint_types::{
-    EndpointName, FailureDomain, ServiceName, SoftwareVersion, WeightVersion,
+    EndpointName, FailureDomain, ServiceName, SoftwareVersion, StreamOrigin, WeightVersion,
 };
 
 use crate::clock::Clock;
@@ -266,6 +266,7 @@
             objective_ms: None,
             sender_domain: &self.settings.failure_domain,
             priority: Priority::Caller,
+            origin: &StreamOrigin::None,
         }
     }
 
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -301,6 +301,11 @@
         }
     }
 
+    /// Returns the endpoint.
+    pub fn endpoint(&self) -> &EndpointName {
+        &self.endpoint
+    }
+
     /// Returns the software version of the endpoint, if it is known.
     pub fn software(&self) -> Option<&SoftwareVersion> {
         self.software.as_ref()
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod key;
 pub mod name;
 pub mod number;
+pub mod stream;
 pub mod verdict;
 
 pub use hash::{Digest, hash64};
@@ -21,4 +22,5 @@
     EndpointName, FailureDomain, Region, ServiceName, SoftwareVersion, TrainerName, VmName,
 };
 pub use number::{MemberId, Nonce, PartitionId, Revision, ViewNumber, WeightVersion};
+pub use stream::StreamOrigin;
 pub use verdict::Verdict;
