Let a caller's stream go on at its software version at any node

Cause: the caller names only the attempt that brought the first event, and nothing kept what began it. A node that begins a resumable stream now tells two others by rendezvous hash of that id, before it passes the first event on; the one at which the stream is taken up asks them, then others.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod event_times;
 pub mod rate_limit;
 pub mod registry;
+pub mod software_history;
+pub mod stream_records;
 pub mod subset;
 
 pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Split};
@@ -23,4 +25,6 @@
 pub use event_times::EventTimes;
 pub use rate_limit::{Permit, Priority, RateLimit, RateLimiter, ReturnSchedule, StatedLimit};
 pub use registry::{Registry, Requirements};
+pub use software_history::SoftwareHistory;
+pub use stream_records::{StreamRecord, StreamRecords};
 pub use subset::{ServiceSizes, Subset};
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -25,7 +25,7 @@
 use crate::node::Node;
 use crate::suspects::{self, Isolation, Placement, Run};
 use crate::upstream::{EventReader, SendFailure, UpstreamRequest, UpstreamResponse};
-use crate::{event, limits};
+use crate::{event, limits, streams};
 
 /// Events buffered for a slow caller.
 const MAX_BUFFERED_EVENTS: usize = 64;
@@ -42,6 +42,8 @@
 /// Retry delay sent to a caller whose request has not run.
 const RETRY_AFTER_MS: u64 = 150;
 
+/// Reason of the refusal of a stream of which no node knows what began it.
+const UNKNOWN_ORIGIN_REASON: &str = "it is not known which software version began the stream";
 /// Reason of the refusal of a stream that no endpoint may go on with.
 const NO_ORIGIN_REASON: &str = "no endpoint of the software version that began the stream has room";
 
@@ -71,7 +73,17 @@
 ) -> CallerResponse {
     let route = request.route;
     let id = request.id;
-    let Some(service) = route.select_service(rand::random()).cloned() else {
+    let (service, origin) = match metadata.last_event {
+        None => (
+            route.select_service(rand::random()).cloned(),
+            StreamOrigin::None,
+        ),
+        Some(_) => match streams::find(node, route, metadata.first_attempt.as_deref()).await {
+            Some(found) => (Some(found.service), StreamOrigin::Software(found.software)),
+            None => return fail::<D>(id, &failure(Verdict::NotRun, UNKNOWN_ORIGIN_REASON)),
+        },
+    };
+    let Some(service) = service else {
         return fail::<D>(id, &failure(Verdict::NotRun, "route without a service"));
     };
     let mut forwarder = StreamForwarder {
@@ -84,7 +96,7 @@
             .deadline_at_ms
             .min(request.arrived_at_ms + route.timeout_ms),
         first_attempt: metadata.first_attempt,
-        origin: StreamOrigin::None,
+        origin,
         last_event: metadata.last_event,
         excluded: Vec::new(),
         attempts: 0,
@@ -447,6 +459,18 @@
         Err("stream can't be resumed".into())
     }
 
+    /// Records which software version begins the stream, before the caller gets its first event.
+    async fn record_begin<D: Dialect>(
+        &mut self,
+        node: &Rc<Node<D>>,
+        software: Option<&SoftwareVersion>,
+    ) {
+        self.origin.record_event(software);
+        if let Some(software) = self.origin.software().filter(|_| self.route.resumable) {
+            streams::record_begin(node, &self.id, &self.service, software).await;
+        }
+    }
+
     /// Forwards events until the response ends or the caller disconnects.
     ///
     /// # Errors
@@ -485,7 +509,9 @@
                 }
                 _ => return Err(SendFailure::ambiguous("event out of order")),
             }
-            self.origin.record_event(run.software());
+            if self.origin == StreamOrigin::None {
+                self.record_begin(node, run.software()).await;
+            }
             if events.send(Ok(event.raw)).await.is_err() {
                 return Ok(StreamEnd::CallerLeft);
             }
--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -13,6 +13,7 @@
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::{Directory, Node};
+use crate::streams;
 
 /// Least time between two watches of the endpoints: changes in quick succession cost one call, and
 /// nodes still stop using a draining endpoint within its two seconds.
@@ -39,6 +40,7 @@
         };
         state = match position {
             Some(position) => {
+                node.directory.borrow_mut().endpoints_current_ms = node.now_ms();
                 node.feed.set_fresh(false);
                 SyncState::Leader(position)
             }
@@ -292,6 +294,7 @@
     const EXPIRY_POLL_INTERVAL: Duration = Duration::from_millis(200);
     loop {
         sleep(EXPIRY_POLL_INTERVAL).await;
+        streams::observe_software(&node);
         let now_ms = node.now_ms();
         let mut directory = node.directory.borrow_mut();
         if let Some(end_ms) = node.store_health.outage_end_ms(now_ms) {
--- a/crates/node/src/limits/grantor.rs
+++ b/crates/node/src/limits/grantor.rs
@@ -6,20 +6,17 @@
 
 use tokio::task::spawn_local;
 use wisteriapoint_directory::{Permit, Priority, RateLimit, StatedLimit};
-use wisteriapoint_types::{EndpointName, hash64};
+use wisteriapoint_types::EndpointName;
 
 use super::{count, limit_of, record_limit};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::Node;
-use crate::peers::{PeerRequest, PeerResponse, call_peer};
+use crate::peers::{PeerRequest, PeerResponse, call_peer, call_ranked, ranked_nodes};
 
 /// Time for the response to a request for a permit, for which a caller's request waits: many
 /// network hops, also on a new connection between regions.
 pub(crate) const PERMIT_TIMEOUT: Duration = Duration::from_millis(60);
-/// Time for which a node that did not answer is not asked again, in milliseconds; its requests
-/// would wait for each timeout.
-const UNREACHABLE_MS: u64 = 1_000;
 /// Number of nodes that are asked for one permit.
 const MAX_GRANTORS: u32 = 2;
 /// Longest time in which a permit is granted or denied, in milliseconds.
@@ -42,12 +39,9 @@
             limit,
             priority,
         };
-        if let Some(PeerResponse::Permit(permit)) = call_peer(node, grantor, &request).await {
+        if let Some(PeerResponse::Permit(permit)) = call_ranked(node, grantor, &request).await {
             return permit;
         }
-        let until_ms = node.now_ms() + UNREACHABLE_MS;
-        let mut unreachable = node.limits.unreachable.borrow_mut();
-        unreachable.insert(grantor, until_ms);
         event!(
             info,
             "grantor of an endpoint with a limit does not answer",
@@ -66,18 +60,8 @@
 /// Nodes with different views of the members have different grantors for a moment, and a node
 /// that is cut off is its own.
 fn grantor<D: Dialect>(node: &Node<D>, endpoint: &EndpointName) -> SocketAddr {
-    let now_ms = node.now_ms();
-    let mut unreachable = node.limits.unreachable.borrow_mut();
-    unreachable.retain(|_, until_ms| now_ms < *until_ms);
-    let own = node.owner.address;
-    let seed = hash64(0, endpoint.as_str().as_bytes());
-    let peers = node.suspects.peers.addresses(now_ms);
-    let reachable = peers
-        .into_iter()
-        .filter(|peer| !unreachable.contains_key(peer));
-    let all = reachable.chain([own]);
-    all.max_by_key(|address| hash64(seed, address.to_string().as_bytes()))
-        .unwrap_or(own)
+    let ranked = ranked_nodes(node, endpoint.as_str().as_bytes());
+    ranked.first().copied().unwrap_or(node.owner.address)
 }
 
 /// Grants or denies a permit for an endpoint of which this node is the grantor.
--- a/crates/node/src/limits/mod.rs
+++ b/crates/node/src/limits/mod.rs
@@ -33,9 +33,6 @@
 pub struct Limits {
     /// Permits for the endpoints of which this node is the grantor.
     limiter: RefCell<RateLimiter>,
-    /// Nodes that lately did not answer a request for a permit, with the time in milliseconds until
-    /// which they are not asked.
-    unreachable: RefCell<BTreeMap<SocketAddr, u64>>,
     /// Permits for batch work that are not used yet, with the time at which they expire.
     batch_permits: RefCell<BTreeMap<EndpointName, u64>>,
     returns: RefCell<ReturnSchedule>,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -38,6 +38,9 @@
     /// Requests for permits at endpoints with a limit: `granted`, `denied`, and `unreachable` for a
     /// grantor that did not answer.
     pub limits: IntCounterVec,
+    /// Streams that callers may take up again: `told` or `untold` when one begins; `own`, `holder`,
+    /// `other`, `sole` or `unknown` by who knew what began one that is taken up.
+    pub streams: IntCounterVec,
     /// Calls to the store by operation and result.
     pub store_calls: IntCounterVec,
     /// Orders to engines by HTTP status, or `none` for an order without a response.
@@ -77,6 +80,7 @@
                     "Permits at endpoints with a limit",
                     &["decision"],
                 )?,
+                streams: counter("streams_total", "Resumable streams", &["record"])?,
                 store_calls: counter("store_calls_total", "Calls", &["call", "result"])?,
                 orders: counter("orders_total", "Orders to engines", &["reply"])?,
                 state: IntGaugeVec::new(
@@ -94,6 +98,7 @@
             registry.register(Box::new(metrics.abandoned_items.clone()))?;
             registry.register(Box::new(metrics.suspects.clone()))?;
             registry.register(Box::new(metrics.limits.clone()))?;
+            registry.register(Box::new(metrics.streams.clone()))?;
             registry.register(Box::new(metrics.store_calls.clone()))?;
             registry.register(Box::new(metrics.orders.clone()))?;
             registry.register(Box::new(metrics.state.clone()))?;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,6 +30,7 @@
 use crate::metrics::Metrics;
 use crate::relay::RelayedStore;
 use crate::settings::NodeSettings;
+use crate::streams::Streams;
 use crate::suspects::SuspectRequests;
 use crate::upstream::Pool;
 use crate::{Error, callers, control, event, jobs, peers, suspects};
@@ -42,6 +43,10 @@
 /// Interval at which a stopping node checks whether all connections have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Longest time for which a change of an endpoint is on its way to a node that the leader answers, in
+/// milliseconds: one request for changes, and what it follows.
+const FEED_LAG_MS: u64 = 2_000;
+
 /// Stage in the life cycle of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -81,6 +86,8 @@
     pub pool: Pool,
     /// Callers' requests suspected of crashing endpoints.
     pub suspects: SuspectRequests,
+    /// Streams that callers may take up again, at any node.
+    pub streams: Streams,
     /// Limits that endpoints state for all nodes together.
     pub limits: Limits,
     /// Batch jobs that this node owns.
@@ -109,6 +116,8 @@
     pub configuration: Option<Rc<Configuration>>,
     /// Whether all endpoints have been read at least once.
     pub endpoints_loaded: bool,
+    /// Time at which the endpoints were last known to be current, in milliseconds.
+    pub endpoints_current_ms: u64,
     /// Endpoints that this node uses; at the leader, all endpoints.
     pub registry: Registry,
     /// Sizes of large services; a node uses only a subset of their endpoints.
@@ -155,6 +164,7 @@
             directory_changed: Notify::new(),
             pool: Pool::new(),
             suspects: SuspectRequests::new(),
+            streams: Streams::new(),
             limits: Limits::new(),
             jobs: Jobs::new(),
             peers,
@@ -241,6 +251,12 @@
         registered.map_or(0, |endpoint| endpoint.occupancy(self.now_ms()))
     }
 
+    /// Returns `true` if this node knows the endpoints as they were moments ago.
+    pub fn knows_endpoints(&self, now_ms: u64) -> bool {
+        let current_ms = self.directory.borrow().endpoints_current_ms;
+        !self.store_health.is_failing() || now_ms < current_ms + FEED_LAG_MS
+    }
+
     /// Returns `true` if this node is the leader.
     pub fn is_leader(&self) -> bool {
         self.leader.borrow().as_ref() == Some(&self.owner)
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,5 +1,6 @@
 //! Requests between nodes and their responses.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,10 +10,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use wisteriapoint_batch::{Page, PartialOutput};
-use wisteriapoint_directory::{Permit, Priority, RateLimit};
+use wisteriapoint_directory::{Permit, Priority, RateLimit, StreamRecord};
 use wisteriapoint_route::CrashReport;
 use wisteriapoint_store::Error as StoreError;
-use wisteriapoint_types::{Digest, EndpointName};
+use wisteriapoint_types::{Digest, EndpointName, hash64};
 
 use crate::control::feed::{self, FeedRequest, FeedResponse};
 use crate::dialect::Dialect;
@@ -20,7 +21,7 @@
 use crate::jobs::{self, read};
 use crate::node::Node;
 use crate::relay::{StoreCall, StoreResponse};
-use crate::{limits, suspects};
+use crate::{limits, streams, suspects};
 
 /// Time for a peer's response beyond the wait that the request allows: some network hops, and a
 /// peer whose process waits for CPU time.
@@ -106,6 +107,15 @@
         /// Its limit; `None` if it has ended.
         limit: Option<RateLimit>,
     },
+    /// Tells what began a stream.
+    StreamBegan {
+        /// Digest of the id of the attempt that brings its first event.
+        attempt: Digest,
+        /// What began it.
+        record: StreamRecord,
+    },
+    /// Asks what began a stream, by the same digest.
+    StreamRecord(Digest),
 }
 
 /// The response to a [`PeerRequest`].
@@ -150,6 +160,8 @@
     },
     /// Decision on a permit.
     Permit(Permit),
+    /// What began a stream; `None` if the node does not know it.
+    StreamRecord(Option<StreamRecord>),
 }
 
 type PendingRequest = (PeerRequest, oneshot::Sender<PeerResponse>);
@@ -255,6 +267,13 @@
             limits::apply_told_limit(node, &endpoint, limit);
             PeerResponse::Done
         }
+        PeerRequest::StreamBegan { attempt, record } => {
+            node.streams.insert(node.now_ms(), attempt, record);
+            PeerResponse::Done
+        }
+        PeerRequest::StreamRecord(attempt) => {
+            PeerResponse::StreamRecord(node.streams.get(node.now_ms(), attempt))
+        }
         PeerRequest::TakeOver { job, parts } => match jobs::take_over(node, &job, parts).await {
             true => PeerResponse::Done,
             false => PeerResponse::Failed,
@@ -262,6 +281,33 @@
     }
 }
 
+/// Returns this node and those that answer, in the order in which they are responsible for a key.
+///
+/// Nodes with different views of the members have different orders for a moment, and a node that is
+/// cut off is the first of its own.
+pub fn ranked_nodes<D: Dialect>(node: &Node<D>, key: &[u8]) -> Vec<SocketAddr> {
+    let seed = hash64(0, key);
+    let peers = node.suspects.peers.responsive(node.now_ms()).into_iter();
+    let mut nodes: Vec<_> = peers.chain([node.owner.address]).collect();
+    nodes.sort_by_cached_key(|address| Reverse(hash64(seed, address.to_string().as_bytes())));
+    nodes.dedup();
+    nodes
+}
+
+/// Sends a request to a node that is responsible for its subject, and leaves the node out of
+/// [`ranked_nodes`] for a while if there is no response in time.
+pub async fn call_ranked<D: Dialect>(
+    node: &Node<D>,
+    address: SocketAddr,
+    request: &PeerRequest,
+) -> Option<PeerResponse> {
+    let response = call_peer(node, address, request).await;
+    if response.is_none() {
+        node.suspects.peers.record_silence(node.now_ms(), address);
+    }
+    response
+}
+
 /// Sends a request to another node; returns `None` if there is no response in time.
 pub async fn call_peer<D: Dialect>(
     node: &Node<D>,
@@ -273,6 +319,7 @@
         PeerRequest::Endpoints(_) => RESPONSE_TIMEOUT + Duration::from_millis(feed::MAX_WAIT_MS),
         PeerRequest::Crashes { .. } | PeerRequest::RunIsolated { .. } => SUSPECT_TIMEOUT,
         PeerRequest::Permit { .. } => limits::PERMIT_TIMEOUT,
+        PeerRequest::StreamBegan { .. } | PeerRequest::StreamRecord(_) => streams::STREAM_TIMEOUT,
         _ => RESPONSE_TIMEOUT,
     };
     match node.peers.call(address, request, timeout).await {
