Write an output of an item by one software version

Cause: the same as for callers' streams, an output in progress did not carry what wrote it. Progress now has the origin, so it goes with the partial output to a new owner, by a hand-over or through the store. An item is started at an endpoint that may go on with its output if one has a free slot, else it begins anew where it would have gone on before: waiting costs more than the events lost. A straggler migrates only within its version.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use serde::{Deserialize, Serialize};
-use wisteriapoint_types::WeightVersion;
+use wisteriapoint_types::{StreamOrigin, WeightVersion};
 
 /// Index of an item in its submission, from 0.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -130,6 +130,8 @@
     pub last_event: Option<u64>,
     /// Weight versions that generated these events.
     pub versions: BTreeSet<WeightVersion>,
+    /// What generated these events, and so may generate the rest.
+    pub origin: StreamOrigin,
 }
 
 /// Failures of an item that has not finished, which another owner goes on counting.
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -161,6 +161,17 @@
         let upstream_request = self.build_request(route)?;
         let endpoint = self.endpoint.clone();
         let _in_flight = self.in_flight.take();
+        let software = self.software.as_ref();
+        if let Some(events) = self.owned.discard_foreign_output(self.key, software) {
+            event!(
+                info,
+                "item begins anew at another software version",
+                id = self.owned.id,
+                item = self.item.id,
+                endpoint = endpoint,
+                lost_events = events,
+            );
+        }
         let _generating = GeneratingGuard::new(&self.owned, self.key, &endpoint, node.now_ms());
         let outbound = OutboundMetadata {
             id: &self.item.id,
@@ -327,6 +338,7 @@
         }
         progress.text.push_str(&event.data);
         progress.versions.insert(version);
+        progress.origin.record_event(self.software.as_ref());
         progress.last_event = event.id;
         Ok(())
     }
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -10,7 +10,7 @@
     Submission, Work,
 };
 use wisteriapoint_store::Index;
-use wisteriapoint_types::EndpointName;
+use wisteriapoint_types::{EndpointName, SoftwareVersion, StreamOrigin};
 
 /// All batch jobs that this node owns, and a cache of the owners of others.
 #[derive(Debug, Default)]
@@ -220,6 +220,30 @@
             .collect()
     }
 
+    /// Returns what generated the partial output of an item.
+    pub fn origin(&self, key: ItemKey) -> StreamOrigin {
+        let progress = self.progress.borrow();
+        let progress = progress.get(&key);
+        progress.map_or(StreamOrigin::None, |progress| progress.origin.clone())
+    }
+
+    /// Discards the partial output of an item unless a software version may go on with it.
+    ///
+    /// Returns the number of the last event that is lost.
+    pub fn discard_foreign_output(
+        &self,
+        key: ItemKey,
+        software: Option<&SoftwareVersion>,
+    ) -> Option<u64> {
+        let mut progress = self.progress.borrow_mut();
+        match progress.get_mut(&key) {
+            Some(progress) if !progress.origin.admits(software) => {
+                std::mem::take(progress).last_event
+            }
+            _ => None,
+        }
+    }
+
     /// Returns the number of failures of an item's scorer.
     pub fn scorer_failures(&self, key: ItemKey) -> u32 {
         let failures = self.scorer_failures.borrow();
--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -9,14 +9,14 @@
 use tokio::time::sleep;
 use wisteriapoint_batch::migration::{FreeSlots, GeneratingItem, items_to_migrate};
 use wisteriapoint_batch::{ItemKey, Job, Outcome};
-use wisteriapoint_directory::{Priority, Requirements, Route};
+use wisteriapoint_directory::{Priority, Registry, Requirements, Route};
 use wisteriapoint_types::ServiceName;
 
 use super::abandon::{AbandonReason, abandon_expired, abandon_item};
 use super::attempt::{Attempt, AttemptOutcome, AttemptResult};
 use super::{OwnedJob, commit, partial_outputs};
 use crate::dialect::Dialect;
-use crate::node::Node;
+use crate::node::{ChosenEndpoint, Node};
 use crate::{event, limits};
 
 /// Interval between checks for free slots while items wait; other nodes occupy and release slots
@@ -107,11 +107,10 @@
     };
     loop {
         let now_ms = node.now_ms();
-        if owned.job.borrow().next_runnable(now_ms).is_none() {
+        let Some(next) = owned.job.borrow().next_runnable(now_ms) else {
             return;
-        }
-        let chosen = node.choose_endpoint(requirements(node, &owned.job.borrow(), &service), &[]);
-        let Some(chosen) = chosen else {
+        };
+        let Some(chosen) = choose_endpoint(node, owned, next, &service) else {
             return;
         };
         if !limits::try_acquire_batch(node, &chosen.name) {
@@ -126,6 +125,25 @@
     }
 }
 
+/// Chooses an endpoint that may go on with the output of an item, or else one at which the item begins
+/// anew.
+fn choose_endpoint<D: Dialect>(
+    node: &Node<D>,
+    owned: &OwnedJob,
+    key: ItemKey,
+    service: &ServiceName,
+) -> Option<ChosenEndpoint> {
+    let job = owned.job.borrow();
+    let any = requirements(node, &job, service);
+    let origin = owned.origin(key);
+    let suitable = Requirements {
+        origin: &origin,
+        ..any
+    };
+    node.choose_endpoint(suitable, &[])
+        .or_else(|| node.choose_endpoint(any, &[]))
+}
+
 /// Migrates stragglers to faster engines, unless an item waits to start.
 fn migrate_stragglers<D: Dialect>(
     node: &Node<D>,
@@ -136,11 +154,13 @@
         return;
     }
     let now_ms = node.now_ms();
-    for key in items_to_migrate(
-        now_ms,
-        &generating_items(node, owned),
-        &free_slots(node, owned, now_ms),
-    ) {
+    let migrating = {
+        let directory = node.directory.borrow();
+        let generating = generating_items(owned, &directory.registry);
+        let free = free_slots(node, owned, &directory.registry, now_ms);
+        items_to_migrate(now_ms, &generating, &free)
+    };
+    for key in migrating {
         let Some(handle) = handles.get(&key) else {
             continue;
         };
@@ -156,36 +176,41 @@
     }
 }
 
-fn generating_items<D: Dialect>(node: &Node<D>, owned: &OwnedJob) -> Vec<GeneratingItem> {
-    let directory = node.directory.borrow();
+fn generating_items<'a>(owned: &OwnedJob, registry: &'a Registry) -> Vec<GeneratingItem<'a>> {
     let generating = owned.generating.borrow();
     let generating = generating
         .iter()
-        .map(|(&key, (endpoint, since_ms))| GeneratingItem {
-            key,
-            since_ms: *since_ms,
-            ms_per_event: directory
-                .registry
-                .get(endpoint)
-                .map_or(0.0, |endpoint| endpoint.ms_per_event),
+        .filter_map(|(&key, (endpoint, since_ms))| {
+            let endpoint = registry.get(endpoint)?;
+            Some(GeneratingItem {
+                key,
+                since_ms: *since_ms,
+                ms_per_event: endpoint.ms_per_event,
+                software: endpoint.record.software.as_ref(),
+            })
         });
     generating.collect()
 }
 
-fn free_slots<D: Dialect>(node: &Node<D>, owned: &OwnedJob, now_ms: u64) -> Vec<FreeSlots> {
+fn free_slots<'a, D: Dialect>(
+    node: &Node<D>,
+    owned: &OwnedJob,
+    registry: &'a Registry,
+    now_ms: u64,
+) -> Vec<FreeSlots<'a>> {
     let service = route_of(node, owned).and_then(|route| route.select_service(0.0).cloned());
     let Some(service) = service else {
         return Vec::new();
     };
     let job = owned.job.borrow();
-    let directory = node.directory.borrow();
     let requirements = requirements(node, &job, &service);
-    let eligible = directory.registry.iter().filter(|(_, endpoint)| {
+    let eligible = registry.iter().filter(|(_, endpoint)| {
         endpoint.satisfies(now_ms, &requirements) && !endpoint.is_paused(now_ms)
     });
     let free = eligible.map(|(_, endpoint)| FreeSlots {
         ms_per_event: endpoint.ms_per_event,
         slots: endpoint.record.slots - endpoint.occupancy(now_ms).min(endpoint.record.slots),
+        software: endpoint.record.software.as_ref(),
     });
     free.collect()
 }
