Let no stream go on at an endpoint that may run other software than its row says

An endpoint that crashes and comes back under its name with newer software was sent the rest of a stream of the older one until its new row arrived, and one whose row changes its version without a restart was taken at its last word.

A node that finds an endpoint down, or hears so by a crash report, lets no stream with events go on there until the row is of a later start, or would have expired. Rows of one start with different versions make the version unknown.

--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use wisteriapoint_types::{FailureDomain, ServiceName, SoftwareVersion, WeightVersion};
+use wisteriapoint_types::{
+    FailureDomain, ServiceName, SoftwareVersion, StreamOrigin, WeightVersion,
+};
 
 use crate::{Priority, RateLimit, Requirements, StatedLimit};
 
@@ -25,6 +27,9 @@
 /// Age up to which a node prefers its own measurement of an endpoint to the shared mean. After the
 /// time of a few events of a text, the measurements of other nodes are more accurate.
 const MEASUREMENT_MAX_AGE_MS: u64 = 2_000;
+/// Time after which the record of an endpoint that was down is that of its present incarnation: a row
+/// expires within three heartbeats, and a new one is known two seconds after the start.
+const RECORD_LAG_MS: u64 = 6_000;
 /// Age from which a reported load is ignored.
 const LOAD_MAX_AGE_MS: u64 = 300;
 
@@ -82,6 +87,8 @@
     failures: u32,
     paused_until_ms: u64,
     held_until_ms: u64,
+    /// Time until which the record may be that of an earlier incarnation.
+    unconfirmed_until_ms: u64,
     limit: Option<RateLimit>,
     /// Time until which no permit is available, for each [`Priority`].
     denied_until_ms: [u64; 2],
@@ -100,6 +107,7 @@
             failures: 0,
             paused_until_ms: 0,
             held_until_ms: 0,
+            unconfirmed_until_ms: 0,
             limit: None,
             denied_until_ms: [0; 2],
         }
@@ -149,7 +157,7 @@
         now_ms >= self.held_until_ms
             && self.record.service == *requirements.service
             && self.record.stage == EndpointStage::Ready
-            && requirements.origin.admits(self.record.software.as_ref())
+            && self.may_go_on(now_ms, requirements.origin)
             && (!requirements.requires_free_slot || self.has_free_slot(now_ms))
             && requirements.model.is_none_or(|(model, oldest)| {
                 self.version_of(model)
@@ -157,6 +165,20 @@
             })
     }
 
+    /// Returns `true` if the endpoint may generate the rest of a stream with the given origin.
+    fn may_go_on(&self, now_ms: u64, origin: &StreamOrigin) -> bool {
+        let has_events = *origin != StreamOrigin::None;
+        origin.admits(self.record.software.as_ref())
+            && !(has_events && now_ms < self.unconfirmed_until_ms)
+    }
+
+    /// Records that the endpoint was down, and so may return with other software under its name.
+    ///
+    /// Until its record would have been replaced or removed, it begins streams but goes on with none.
+    pub fn record_down(&mut self, now_ms: u64) {
+        self.unconfirmed_until_ms = now_ms + RECORD_LAG_MS;
+    }
+
     /// Records the load that a response reported.
     pub fn record_load(&mut self, now_ms: u64, load: Load) {
         self.load = Some((now_ms, load));
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -69,8 +69,8 @@
 
     /// Adds an endpoint or updates its record, and returns `true` if anything changed.
     ///
-    /// Within one incarnation a draining endpoint stays draining, and its weight versions never
-    /// decrease. A record of an earlier incarnation is ignored.
+    /// Within one incarnation a draining endpoint stays draining, its weight versions never decrease, and
+    /// records with different software versions make its version unknown. A record of an earlier incarnation is ignored.
     pub fn apply_record(&mut self, name: &EndpointName, record: EndpointRecord) -> bool {
         let Some(current) = self.endpoints.get_mut(name) else {
             let endpoint = self.new_endpoint(name, record);
@@ -88,6 +88,10 @@
             }
             _ => {
                 let previous = std::mem::replace(&mut current.record, record);
+                // One process does not change its software: it is not known which of its rows is right.
+                if current.record.software != previous.software {
+                    current.record.software = None;
+                }
                 if previous.stage == EndpointStage::Draining {
                     current.record.stage = EndpointStage::Draining;
                 }
--- a/crates/directory/tests/streams.rs
+++ b/crates/directory/tests/streams.rs
@@ -92,6 +92,36 @@
     }
 }
 
+/// Guards against a stream that goes on at an endpoint whose rows state two versions.
+#[test]
+fn an_endpoint_whose_version_changes_without_a_restart_goes_on_with_no_stream() {
+    let mut registry = registry(&["old"]);
+    registry.apply_record(&name(0), record("new", 1));
+    assert_eq!(choose(&registry, 0, &begun_by("old")), None);
+    assert_eq!(choose(&registry, 0, &begun_by("new")), None);
+    assert_eq!(choose(&registry, 0, &StreamOrigin::None), Some(name(0)));
+    registry.apply_record(&name(0), record("new", 1));
+    assert_eq!(choose(&registry, 0, &begun_by("new")), None);
+    registry.apply_record(&name(0), record("new", 2));
+    assert_eq!(choose(&registry, 0, &begun_by("new")), Some(name(0)));
+    assert_eq!(choose(&registry, 0, &begun_by("old")), None);
+}
+
+/// Guards against a stream that goes on at an endpoint that has come back under its name with other
+/// software, before its new row is known.
+#[test]
+fn an_endpoint_that_was_down_goes_on_with_no_stream_until_its_record_is_renewed() {
+    let mut registry = registry(&["old"]);
+    registry.get_mut(&name(0)).unwrap().record_down(1_000);
+    assert_eq!(choose(&registry, 1_000, &begun_by("old")), None);
+    assert_eq!(choose(&registry, 1_000, &StreamOrigin::None), Some(name(0)));
+    assert_eq!(choose(&registry, 6_999, &begun_by("old")), None);
+    assert_eq!(choose(&registry, 7_000, &begun_by("old")), Some(name(0)));
+    registry.get_mut(&name(0)).unwrap().record_down(8_000);
+    registry.apply_record(&name(0), record("old", 2));
+    assert_eq!(choose(&registry, 8_100, &begun_by("old")), Some(name(0)));
+}
+
 #[test]
 fn a_stream_is_known_for_a_minute() {
     let mut records = StreamRecords::new();
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -462,7 +462,12 @@
 ) -> &'static str {
     match directory.registry.get_mut(endpoint) {
         Some(entry) if failure.was_overloaded => entry.record_overload(now_ms, overload_backoff_ms),
-        Some(entry) => entry.record_failure(now_ms),
+        Some(entry) => {
+            entry.record_failure(now_ms);
+            if failure.is_unreachable {
+                entry.record_down(now_ms);
+            }
+        }
         None => {}
     }
     match failure.verdict {
--- a/crates/node/src/suspects/mod.rs
+++ b/crates/node/src/suspects/mod.rs
@@ -194,6 +194,15 @@
         );
         count(node, "received");
         log_eviction(node, recorded);
+        record_down(node, &report.endpoint);
+    }
+}
+
+/// Records that an endpoint has crashed, so that no stream goes on there until its record is renewed.
+fn record_down<D: Dialect>(node: &Node<D>, endpoint: &EndpointName) {
+    let mut directory = node.directory.borrow_mut();
+    if let Some(entry) = directory.registry.get_mut(endpoint) {
+        entry.record_down(node.now_ms());
     }
 }
 
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -11,7 +11,7 @@
 use wisteriapoint_types::{Digest, EndpointName, FailureDomain, SoftwareVersion};
 
 use super::exchange::Kept;
-use super::{count, exchange, log_eviction, stored};
+use super::{count, exchange, log_eviction, record_down, stored};
 use crate::dialect::Dialect;
 use crate::node::{ChosenEndpoint, Node};
 use crate::{event, limits};
@@ -362,6 +362,8 @@
                 endpoint = self.endpoint
             );
             count(&self.node, "lost-answer");
+        } else {
+            record_down(&self.node, &self.endpoint);
         }
         !is_accepting
     }
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -65,6 +65,8 @@
     /// `true` if the connection failed after the request was sent, as it does when the endpoint
     /// crashes.
     pub connection_lost: bool,
+    /// `true` if no connection could be made.
+    pub is_unreachable: bool,
     /// `true` if the endpoint refused the request, which is treated as a lack of capacity.
     pub was_overloaded: bool,
     /// What the response said about the limit of the endpoint; `None` without a response.
@@ -77,6 +79,7 @@
             verdict,
             reason: reason.to_string().into(),
             connection_lost: false,
+            is_unreachable: false,
             was_overloaded: false,
             limit: None,
         }
@@ -232,7 +235,10 @@
     endpoint: &EndpointName,
 ) -> Result<PooledConnection, SendFailure> {
     let connected = pool.connect(endpoint, address).await;
-    connected.map_err(|error| SendFailure::new(Verdict::NotRun, error))
+    connected.map_err(|error| SendFailure {
+        is_unreachable: true,
+        ..SendFailure::new(Verdict::NotRun, error)
+    })
 }
 
 fn build_request<D: Dialect>(
