Resume a stream of the daemon at its software version only

An engine may state it with its response; the daemon decides by the same StreamOrigin, before it uses a token, so a restart under an old address can't mix versions. Engines that state none are taken to be alike, as before.

an_engine_with_other_software_does_not_resume_a_stream fails with the check taken out (a text of five tokens of one engine and seven of the other).

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -8,7 +8,7 @@
 use futures_util::{Stream, StreamExt};
 use reqwest::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use wisteriapoint_types::WeightVersion;
+use wisteriapoint_types::{SoftwareVersion, WeightVersion};
 use wisteriapoint_weights::Order;
 
 use crate::failure::Kind;
@@ -17,6 +17,10 @@
 /// Header in which an engine confirms after how many tokens it resumes a completion.
 pub const RESUMED_HEADER: &str = "x-resumed-tokens";
 
+/// Header in which an engine states the version of its software; engines that state none are taken to
+/// run the same.
+pub const SOFTWARE_HEADER: &str = "x-software-version";
+
 const END_OF_STREAM: &str = "[DONE]";
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -105,6 +109,8 @@
 
 /// A completion stream from an engine.
 pub struct Generation<S> {
+    /// Software version of the engine.
+    pub software: SoftwareVersion,
     events: EventStream<Pin<Box<S>>>,
     ended: bool,
 }
@@ -149,6 +155,12 @@
     text.and_then(|text| text.parse().ok()).unwrap_or(0)
 }
 
+fn software(response: &Response) -> SoftwareVersion {
+    let header = response.headers().get(SOFTWARE_HEADER);
+    let text = header.and_then(|value| value.to_str().ok());
+    SoftwareVersion::new(text.unwrap_or_default())
+}
+
 impl Clients {
     /// Starts a completion on an engine.
     ///
@@ -177,6 +189,7 @@
             status => return Err(Failure::may_have_run(Kind::Status(status.as_u16()))),
         }
         Ok(Generation {
+            software: software(&response),
             events: Box::pin(response.bytes_stream()).eventsource(),
             ended: false,
         })
--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -64,6 +64,11 @@
         Self::may_have_run(Kind::Preempted)
     }
 
+    /// Returns the failure of a request to resume a completion that another engine has to finish.
+    pub fn cannot_resume() -> Self {
+        Self::may_have_run(Kind::CannotResume)
+    }
+
     /// Returns `true` if the request was aborted in favour of a caller's request.
     pub fn is_preempted(&self) -> bool {
         matches!(self.kind, Kind::Preempted)
--- a/crates/stand-in/src/engine.rs
+++ b/crates/stand-in/src/engine.rs
@@ -32,6 +32,9 @@
     pub crash_marker: Option<String>,
     /// Continues completions that another engine began.
     pub resumes: bool,
+    /// Software version that responses state, of an engine that writes in capitals; `None` for one that
+    /// states none.
+    pub software: Option<String>,
 }
 
 impl Default for EngineSettings {
@@ -43,6 +46,7 @@
             checks_fencing: true,
             crash_marker: None,
             resumes: true,
+            software: None,
         }
     }
 }
@@ -240,7 +244,11 @@
                 sender.send_error(std::io::Error::other("the engine crashed"));
                 return;
             }
-            let event = event(&token(&completion.prompt, index), version);
+            let mut token = token(&completion.prompt, index);
+            if self.settings.software.is_some() {
+                token.make_ascii_uppercase();
+            }
+            let event = event(&token, version);
             if sender.send_data(event).await.is_err() {
                 self.lock().cancelled += 1;
                 return;
@@ -258,7 +266,9 @@
         match &completion.resume {
             None => true,
             Some(resume) => {
-                self.settings.resumes && resume.version == self.version() && resume.text == expected
+                self.settings.resumes
+                    && resume.version == self.version()
+                    && resume.text.eq_ignore_ascii_case(&expected)
             }
         }
     }
@@ -353,6 +363,9 @@
         }
         let _ = response.add_header("content-type", "text/event-stream", true);
         let _ = response.add_header("x-resumed-tokens", completion.resumed_tokens(), true);
+        if let Some(software) = &self.0.settings.software {
+            let _ = response.add_header("x-software-version", software, true);
+        }
         let sender = response.channel();
         tokio::spawn(self.0.clone().generate(completion, sender));
     }
--- a/crates/wisteriapoint/src/daemon/generate.rs
+++ b/crates/wisteriapoint/src/daemon/generate.rs
@@ -8,7 +8,7 @@
 use wisteriapoint_gateway::{Attempts, Chunk, CompletionRequest, Failure, Permit, Problem, Router};
 use wisteriapoint_rollout::Span;
 use wisteriapoint_route::{Class, Demand};
-use wisteriapoint_types::{Digest, EndpointName, ServiceName, hash64};
+use wisteriapoint_types::{Digest, EndpointName, ServiceName, StreamOrigin, hash64};
 
 use super::Shared;
 use super::attempt::{count_failed, end_failed};
@@ -71,9 +71,9 @@
 
 /// Generates a completion into a sink and fails over to another engine if one fails.
 ///
-/// An interrupted stream resumes where it stopped, on an engine with the same weight version. If
-/// no engine can resume it, it restarts from the beginning, unless the sink has already forwarded
-/// tokens.
+/// An interrupted stream resumes where it stopped, on an engine with the same weight version and the
+/// same software version. If no engine can resume it, it restarts from the beginning, unless the
+/// sink has already forwarded tokens.
 ///
 /// # Errors
 ///
@@ -93,13 +93,15 @@
     demand.avoided_endpoints = router.endpoint_keys(sink.avoid());
     let mut request = request.clone();
     let mut attempts = Attempts::new(true);
+    let mut origin = StreamOrigin::None;
     loop {
         let permit = router.acquire(demand.clone()).await;
         let permit = permit.map_err(|refusal| attempts.problem(refusal))?;
         demand.avoided_endpoints.push(permit.endpoint_key());
         demand.avoided_domain = Some(permit.target().failure_domain.clone());
         let remaining = deadline.saturating_duration_since(Instant::now());
-        let failure = match attempt_once(shared, permit, &mut request, remaining, sink).await {
+        let pending = attempt_once(shared, permit, (&mut request, &mut origin), remaining, sink);
+        let failure = match pending.await {
             Ok(outcome) => return Ok(outcome),
             Err(failure) => failure,
         };
@@ -115,6 +117,7 @@
         }
         if failure.is_resume_refused() && sink.reset() {
             request.resume = None;
+            origin = StreamOrigin::None;
             demand.avoided_endpoints = router.endpoint_keys(sink.avoid());
         }
         sleep(attempts.retry_delay()).await;
@@ -124,7 +127,7 @@
 async fn attempt_once<S: Sink + Send>(
     shared: &Arc<Shared>,
     mut permit: Permit,
-    request: &mut CompletionRequest,
+    (request, origin): (&mut CompletionRequest, &mut StreamOrigin),
     timeout: Duration,
     sink: &mut S,
 ) -> Result<GenerateOutcome, Failure> {
@@ -142,6 +145,12 @@
             return Err(failure);
         }
     };
+    if !origin.admits(Some(&generation.software)) {
+        // Dropping the generation cancels it; none of its tokens is used.
+        let failure = Failure::cannot_resume();
+        end_failed(permit, &failure);
+        return Err(failure);
+    }
     loop {
         let next = tokio::select! {
             next = generation.next() => next,
@@ -151,6 +160,7 @@
             Ok(Some(chunk)) => {
                 tokens += chunk.tokens;
                 request.append_chunk(&chunk);
+                origin.record_event(Some(&generation.software));
                 if !sink.push(chunk).await {
                     return Ok(GenerateOutcome::Cancelled);
                 }
--- a/crates/wisteriapoint/tests/streams.rs
+++ b/crates/wisteriapoint/tests/streams.rs
@@ -113,6 +113,41 @@
     }
 }
 
+/// Guards against a stream of the daemon that goes on at an engine of another software version.
+#[tokio::test]
+async fn an_engine_with_other_software_does_not_resume_a_stream() {
+    let mut engines = Engines::start(1, settings(true, 1_000.0)).await;
+    let other = EngineSettings {
+        software: Some("2.0".to_owned()),
+        ..settings(true, 1_000.0)
+    };
+    let others = Engines::start(1, other).await;
+    others.engines[0].share_stream_abort(&engines.engines[0]);
+    engines.engines.extend(others.engines);
+    engines.running.extend(others.running);
+    let deployment = engines.deployment().await;
+    for number in 0..6 {
+        engines.abort_next_stream_after(5);
+        // Each request has a new prompt, because a prompt whose streams were aborted is suspected
+        // of crashing engines.
+        let prompt = format!("buckle {number}");
+        let body = serde_json::json!({
+            "model": "advisor-lm", "prompt": prompt, "max_tokens": TOKENS, "stream": true,
+        });
+        let request = deployment.completion(0, TOKENS, true).json(&body);
+        let body = request.send().await.unwrap().text().await.unwrap();
+        let (text, last) = read_stream(&body);
+        let expected = Engine::expected_text(&prompt, TOKENS);
+        let is_by_one = expected.starts_with(&text) || expected.to_uppercase().starts_with(&text);
+        assert!(is_by_one, "written by two engines: {text}");
+        assert_eq!(
+            text.len() == expected.len(),
+            last == "data: [DONE]",
+            "{last}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn a_stream_aborted_before_its_first_token_restarts() {
     let engines = Engines::start(2, settings(false, 1_000.0)).await;
