Let an item wait for its software version rather than lose its output

Three items lost up to 46 events when the only engine of their version was down for two seconds, began anew at one that took 50 ms an event, and held up their step by 7 s.

An item now waits for a registered endpoint of its version at most as long as it takes to generate what it would lose, while others start. The test, of eight items at one engine that crashes for 300 ms, fails without the wait.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -167,6 +167,13 @@
         })
     }
 
+    /// Lets a waiting item wait for another pause, while others start.
+    pub fn defer(&mut self, now_ms: u64, key: ItemKey) {
+        if let ItemState::Waiting { not_before_ms, .. } = &mut self.states[key.0 as usize] {
+            *not_before_ms = now_ms + RETRY_PAUSE_MS;
+        }
+    }
+
     /// Returns a running item to the waiting state, to run again after a pause.
     pub fn requeue(&mut self, now_ms: u64, key: ItemKey) {
         if let ItemState::Running { failures } = self.states[key.0 as usize] {
--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -159,10 +159,14 @@
             && self.record.stage == EndpointStage::Ready
             && self.may_go_on(now_ms, requirements.origin)
             && (!requirements.requires_free_slot || self.has_free_slot(now_ms))
-            && requirements.model.is_none_or(|(model, oldest)| {
-                self.version_of(model)
-                    .is_some_and(|version| version >= oldest)
-            })
+            && self.has_model(requirements)
+    }
+
+    fn has_model(&self, requirements: &Requirements<'_>) -> bool {
+        requirements.model.is_none_or(|(model, oldest)| {
+            self.version_of(model)
+                .is_some_and(|version| version >= oldest)
+        })
     }
 
     /// Returns `true` if the endpoint may generate the rest of a stream with the given origin.
@@ -172,6 +176,19 @@
             && !(has_events && now_ms < self.unconfirmed_until_ms)
     }
 
+    /// Returns `true` if the endpoint has a software version and may accept a request with the given
+    /// requirements later, though it is full, paused or was down.
+    pub fn may_serve_later(
+        &self,
+        requirements: &Requirements<'_>,
+        software: &SoftwareVersion,
+    ) -> bool {
+        self.record.service == *requirements.service
+            && self.record.stage == EndpointStage::Ready
+            && self.record.software.as_ref() == Some(software)
+            && self.has_model(requirements)
+    }
+
     /// Records that the endpoint was down, and so may return with other software under its name.
     ///
     /// Until its record would have been replaced or removed, it begins streams but goes on with none.
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -53,6 +53,9 @@
     /// Endpoint at which each output is being generated, and the time in milliseconds of the node's
     /// clock at which that started.
     pub generating: RefCell<BTreeMap<ItemKey, (EndpointName, u64)>>,
+    /// Time in milliseconds since which an item with a partial output waits for an endpoint that may go
+    /// on with it.
+    pub waiting_since_ms: RefCell<BTreeMap<ItemKey, u64>>,
     /// State row as this node last wrote or read it; locked during writes.
     pub row: Mutex<StateRow>,
     /// `true` while more items may run.
@@ -189,6 +192,7 @@
             progress: RefCell::default(),
             scorer_failures: RefCell::default(),
             generating: RefCell::default(),
+            waiting_since_ms: RefCell::default(),
             row: Mutex::new(row),
             results_listed: Notify::new(),
             item_finished: Notify::new(),
@@ -220,6 +224,21 @@
             .collect()
     }
 
+    /// Returns the time for which an item has waited to go on with its output, in milliseconds.
+    pub fn waited_ms(&self, now_ms: u64, key: ItemKey) -> u64 {
+        let mut waiting = self.waiting_since_ms.borrow_mut();
+        now_ms - *waiting.entry(key).or_insert(now_ms)
+    }
+
+    /// Returns the number of the last event of an item's partial output, or 0.
+    pub fn last_event(&self, key: ItemKey) -> u64 {
+        let progress = self.progress.borrow();
+        let progress = progress.get(&key);
+        progress
+            .and_then(|progress| progress.last_event)
+            .unwrap_or(0)
+    }
+
     /// Returns what generated the partial output of an item.
     pub fn origin(&self, key: ItemKey) -> StreamOrigin {
         let progress = self.progress.borrow();
--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -110,8 +110,13 @@
         let Some(next) = owned.job.borrow().next_runnable(now_ms) else {
             return;
         };
-        let Some(chosen) = choose_endpoint(node, owned, next, &service) else {
-            return;
+        let chosen = match place_item(node, owned, next, &service) {
+            ItemPlacement::Endpoint(chosen) => chosen,
+            ItemPlacement::Later => {
+                owned.job.borrow_mut().defer(now_ms, next);
+                continue;
+            }
+            ItemPlacement::NoEndpoint => return,
         };
         if !limits::try_acquire_batch(node, &chosen.name) {
             continue;
@@ -119,20 +124,34 @@
         let Some(key) = owned.job.borrow_mut().start_next(now_ms) else {
             return;
         };
+        owned.waiting_since_ms.borrow_mut().remove(&key);
         let attempt = Attempt::new(node, owned, key, chosen);
         let handle = attempts.spawn_local(attempt.run(node.clone(), route.clone()));
         handles.insert(key, handle);
     }
 }
 
+/// Where an item may start.
+enum ItemPlacement {
+    /// At this endpoint.
+    Endpoint(ChosenEndpoint),
+    /// At one that may go on with its output, once it has a free slot; other items may start now.
+    Later,
+    /// No endpoint has a free slot.
+    NoEndpoint,
+}
+
 /// Chooses an endpoint that may go on with the output of an item, or else one at which the item begins
 /// anew.
-fn choose_endpoint<D: Dialect>(
+///
+/// An item waits for the former at most as long as it takes to generate what it would lose.
+fn place_item<D: Dialect>(
     node: &Node<D>,
     owned: &OwnedJob,
     key: ItemKey,
     service: &ServiceName,
-) -> Option<ChosenEndpoint> {
+) -> ItemPlacement {
+    let now_ms = node.now_ms();
     let job = owned.job.borrow();
     let any = requirements(node, &job, service);
     let origin = owned.origin(key);
@@ -140,8 +159,21 @@
         origin: &origin,
         ..any
     };
-    node.choose_endpoint(suitable, &[])
-        .or_else(|| node.choose_endpoint(any, &[]))
+    if let Some(chosen) = node.choose_endpoint(suitable, &[]) {
+        return ItemPlacement::Endpoint(chosen);
+    }
+    let directory = node.directory.borrow();
+    let is_version_present = origin.software().is_some_and(|software| {
+        let mut endpoints = directory.registry.iter();
+        endpoints.any(|(_, endpoint)| endpoint.may_serve_later(&any, software))
+    });
+    let lost_ms = owned.last_event(key) as f64 * directory.registry.mean_ms_per_event(service);
+    drop(directory);
+    if is_version_present && (owned.waited_ms(now_ms, key) as f64) < lost_ms {
+        return ItemPlacement::Later;
+    }
+    node.choose_endpoint(any, &[])
+        .map_or(ItemPlacement::NoEndpoint, ItemPlacement::Endpoint)
 }
 
 /// Migrates stragglers to faster engines, unless an item waits to start.
