Log connections to endpoints that fail, and when any was last opened

The lines of a node that is cut off could not be told from those beside an endpoint that is gone: both say that a connection timed out. The line now has the time since this node last opened a connection to any endpoint. Connections are opened by the dialect, so that a test can cut the links of one node. No decision uses either yet.

--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -1,8 +1,10 @@
 //! Interface through which a node translates between the platform's formats and its own types.
 
+use std::io;
 use std::net::SocketAddr;
 
 use hyper::{HeaderMap, Method, StatusCode, Uri};
+use tokio::net::TcpStream;
 use wisteriapoint_batch::{Page, Submission};
 use wisteriapoint_directory::{Configuration, EndpointRecord, Load, StatedLimit};
 use wisteriapoint_store::TransactionalStore;
@@ -27,6 +29,15 @@
     /// Creates a client of the store at an address.
     fn open_store(address: SocketAddr) -> Self::Store;
 
+    /// Opens a connection to an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the endpoint does not accept the connection.
+    fn connect(address: SocketAddr) -> impl Future<Output = io::Result<TcpStream>> {
+        TcpStream::connect(address)
+    }
+
     /// Parses a row of an operator or a trainer.
     ///
     /// # Errors
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -353,7 +353,11 @@
     /// Returns `true` if the endpoint has crashed; one that accepts a new connection has only lost its
     /// answer.
     async fn has_crashed(&self, address: SocketAddr) -> bool {
-        let is_accepting = self.node.pool.is_accepting(&self.endpoint, address).await;
+        let is_accepting = self
+            .node
+            .pool
+            .is_accepting::<D>(&self.endpoint, address)
+            .await;
         if is_accepting {
             event!(
                 info,
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -1,7 +1,8 @@
 //! Pool of idle connections to endpoints.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +19,8 @@
 
 use super::stream::{EndpointStream, HeadAllowance};
 use super::{ResponseBuffer, ResponseMemory};
+use crate::dialect::Dialect;
+use crate::event;
 
 /// Timeout for opening a connection: many round trips, but far below a route's latency objective.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -40,6 +43,8 @@
 pub struct Pool {
     idle: Rc<RefCell<BTreeMap<EndpointName, Vec<IdleConnection>>>>,
     memory: ResponseMemory,
+    /// Time at which a connection to any endpoint was last opened.
+    last_opened: Rc<Cell<Option<Instant>>>,
 }
 
 #[derive(Debug)]
@@ -124,14 +129,12 @@
     }
 
     /// Opens a new connection.
-    pub(super) async fn connect(
+    pub(super) async fn connect<D: Dialect>(
         &self,
         endpoint: &EndpointName,
         address: SocketAddr,
-    ) -> std::io::Result<PooledConnection> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-            .await
-            .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    ) -> io::Result<PooledConnection> {
+        let stream = self.open_direct::<D>(endpoint, address).await?;
         stream.set_nodelay(true)?;
         let head_allowance = HeadAllowance::default();
         let stream = EndpointStream::new(stream, head_allowance.clone());
@@ -139,7 +142,7 @@
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(std::io::Error::other)?;
+            .map_err(io::Error::other)?;
         let endpoint_name = endpoint.clone();
         let task = spawn_local(async move {
             if let Err(error) = connection.await {
@@ -159,9 +162,38 @@
         Ok(self.check_out(endpoint, connection))
     }
 
+    async fn open_direct<D: Dialect>(
+        &self,
+        endpoint: &EndpointName,
+        address: SocketAddr,
+    ) -> io::Result<TcpStream> {
+        let opened = timeout(CONNECT_TIMEOUT, D::connect(address)).await;
+        let opened = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        let now = Instant::now();
+        let last_opened = match &opened {
+            Ok(_) => self.last_opened.replace(Some(now)),
+            Err(_) => self.last_opened.get(),
+        };
+        if let Err(error) = &opened {
+            let age = last_opened.map(|at| now.duration_since(at).as_millis());
+            event!(
+                info,
+                "connection to endpoint failed",
+                endpoint = endpoint,
+                error = error,
+                any_opened_before_ms = age.map_or("never".to_owned(), |age| age.to_string()),
+            );
+        }
+        opened
+    }
+
     /// Returns `true` if an endpoint accepts a new connection, which is then kept for reuse.
-    pub async fn is_accepting(&self, endpoint: &EndpointName, address: SocketAddr) -> bool {
-        match self.connect(endpoint, address).await {
+    pub async fn is_accepting<D: Dialect>(
+        &self,
+        endpoint: &EndpointName,
+        address: SocketAddr,
+    ) -> bool {
+        match self.connect::<D>(endpoint, address).await {
             Ok(connection) => {
                 connection.return_to_pool(None);
                 true
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -125,7 +125,7 @@
     let key = RequestKey::new(outbound.id, &upstream_request.method);
     let mut connection = match pool.take_idle(outbound.endpoint, &key) {
         Some(connection) => connection,
-        None => connect(pool, address, outbound.endpoint).await?,
+        None => connect::<D>(pool, address, outbound.endpoint).await?,
     };
     let request = build_request::<D>(upstream_request, outbound)?;
     let response = match connection
@@ -138,7 +138,7 @@
             // The pooled connection was closed before a byte of the request was sent.
             Some(request) => {
                 pool.close_idle(outbound.endpoint);
-                connection = connect(pool, address, outbound.endpoint).await?;
+                connection = connect::<D>(pool, address, outbound.endpoint).await?;
                 let response = connection.begin_request(&key).send_request(request).await;
                 response.map_err(SendFailure::no_response)?
             }
@@ -183,7 +183,7 @@
     let key = RequestKey::new(outbound.id, &upstream_request.method);
     let mut connection = match pool.take_idle(outbound.endpoint, &key) {
         Some(connection) => connection,
-        None => connect(pool, address, outbound.endpoint).await?,
+        None => connect::<D>(pool, address, outbound.endpoint).await?,
     };
     if !may_send() {
         return Err(SendFailure::new(
@@ -229,12 +229,12 @@
     }
 }
 
-async fn connect(
+async fn connect<D: Dialect>(
     pool: &Pool,
     address: SocketAddr,
     endpoint: &EndpointName,
 ) -> Result<PooledConnection, SendFailure> {
-    let connected = pool.connect(endpoint, address).await;
+    let connected = pool.connect::<D>(endpoint, address).await;
     connected.map_err(|error| SendFailure {
         is_unreachable: true,
         ..SendFailure::new(Verdict::NotRun, error)
