--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -1,6 +1,7 @@
 //! Client for requests to other daemons.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -12,6 +13,7 @@
 
 use crate::error::{Error, Kind};
 use crate::frame;
+use crate::tunnel::TunnelStream;
 
 const MAX_IDLE_PER_PEER: usize = 4;
 
@@ -81,6 +83,34 @@
             .map_err(|_| Kind::Timeout)?
     }
 
+    /// Sends a request on a new connection, and returns the response and that connection as one to a
+    /// third party; the response tells whether it is.
+    ///
+    /// # Errors
+    ///
+    /// As [`call`](Self::call).
+    pub async fn open_tunnel<Req, Resp>(
+        &self,
+        address: SocketAddr,
+        request: &Req,
+        time_limit: Duration,
+    ) -> Result<(Resp, TunnelStream), Error>
+    where
+        Req: Serialize,
+        Resp: DeserializeOwned,
+    {
+        let frame = frame::encode(request)?;
+        let opened = async {
+            let mut stream = connect(address).await.map_err(Kind::Connect)?;
+            frame::write(&mut stream, &frame).await?;
+            let response = frame::read(&mut stream).await?;
+            Ok((response, TunnelStream::new(stream)))
+        };
+        timeout(time_limit, opened)
+            .await
+            .map_err(|_| Kind::Timeout)?
+    }
+
     /// Closes the idle connections to all addresses for which `is_kept` returns `false`.
     pub fn retain(&self, is_kept: impl Fn(SocketAddr) -> bool) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -106,12 +136,11 @@
             }
             was_resent = true;
         }
-        let connected = TcpStream::connect(address).await;
+        let connected = connect(address).await;
         let mut stream = connected.map_err(|error| match was_resent {
             true => Kind::Reconnect(error),
             false => Kind::Connect(error),
         })?;
-        stream.set_nodelay(true)?;
         frame::write(&mut stream, frame).await?;
         let response = frame::read(&mut stream).await?;
         self.return_idle(address, stream);
@@ -134,3 +163,9 @@
         }
     }
 }
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -22,9 +22,11 @@
 pub mod error;
 pub mod frame;
 pub mod server;
+pub mod tunnel;
 
 pub use client::{Client, Reply};
 pub use datagram::DatagramSocket;
 pub use error::Error;
 pub use frame::{MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION};
-pub use server::serve;
+pub use server::{Answer, serve, serve_with_tunnels};
+pub use tunnel::TunnelStream;
