--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod configuration;
 pub mod endpoint;
 pub mod event_times;
+pub mod paths;
 pub mod rate_limit;
 pub mod registry;
 pub mod software_history;
@@ -23,6 +24,7 @@
 pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Split};
 pub use endpoint::{Endpoint, EndpointRecord, EndpointStage, Load};
 pub use event_times::EventTimes;
+pub use paths::Paths;
 pub use rate_limit::{Permit, Priority, RateLimit, RateLimiter, ReturnSchedule, StatedLimit};
 pub use registry::{Registry, Requirements};
 pub use software_history::SoftwareHistory;
