Reach endpoints through another node while the own links are cut

Cause: a node had no way to an endpoint but its own link, where calls to the store have had a second one for long. A connection that takes longer than 40 ms or fails is now also opened through another node, in an order of peers of this node's own, and the first that opens is used. The way is below HTTP: deadline, id, signature, verdict, cancellation, limits and suspects are decided by the node that has the request, as for its own connections, so a request still goes to one endpoint at a time and one that reached none is not run. One hop: a node connects others only directly, and at most 256 at a time.

A node that reaches two endpoints only through others counts as cut off: it uses the other way first, closes idle connections and, if new ones hang, those on which nothing arrives; two direct connections in a row end that. A request without an answer on an open connection leads to a check of that endpoint and two others. Crash checks take the same ways, so a lost link is no crash. Reports and orders don't: engines tell holders apart by their addresses.

--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -285,7 +285,7 @@
         .registry
         .handle_row_removal(node.now_ms(), name, outage_end_ms);
     if directory.registry.get(name).is_none() {
-        node.pool.close_idle(name);
+        node.pool.forget(name);
     }
 }
 
@@ -308,7 +308,7 @@
             );
             node.feed.record_change(&name, node.feed.revision());
             node.feed.publish();
-            node.pool.close_idle(&name);
+            node.pool.forget(&name);
         }
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -46,7 +46,7 @@
     /// Orders to engines by HTTP status, or `none` for an order without a response.
     pub orders: IntCounterVec,
     /// Gauges of the node's state: `ready`, `keeper`, `configuration_version`, `endpoints`,
-    /// `open_jobs`.
+    /// `open_jobs`, `cut_off`.
     pub state: IntGaugeVec,
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,11 +5,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wisteriapoint_batch::Owner;
@@ -32,7 +33,7 @@
 use crate::settings::NodeSettings;
 use crate::streams::Streams;
 use crate::suspects::SuspectRequests;
-use crate::upstream::Pool;
+use crate::upstream::{Pool, watch_links};
 use crate::{Error, callers, control, event, jobs, peers, suspects};
 
 /// Time for which a stopping node still accepts new connections: the balancer probes once a
@@ -47,6 +48,10 @@
 /// milliseconds: one request for changes, and what it follows.
 const FEED_LAG_MS: u64 = 2_000;
 
+/// Number of connections to endpoints that a node opens for others at the same time, of which each uses
+/// two sockets and 16 kB: those of several nodes at the load that one VM bears.
+const MAX_TUNNELS: usize = 256;
+
 /// Stage in the life cycle of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -82,7 +87,7 @@
     pub directory: RefCell<Directory>,
     /// Notifies tasks that wait for a change of the directory.
     pub directory_changed: Notify,
-    /// Idle connections to endpoints, kept for reuse.
+    /// Connections to endpoints, and the ways on which they are opened.
     pub pool: Pool,
     /// Callers' requests suspected of crashing endpoints.
     pub suspects: SuspectRequests,
@@ -94,6 +99,8 @@
     pub jobs: Jobs,
     /// Client for requests to other nodes.
     pub peers: Client,
+    /// Permits to connect other nodes to endpoints.
+    pub tunnels: Arc<Semaphore>,
     /// Prometheus metrics of this node.
     pub metrics: Metrics,
     /// Number of callers' requests in progress.
@@ -162,12 +169,13 @@
             clock,
             directory: RefCell::default(),
             directory_changed: Notify::new(),
-            pool: Pool::new(),
+            pool: Pool::new(settings.peer_address, peers.clone()),
             suspects: SuspectRequests::new(),
             streams: Streams::new(),
             limits: Limits::new(),
             jobs: Jobs::new(),
             peers,
+            tunnels: Arc::new(Semaphore::new(MAX_TUNNELS)),
             metrics: Metrics::new()?,
             in_progress: Cell::new(0),
             connections: Cell::new(0),
@@ -359,6 +367,8 @@
         let peers = bind(node.settings.peer_address).await?;
         peers::start(&node, peers);
         suspects::exchange::start(&node);
+        spawn_local(watch_links::<D>(node.pool.clone()));
+        spawn_local(export_cut_off(node.clone()));
         control::start(&node);
         Ok(node)
     }
@@ -392,6 +402,15 @@
     }
 }
 
+/// Keeps the metric that tells whether the node is cut off from the endpoints.
+async fn export_cut_off<D: Dialect>(node: Rc<Node<D>>) {
+    let mut cut_off = node.pool.cut_off_changes();
+    while cut_off.changed().await.is_ok() {
+        let is_cut_off = *cut_off.borrow_and_update();
+        node.metrics.set_state("cut_off", i64::from(is_cut_off));
+    }
+}
+
 fn on_hangup() -> Result<Signal, Error> {
     signal(SignalKind::hangup()).map_err(|error| Error::io("handler of SIGHUP", error))
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,6 +11,7 @@
 use tokio::task::spawn_local;
 use wisteriapoint_batch::{Page, PartialOutput};
 use wisteriapoint_directory::{Permit, Priority, RateLimit, StreamRecord};
+use wisteriapoint_peer::{Answer, serve_with_tunnels};
 use wisteriapoint_route::CrashReport;
 use wisteriapoint_store::Error as StoreError;
 use wisteriapoint_types::{Digest, EndpointName, hash64};
@@ -19,8 +20,9 @@
 use crate::dialect::Dialect;
 use crate::event;
 use crate::jobs::{self, read};
-use crate::node::Node;
+use crate::node::{Node, Stage};
 use crate::relay::{StoreCall, StoreResponse};
+use crate::upstream::ConnectOutcome;
 use crate::{limits, streams, suspects};
 
 /// Time for a peer's response beyond the wait that the request allows: some network hops, and a
@@ -116,6 +118,13 @@
     },
     /// Asks what began a stream, by the same digest.
     StreamRecord(Digest),
+    /// Asks the node to connect the requester to an endpoint, on the connection of this request.
+    Connect {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// Its address.
+        address: SocketAddr,
+    },
 }
 
 /// The response to a [`PeerRequest`].
@@ -162,21 +171,24 @@
     Permit(Permit),
     /// What began a stream; `None` if the node does not know it.
     StreamRecord(Option<StreamRecord>),
+    /// Whether the connection now leads to the endpoint.
+    Connect(ConnectOutcome),
 }
 
-type PendingRequest = (PeerRequest, oneshot::Sender<PeerResponse>);
+type PendingRequest = (PeerRequest, oneshot::Sender<Answer<PeerResponse>>);
 
 /// Starts to serve requests of other nodes.
 pub fn start<D: Dialect>(node: &Rc<Node<D>>, listener: TcpListener) {
     let (requests, mut pending) = mpsc::channel::<PendingRequest>(MAX_PENDING_REQUESTS);
     // The transport needs a handler that is `Send`, which the node's state is not.
-    tokio::spawn(wisteriapoint_peer::serve(listener, move |request| {
+    tokio::spawn(serve_with_tunnels(listener, move |request| {
         let requests = requests.clone();
         async move {
+            const FAILED: Answer<PeerResponse> = Answer::Response(PeerResponse::Failed);
             let (sender, response) = oneshot::channel();
             match requests.send((request, sender)).await {
-                Ok(()) => response.await.unwrap_or(PeerResponse::Failed),
-                Err(_) => PeerResponse::Failed,
+                Ok(()) => response.await.unwrap_or(FAILED),
+                Err(_) => FAILED,
             }
         }
     }));
@@ -185,14 +197,48 @@
         while let Some((request, sender)) = pending.recv().await {
             let node = node.clone();
             spawn_local(async move {
-                let response = handle(&node, request).await;
+                let answer = match request {
+                    PeerRequest::Connect { endpoint, address } => {
+                        connect_peer(&node, &endpoint, address).await
+                    }
+                    request => Answer::Response(handle(&node, request).await),
+                };
                 // Fails if the peer no longer waits.
-                let _is_waiting = sender.send(response).is_ok();
+                let _is_waiting = sender.send(answer).is_ok();
             });
         }
     });
 }
 
+/// Connects another node to an endpoint, unless this one is cut off itself, stopping, or connects too
+/// many.
+async fn connect_peer<D: Dialect>(
+    node: &Rc<Node<D>>,
+    endpoint: &EndpointName,
+    address: SocketAddr,
+) -> Answer<PeerResponse> {
+    let refuse = |outcome| Answer::Response(PeerResponse::Connect(outcome));
+    let permit = match node.tunnels.clone().try_acquire_owned() {
+        Ok(permit) if node.stage.get() != Stage::Stopping && !node.pool.is_cut_off() => permit,
+        _ => return refuse(ConnectOutcome::Unavailable),
+    };
+    let opened = node.pool.open_for_peer::<D>(address).await;
+    event!(
+        debug,
+        "connection to endpoint for another node",
+        endpoint = endpoint,
+        is_open = opened.is_some()
+    );
+    match opened {
+        Some(target) => Answer::Tunnel {
+            response: PeerResponse::Connect(ConnectOutcome::Connected),
+            target,
+            permit,
+        },
+        None => refuse(ConnectOutcome::Unreached),
+    }
+}
+
 async fn handle<D: Dialect>(node: &Rc<Node<D>>, request: PeerRequest) -> PeerResponse {
     match request {
         PeerRequest::Results {
@@ -274,6 +320,8 @@
         PeerRequest::StreamRecord(attempt) => {
             PeerResponse::StreamRecord(node.streams.get(node.now_ms(), attempt))
         }
+        // Handled before, as it also needs the connection of the request.
+        PeerRequest::Connect { .. } => PeerResponse::Failed,
         PeerRequest::TakeOver { job, parts } => match jobs::take_over(node, &job, parts).await {
             true => PeerResponse::Done,
             false => PeerResponse::Failed,
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP client for endpoints: pooled connections, requests and event streams.
 
+pub mod connect;
 pub mod events;
 pub mod memory;
 pub mod pool;
@@ -7,6 +8,7 @@
 
 mod stream;
 
+pub use connect::{ConnectOutcome, watch_links};
 pub use events::{Event, EventReader};
 pub use memory::{ResponseBuffer, ResponseMemory};
 pub use pool::{Pool, PooledConnection};
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -1,10 +1,10 @@
 //! Pool of idle connections to endpoints.
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::{Cell, RefCell, RefMut};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,18 +12,20 @@
 use hyper::Method;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::sync::{Notify, watch};
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
+use wisteriapoint_directory::Paths;
+use wisteriapoint_peer::Client;
 use wisteriapoint_types::EndpointName;
 
-use super::stream::{EndpointStream, HeadAllowance};
+use super::stream::{Activity, EndpointStream, HeadAllowance, Link};
 use super::{ResponseBuffer, ResponseMemory};
 use crate::dialect::Dialect;
-use crate::event;
 
-/// Timeout for opening a connection: many round trips, but far below a route's latency objective.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time without a byte of a response after which the link is checked when the request is given up: more
+/// than the times between the events of a stream.
+const MIN_SILENCE: Duration = Duration::from_millis(250);
 /// Keep-alive time assumed for an endpoint that states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// Part of the endpoint's keep-alive time in which an idle connection is no longer used: a
@@ -38,13 +40,26 @@
 /// Body of a request to an endpoint.
 pub type Body = Full<Bytes>;
 
-/// Idle connections by endpoint; clones share them.
-#[derive(Debug, Clone, Default)]
+/// Connections to endpoints, kept for reuse while they are idle; clones share them.
+#[derive(Debug, Clone)]
 pub struct Pool {
     idle: Rc<RefCell<BTreeMap<EndpointName, Vec<IdleConnection>>>>,
+    open: Rc<RefCell<Vec<Weak<OpenConnection>>>>,
     memory: ResponseMemory,
-    /// Time at which a connection to any endpoint was last opened.
-    last_opened: Rc<Cell<Option<Instant>>>,
+    /// Client for requests to other nodes, which connect this node to endpoints.
+    pub(super) peers: Client,
+    paths: Rc<RefCell<Paths>>,
+    epoch: Instant,
+    /// Whether the node is cut off from the endpoints.
+    pub(super) cut_off: watch::Sender<bool>,
+    /// Whether direct connections hang rather than fail.
+    pub(super) hangs: Rc<Cell<bool>>,
+    /// Time at which a connection to any endpoint was last opened directly.
+    pub(super) last_opened: Rc<Cell<Option<Instant>>>,
+    silent: Rc<RefCell<BTreeMap<EndpointName, SocketAddr>>>,
+    /// Notifies of endpoints that did not answer on a direct connection.
+    pub(super) silence: Rc<Notify>,
+    probes: Rc<Cell<usize>>,
 }
 
 #[derive(Debug)]
@@ -53,10 +68,32 @@
     expires_at: Instant,
 }
 
+/// Way on which a connection was opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Path {
+    /// By this node itself.
+    Direct,
+    /// Through the node at this address.
+    Relayed(SocketAddr),
+}
+
+/// An open connection, in use or idle.
+#[derive(Debug)]
+struct OpenConnection {
+    task: AbortHandle,
+    activity: Activity,
+    path: Path,
+}
+
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Body>,
-    task: AbortHandle,
+    open: Rc<OpenConnection>,
+    pool: Pool,
+    endpoint: EndpointName,
+    address: SocketAddr,
+    /// `true` while no response is expected.
+    is_idle: bool,
     head_allowance: HeadAllowance,
     /// Number of requests that were sent on the connection.
     sent_requests: u32,
@@ -93,7 +130,11 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.task.abort();
+        self.open.task.abort();
+        if !self.is_idle && self.open.activity.last_at().elapsed() >= MIN_SILENCE {
+            let path = self.open.path;
+            self.pool.record_silence(&self.endpoint, self.address, path);
+        }
     }
 }
 
@@ -106,9 +147,120 @@
 }
 
 impl Pool {
-    /// Creates an empty pool.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates an empty pool of the node at an address, which other nodes may connect to endpoints.
+    pub fn new(own: SocketAddr, peers: Client) -> Self {
+        Self {
+            idle: Rc::default(),
+            open: Rc::default(),
+            memory: ResponseMemory::new(),
+            peers,
+            paths: Rc::new(RefCell::new(Paths::new(own))),
+            epoch: Instant::now(),
+            cut_off: watch::channel(false).0,
+            hangs: Rc::default(),
+            last_opened: Rc::default(),
+            silent: Rc::default(),
+            silence: Rc::default(),
+            probes: Rc::default(),
+        }
+    }
+
+    /// Sets the addresses of the nodes through which endpoints may be reached.
+    pub fn set_peers(&self, addresses: &BTreeSet<SocketAddr>) {
+        self.paths().set_peers(addresses);
+    }
+
+    /// Returns `true` if this node is cut off from the endpoints, and others are not.
+    pub fn is_cut_off(&self) -> bool {
+        self.paths().is_cut_off()
+    }
+
+    /// Returns a receiver of whether this node is cut off from the endpoints.
+    pub fn cut_off_changes(&self) -> watch::Receiver<bool> {
+        self.cut_off.subscribe()
+    }
+
+    /// Waits until this node becomes cut off from the endpoints.
+    pub async fn wait_for_cut_off(&self) {
+        let mut cut_off = self.cut_off_changes();
+        while cut_off.changed().await.is_ok() {
+            if *cut_off.borrow_and_update() {
+                return;
+            }
+        }
+    }
+
+    pub(super) fn paths(&self) -> RefMut<'_, Paths> {
+        self.paths.borrow_mut()
+    }
+
+    pub(super) fn now_ms(&self) -> u64 {
+        self.epoch.elapsed().as_millis() as u64
+    }
+
+    fn track(&self, connection: &Rc<OpenConnection>) {
+        let mut open = self.open.borrow_mut();
+        open.retain(|connection| connection.strong_count() > 0);
+        open.push(Rc::downgrade(connection));
+    }
+
+    /// Closes the direct connections that have received nothing since a time; returns their number.
+    pub(super) fn close_silent_direct(&self, since: Instant) -> usize {
+        let open = self.open.borrow();
+        let open = open.iter().filter_map(Weak::upgrade);
+        let silent = open.filter(|connection| {
+            connection.path == Path::Direct && connection.activity.last_at() <= since
+        });
+        silent.map(|connection| connection.task.abort()).count()
+    }
+
+    /// Closes all idle connections, since the way on which they were opened is no longer used.
+    pub(super) fn close_all_idle(&self) {
+        let idle = self.idle.take();
+        drop(idle);
+    }
+
+    /// Records that a request got no answer on a connection for long.
+    pub(super) fn record_silence(&self, endpoint: &EndpointName, address: SocketAddr, path: Path) {
+        match path {
+            Path::Direct => {
+                self.close_idle(endpoint);
+                let mut silent = self.silent.borrow_mut();
+                silent.insert(endpoint.clone(), address);
+                self.silence.notify_one();
+            }
+            Path::Relayed(peer) => {
+                self.paths().record_peer_failure(self.now_ms(), peer);
+                let mut idle = self.idle.borrow_mut();
+                for connections in idle.values_mut() {
+                    connections.retain(|idle| idle.connection.open.path != path);
+                }
+            }
+        }
+    }
+
+    /// Returns the endpoints that did not answer, and up to `others` to which idle connections exist.
+    pub(super) fn take_silent(&self, others: usize) -> BTreeMap<EndpointName, SocketAddr> {
+        let mut checked = self.silent.take();
+        let idle = self.idle.borrow();
+        let others = idle
+            .iter()
+            .filter(|(name, _)| !checked.contains_key(*name))
+            .filter_map(|(name, idle)| Some((name.clone(), idle.first()?.connection.address)))
+            .take(others)
+            .collect::<Vec<_>>();
+        checked.extend(others);
+        checked
+    }
+
+    /// Returns the next two endpoints, in turn, to which a direct connection is tried.
+    pub(super) fn next_probed(&self) -> Vec<(EndpointName, SocketAddr)> {
+        let all = self.paths().probed();
+        let first = self.probes.get();
+        self.probes.set(first.wrapping_add(1));
+        let count = all.len().max(1);
+        let turn = all.into_iter().cycle().skip(first % count);
+        turn.take(2.min(count)).collect()
     }
 
     /// Removes an idle connection on which a request may follow the last one from the pool.
@@ -116,28 +268,54 @@
         &self,
         endpoint: &EndpointName,
         key: &RequestKey,
+        is_usable: impl Fn(Path) -> bool,
     ) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(endpoint)?;
         let now = Instant::now();
         connections.retain(|idle| idle.expires_at > now && idle.connection.sender.is_ready());
-        let index = connections
-            .iter()
-            .rposition(|idle| key.may_follow(&idle.connection.last_request))?;
+        let index = connections.iter().rposition(|idle| {
+            key.may_follow(&idle.connection.last_request) && is_usable(idle.connection.open.path)
+        })?;
         let idle = connections.remove(index);
         Some(self.check_out(endpoint, idle.connection))
     }
 
-    /// Opens a new connection.
+    /// Opens a new connection, through another node if only that works.
     pub(super) async fn connect<D: Dialect>(
         &self,
         endpoint: &EndpointName,
         address: SocketAddr,
     ) -> io::Result<PooledConnection> {
-        let stream = self.open_direct::<D>(endpoint, address).await?;
-        stream.set_nodelay(true)?;
+        let (link, path) = self.open::<D>(endpoint, address).await?;
+        self.add(endpoint, address, link, path).await
+    }
+
+    /// Opens a new connection of this node itself.
+    pub(super) async fn connect_directly<D: Dialect>(
+        &self,
+        endpoint: &EndpointName,
+        address: SocketAddr,
+    ) -> io::Result<PooledConnection> {
+        match self.open_direct::<D>(endpoint, address).await {
+            Ok((link, path)) => self.add(endpoint, address, link, path).await,
+            Err(error) => {
+                self.record_silence(endpoint, address, Path::Direct);
+                Err(error)
+            }
+        }
+    }
+
+    async fn add(
+        &self,
+        endpoint: &EndpointName,
+        address: SocketAddr,
+        link: Link,
+        path: Path,
+    ) -> io::Result<PooledConnection> {
         let head_allowance = HeadAllowance::default();
-        let stream = EndpointStream::new(stream, head_allowance.clone());
+        let activity = Activity::new();
+        let stream = EndpointStream::new(link, head_allowance.clone(), activity.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -151,10 +329,19 @@
                 );
             }
         });
-        let task = task.abort_handle();
+        let open = Rc::new(OpenConnection {
+            task: task.abort_handle(),
+            activity,
+            path,
+        });
+        self.track(&open);
         let connection = Connection {
             sender,
-            task,
+            open,
+            pool: self.clone(),
+            endpoint: endpoint.clone(),
+            address,
+            is_idle: true,
             head_allowance,
             sent_requests: 0,
             last_request: RequestKey::default(),
@@ -162,31 +349,6 @@
         Ok(self.check_out(endpoint, connection))
     }
 
-    async fn open_direct<D: Dialect>(
-        &self,
-        endpoint: &EndpointName,
-        address: SocketAddr,
-    ) -> io::Result<TcpStream> {
-        let opened = timeout(CONNECT_TIMEOUT, D::connect(address)).await;
-        let opened = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
-        let now = Instant::now();
-        let last_opened = match &opened {
-            Ok(_) => self.last_opened.replace(Some(now)),
-            Err(_) => self.last_opened.get(),
-        };
-        if let Err(error) = &opened {
-            let age = last_opened.map(|at| now.duration_since(at).as_millis());
-            event!(
-                info,
-                "connection to endpoint failed",
-                endpoint = endpoint,
-                error = error,
-                any_opened_before_ms = age.map_or("never".to_owned(), |age| age.to_string()),
-            );
-        }
-        opened
-    }
-
     /// Returns `true` if an endpoint accepts a new connection, which is then kept for reuse.
     pub async fn is_accepting<D: Dialect>(
         &self,
@@ -212,7 +374,14 @@
 
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: &EndpointName) {
-        self.idle.borrow_mut().remove(endpoint);
+        let closed = self.idle.borrow_mut().remove(endpoint);
+        drop(closed);
+    }
+
+    /// Closes the idle connections to an endpoint that is no longer registered.
+    pub fn forget(&self, endpoint: &EndpointName) {
+        self.close_idle(endpoint);
+        self.paths().forget(endpoint);
     }
 }
 
@@ -220,6 +389,8 @@
     /// Records that a request is sent and returns the sender for it.
     pub(super) fn begin_request(&mut self, key: &RequestKey) -> &mut SendRequest<Body> {
         self.connection.sent_requests += 1;
+        self.connection.is_idle = false;
+        self.connection.open.activity.restart();
         self.connection.last_request.clone_from(key);
         self.connection.head_allowance.begin();
         &mut self.connection.sender
@@ -244,7 +415,8 @@
     ///
     /// Closes it if its keep-alive time is too short or the pool holds enough for its endpoint.
     /// `keep_alive_ms` is the time that the endpoint stated.
-    pub fn return_to_pool(self, keep_alive_ms: Option<u64>) {
+    pub fn return_to_pool(mut self, keep_alive_ms: Option<u64>) {
+        self.connection.is_idle = true;
         let keep_alive = match keep_alive_ms {
             Some(keep_alive_ms) => Duration::from_millis(keep_alive_ms),
             None => DEFAULT_KEEP_ALIVE,
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -11,7 +11,7 @@
 use wisteriapoint_directory::StatedLimit;
 use wisteriapoint_types::{EndpointName, Verdict};
 
-use super::pool::RequestKey;
+use super::pool::{Path, RequestKey};
 use super::{Pool, PooledConnection, ResponseBuffer};
 use crate::dialect::{Dialect, OutboundMetadata, ResponseHead};
 use crate::event;
@@ -92,6 +92,14 @@
         Self::new(Verdict::MayHaveRun, reason)
     }
 
+    /// Returns the failure of a request for which no connection could be made.
+    fn unreachable(reason: impl ToString) -> Self {
+        Self {
+            is_unreachable: true,
+            ..Self::new(Verdict::NotRun, reason)
+        }
+    }
+
     /// Returns the failure of a request that was sent and got no valid response head.
     fn no_response(error: hyper::Error) -> Self {
         match error.is_parse() {
@@ -123,7 +131,7 @@
     outbound: OutboundMetadata<'_>,
 ) -> Result<UpstreamResponse, SendFailure> {
     let key = RequestKey::new(outbound.id, &upstream_request.method);
-    let mut connection = match pool.take_idle(outbound.endpoint, &key) {
+    let mut connection = match pool.take_idle(outbound.endpoint, &key, |_| true) {
         Some(connection) => connection,
         None => connect::<D>(pool, address, outbound.endpoint).await?,
     };
@@ -181,9 +189,14 @@
     may_send: impl Fn() -> bool,
 ) -> Result<(StatusCode, Bytes), SendFailure> {
     let key = RequestKey::new(outbound.id, &upstream_request.method);
-    let mut connection = match pool.take_idle(outbound.endpoint, &key) {
+    // Endpoints tell senders apart by their addresses, so no other node may connect for these.
+    let mut connection = match pool.take_idle(outbound.endpoint, &key, |path| path == Path::Direct)
+    {
         Some(connection) => connection,
-        None => connect::<D>(pool, address, outbound.endpoint).await?,
+        None => {
+            let connected = pool.connect_directly::<D>(outbound.endpoint, address);
+            connected.await.map_err(SendFailure::unreachable)?
+        }
     };
     if !may_send() {
         return Err(SendFailure::new(
@@ -235,10 +248,7 @@
     endpoint: &EndpointName,
 ) -> Result<PooledConnection, SendFailure> {
     let connected = pool.connect::<D>(endpoint, address).await;
-    connected.map_err(|error| SendFailure {
-        is_unreachable: true,
-        ..SendFailure::new(Verdict::NotRun, error)
-    })
+    connected.map_err(SendFailure::unreachable)
 }
 
 fn build_request<D: Dialect>(
--- a/crates/node/src/upstream/stream.rs
+++ b/crates/node/src/upstream/stream.rs
@@ -8,6 +8,8 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+use wisteriapoint_peer::TunnelStream;
 
 /// Most bytes from the begin of a request to the head of its response: interim responses, the head,
 /// and what arrives of the body together with it.
@@ -43,16 +45,108 @@
     }
 }
 
-/// TCP stream that fails when the endpoint exceeds the allowance.
+/// Connection to an endpoint.
+#[derive(Debug)]
+pub(super) enum Link {
+    /// Of this node itself.
+    Direct(TcpStream),
+    /// Through another node.
+    Relayed(TunnelStream),
+}
+
+/// Time at which a connection last received bytes.
+#[derive(Debug, Clone)]
+pub(super) struct Activity(Rc<Cell<Instant>>);
+
+impl Activity {
+    pub(super) fn new() -> Self {
+        Self(Rc::new(Cell::new(Instant::now())))
+    }
+
+    /// Restarts the time, since a request is sent.
+    pub(super) fn restart(&self) {
+        self.0.set(Instant::now());
+    }
+
+    /// Returns the time of the last bytes, or of the last request after them.
+    pub(super) fn last_at(&self) -> Instant {
+        self.0.get()
+    }
+}
+
+/// Connection that fails when the endpoint exceeds the allowance.
 #[derive(Debug)]
 pub(super) struct EndpointStream {
-    stream: TcpStream,
+    link: Link,
     allowance: HeadAllowance,
+    activity: Activity,
 }
 
 impl EndpointStream {
-    pub(super) fn new(stream: TcpStream, allowance: HeadAllowance) -> Self {
-        Self { stream, allowance }
+    pub(super) fn new(link: Link, allowance: HeadAllowance, activity: Activity) -> Self {
+        Self {
+            link,
+            allowance,
+            activity,
+        }
+    }
+}
+
+impl AsyncRead for Link {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_read(context, buffer),
+            Self::Relayed(stream) => Pin::new(stream).poll_read(context, buffer),
+        }
+    }
+}
+
+impl AsyncWrite for Link {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_write(context, data),
+            Self::Relayed(stream) => Pin::new(stream).poll_write(context, data),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_flush(context),
+            Self::Relayed(stream) => Pin::new(stream).poll_flush(context),
+        }
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_shutdown(context),
+            Self::Relayed(stream) => Pin::new(stream).poll_shutdown(context),
+        }
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        data: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_write_vectored(context, data),
+            Self::Relayed(stream) => Pin::new(stream).poll_write_vectored(context, data),
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        match self {
+            Self::Direct(stream) => stream.is_write_vectored(),
+            Self::Relayed(stream) => stream.is_write_vectored(),
+        }
     }
 }
 
@@ -63,8 +157,11 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_bytes = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        ready!(Pin::new(&mut self.link).poll_read(context, buffer))?;
         let read_bytes = buffer.filled().len() - filled_bytes;
+        if read_bytes > 0 {
+            self.activity.restart();
+        }
         Poll::Ready(self.allowance.try_consume(read_bytes))
     }
 }
@@ -75,15 +172,15 @@
         context: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, data)
+        Pin::new(&mut self.link).poll_write(context, data)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        Pin::new(&mut self.link).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Pin::new(&mut self.link).poll_shutdown(context)
     }
 
     fn poll_write_vectored(
@@ -91,10 +188,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        Pin::new(&mut self.link).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.link.is_write_vectored()
     }
 }
