Hand the orders over when the leader is cut off from the endpoints

A leader that reaches no endpoint kept its orders, so no engine loaded a published version until the links were back. Orders can't go through another node: engines tell holders apart by their addresses. The leader now releases its leadership when it becomes cut off, and a node that is cut off waits 1.5 s before it claims it, so that others come first and one is found if all are.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -23,6 +23,9 @@
 /// Longest random pause before the first claim, in milliseconds. Nodes start together; once one
 /// has claimed leadership, the others need no write.
 const MAX_FIRST_PAUSE_MS: u64 = 400;
+/// Pause before a claim of a node that is cut off from the endpoints: others claim first, if any is
+/// not.
+const CUT_OFF_CLAIM_PAUSE: Duration = Duration::from_millis(1_500);
 /// Time for a member whose row was removed to write it again: it may be alive and have lost its
 /// lease.
 const MEMBER_RETURN_PAUSE: Duration = Duration::from_millis(700);
@@ -40,14 +43,21 @@
             }
             continue;
         }
+        if node.pool.is_cut_off() {
+            sleep(CUT_OFF_CLAIM_PAUSE).await;
+        }
         let result = match claim_leadership(&node).await {
             Ok(ClaimOutcome::Leader { fence, as_of }) => {
                 node.metrics.set_state("keeper", 1);
                 event!(info, "became leader", fence = fence.0);
                 node.leader.replace(Some(node.owner.clone()));
                 node.directory_changed.notify_waiters();
-                lead(&node, fence, as_of).await;
-                if node.stage.get() == Stage::Stopping {
+                tokio::select! {
+                    () = lead(&node, fence, as_of) => {}
+                    // Others can still send orders.
+                    () = node.pool.wait_for_cut_off() => {}
+                }
+                if node.stage.get() == Stage::Stopping || node.pool.is_cut_off() {
                     release_leadership(&node, fence).await;
                 }
                 node.leader.replace(None);
