Send nothing new to endpoints that state in a response that they are leaving

An endpoint that leaves may say so in all its responses while its row is still ready; nothing read it, and 495 of 741 requests of three nodes reached it later than two seconds after the first such response, 258 of those of a node that had none. It sets the stage that a draining row sets, for the instance that said so, which keeps callers' requests, items, scorers and orders off it; the leader's feed tells the other nodes.

--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -1,6 +1,6 @@
 //! The registered endpoints and the selection of one for a request.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, StreamOrigin, WeightVersion};
 
@@ -15,6 +15,10 @@
 /// heartbeats.
 const STALE_ROW_HOLD_MS: u64 = 6_000;
 
+/// Number of instances that are remembered as leaving: more than leave while one of their rows may still
+/// come back.
+const MAX_LEAVING: usize = 256;
+
 /// Cost factor for an endpoint in another failure domain. It only decides between those of nearly
 /// equal cost: a hop between domains takes about a millisecond, an event of a text tens of them.
 const REMOTE_DOMAIN_COST_FACTOR: f64 = 1.02;
@@ -52,6 +56,8 @@
     /// Endpoints without a row, with the time at which their grace period ends.
     absent: BTreeMap<EndpointName, u64>,
     removed: BTreeMap<EndpointName, Removed>,
+    /// Instances that stated that they are leaving, the latest ones, oldest first.
+    leaving: VecDeque<(EndpointName, u64)>,
 }
 
 /// An endpoint whose row was removed while the store was available.
@@ -69,9 +75,12 @@
 
     /// Adds an endpoint or updates its record, and returns `true` if anything changed.
     ///
-    /// Within one incarnation a draining endpoint stays draining, its weight versions never decrease, and
+    /// Within one incarnation a draining endpoint stays draining, also if it only stated so itself, its weight versions never decrease, and
     /// records with different software versions make its version unknown. A record of an earlier incarnation is ignored.
-    pub fn apply_record(&mut self, name: &EndpointName, record: EndpointRecord) -> bool {
+    pub fn apply_record(&mut self, name: &EndpointName, mut record: EndpointRecord) -> bool {
+        if self.is_leaving(name, record.born_unix_ms) {
+            record.stage = EndpointStage::Draining;
+        }
         let Some(current) = self.endpoints.get_mut(name) else {
             let endpoint = self.new_endpoint(name, record);
             self.absent.remove(name);
@@ -102,6 +111,30 @@
         true
     }
 
+    /// Records that an instance stated that it is leaving, whatever its rows say; returns `true` if it
+    /// was ready.
+    pub fn record_leaving(&mut self, name: &EndpointName, born_unix_ms: u64) -> bool {
+        if self.is_leaving(name, born_unix_ms) {
+            return false;
+        }
+        self.leaving.push_back((name.clone(), born_unix_ms));
+        if self.leaving.len() > MAX_LEAVING {
+            self.leaving.pop_front();
+        }
+        match self.endpoints.get_mut(name) {
+            Some(endpoint) if endpoint.record.born_unix_ms == born_unix_ms => {
+                let stage = &mut endpoint.record.stage;
+                std::mem::replace(stage, EndpointStage::Draining) == EndpointStage::Ready
+            }
+            _ => false,
+        }
+    }
+
+    fn is_leaving(&self, name: &EndpointName, born_unix_ms: u64) -> bool {
+        let mut leaving = self.leaving.iter();
+        leaving.any(|(other, born)| other == name && *born == born_unix_ms)
+    }
+
     /// Creates the state of an endpoint that is not registered.
     ///
     /// If a row of the same incarnation was removed recently, the new row may be stale, and the
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod health;
 pub mod leader;
 pub mod lease;
+pub mod leaving;
 pub mod members;
 pub mod orders;
 pub mod watch;
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -6,18 +6,19 @@
 
 use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{HeaderMap, Method, StatusCode};
+use hyper::{HeaderMap, Method};
 use tokio::task::{JoinError, JoinSet};
 use tokio::time::{sleep, timeout};
 use wisteriapoint_store::{CommitOutcome, Index, LeaseId, Transaction, TransactionalStore};
 use wisteriapoint_types::{EndpointName, ServiceName, WeightVersion};
 use wisteriapoint_weights::{Engine, Planner, WeightLoad};
 
+use super::leaving;
 use crate::dialect::{Dialect, EngineReport, OutboundMetadata, VersionOrder};
 use crate::event;
 use crate::node::Node;
 use crate::upstream::UpstreamRequest;
-use crate::upstream::send::exchange;
+use crate::upstream::send::{ExchangeResponse, exchange};
 
 /// Time after which loads are planned again if nothing has changed.
 const PLAN_POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -167,13 +168,16 @@
 }
 
 async fn fetch_report<D: Dialect>(
-    node: &Node<D>,
+    node: &Rc<Node<D>>,
     endpoint: &EndpointName,
     address: SocketAddr,
 ) -> Option<EngineReport> {
     let request = json_request(Method::GET, D::REPORT_PATH, Vec::new());
-    let (status, body) = call_engine::<D>(node, endpoint, address, &request, || true).await?;
-    match D::parse_report(&body) {
+    let response = call_engine::<D>(node, endpoint, address, &request, || true).await?;
+    let status = response.status;
+    match D::parse_report(&response.body) {
+        // The engine is about to end.
+        Ok(_) if response.is_leaving => None,
         Ok(report) if status.is_success() => Some(report),
         Ok(_) => None,
         Err(error) => {
@@ -190,7 +194,7 @@
 }
 
 async fn send_order<D: Dialect>(
-    node: &Node<D>,
+    node: &Rc<Node<D>>,
     endpoint: &EndpointName,
     address: SocketAddr,
     order: &VersionOrder<'_>,
@@ -203,7 +207,7 @@
     let may_send = || node.lease.holds(lease);
     let response = call_engine::<D>(node, endpoint, address, &request, may_send).await;
     let status = match &response {
-        Some((status, _)) => status.as_str().to_owned(),
+        Some(response) => response.status.as_str().to_owned(),
         None => "none".to_owned(),
     };
     node.metrics.orders.with_label_values(&[&status]).inc();
@@ -217,7 +221,7 @@
         expected_orders = order.expected_orders.unwrap_or(0),
         status = status,
     );
-    matches!(response, Some((status, _)) if status.is_success())
+    response.is_some_and(|response| response.status.is_success())
 }
 
 fn json_request(method: Method, path: &'static str, body: Vec<u8>) -> UpstreamRequest {
@@ -233,12 +237,12 @@
 }
 
 async fn call_engine<D: Dialect>(
-    node: &Node<D>,
+    node: &Rc<Node<D>>,
     endpoint: &EndpointName,
     address: SocketAddr,
     request: &UpstreamRequest,
     may_send: impl Fn() -> bool,
-) -> Option<(StatusCode, Bytes)> {
+) -> Option<ExchangeResponse> {
     let outbound = OutboundMetadata {
         id: "",
         endpoint,
@@ -247,7 +251,12 @@
     };
     let response = exchange::<D>(&node.pool, address, request, outbound, may_send);
     match timeout(ENGINE_TIMEOUT, response).await {
-        Ok(Ok(response)) => Some(response),
+        Ok(Ok(response)) => {
+            if response.is_leaving {
+                leaving::record(node, endpoint, "");
+            }
+            Some(response)
+        }
         Ok(Err(failure)) => {
             event!(
                 info,
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -194,6 +194,8 @@
     pub is_encoded: bool,
     /// Load that the endpoint reported.
     pub load: Option<Load>,
+    /// Whether the endpoint stated that it is leaving.
+    pub is_leaving: bool,
     /// Limit on the requests of all nodes that the endpoint stated.
     pub limit: StatedLimit,
     /// Time for which the connection may be idle, in milliseconds.
--- a/crates/node/src/limits/mod.rs
+++ b/crates/node/src/limits/mod.rs
@@ -19,6 +19,7 @@
 };
 use wisteriapoint_types::EndpointName;
 
+use crate::control::leaving;
 use crate::dialect::{Dialect, OutboundMetadata};
 use crate::node::Node;
 use crate::upstream::{SendFailure, UpstreamRequest, UpstreamResponse};
@@ -45,7 +46,8 @@
     }
 }
 
-/// Sends a request and records what the response says about the limit of its endpoint.
+/// Sends a request and records what the response says about its endpoint: its limit, and whether it is
+/// leaving.
 ///
 /// # Errors
 ///
@@ -57,10 +59,15 @@
     outbound: OutboundMetadata<'_>,
 ) -> Result<UpstreamResponse, SendFailure> {
     let result = upstream::send::send::<D>(&node.pool, address, upstream_request, outbound).await;
-    let (stated, is_success) = match &result {
-        Ok(response) => (Some(response.head.limit), response.status.is_success()),
-        Err(failure) => (failure.limit, false),
+    let (stated, is_success, is_leaving) = match &result {
+        Ok(UpstreamResponse { status, head, .. }) => {
+            (Some(head.limit), status.is_success(), head.is_leaving)
+        }
+        Err(failure) => (failure.limit, false, failure.is_leaving),
     };
+    if is_leaving {
+        leaving::record(node, outbound.endpoint, outbound.id);
+    }
     // A failure may come from a part that does not know the limit, so it can't end one.
     let stated = stated.filter(|&stated| is_success || stated != StatedLimit::Absent);
     if let Some(stated) = stated
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::Error;
@@ -41,6 +42,8 @@
     /// Streams that callers may take up again: `told` or `untold` when one begins; `own`, `holder`,
     /// `other`, `sole` or `unknown` by who knew what began one that is taken up.
     pub streams: IntCounterVec,
+    /// Endpoints that stated that they are leaving, or of which other nodes told so.
+    pub leaving_endpoints: IntCounter,
     /// Calls to the store by operation and result.
     pub store_calls: IntCounterVec,
     /// Orders to engines by HTTP status, or `none` for an order without a response.
@@ -81,6 +84,10 @@
                     &["decision"],
                 )?,
                 streams: counter("streams_total", "Resumable streams", &["record"])?,
+                leaving_endpoints: IntCounter::new(
+                    "wisteriapoint_leaving_endpoints_total",
+                    "Endpoints that stated that they are leaving",
+                )?,
                 store_calls: counter("store_calls_total", "Calls", &["call", "result"])?,
                 orders: counter("orders_total", "Orders to engines", &["reply"])?,
                 state: IntGaugeVec::new(
@@ -99,6 +106,7 @@
             registry.register(Box::new(metrics.suspects.clone()))?;
             registry.register(Box::new(metrics.limits.clone()))?;
             registry.register(Box::new(metrics.streams.clone()))?;
+            registry.register(Box::new(metrics.leaving_endpoints.clone()))?;
             registry.register(Box::new(metrics.store_calls.clone()))?;
             registry.register(Box::new(metrics.orders.clone()))?;
             registry.register(Box::new(metrics.state.clone()))?;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -17,6 +17,7 @@
 use wisteriapoint_types::{Digest, EndpointName, hash64};
 
 use crate::control::feed::{self, FeedRequest, FeedResponse};
+use crate::control::leaving;
 use crate::dialect::Dialect;
 use crate::event;
 use crate::jobs::{self, read};
@@ -118,6 +119,13 @@
     },
     /// Asks what began a stream, by the same digest.
     StreamRecord(Digest),
+    /// Tells that an endpoint is leaving.
+    EndpointLeaving {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// Start of the instance that said so, in Unix milliseconds.
+        born_unix_ms: u64,
+    },
     /// Asks the node to connect the requester to an endpoint, on the connection of this request.
     Connect {
         /// The endpoint.
@@ -320,6 +328,13 @@
         PeerRequest::StreamRecord(attempt) => {
             PeerResponse::StreamRecord(node.streams.get(node.now_ms(), attempt))
         }
+        PeerRequest::EndpointLeaving {
+            endpoint,
+            born_unix_ms,
+        } => {
+            leaving::apply(node, &endpoint, born_unix_ms, "peer", "");
+            PeerResponse::Done
+        }
         // Handled before, as it also needs the connection of the request.
         PeerRequest::Connect { .. } => PeerResponse::Failed,
         PeerRequest::TakeOver { job, parts } => match jobs::take_over(node, &job, parts).await {
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -69,6 +69,8 @@
     pub is_unreachable: bool,
     /// `true` if the endpoint refused the request, which is treated as a lack of capacity.
     pub was_overloaded: bool,
+    /// `true` if the endpoint's response stated that it is leaving.
+    pub is_leaving: bool,
     /// What the response said about the limit of the endpoint; `None` without a response.
     pub limit: Option<StatedLimit>,
 }
@@ -81,6 +83,7 @@
             connection_lost: false,
             is_unreachable: false,
             was_overloaded: false,
+            is_leaving: false,
             limit: None,
         }
     }
@@ -159,6 +162,7 @@
     check_id(&head, parts.status, outbound, &connection)?;
     if let Err(mut failure) = check_response(&head, parts.status) {
         failure.limit = Some(head.limit);
+        failure.is_leaving = head.is_leaving && !head.is_misdirected;
         if failure.verdict == Verdict::NotRun {
             drain_refusal(head, body, connection).await;
         }
@@ -173,7 +177,18 @@
     })
 }
 
-/// Sends a request of this node and returns status and body of the response, whatever its status.
+/// Response to a request of this node itself.
+#[derive(Debug)]
+pub struct ExchangeResponse {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Complete body.
+    pub body: Bytes,
+    /// Whether the endpoint stated that it is leaving.
+    pub is_leaving: bool,
+}
+
+/// Sends a request of this node and returns the response, whatever its status.
 ///
 /// `may_send` is called once the connection is open, which may be after a long pause of this VM.
 ///
@@ -187,7 +202,7 @@
     upstream_request: &UpstreamRequest,
     outbound: OutboundMetadata<'_>,
     may_send: impl Fn() -> bool,
-) -> Result<(StatusCode, Bytes), SendFailure> {
+) -> Result<ExchangeResponse, SendFailure> {
     let key = RequestKey::new(outbound.id, &upstream_request.method);
     // Endpoints tell senders apart by their addresses, so no other node may connect for these.
     let mut connection = match pool.take_idle(outbound.endpoint, &key, |path| path == Path::Direct)
@@ -215,7 +230,11 @@
     if !head.closes {
         connection.return_to_pool(head.keep_alive_ms);
     }
-    Ok((status, body))
+    Ok(ExchangeResponse {
+        status,
+        body,
+        is_leaving: head.is_leaving && !head.is_misdirected,
+    })
 }
 
 /// Reads a complete body.
