Bound an engine's status and the events of its stream in the daemon

A status is read up to 64 kB, an event up to 1 MB, with the reader that plain services have. The test reads less than 16 of 32 MB of each, sockets' buffers included, and fails with the bounds taken out.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -1,6 +1,8 @@
 //! Requests to model engines.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +13,7 @@
 use wisteriapoint_types::{SoftwareVersion, WeightVersion};
 use wisteriapoint_weights::Order;
 
+use crate::exchange::read_body;
 use crate::failure::Kind;
 use crate::{Clients, Failure, Target};
 
@@ -23,6 +26,10 @@
 
 const END_OF_STREAM: &str = "[DONE]";
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest body of a status, which has four short fields.
+const MAX_STATUS_BYTES: usize = 64 << 10;
+/// Largest event of a completion stream, of which one has a few tokens.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// A completion request to an engine.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -107,17 +114,30 @@
     text: Box<str>,
 }
 
+/// An error while the bytes of a completion stream are received.
+#[derive(Debug, thiserror::Error)]
+pub enum StreamError {
+    /// The connection failed.
+    #[error(transparent)]
+    Transport(reqwest::Error),
+    /// An event does not end.
+    #[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
+    EventTooLarge,
+}
+
 /// A completion stream from an engine.
 pub struct Generation<S> {
     /// Software version of the engine.
     pub software: SoftwareVersion,
     events: EventStream<Pin<Box<S>>>,
+    /// Bytes received since the last event, with those of events that arrived together with it.
+    pending_bytes: Arc<AtomicUsize>,
     ended: bool,
 }
 
 impl<S> Generation<S>
 where
-    S: Stream<Item = reqwest::Result<Bytes>> + Send,
+    S: Stream<Item = Result<Bytes, StreamError>> + Send,
 {
     /// Returns the next tokens, or `None` after the engine's end marker.
     ///
@@ -130,7 +150,10 @@
         }
         let invalid = |text: String| Failure::may_have_run(Kind::InvalidResponse(text.into()));
         let event = match self.events.next().await {
-            Some(Ok(event)) => event,
+            Some(Ok(event)) => {
+                self.pending_bytes.store(0, Ordering::Relaxed);
+                event
+            }
             Some(Err(error)) => return Err(invalid(error.to_string())),
             None => return Err(invalid("the stream ended early".into())),
         };
@@ -173,7 +196,7 @@
         target: &Target,
         request: &CompletionRequest,
         timeout: Duration,
-    ) -> Result<Generation<impl Stream<Item = reqwest::Result<Bytes>> + Send + use<>>, Failure>
+    ) -> Result<Generation<impl Stream<Item = Result<Bytes, StreamError>> + Send + use<>>, Failure>
     {
         let outgoing = self
             .for_request(target, true)
@@ -188,9 +211,21 @@
             }
             status => return Err(Failure::may_have_run(Kind::Status(status.as_u16()))),
         }
+        let software = software(&response);
+        let pending_bytes = Arc::new(AtomicUsize::new(0));
+        let received = pending_bytes.clone();
+        let bytes = response.bytes_stream().map(move |chunk| {
+            let chunk = chunk.map_err(StreamError::Transport)?;
+            let pending_bytes = received.fetch_add(chunk.len(), Ordering::Relaxed) + chunk.len();
+            match pending_bytes {
+                ..=MAX_EVENT_BYTES => Ok(chunk),
+                _ => Err(StreamError::EventTooLarge),
+            }
+        });
         Ok(Generation {
-            software: software(&response),
-            events: Box::pin(response.bytes_stream()).eventsource(),
+            software,
+            events: Box::pin(bytes).eventsource(),
+            pending_bytes,
             ended: false,
         })
     }
@@ -208,7 +243,9 @@
             .get(format!("http://{}/admin/status", target.address))
             .timeout(STATUS_TIMEOUT);
         let response = outgoing.send().await.map_err(Failure::from_reqwest)?;
-        response.json().await.map_err(Failure::from_reqwest)
+        let body = read_body(response, MAX_STATUS_BYTES).await?;
+        serde_json::from_slice(&body)
+            .map_err(|error| Failure::may_have_run(Kind::InvalidResponse(error.to_string().into())))
     }
 
     /// Orders an engine to load a weight version.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use reqwest::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use reqwest::{Method, RequestBuilder, Response, StatusCode};
 use uuid::Uuid;
@@ -78,3 +79,18 @@
         _ => headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING),
     }
 }
+
+/// Reads a complete body of at most `bound_bytes`.
+pub(crate) async fn read_body(
+    mut response: Response,
+    bound_bytes: usize,
+) -> Result<Bytes, Failure> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.map_err(Failure::from_reqwest)? {
+        body.extend_from_slice(&chunk);
+        if body.len() > bound_bytes {
+            return Err(Failure::may_have_run(Kind::TooLarge { bound_bytes }));
+        }
+    }
+    Ok(body.into())
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -7,7 +7,7 @@
 use reqwest::{Method, Response, StatusCode};
 
 use crate::client::{DEADLINE_HEADER, REQUEST_ID_HEADER};
-use crate::exchange::{has_detectable_end, has_draining_header};
+use crate::exchange::{has_detectable_end, has_draining_header, read_body};
 use crate::failure::Kind;
 use crate::{Clients, Failure, Target};
 
@@ -117,20 +117,13 @@
     }
 }
 
-async fn read_response(mut response: Response) -> Result<PlainResponse, Failure> {
+async fn read_response(response: Response) -> Result<PlainResponse, Failure> {
     let status = response.status();
     let headers = end_to_end_headers(response.headers());
-    let mut body = Vec::new();
-    while let Some(chunk) = response.chunk().await.map_err(Failure::from_reqwest)? {
-        body.extend_from_slice(&chunk);
-        if body.len() > MAX_RESPONSE_BYTES {
-            let bound_bytes = MAX_RESPONSE_BYTES;
-            return Err(Failure::may_have_run(Kind::TooLarge { bound_bytes }));
-        }
-    }
+    let body = read_body(response, MAX_RESPONSE_BYTES).await?;
     Ok(PlainResponse {
         status,
         headers,
-        body: body.into(),
+        body,
     })
 }
--- a/crates/gateway/tests/engine.rs
+++ b/crates/gateway/tests/engine.rs
@@ -27,16 +27,20 @@
     ))
 }
 
-async fn collect(
-    server: &ScriptedServer,
-    request: &CompletionRequest,
-) -> Result<Vec<Chunk>, Failure> {
-    let target = Target {
+fn target(server: &ScriptedServer) -> Target {
+    Target {
         endpoint: EndpointName::new("engine-1"),
         address: server.address,
         failure_domain: FailureDomain::new("dk-east-a"),
         echoes_request_id: true,
-    };
+    }
+}
+
+async fn collect(
+    server: &ScriptedServer,
+    request: &CompletionRequest,
+) -> Result<Vec<Chunk>, Failure> {
+    let target = target(server);
     let clients = Clients::new()?;
     let mut generation = clients.generate(&target, request, TIMEOUT).await?;
     let mut chunks = Vec::new();
@@ -68,6 +72,37 @@
     }
 }
 
+/// Guards against an engine that sends an event or a status without end, and takes the memory of the
+/// daemon until the request's deadline.
+#[tokio::test]
+async fn bytes_without_end_are_read_up_to_a_bound() {
+    const ENDLESS_BYTES: usize = 32 << 20;
+    const MAX_READ_BYTES: u64 = 16 << 20;
+    let event = format!("data: {}", "x".repeat(ENDLESS_BYTES));
+    let server = ScriptedServer::start(move |arrival| stream(arrival, "connection: close", &event));
+    let server = server.await.unwrap();
+    let failure = collect(&server, &request()).await.unwrap_err();
+    assert!(!failure.is_timeout(), "{failure}");
+    assert!(
+        server.sent_bytes() < MAX_READ_BYTES,
+        "{} of an event",
+        server.sent_bytes()
+    );
+
+    let status = "x".repeat(ENDLESS_BYTES);
+    let server =
+        ScriptedServer::start(move |arrival| Reply::Close(arrival.response("200 OK", &status)));
+    let server = server.await.unwrap();
+    let clients = Clients::new().unwrap();
+    let failure = clients.engine_status(&target(&server)).await.unwrap_err();
+    assert!(!failure.is_timeout(), "{failure}");
+    assert!(
+        server.sent_bytes() < MAX_READ_BYTES,
+        "{} of a status",
+        server.sent_bytes()
+    );
+}
+
 #[tokio::test]
 async fn an_engine_that_does_not_confirm_a_resume_is_rejected() {
     let resumed = CompletionRequest {
