Report requests without an answer to the task that checks links

A connection held the pool that held it, so idle connections of a node that ended in a test were never freed, and a drop of a connection changed the pool. It now reports the silence only, and the task that checks links closes connections and opens new ones. Probes have a time of their own, so reports don't put them off.

--- a/crates/node/src/upstream/connect.rs
+++ b/crates/node/src/upstream/connect.rs
@@ -1,5 +1,6 @@
 //! Opening of connections to endpoints: directly, or through another node if only that works.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,13 +8,13 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
 use tokio::task::{JoinSet, spawn_local};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wisteriapoint_directory::paths::{Change, Way};
 use wisteriapoint_peer::TunnelStream;
 use wisteriapoint_types::EndpointName;
 
 use super::Pool;
-use super::pool::Path;
+use super::pool::{Path, Silence};
 use super::stream::Link;
 use crate::dialect::Dialect;
 use crate::event;
@@ -276,25 +277,55 @@
 /// Checks links on which requests got no answer, and tries direct connections while the node is cut
 /// off, until the task is dropped.
 pub async fn watch_links<D: Dialect>(pool: Pool) {
+    let mut cut_off = pool.cut_off_changes();
+    let mut next_check = Instant::now();
+    let mut next_probe = Instant::now();
     loop {
         tokio::select! {
-            () = pool.silence.notified() => {
-                check_silent::<D>(&pool).await;
-                sleep(CHECK_INTERVAL).await;
+            silences = pool.silences.take() => {
+                let direct = pool.handle_silences(silences);
+                if !direct.is_empty() && Instant::now() >= next_check {
+                    next_check = Instant::now() + CHECK_INTERVAL;
+                    spawn_local(check_links::<D>(pool.clone(), direct));
+                }
+            }
+            // The sender lives as long as the pool.
+            _changed = cut_off.changed() => next_probe = Instant::now() + PROBE_INTERVAL,
+            () = sleep_until(next_probe), if pool.is_cut_off() => {
+                next_probe = Instant::now() + PROBE_INTERVAL;
+                probe::<D>(&pool).await;
             }
-            () = sleep(PROBE_INTERVAL) => {}
         }
-        if pool.is_cut_off() {
-            probe::<D>(&pool).await;
+    }
+}
+
+impl Pool {
+    /// Closes connections on which requests are likely to get no answer; returns the endpoints that did not
+    /// answer on a direct one.
+    fn handle_silences(&self, silences: Vec<Silence>) -> BTreeMap<EndpointName, SocketAddr> {
+        let mut direct = BTreeMap::new();
+        for silence in silences {
+            match silence.path {
+                Path::Direct => {
+                    self.close_idle(&silence.endpoint);
+                    direct.insert(silence.endpoint, silence.address);
+                }
+                Path::Relayed(peer) => {
+                    self.paths().record_peer_failure(self.now_ms(), peer);
+                    self.close_idle_on(silence.path);
+                }
+            }
         }
+        direct
     }
 }
 
-/// Opens new connections to the endpoints that did not answer and to a few others, which tells slow
-/// endpoints from lost links.
-async fn check_silent<D: Dialect>(pool: &Pool) {
+/// Opens new connections to endpoints that did not answer and to a few others, which tells slow endpoints
+/// from lost links.
+async fn check_links<D: Dialect>(pool: Pool, mut endpoints: BTreeMap<EndpointName, SocketAddr>) {
+    endpoints.extend(pool.idle_endpoints(MAX_CHECKED_ENDPOINTS));
     let mut checks = JoinSet::new();
-    for (endpoint, address) in pool.take_silent(MAX_CHECKED_ENDPOINTS) {
+    for (endpoint, address) in endpoints {
         let pool = pool.clone();
         checks.spawn_local(async move {
             // A failure is logged, and counts for the way to the endpoint.
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -1,4 +1,4 @@
-//! Pool of idle connections to endpoints.
+//! Connections to endpoints, kept for reuse while they are idle.
 
 use std::cell::{Cell, RefCell, RefMut};
 use std::collections::{BTreeMap, BTreeSet};
@@ -56,9 +56,7 @@
     pub(super) hangs: Rc<Cell<bool>>,
     /// Time at which a connection to any endpoint was last opened directly.
     pub(super) last_opened: Rc<Cell<Option<Instant>>>,
-    silent: Rc<RefCell<BTreeMap<EndpointName, SocketAddr>>>,
-    /// Notifies of endpoints that did not answer on a direct connection.
-    pub(super) silence: Rc<Notify>,
+    pub(super) silences: Rc<Silences>,
     probes: Rc<Cell<usize>>,
 }
 
@@ -77,6 +75,34 @@
     Relayed(SocketAddr),
 }
 
+/// A request that was given up after a time without a byte of a response.
+#[derive(Debug, Clone)]
+pub(super) struct Silence {
+    pub(super) endpoint: EndpointName,
+    pub(super) address: SocketAddr,
+    pub(super) path: Path,
+}
+
+/// Requests that were given up so, until their links are checked.
+#[derive(Debug, Default)]
+pub(super) struct Silences {
+    reported: RefCell<Vec<Silence>>,
+    added: Notify,
+}
+
+impl Silences {
+    fn report(&self, silence: Silence) {
+        self.reported.borrow_mut().push(silence);
+        self.added.notify_one();
+    }
+
+    /// Waits for reports and returns them.
+    pub(super) async fn take(&self) -> Vec<Silence> {
+        self.added.notified().await;
+        self.reported.take()
+    }
+}
+
 /// An open connection, in use or idle.
 #[derive(Debug)]
 struct OpenConnection {
@@ -89,7 +115,7 @@
 struct Connection {
     sender: SendRequest<Body>,
     open: Rc<OpenConnection>,
-    pool: Pool,
+    silences: Rc<Silences>,
     endpoint: EndpointName,
     address: SocketAddr,
     /// `true` while no response is expected.
@@ -132,8 +158,11 @@
     fn drop(&mut self) {
         self.open.task.abort();
         if !self.is_idle && self.open.activity.last_at().elapsed() >= MIN_SILENCE {
-            let path = self.open.path;
-            self.pool.record_silence(&self.endpoint, self.address, path);
+            self.silences.report(Silence {
+                endpoint: self.endpoint.clone(),
+                address: self.address,
+                path: self.open.path,
+            });
         }
     }
 }
@@ -159,8 +188,7 @@
             cut_off: watch::channel(false).0,
             hangs: Rc::default(),
             last_opened: Rc::default(),
-            silent: Rc::default(),
-            silence: Rc::default(),
+            silences: Rc::default(),
             probes: Rc::default(),
         }
     }
@@ -220,37 +248,21 @@
         drop(idle);
     }
 
-    /// Records that a request got no answer on a connection for long.
-    pub(super) fn record_silence(&self, endpoint: &EndpointName, address: SocketAddr, path: Path) {
-        match path {
-            Path::Direct => {
-                self.close_idle(endpoint);
-                let mut silent = self.silent.borrow_mut();
-                silent.insert(endpoint.clone(), address);
-                self.silence.notify_one();
-            }
-            Path::Relayed(peer) => {
-                self.paths().record_peer_failure(self.now_ms(), peer);
-                let mut idle = self.idle.borrow_mut();
-                for connections in idle.values_mut() {
-                    connections.retain(|idle| idle.connection.open.path != path);
-                }
-            }
+    /// Closes the idle connections that were opened on a path.
+    pub(super) fn close_idle_on(&self, path: Path) {
+        let mut idle = self.idle.borrow_mut();
+        for connections in idle.values_mut() {
+            connections.retain(|idle| idle.connection.open.path != path);
         }
     }
 
-    /// Returns the endpoints that did not answer, and up to `others` to which idle connections exist.
-    pub(super) fn take_silent(&self, others: usize) -> BTreeMap<EndpointName, SocketAddr> {
-        let mut checked = self.silent.take();
+    /// Returns up to `count` endpoints, with their addresses, to which idle connections exist.
+    pub(super) fn idle_endpoints(&self, count: usize) -> Vec<(EndpointName, SocketAddr)> {
         let idle = self.idle.borrow();
-        let others = idle
+        let endpoints = idle
             .iter()
-            .filter(|(name, _)| !checked.contains_key(*name))
-            .filter_map(|(name, idle)| Some((name.clone(), idle.first()?.connection.address)))
-            .take(others)
-            .collect::<Vec<_>>();
-        checked.extend(others);
-        checked
+            .filter_map(|(name, idle)| Some((name.clone(), idle.first()?.connection.address)));
+        endpoints.take(count).collect()
     }
 
     /// Returns the next two endpoints, in turn, to which a direct connection is tried.
@@ -300,7 +312,11 @@
         match self.open_direct::<D>(endpoint, address).await {
             Ok((link, path)) => self.add(endpoint, address, link, path).await,
             Err(error) => {
-                self.record_silence(endpoint, address, Path::Direct);
+                self.silences.report(Silence {
+                    endpoint: endpoint.clone(),
+                    address,
+                    path: Path::Direct,
+                });
                 Err(error)
             }
         }
@@ -338,7 +354,7 @@
         let connection = Connection {
             sender,
             open,
-            pool: self.clone(),
+            silences: self.silences.clone(),
             endpoint: endpoint.clone(),
             address,
             is_idle: true,
