Ask all known nodes for connections to endpoints, also those that came later

It had read the members before the others had written their rows, and the list for connections was a copy that is renewed each six seconds, where crash reports go to those that introduce themselves as well. Both use one list now.

--- a/crates/directory/src/paths.rs
+++ b/crates/directory/src/paths.rs
@@ -51,6 +51,7 @@
 #[derive(Debug)]
 pub struct Paths {
     own: SocketAddr,
+    /// Peers that did not connect lately.
     peers: BTreeMap<SocketAddr, PeerState>,
     endpoints: BTreeMap<EndpointName, EndpointState>,
     /// Endpoints that only other nodes reached, with the time, since the last direct connection.
@@ -75,7 +76,7 @@
 }
 
 impl Paths {
-    /// Creates a state without peers for the node at an address.
+    /// Creates the state of the node at an address.
     pub fn new(own: SocketAddr) -> Self {
         Self {
             own,
@@ -88,14 +89,6 @@
         }
     }
 
-    /// Sets the nodes through which endpoints may be reached.
-    pub fn set_peers(&mut self, peers: &BTreeSet<SocketAddr>) {
-        self.peers.retain(|peer, _| peers.contains(peer));
-        for &peer in peers {
-            self.peers.entry(peer).or_default();
-        }
-    }
-
     /// Returns `true` if this node is cut off from the endpoints, and others are not.
     pub fn is_cut_off(&self) -> bool {
         self.cut_off_since_ms.is_some()
@@ -124,14 +117,17 @@
         self.relayed_only.remove(endpoint);
     }
 
-    /// Returns the nodes to ask for an endpoint, in order.
+    /// Returns those of the known peers that are to be asked for an endpoint, in order.
     ///
     /// Each node has an order of its own, so that those that are cut off spread over the others.
-    pub fn relays(&self, now_ms: u64) -> Vec<SocketAddr> {
+    pub fn relays(&mut self, now_ms: u64, known: BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
+        self.peers.retain(|peer, _| known.contains(peer));
         let seed = hash64(0, self.own.to_string().as_bytes());
-        let peers = self.peers.iter();
-        let ready = peers.filter(|(_, state)| state.paused_until_ms <= now_ms);
-        let mut ready: Vec<_> = ready.map(|(&peer, _)| peer).collect();
+        let is_ready = |peer: &SocketAddr| {
+            let state = self.peers.get(peer);
+            state.is_none_or(|state| state.paused_until_ms <= now_ms)
+        };
+        let mut ready: Vec<_> = known.into_iter().filter(is_ready).collect();
         ready.sort_by_cached_key(|peer| hash64(seed, peer.to_string().as_bytes()));
         ready
     }
@@ -172,9 +168,7 @@
         endpoint: &EndpointName,
         peer: SocketAddr,
     ) -> Option<Change> {
-        if let Some(state) = self.peers.get_mut(&peer) {
-            *state = PeerState::default();
-        }
+        self.peers.remove(&peer);
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             state.relayed_until_ms = now_ms + RELAYED_MS;
             state.unreached_until_ms = 0;
@@ -195,11 +189,10 @@
 
     /// Records that a peer did not connect to an endpoint.
     pub fn record_peer_failure(&mut self, now_ms: u64, peer: SocketAddr) {
-        if let Some(state) = self.peers.get_mut(&peer) {
-            let pause_ms = FIRST_PEER_PAUSE_MS << state.failures.min(8);
-            state.failures += 1;
-            state.paused_until_ms = now_ms + pause_ms.min(MAX_PEER_PAUSE_MS);
-        }
+        let state = self.peers.entry(peer).or_default();
+        let pause_ms = FIRST_PEER_PAUSE_MS << state.failures.min(8);
+        state.failures += 1;
+        state.paused_until_ms = now_ms + pause_ms.min(MAX_PEER_PAUSE_MS);
     }
 
     /// Records that neither this node nor others could reach an endpoint.
--- a/crates/directory/tests/paths.rs
+++ b/crates/directory/tests/paths.rs
@@ -25,8 +25,6 @@
 
 fn paths_of(own: SocketAddr, endpoints: u8) -> Paths {
     let mut paths = Paths::new(own);
-    let peers: BTreeSet<_> = (1..=8).map(node).filter(|peer| *peer != own).collect();
-    paths.set_peers(&peers);
     for number in 0..endpoints {
         assert_eq!(way(&mut paths, 0, number), Way::Direct);
         assert_eq!(paths.record_direct(0, &name(number)), None);
@@ -34,6 +32,11 @@
     paths
 }
 
+/// The peers of node 1.
+fn peers() -> BTreeSet<SocketAddr> {
+    (2..=8).map(node).collect()
+}
+
 fn way(paths: &mut Paths, now_ms: u64, number: u8) -> Way {
     paths.way(now_ms, &name(number), address(number))
 }
@@ -128,19 +131,19 @@
 #[test]
 fn peers_that_do_not_connect_are_asked_less_and_less_often() {
     let mut paths = paths(3);
-    let first = paths.relays(0)[0];
+    let first = paths.relays(0, peers())[0];
     paths.record_peer_failure(0, first);
-    assert!(!paths.relays(499).contains(&first));
-    assert!(paths.relays(500).contains(&first));
+    assert!(!paths.relays(499, peers()).contains(&first));
+    assert!(paths.relays(500, peers()).contains(&first));
     for _ in 0..10 {
         paths.record_peer_failure(1_000, first);
     }
-    assert!(!paths.relays(8_999).contains(&first));
-    assert!(paths.relays(9_000).contains(&first));
+    assert!(!paths.relays(8_999, peers()).contains(&first));
+    assert!(paths.relays(9_000, peers()).contains(&first));
     paths.record_relayed(9_000, &name(0), first);
     paths.record_peer_failure(9_000, first);
     assert!(
-        paths.relays(9_500).contains(&first),
+        paths.relays(9_500, peers()).contains(&first),
         "a success ends the count"
     );
 }
@@ -153,8 +156,8 @@
     let mut uses = vec![0; 16];
     for &own in cut_off {
         let mut paths = Paths::new(own);
-        paths.set_peers(&nodes.iter().copied().filter(|peer| *peer != own).collect());
-        let mut relays = paths.relays(0).into_iter();
+        let known = nodes.iter().copied().filter(|peer| *peer != own);
+        let mut relays = paths.relays(0, known.collect()).into_iter();
         let used = relays.find(|relay| working.contains(relay)).unwrap();
         uses[working.iter().position(|node| *node == used).unwrap()] += 1;
     }
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -80,6 +80,5 @@
         .map(|member| member.address)
         .collect();
     node.suspects.peers.set(node.now_ms(), &peers);
-    node.pool.set_peers(&peers);
     node.store.set_peers(peers.into_iter().collect());
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -157,6 +157,7 @@
         };
         let clock = Clock::new();
         let peers = Client::new();
+        let suspects = SuspectRequests::new();
         let direct = D::open_store(settings.store.address);
         Ok(Rc::new(Self {
             store: RelayedStore::new(direct, peers.clone()),
@@ -169,8 +170,13 @@
             clock,
             directory: RefCell::default(),
             directory_changed: Notify::new(),
-            pool: Pool::new(settings.peer_address, peers.clone()),
-            suspects: SuspectRequests::new(),
+            pool: Pool::new(
+                settings.peer_address,
+                peers.clone(),
+                suspects.peers.clone(),
+                clock,
+            ),
+            suspects,
             streams: Streams::new(),
             limits: Limits::new(),
             jobs: Jobs::new(),
--- a/crates/node/src/suspects/mod.rs
+++ b/crates/node/src/suspects/mod.rs
@@ -15,6 +15,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use tokio::sync::Notify;
 use wisteriapoint_route::{Crash, CrashReport, Recorded, SuspectStatus, Suspects};
@@ -41,8 +42,8 @@
     /// Requests whose crashes a peer has not acknowledged.
     undelivered: RefCell<BTreeMap<SocketAddr, BTreeSet<Digest>>>,
     undelivered_added: Notify,
-    /// The nodes that get crash reports.
-    pub peers: KnownPeers,
+    /// The nodes that get crash reports, and are asked for connections to endpoints.
+    pub peers: Rc<KnownPeers>,
     is_history_loaded: Cell<bool>,
 }
 
@@ -55,7 +56,7 @@
             running: RefCell::default(),
             undelivered: RefCell::default(),
             undelivered_added: Notify::new(),
-            peers: KnownPeers::default(),
+            peers: Rc::default(),
             is_history_loaded: Cell::default(),
         }
     }
--- a/crates/node/src/upstream/connect.rs
+++ b/crates/node/src/upstream/connect.rs
@@ -157,8 +157,7 @@
         endpoint: &EndpointName,
         address: SocketAddr,
     ) -> Result<(Link, Path), RelayFailure> {
-        let relays = self.paths().relays(self.now_ms());
-        let mut relays = relays.into_iter().take(MAX_RELAYS);
+        let mut relays = self.relays().into_iter().take(MAX_RELAYS);
         let mut unreached_by = Vec::new();
         let mut asked = JoinSet::new();
         loop {
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -1,7 +1,7 @@
 //! Connections to endpoints, kept for reuse while they are idle.
 
 use std::cell::{Cell, RefCell, RefMut};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -21,7 +21,9 @@
 
 use super::stream::{Activity, EndpointStream, HeadAllowance, Link};
 use super::{ResponseBuffer, ResponseMemory};
+use crate::clock::Clock;
 use crate::dialect::Dialect;
+use crate::suspects::KnownPeers;
 
 /// Time without a byte of a response after which the link is checked when the request is given up: more
 /// than the times between the events of a stream.
@@ -48,8 +50,9 @@
     memory: ResponseMemory,
     /// Client for requests to other nodes, which connect this node to endpoints.
     pub(super) peers: Client,
+    known_peers: Rc<KnownPeers>,
     paths: Rc<RefCell<Paths>>,
-    epoch: Instant,
+    clock: Clock,
     /// Whether the node is cut off from the endpoints.
     pub(super) cut_off: watch::Sender<bool>,
     /// Whether direct connections hang rather than fail.
@@ -177,14 +180,15 @@
 
 impl Pool {
     /// Creates an empty pool of the node at an address, which other nodes may connect to endpoints.
-    pub fn new(own: SocketAddr, peers: Client) -> Self {
+    pub fn new(own: SocketAddr, peers: Client, known_peers: Rc<KnownPeers>, clock: Clock) -> Self {
         Self {
             idle: Rc::default(),
             open: Rc::default(),
             memory: ResponseMemory::new(),
             peers,
+            known_peers,
             paths: Rc::new(RefCell::new(Paths::new(own))),
-            epoch: Instant::now(),
+            clock,
             cut_off: watch::channel(false).0,
             hangs: Rc::default(),
             last_opened: Rc::default(),
@@ -193,11 +197,6 @@
         }
     }
 
-    /// Sets the addresses of the nodes through which endpoints may be reached.
-    pub fn set_peers(&self, addresses: &BTreeSet<SocketAddr>) {
-        self.paths().set_peers(addresses);
-    }
-
     /// Returns `true` if this node is cut off from the endpoints, and others are not.
     pub fn is_cut_off(&self) -> bool {
         self.paths().is_cut_off()
@@ -223,7 +222,14 @@
     }
 
     pub(super) fn now_ms(&self) -> u64 {
-        self.epoch.elapsed().as_millis() as u64
+        self.clock.now_ms()
+    }
+
+    /// Returns the nodes to ask for a connection to an endpoint, in order.
+    pub(super) fn relays(&self) -> Vec<SocketAddr> {
+        let now_ms = self.now_ms();
+        let known = self.known_peers.addresses(now_ms);
+        self.paths().relays(now_ms, known)
     }
 
     fn track(&self, connection: &Rc<OpenConnection>) {
