--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -75,8 +75,9 @@
 
     /// Adds an endpoint or updates its record, and returns `true` if anything changed.
     ///
-    /// Within one incarnation a draining endpoint stays draining, also if it only stated so itself, its weight versions never decrease, and
-    /// records with different software versions make its version unknown. A record of an earlier incarnation is ignored.
+    /// Within one incarnation a draining endpoint stays draining, also if only its responses said so,
+    /// its weight versions never decrease, and records with different software versions make its
+    /// version unknown. A record of an earlier incarnation is ignored.
     pub fn apply_record(&mut self, name: &EndpointName, mut record: EndpointRecord) -> bool {
         if self.is_leaving(name, record.born_unix_ms) {
             record.stage = EndpointStage::Draining;
