Ask other peers when those first in the order reach no endpoint

Its owner was cut off at 4.0 s and took the other way only at 12.2 s: the three peers it asked were cut off as well, did not know it and answered that they did not reach the endpoint, again and again, as nothing told that from an endpoint that is down. Such peers now come last for two seconds, so the next connection asks others, and up to five are asked, as many as answer within the time of a direct connection.

peers_that_reached_nothing_are_asked_after_the_others is the test of that load.

--- a/crates/directory/src/paths.rs
+++ b/crates/directory/src/paths.rs
@@ -15,6 +15,9 @@
 /// further failure.
 const FIRST_PEER_PAUSE_MS: u64 = 500;
 const MAX_PEER_PAUSE_MS: u64 = 8_000;
+/// Time for which a node that did not reach an endpoint is asked after the others, in milliseconds: the
+/// endpoint may be down, or that node cut off as well.
+const PEER_UNREACHED_MS: u64 = 2_000;
 /// Number of endpoints that only other nodes reach, from which this node counts as cut off: one may
 /// have lost its link to this node alone.
 const CUT_OFF_ENDPOINTS: usize = 2;
@@ -66,6 +69,7 @@
 struct PeerState {
     failures: u32,
     paused_until_ms: u64,
+    last_until_ms: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -119,7 +123,8 @@
 
     /// Returns those of the known peers that are to be asked for an endpoint, in order.
     ///
-    /// Each node has an order of its own, so that those that are cut off spread over the others.
+    /// Each node has an order of its own, so that those that are cut off spread over the others. Peers that
+    /// lately did not reach an endpoint come last.
     pub fn relays(&mut self, now_ms: u64, known: BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
         self.peers.retain(|peer, _| known.contains(peer));
         let seed = hash64(0, self.own.to_string().as_bytes());
@@ -128,7 +133,11 @@
             state.is_none_or(|state| state.paused_until_ms <= now_ms)
         };
         let mut ready: Vec<_> = known.into_iter().filter(is_ready).collect();
-        ready.sort_by_cached_key(|peer| hash64(seed, peer.to_string().as_bytes()));
+        ready.sort_by_cached_key(|peer| {
+            let state = self.peers.get(peer);
+            let is_last = state.is_some_and(|state| now_ms < state.last_until_ms);
+            (is_last, hash64(seed, peer.to_string().as_bytes()))
+        });
         ready
     }
 
@@ -195,6 +204,12 @@
         state.paused_until_ms = now_ms + pause_ms.min(MAX_PEER_PAUSE_MS);
     }
 
+    /// Records that a peer did not reach an endpoint.
+    pub fn record_peer_unreached(&mut self, now_ms: u64, peer: SocketAddr) {
+        let state = self.peers.entry(peer).or_default();
+        state.last_until_ms = now_ms + PEER_UNREACHED_MS;
+    }
+
     /// Records that neither this node nor others could reach an endpoint.
     pub fn record_unreached(&mut self, now_ms: u64, endpoint: &EndpointName) {
         if let Some(state) = self.endpoints.get_mut(endpoint) {
--- a/crates/directory/tests/paths.rs
+++ b/crates/directory/tests/paths.rs
@@ -148,6 +148,22 @@
     );
 }
 
+/// The load: most nodes are cut off, and those first in the order of this one don't know it yet. Guards
+/// against asking the same few again and again.
+#[test]
+fn peers_that_reached_nothing_are_asked_after_the_others() {
+    let mut paths = paths(9);
+    let order = paths.relays(0, peers());
+    for &peer in &order[..3] {
+        paths.record_peer_unreached(0, peer);
+    }
+    assert_eq!(paths.relays(1, peers())[..4], order[3..]);
+    assert_eq!(paths.relays(1, peers()).len(), order.len());
+    paths.record_relayed(1, &name(0), order[0]);
+    assert_eq!(paths.relays(2, peers())[0], order[0], "it has reached one");
+    assert_eq!(paths.relays(2_000, peers()), order);
+}
+
 /// The load: two thirds of 48 nodes are cut off and use the other third.
 #[test]
 fn nodes_that_are_cut_off_spread_over_the_others() {
--- a/crates/node/src/upstream/connect.rs
+++ b/crates/node/src/upstream/connect.rs
@@ -30,8 +30,8 @@
 const RELAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for the answer of a node that is asked for a connection.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(200);
-/// Number of nodes that are asked for one connection.
-const MAX_RELAYS: usize = 3;
+/// Number of nodes that are asked for one connection: as many as answer within [`CONNECT_TIMEOUT`].
+const MAX_RELAYS: usize = 5;
 /// Interval at which direct connections are tried while the node is cut off.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Least time between two checks of links on which requests got no answer.
@@ -176,7 +176,10 @@
                     self.record_relayed(endpoint, peer, &unreached_by);
                     return Ok((Link::Relayed(stream), Path::Relayed(peer)));
                 }
-                Some(Ok((peer, Some((ConnectOutcome::Unreached, _))))) => unreached_by.push(peer),
+                Some(Ok((peer, Some((ConnectOutcome::Unreached, _))))) => {
+                    self.paths().record_peer_unreached(self.now_ms(), peer);
+                    unreached_by.push(peer);
+                }
                 Some(Ok((peer, _))) => self.paths().record_peer_failure(self.now_ms(), peer),
                 Some(Err(error)) => event!(error, "request to peer failed", error = error),
                 None if relays.len() > 0 => {}
