Know from the store which version began the streams of a service

Cause: a stream of which no node knows went on where the service had had one version "within the time of the route", as the node had watched it. A caller comes back within its own deadline, which the route's time does not bound; and a node of a large service sees only its subset of the endpoints, so it could not know either.

Change: a row for each service (wp/software/SERVICE) names the versions that may have begun streams for which callers still wait. A node begins a resumable stream only at a version that it knows to be in the row, adding it first if need be; the leader removes a version once it has been unregistered for 60 s of unbroken observation, on the clock that suspension does not stop. A stream without a record goes on only if the row, read after the caller came, is complete and names one version. While a member of an earlier build is there, which adds nothing, the row is not complete. For 6 s after its first view of the endpoints a node takes nothing up by the row alone, since an endpoint may be back under its name with other software; the refusal says how long.

The test that let a stream go on after the time of the route is replaced by one as strict, with the time for which callers wait: it asked for the fault.

--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -29,7 +29,7 @@
 const MEASUREMENT_MAX_AGE_MS: u64 = 2_000;
 /// Time after which the record of an endpoint that was down is that of its present incarnation: a row
 /// expires within three heartbeats, and a new one is known two seconds after the start.
-const RECORD_LAG_MS: u64 = 6_000;
+pub const RECORD_LAG_MS: u64 = 6_000;
 /// Age from which a reported load is ignored.
 const LOAD_MAX_AGE_MS: u64 = 300;
 
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -22,11 +22,11 @@
 pub mod subset;
 
 pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Split};
-pub use endpoint::{Endpoint, EndpointRecord, EndpointStage, Load};
+pub use endpoint::{Endpoint, EndpointRecord, EndpointStage, Load, RECORD_LAG_MS};
 pub use event_times::EventTimes;
 pub use paths::Paths;
 pub use rate_limit::{Permit, Priority, RateLimit, RateLimiter, ReturnSchedule, StatedLimit};
 pub use registry::{Registry, Requirements};
-pub use software_history::SoftwareHistory;
+pub use software_history::{MAX_CALLER_WAIT_MS, SoftwareHistory, SoftwareRecord};
 pub use stream_records::{StreamRecord, StreamRecords};
 pub use subset::{ServiceSizes, Subset};
--- a/crates/directory/tests/streams.rs
+++ b/crates/directory/tests/streams.rs
@@ -2,16 +2,14 @@
 
 use proptest::prelude::*;
 use wisteriapoint_directory::{
-    EndpointRecord, EndpointStage, Priority, Registry, Requirements, SoftwareHistory, StreamRecord,
-    StreamRecords,
+    EndpointRecord, EndpointStage, Priority, Registry, Requirements, SoftwareHistory,
+    SoftwareRecord, StreamRecord, StreamRecords,
 };
 use wisteriapoint_types::{
     Digest, EndpointName, FailureDomain, ServiceName, SoftwareVersion, StreamOrigin,
 };
 
 const MINUTE_MS: u64 = 60_000;
-/// Time for which a caller waits for a stream, in milliseconds.
-const CALLER_MS: u64 = 5_000;
 
 fn service() -> ServiceName {
     ServiceName::new("llm")
@@ -158,27 +156,123 @@
     assert_eq!(known.first(), Some(&(streams - 16_384)));
 }
 
+/// Returns the record that replaces `stored`, where all nodes record versions.
+fn updated(history: &mut SoftwareHistory, now_ms: u64, stored: &SoftwareRecord) -> SoftwareRecord {
+    history.updated(now_ms, &service(), stored, true)
+}
+
+fn software_record(versions: &[&str], is_complete: bool) -> SoftwareRecord {
+    let versions = versions.iter();
+    SoftwareRecord {
+        versions: versions
+            .map(|version| (!version.is_empty()).then(|| SoftwareVersion::new(*version)))
+            .collect(),
+        is_complete,
+    }
+}
+
+/// Observes the same endpoints from one time to another, as often as nodes do.
+fn observe_between(history: &mut SoftwareHistory, from_ms: u64, to_ms: u64, software: &[&str]) {
+    for now_ms in (from_ms..to_ms).step_by(200) {
+        history.observe(now_ms, &registry(software));
+    }
+    history.observe(to_ms, &registry(software));
+}
+
+/// Guards against a version that is taken for the only one while callers may still wait for streams of
+/// another one.
 #[test]
-fn a_service_has_one_version_only_once_the_others_are_long_gone() {
+fn a_version_is_sole_once_the_others_were_unregistered_for_as_long_as_callers_wait() {
     let mut history = SoftwareHistory::new();
-    let sole = |history: &SoftwareHistory, now_ms| {
-        let software = history.sole(now_ms, &service(), CALLER_MS);
-        software.map(|software| software.as_str().to_owned())
-    };
-    history.observe(0, &registry(&["old", "old"]));
-    assert_eq!(sole(&history, CALLER_MS - 1), None, "too short a history");
-    history.observe(CALLER_MS, &registry(&["old", "old"]));
-    assert_eq!(sole(&history, CALLER_MS).as_deref(), Some("old"));
-    history.observe(6_000, &registry(&["old", "new"]));
-    assert_eq!(sole(&history, 6_000), None);
-    history.observe(7_000, &registry(&["new"]));
-    assert_eq!(sole(&history, 6_000 + CALLER_MS), None);
-    history.observe(6_001 + CALLER_MS, &registry(&["new"]));
-    assert_eq!(sole(&history, 6_001 + CALLER_MS).as_deref(), Some("new"));
-    history.observe(20_000, &registry(&["new", ""]));
+    observe_between(&mut history, 0, MINUTE_MS - 1, &["old"]);
+    let stored = updated(&mut history, MINUTE_MS - 1, &SoftwareRecord::default());
+    assert_eq!(
+        stored,
+        software_record(&["old"], false),
+        "too short a history"
+    );
+    history.observe(MINUTE_MS, &registry(&["old"]));
+    let stored = updated(&mut history, MINUTE_MS, &stored);
+    assert_eq!(stored, software_record(&["old"], true));
+    history.observe(MINUTE_MS + 200, &registry(&["old", "new"]));
+    let stored = updated(&mut history, MINUTE_MS + 200, &stored);
+    assert_eq!(stored.sole(), None);
+    let gone_ms = MINUTE_MS + 400;
+    observe_between(&mut history, gone_ms, gone_ms + MINUTE_MS, &["new"]);
+    let stored = updated(&mut history, 2 * MINUTE_MS + 199, &stored);
+    assert_eq!(stored, software_record(&["old", "new"], true));
+    let stored = updated(&mut history, 2 * MINUTE_MS + 200, &stored);
+    assert_eq!(stored.sole().map(SoftwareVersion::as_str), Some("new"));
+    history.observe(gone_ms + MINUTE_MS, &registry(&["new", ""]));
+    let stored = updated(&mut history, gone_ms + MINUTE_MS, &stored);
+    assert_eq!(stored.sole(), None, "an endpoint without a version");
+}
+
+/// Guards against a new leader that removes a version because it never saw it, and against one that
+/// takes a version for gone that another node has added since.
+#[test]
+fn a_leader_keeps_stored_versions_for_as_long_as_callers_wait() {
+    let stored = software_record(&["old", "new"], true);
+    let mut history = SoftwareHistory::new();
+    observe_between(&mut history, 5_000, 5_000 + MINUTE_MS, &["new"]);
+    assert_eq!(updated(&mut history, 5_000 + MINUTE_MS, &stored), stored);
+    observe_between(
+        &mut history,
+        5_200 + MINUTE_MS,
+        5_000 + 2 * MINUTE_MS,
+        &["new"],
+    );
+    let removed = updated(&mut history, 5_000 + 2 * MINUTE_MS, &stored);
+    assert_eq!(removed, software_record(&["new"], true));
+    let added = removed.with_version(Some(SoftwareVersion::new("newer")));
+    assert_eq!(updated(&mut history, 5_001 + 2 * MINUTE_MS, &added), added);
+}
+
+/// Guards against a leader that was paused, or did not see the endpoints, and removes a version that
+/// has begun streams meanwhile.
+#[test]
+fn a_history_with_a_gap_begins_anew() {
+    let stored = software_record(&["old"], false);
+    let mut history = SoftwareHistory::new();
+    observe_between(&mut history, 0, MINUTE_MS - 1, &["old"]);
+    history.observe(MINUTE_MS + 3_000, &registry(&["new"]));
+    let stored = updated(&mut history, MINUTE_MS + 3_000, &stored);
+    assert_eq!(stored, software_record(&["old", "new"], false));
+    observe_between(
+        &mut history,
+        MINUTE_MS + 3_200,
+        2 * MINUTE_MS + 2_999,
+        &["new"],
+    );
+    let stored = updated(&mut history, 2 * MINUTE_MS + 2_999, &stored);
+    assert_eq!(stored, software_record(&["old", "new"], false));
+}
+
+/// Guards against a complete record while nodes of an earlier build begin streams that they do not
+/// record.
+#[test]
+fn a_record_is_not_complete_while_nodes_do_not_record() {
+    let stored = software_record(&["old"], true);
+    let mut history = SoftwareHistory::new();
+    observe_between(&mut history, 0, 2 * MINUTE_MS, &["old"]);
+    let stored = history.updated(2 * MINUTE_MS, &service(), &stored, false);
+    assert_eq!(stored, software_record(&["old"], false));
+    let last_ms = 3 * MINUTE_MS - 1;
+    observe_between(&mut history, 2 * MINUTE_MS + 200, last_ms, &["old"]);
+    assert_eq!(updated(&mut history, last_ms, &stored), stored);
+    history.observe(last_ms + 1, &registry(&["old"]));
+    let stored = updated(&mut history, last_ms + 1, &stored);
+    assert_eq!(stored, software_record(&["old"], true));
+}
+
+/// Guards against a row that a later build can't read.
+#[test]
+fn a_record_is_stored_as_json() {
+    let record = software_record(&["1.5", ""], true);
+    let text = r#"{"versions":[null,"1.5"],"is_complete":true}"#;
+    assert_eq!(serde_json::to_string(&record).unwrap(), text);
     assert_eq!(
-        sole(&history, 20_000),
-        None,
-        "an endpoint without a version"
+        serde_json::from_str::<SoftwareRecord>(text).unwrap(),
+        record
     );
 }
--- a/crates/node/src/callers/stream/mod.rs
+++ b/crates/node/src/callers/stream/mod.rs
@@ -14,11 +14,12 @@
 
 use super::response::{CallerResponse, Payload, endpoint_response, failure_response};
 use crate::dialect::{Dialect, InboundMetadata};
+use crate::event;
 use crate::forward::{ForwardFailure, ForwardRequest};
 use crate::node::Node;
+use crate::streams::{self, UnknownOrigin};
 use crate::suspects::Run;
 use crate::upstream::{UpstreamRequest, UpstreamResponse};
-use crate::{event, streams};
 
 /// Events buffered for a slow caller.
 const MAX_BUFFERED_EVENTS: usize = 64;
@@ -27,6 +28,9 @@
 
 /// Reason of the refusal of a stream of which no node knows what began it.
 const UNKNOWN_ORIGIN_REASON: &str = "it is not known which software version began the stream";
+/// Reason of the refusal of a stream by a node that does not know yet which software endpoints run.
+const STARTING_REASON: &str = "it is not known yet which software version the endpoints run";
+
 /// State needed to resume a stream at another endpoint.
 #[derive(Debug)]
 struct StreamForwarder {
@@ -59,8 +63,8 @@
             StreamOrigin::None,
         ),
         Some(_) => match streams::find(node, route, metadata.first_attempt.as_deref()).await {
-            Some(found) => (Some(found.service), StreamOrigin::Software(found.software)),
-            None => return fail::<D>(id, &failure(Verdict::NotRun, UNKNOWN_ORIGIN_REASON)),
+            Ok(found) => (Some(found.service), StreamOrigin::Software(found.software)),
+            Err(unknown) => return fail::<D>(id, &unknown_origin(unknown)),
         },
     };
     let Some(service) = service else {
@@ -111,6 +115,17 @@
     }
 }
 
+/// Returns the failure of a stream whose software version can't be known.
+fn unknown_origin(unknown: UnknownOrigin) -> ForwardFailure {
+    match unknown {
+        UnknownOrigin::Unknown => failure(Verdict::NotRun, UNKNOWN_ORIGIN_REASON),
+        UnknownOrigin::Starting { wait_ms } => ForwardFailure {
+            retry_after_ms: wait_ms,
+            ..failure(Verdict::NotRun, STARTING_REASON)
+        },
+    }
+}
+
 /// Logs a failure before the first event and returns the response to the caller.
 fn fail<D: Dialect>(id: &str, failure: &ForwardFailure) -> CallerResponse {
     event!(
--- a/crates/node/src/callers/stream/open.rs
+++ b/crates/node/src/callers/stream/open.rs
@@ -17,7 +17,7 @@
 use crate::node::Node;
 use crate::suspects::{self, Isolation, Placement, Run};
 use crate::upstream::{SendFailure, UpstreamResponse};
-use crate::{event, limits};
+use crate::{event, limits, streams};
 
 /// Longest wait of a suspect for an endpoint without other suspects, in milliseconds: a part of the
 /// gap after which callers disconnect.
@@ -29,6 +29,8 @@
 const RESUME_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Reason of the refusal of a stream that no endpoint may go on with.
 const NO_ORIGIN_REASON: &str = "no endpoint of the software version that began the stream has room";
+/// Reason of the refusal of a stream whose begin could not be recorded.
+const UNRECORDED_REASON: &str = "the software version of the endpoint could not be recorded";
 
 impl StreamForwarder {
     /// Returns `true` if the route allows another attempt.
@@ -50,6 +52,7 @@
             0 => node.now_ms() + self.route.objective_ms / PLACEMENT_OBJECTIVE_DIVISOR,
             _ => node.now_ms() + MAX_RESUME_WAIT_MS,
         };
+        let mut may_wait_for_row = true;
         loop {
             if node.now_ms() >= self.end_at_ms {
                 failure.is_timeout = true;
@@ -94,6 +97,12 @@
                     return Err(failure);
                 }
             };
+            if !self.may_begin(node, &run, may_wait_for_row).await {
+                may_wait_for_row = false;
+                failure.reason = UNRECORDED_REASON.into();
+                self.excluded.push(endpoint);
+                continue;
+            }
             let error = match self.send(node, &endpoint, address).await {
                 Ok(response) => {
                     self.attempts += 1;
@@ -123,6 +132,14 @@
         }
     }
 
+    /// Returns `true` if the stream has begun, or may begin at the endpoint of a run: a node that later
+    /// takes it up, without the memory of any other, can know that this software version began it.
+    async fn may_begin<D: Dialect>(&self, node: &Node<D>, run: &Run<D>, may_wait: bool) -> bool {
+        self.origin != StreamOrigin::None
+            || !self.route.resumable
+            || streams::ensure_recorded(node, &self.service, run.software(), may_wait).await
+    }
+
     /// Logs that an endpoint begins the stream, or goes on with it.
     fn log_begin<D: Dialect>(
         &self,
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -17,6 +17,7 @@
 use crate::event;
 use crate::jobs;
 use crate::node::{Node, Stage};
+use crate::streams;
 
 /// Key of the row that names the leader.
 const LEADER_KEY: &str = "wp/keeper";
@@ -160,6 +161,7 @@
         () = orders::send_orders(node.clone(), fence, order_delay(node)) => {}
         () = watch_members(node) => {}
         () = watch::watch_operator_rows(node.clone()) => {}
+        () = streams::maintain(node) => {}
         () = wait_until_lost(node, fence, as_of) => {}
     }
 }
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use serde::{Deserialize, Serialize};
 use wisteriapoint_batch::Owner;
 use wisteriapoint_store::{Error, Freshness, Index, TransactionalStore};
 
@@ -12,21 +13,39 @@
 /// Prefix of the keys of member rows; the name of the VM follows.
 pub const MEMBERS_PREFIX: &str = "wp/member/";
 
+/// The row of a member, with what its build does; a row of an earlier build states only the member.
+#[derive(Debug, Serialize, Deserialize)]
+struct MemberRow<T> {
+    #[serde(flatten)]
+    member: T,
+    /// Whether the member begins streams only at software versions that it has recorded.
+    #[serde(default)]
+    records_software: bool,
+}
+
 /// Returns key and value of the row of a member.
 ///
 /// # Errors
 ///
 /// Fails only if the member can't be encoded.
 pub fn member_row(member: &Owner) -> Result<(String, Vec<u8>), Error> {
-    let value = serde_json::to_vec(member);
+    let row = MemberRow {
+        member,
+        records_software: true,
+    };
+    let value = serde_json::to_vec(&row);
     let value = value.map_err(|error| Error::Malformed(error.to_string().into()))?;
     Ok((format!("{MEMBERS_PREFIX}{}", member.vm), value))
 }
 
 /// Parses the value of a member row; logs an error and returns `None` if it is malformed.
 pub fn parse_member(value: &[u8]) -> Option<Owner> {
+    Some(parse_row(value)?.member)
+}
+
+fn parse_row(value: &[u8]) -> Option<MemberRow<Owner>> {
     match serde_json::from_slice(value) {
-        Ok(member) => Some(member),
+        Ok(row) => Some(row),
         Err(error) => {
             event!(
                 error,
@@ -62,11 +81,13 @@
     let rows = node.store.range(MEMBERS_PREFIX, freshness).await;
     node.record_store_call("members", &rows);
     let (rows, revision) = rows?;
-    let members = rows
-        .iter()
-        .filter_map(|row| parse_member(&row.value))
-        .collect();
-    Ok((members, revision))
+    let rows: Vec<_> = rows.iter().map(|row| parse_row(&row.value)).collect();
+    // A row that can't be parsed may be of any build.
+    let records = |row: &Option<MemberRow<_>>| row.as_ref().is_some_and(|row| row.records_software);
+    let all_record = rows.iter().all(records);
+    node.streams.software.set_all_nodes_record(all_record);
+    let members = rows.into_iter().flatten().map(|row| row.member);
+    Ok((members.collect(), revision))
 }
 
 /// Sets the nodes through which the store may be reached, and which get crash reports: the other
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -24,6 +24,7 @@
 use crate::event;
 use crate::jobs;
 use crate::node::Node;
+use crate::streams;
 
 /// Spawns all tasks of this module; they run until the node stops.
 pub fn start<D: Dialect>(node: &Rc<Node<D>>) {
@@ -32,6 +33,7 @@
     spawn_local(lease::maintain_lease(node.clone()));
     spawn_local(leader::run_election(node.clone()));
     spawn_local(jobs::take_over_previous_run(node.clone()));
+    spawn_local(streams::check(node.clone()));
 }
 
 /// Ends the lease in the store, which removes the rows of this node.
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams/mod.rs
@@ -3,13 +3,18 @@
 //! A caller who takes a stream up, at any node, names the attempt that brought its first event. The
 //! node of that attempt tells two others before it passes the event on.
 
+mod software;
+
+pub(crate) use software::ensure_recorded;
+pub use software::{SoftwareRows, UnknownOrigin, check, maintain, observe};
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::seq::IteratorRandom;
 use tokio::task::JoinSet;
-use wisteriapoint_directory::{Route, SoftwareHistory, StreamRecord, StreamRecords};
+use wisteriapoint_directory::{Route, StreamRecord, StreamRecords};
 use wisteriapoint_types::{Digest, ServiceName, SoftwareVersion};
 
 use crate::dialect::Dialect;
@@ -33,7 +38,8 @@
 #[derive(Debug, Default)]
 pub struct Streams {
     records: RefCell<StreamRecords>,
-    history: RefCell<SoftwareHistory>,
+    /// Rows that name the versions which may have begun streams.
+    pub software: SoftwareRows,
     wide_searches: Cell<u32>,
 }
 
@@ -54,15 +60,6 @@
     }
 }
 
-/// Records the software versions that services have now.
-pub fn observe_software<D: Dialect>(node: &Node<D>) {
-    let directory = node.directory.borrow();
-    if directory.endpoints_loaded {
-        let mut history = node.streams.history.borrow_mut();
-        history.observe(node.now_ms(), &directory.registry);
-    }
-}
-
 /// Records that a stream has begun, and tells the nodes that hold its record.
 ///
 /// Returns once they know it or are unlikely to answer; a stream of which no live node knows can't be
@@ -104,29 +101,36 @@
     count(node, outcome);
 }
 
-/// Returns what began a stream that a caller takes up; `None` if that can't be known.
+/// Returns what began a stream that a caller takes up.
+///
+/// # Errors
+///
+/// Fails if that can't be known.
 pub async fn find<D: Dialect>(
     node: &Rc<Node<D>>,
     route: &Route,
     first_attempt: Option<&str>,
-) -> Option<StreamRecord> {
+) -> Result<StreamRecord, UnknownOrigin> {
     let recorded = match first_attempt {
         Some(attempt) => find_recorded(node, Digest::new(&[attempt.as_bytes()])).await,
         None => None,
     };
     let (found, source) = match recorded {
-        Some((record, source)) => (Some(record), source),
-        None => match sole_software(node, route) {
-            Some(record) => (Some(record), "sole"),
-            None => (None, "unknown"),
+        Some((record, source)) => (Ok(record), source),
+        None => match software::sole(node, route).await {
+            Ok((service, software)) => (Ok(StreamRecord { service, software }), "sole"),
+            Err(unknown @ UnknownOrigin::Unknown) => (Err(unknown), "unknown"),
+            Err(starting @ UnknownOrigin::Starting { .. }) => (Err(starting), "starting"),
         },
     };
     count(node, source);
+    let record = found?;
     // A route that no longer leads to the service leaves no endpoint to go on.
-    found.filter(|record| {
-        let mut splits = route.splits.iter();
-        splits.any(|split| split.service == record.service)
-    })
+    let mut splits = route.splits.iter();
+    match splits.any(|split| split.service == record.service) {
+        true => Ok(record),
+        false => Err(UnknownOrigin::Unknown),
+    }
 }
 
 async fn find_recorded<D: Dialect>(
@@ -194,24 +198,6 @@
     None
 }
 
-/// Returns the version and service of any stream of a route, if its only service had just one version
-/// in the time for which callers of the route wait.
-fn sole_software<D: Dialect>(node: &Node<D>, route: &Route) -> Option<StreamRecord> {
-    let [split] = &*route.splits else {
-        return None;
-    };
-    let now_ms = node.now_ms();
-    if !node.knows_endpoints(now_ms) {
-        return None;
-    }
-    let history = node.streams.history.borrow();
-    let software = history.sole(now_ms, &split.service, route.timeout_ms)?;
-    Some(StreamRecord {
-        service: split.service.clone(),
-        software: software.clone(),
-    })
-}
-
 /// Counts how a stream was recorded or found, and logs nothing: the line of the stream tells it.
 fn count<D: Dialect>(node: &Node<D>, outcome: &str) {
     let streams = &node.metrics.streams;
