Take an endpoint for alive only if a new connection stays open

Cause: accepting a connection was taken for being alive.

Change: the new connection has to stay open for 25 ms; one that is closed is opened once more, since an endpoint with too many connections closes new ones too.

--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::sync::{Notify, watch};
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use wisteriapoint_directory::Paths;
 use wisteriapoint_peer::Client;
 use wisteriapoint_types::EndpointName;
@@ -28,6 +28,11 @@
 /// Time without a byte of a response after which the link is checked when the request is given up: more
 /// than the times between the events of a stream.
 const MIN_SILENCE: Duration = Duration::from_millis(250);
+/// Time for which a new connection stays open if the endpoint is alive: a process that ends closes all
+/// that it has within some milliseconds.
+const ACCEPT_HOLD_TIME: Duration = Duration::from_millis(25);
+/// Number of connections that are opened to tell whether an endpoint is alive.
+const MAX_ACCEPT_CHECKS: u32 = 2;
 /// Keep-alive time assumed for an endpoint that states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// Part of the endpoint's keep-alive time in which an idle connection is no longer used: a
@@ -371,19 +376,27 @@
         Ok(self.check_out(endpoint, connection))
     }
 
-    /// Returns `true` if an endpoint accepts a new connection, which is then kept for reuse.
+    /// Returns `true` if an endpoint accepts a new connection and leaves it open, or does so again after
+    /// it has closed one. A connection that stays open is kept for reuse.
+    ///
+    /// A process that ends closes its listener last, and with it the connections that it has not
+    /// served; one that has too many connections accepts the next one all the same.
     pub async fn is_accepting<D: Dialect>(
         &self,
         endpoint: &EndpointName,
         address: SocketAddr,
     ) -> bool {
-        match self.connect::<D>(endpoint, address).await {
-            Ok(connection) => {
+        for _ in 0..MAX_ACCEPT_CHECKS {
+            let Ok(connection) = self.connect::<D>(endpoint, address).await else {
+                return false;
+            };
+            sleep(ACCEPT_HOLD_TIME).await;
+            if !connection.connection.sender.is_closed() {
                 connection.return_to_pool(None);
-                true
+                return true;
             }
-            Err(_) => false,
         }
+        true
     }
 
     fn check_out(&self, endpoint: &EndpointName, connection: Connection) -> PooledConnection {
