Give each model with work one of the faster engines

Which engines a model gets depended on how speeds were measured in the first seconds; shares count capacity only, and a straggler can migrate only to engines that follow its model.

Change: where a model with work has slower engines only (by 1.5) and another has two of the faster ones, they exchange one for the slowest, at the pace of other reassignments; the only faster engine of a model is not taken to balance capacity.

Test: each_model_with_work_gets_one_of_the_faster_engines, a quarter of the engines twice as fast; without the exchange one model keeps both.

--- a/crates/weights/src/planner.rs
+++ b/crates/weights/src/planner.rs
@@ -50,11 +50,16 @@
 const MIN_CAPACITY: f64 = 0.4;
 const MAX_CAPACITY: f64 = 2.5;
 
+/// Ratio of capacities from which an engine counts as faster: more than load alone explains, and less
+/// than that of two generations of engines.
+const FASTER_RATIO: f64 = 1.5;
+
 /// Assigns the engines of services to models and plans their loads.
 ///
 /// Each engine follows the versions of one model, so a new version costs as many loads as the
 /// model has engines. Models get engines in proportion to the work requested from them; see
-/// [`shares`].
+/// [`shares`]. Each model with work gets one of the faster engines, since the longest output of a step
+/// decides when the step is complete.
 #[derive(Debug, Default)]
 pub struct Planner {
     assignments: BTreeMap<EndpointName, Box<str>>,
@@ -94,7 +99,9 @@
         let capacities = capacities(engines);
         let targets = shares::targets(models, capacities.iter().sum(), work);
         self.assign_models(&targets, engines, &capacities, published);
-        self.reassign_one(now_ms, &targets, engines, &capacities);
+        if !self.reassign_one(now_ms, &targets, engines, &capacities) {
+            self.exchange_faster(now_ms, work, engines, &capacities);
+        }
         let mut loads = Vec::new();
         for loading in self.loading.values_mut() {
             let is_present = present.contains_key(&loading.load.endpoint);
@@ -217,35 +224,98 @@
     }
 
     /// Reassigns one engine that is not loading, if the shares deviate enough from the targets.
+    ///
+    /// Returns `false` if none was reassigned, and one may be.
     fn reassign_one(
         &mut self,
         now_ms: u64,
         targets: &BTreeMap<Box<str>, f64>,
         engines: &[Engine<'_>],
         capacities: &[f64],
-    ) {
+    ) -> bool {
         let is_too_early = |at_ms| now_ms < at_ms + REASSIGNMENT_INTERVAL_MS;
         if self.reassigned_at_ms.is_some_and(is_too_early) {
-            return;
+            return true;
         }
         let model_capacities = self.capacity_of_models(engines, capacities);
         let Some(reassignment) = shares::reassignment(targets, &model_capacities) else {
-            return;
+            return false;
+        };
+        let ranked = self.ranked_engines(&reassignment.from, engines, capacities);
+        let sole_faster = match &*ranked {
+            [(fastest, first), (_, second), ..] if *first >= second * FASTER_RATIO => {
+                Some(fastest.name)
+            }
+            _ => None,
         };
-        let idle = engines.iter().zip(capacities).filter(|(engine, capacity)| {
-            self.assigned_model(engine.name) == Some(&*reassignment.from)
-                && !self.loading.contains_key(engine.name)
+        let movable = ranked.iter().find(|(engine, capacity)| {
+            !self.loading.contains_key(engine.name)
+                && sole_faster != Some(engine.name)
                 && version_of(engine.models, &reassignment.to).is_some()
-                && reassignment.fits(**capacity)
+                && reassignment.fits(*capacity)
         });
-        let fastest = idle.max_by(|(_, a), (_, b)| a.total_cmp(b));
-        if let Some((engine, _)) = fastest {
-            self.reassigned_at_ms = Some(now_ms);
-            self.assignments
-                .insert(engine.name.clone(), reassignment.to);
+        let Some((engine, _)) = movable else {
+            return false;
+        };
+        self.reassign(now_ms, engine.name, &reassignment.to);
+        true
+    }
+
+    /// Gives a model with work that has slower engines only one of the faster engines of another model,
+    /// which has two, in exchange for its slowest.
+    fn exchange_faster(
+        &mut self,
+        now_ms: u64,
+        work: &BTreeMap<Box<str>, f64>,
+        engines: &[Engine<'_>],
+        capacities: &[f64],
+    ) {
+        let working = work.iter().filter(|(_, work)| **work > 0.0);
+        let ranked: Vec<_> = working
+            .map(|(model, _)| (model, self.ranked_engines(model, engines, capacities)))
+            .filter(|(_, ranked)| ranked.len() > 1)
+            .collect();
+        let to = ranked
+            .iter()
+            .min_by(|(_, a), (_, b)| a[0].1.total_cmp(&b[0].1));
+        let from = ranked
+            .iter()
+            .max_by(|(_, a), (_, b)| a[1].1.total_cmp(&b[1].1));
+        let (Some((to, slower)), Some((from, faster))) = (to, from) else {
+            return;
+        };
+        let (second, slowest) = (faster[1], slower[slower.len() - 1]);
+        let is_loading = |engine: &Engine<'_>| self.loading.contains_key(engine.name);
+        if second.1 >= slower[0].1 * FASTER_RATIO && !is_loading(second.0) && !is_loading(slowest.0)
+        {
+            self.reassign(now_ms, second.0.name, to);
+            self.reassign(now_ms, slowest.0.name, from);
         }
     }
 
+    fn reassign(&mut self, now_ms: u64, engine: &EndpointName, model: &str) {
+        self.reassigned_at_ms = Some(now_ms);
+        self.assignments.insert(engine.clone(), model.into());
+    }
+
+    /// Returns the engines of a model with their capacities, the fastest first.
+    fn ranked_engines<'a>(
+        &self,
+        model: &str,
+        engines: &'a [Engine<'a>],
+        capacities: &[f64],
+    ) -> Vec<(&'a Engine<'a>, f64)> {
+        let of_model = engines
+            .iter()
+            .zip(capacities)
+            .filter(|(engine, _)| self.assigned_model(engine.name) == Some(model));
+        let mut ranked: Vec<_> = of_model
+            .map(|(engine, capacity)| (engine, *capacity))
+            .collect();
+        ranked.sort_by(|(_, a), (_, b)| b.total_cmp(a));
+        ranked
+    }
+
     /// Returns the total capacity of the engines that are assigned to each model.
     fn capacity_of_models(
         &self,
--- a/crates/weights/tests/planner.rs
+++ b/crates/weights/tests/planner.rs
@@ -254,3 +254,80 @@
     let ratio = capacity("a") / capacity("b");
     assert!((0.6..=1.6).contains(&ratio), "{ratio}");
 }
+
+/// Sets the speeds of engines: `faster` ones that follow a model generate an event in 20 ms, all others
+/// in 45 ms.
+fn set_speeds(fleet: &mut Fleet, model: &str, faster: usize) {
+    let names: Vec<_> = fleet
+        .engines
+        .iter()
+        .map(|(name, ..)| name.clone())
+        .collect();
+    let mut left = faster;
+    for name in names {
+        let is_faster = left > 0 && fleet.planner.assigned_model(&name) == Some(model);
+        left -= usize::from(is_faster);
+        let ms_per_event = if is_faster { 20.0 } else { 45.0 };
+        fleet.ms_per_event.insert(name, ms_per_event);
+    }
+}
+
+fn faster_followers(fleet: &Fleet, model: &str) -> usize {
+    let followers = fleet.ms_per_event.iter();
+    followers
+        .filter(|(name, ms_per_event)| {
+            **ms_per_event < 30.0 && fleet.planner.assigned_model(name) == Some(model)
+        })
+        .count()
+}
+
+/// The load: two models share engines, a quarter of which is more than twice as fast, and the longest
+/// outputs of each step last longer on a slow engine than the step may take. Guards against a model
+/// that happens to follow all the fast ones.
+#[test]
+fn each_model_with_work_gets_one_of_the_faster_engines() {
+    let mut fleet = Fleet::new(8, &["a", "b"]);
+    fleet.work = BTreeMap::from([("a".into(), 1_000.0), ("b".into(), 1_000.0)]);
+    fleet.plan(0);
+    set_speeds(&mut fleet, "a", 2);
+    let mut reassigned = 0;
+    let mut before = (followers(&fleet), faster_followers(&fleet, "b"));
+    for now_ms in (0..60_000).step_by(500) {
+        fleet.plan(now_ms);
+        let after = (followers(&fleet), faster_followers(&fleet, "b"));
+        reassigned += usize::from(after != before);
+        before = after;
+    }
+    assert_eq!(faster_followers(&fleet, "a"), 1);
+    assert_eq!(faster_followers(&fleet, "b"), 1);
+    assert!(
+        (3..=5).contains(&followers(&fleet).0),
+        "{:?}",
+        followers(&fleet)
+    );
+    assert!(
+        reassigned <= 3,
+        "{reassigned} changes without a change of work or speed"
+    );
+}
+
+/// Guards against taking the only faster engine of a model away to balance capacity, and against giving
+/// one to a model that nobody asks for.
+#[test]
+fn the_only_faster_engine_and_models_without_work_stay_as_they_are() {
+    let mut fleet = Fleet::new(8, &["a", "b"]);
+    fleet.work = BTreeMap::from([("a".into(), 1_000.0), ("b".into(), 3_000.0)]);
+    fleet.plan(0);
+    set_speeds(&mut fleet, "a", 1);
+    for now_ms in (0..60_000).step_by(500) {
+        fleet.plan(now_ms);
+    }
+    assert_eq!(faster_followers(&fleet, "a"), 1);
+    let mut fleet = Fleet::new(8, &["a", "b"]);
+    fleet.plan(0);
+    set_speeds(&mut fleet, "a", 2);
+    for now_ms in (0..60_000).step_by(500) {
+        fleet.plan(now_ms);
+    }
+    assert_eq!(faster_followers(&fleet, "a"), 2);
+}
