Record software versions for streams of callers only

Cause: routes of batch jobs are resumable too, so each of 250 nodes read the row of the engines' service twice a second until the leader had written it, though items carry their version with their output and need no row.

Change: only routes of streams count.

--- a/crates/node/src/streams/software.rs
+++ b/crates/node/src/streams/software.rs
@@ -11,7 +11,7 @@
 
 use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep, timeout};
-use wisteriapoint_directory::{RECORD_LAG_MS, Route, SoftwareHistory, SoftwareRecord};
+use wisteriapoint_directory::{RECORD_LAG_MS, Route, RouteKind, SoftwareHistory, SoftwareRecord};
 use wisteriapoint_store::{
     CommitOutcome, Error, Freshness, Index, Transaction, TransactionalStore,
 };
@@ -337,12 +337,14 @@
         .collect()
 }
 
-/// Returns the services to which routes of streams lead that callers may take up.
+/// Returns the services to which routes of streams lead that callers may take up. Items of batch jobs,
+/// whose routes may be resumable too, carry their version with their output.
 fn resumable_services<D: Dialect>(node: &Node<D>) -> BTreeSet<ServiceName> {
     let Some(configuration) = node.configuration() else {
         return BTreeSet::new();
     };
-    let routes = configuration.routes.iter().filter(|route| route.resumable);
+    let routes = configuration.routes.iter();
+    let routes = routes.filter(|route| route.resumable && route.kind == RouteKind::Streaming);
     let splits = routes.flat_map(|route| &route.splits);
     splits.map(|split| split.service.clone()).collect()
 }
