Name the tasks of software records by what they do

Names that two readers would take in two ways (check, maintain, observe of streams), a parameter that had one value, and versions in the log as text.

--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -294,7 +294,7 @@
     const EXPIRY_POLL_INTERVAL: Duration = Duration::from_millis(200);
     loop {
         sleep(EXPIRY_POLL_INTERVAL).await;
-        streams::observe(&node);
+        streams::observe_versions(&node);
         let now_ms = node.now_ms();
         let mut directory = node.directory.borrow_mut();
         if let Some(end_ms) = node.store_health.outage_end_ms(now_ms) {
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -161,7 +161,7 @@
         () = orders::send_orders(node.clone(), fence, order_delay(node)) => {}
         () = watch_members(node) => {}
         () = watch::watch_operator_rows(node.clone()) => {}
-        () = streams::maintain(node) => {}
+        () = streams::maintain_rows(node) => {}
         () = wait_until_lost(node, fence, as_of) => {}
     }
 }
--- a/crates/node/src/streams/mod.rs
+++ b/crates/node/src/streams/mod.rs
@@ -6,7 +6,7 @@
 mod software;
 
 pub(crate) use software::ensure_recorded;
-pub use software::{SoftwareRows, UnknownOrigin, check, maintain, observe};
+pub use software::{SoftwareRows, UnknownOrigin, check_rows, maintain_rows, observe_versions};
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/crates/node/src/streams/software.rs
+++ b/crates/node/src/streams/software.rs
@@ -75,7 +75,7 @@
 }
 
 /// Forgets that the rows name versions that are no longer registered, and observes those that are.
-pub fn observe<D: Dialect>(node: &Node<D>) {
+pub fn observe_versions<D: Dialect>(node: &Node<D>) {
     let directory = node.directory.borrow();
     if !directory.endpoints_loaded || !node.knows_endpoints(node.now_ms()) {
         return;
@@ -145,7 +145,7 @@
     change: impl Fn(&SoftwareRecord) -> SoftwareRecord,
 ) -> Result<SoftwareRecord, Error> {
     for _ in 0..MAX_COMMITS {
-        let (stored, revision) = read(node, service, Freshness::Linearizable).await?;
+        let (stored, revision) = read(node, service).await?;
         let record = change(&stored);
         if record != stored {
             let value = serde_json::to_vec(&record);
@@ -163,7 +163,7 @@
                 info,
                 "software versions of service recorded",
                 service = service,
-                versions = format!("{:?}", record.versions),
+                versions = join_versions(&record),
                 is_complete = record.is_complete,
             );
         }
@@ -177,9 +177,8 @@
 async fn read<D: Dialect>(
     node: &Node<D>,
     service: &ServiceName,
-    freshness: Freshness,
 ) -> Result<(SoftwareRecord, Index), Error> {
-    let row = node.store.row(&key(service), freshness).await;
+    let row = node.store.row(&key(service), Freshness::Linearizable).await;
     node.record_store_call("software-read", &row);
     let Some(row) = row?.0 else {
         return Ok((SoftwareRecord::default(), Index(0)));
@@ -196,6 +195,13 @@
     Ok((record, row.revision))
 }
 
+/// Returns the versions of a record for the log, with an empty one for endpoints that state none.
+fn join_versions(record: &SoftwareRecord) -> String {
+    let versions = record.versions.iter();
+    let versions = versions.map(|version| version.as_ref().map_or("", SoftwareVersion::as_str));
+    versions.collect::<Vec<_>>().join(",")
+}
+
 fn key(service: &ServiceName) -> String {
     format!("{PREFIX}{service}")
 }
@@ -247,13 +253,13 @@
         return Some(record.clone());
     }
     let began = Instant::now();
-    let (record, _) = read(node, service, Freshness::Linearizable).await.ok()?;
+    let (record, _) = read(node, service).await.ok()?;
     reads.insert(service.clone(), (began, record.clone()));
     Some(record)
 }
 
 /// Keeps the rows current as the leader, until it no longer leads.
-pub async fn maintain<D: Dialect>(node: &Rc<Node<D>>) {
+pub async fn maintain_rows<D: Dialect>(node: &Rc<Node<D>>) {
     let mut stored = BTreeMap::new();
     let mut read_due = Instant::now();
     loop {
@@ -292,7 +298,7 @@
 
 /// Checks before any stream begins whether the rows name the versions of the endpoints, as the store
 /// may be away when one does.
-pub async fn check<D: Dialect>(node: Rc<Node<D>>) {
+pub async fn check_rows<D: Dialect>(node: Rc<Node<D>>) {
     let mut failed_checks = 0;
     loop {
         sleep(CHECK_INTERVAL).await;
@@ -319,7 +325,7 @@
 }
 
 async fn check_row<D: Dialect>(node: &Node<D>, service: &ServiceName) -> Result<(), Error> {
-    let (record, _) = read(node, service, Freshness::Linearizable).await?;
+    let (record, _) = read(node, service).await?;
     node.streams.software.set_recorded(service, &record);
     Ok(())
 }
