Exchange engines only between models that they hold

What could happen: an engine that does not hold the other model would be assigned to it and follow no version at all. Found in reading; no deployment at hand has such engines. Test: a_faster_engine_stays_if_it_does_not_hold_the_other_model, which failed before the change; 13 tests of the planner hold after it.

--- a/crates/weights/src/planner.rs
+++ b/crates/weights/src/planner.rs
@@ -285,8 +285,12 @@
             return;
         };
         let (second, slowest) = (faster[1], slower[slower.len() - 1]);
-        let is_loading = |engine: &Engine<'_>| self.loading.contains_key(engine.name);
-        if second.1 >= slower[0].1 * FASTER_RATIO && !is_loading(second.0) && !is_loading(slowest.0)
+        let may_follow = |engine: &Engine<'_>, model: &str| {
+            !self.loading.contains_key(engine.name) && version_of(engine.models, model).is_some()
+        };
+        if second.1 >= slower[0].1 * FASTER_RATIO
+            && may_follow(second.0, to)
+            && may_follow(slowest.0, from)
         {
             self.reassign(now_ms, second.0.name, to);
             self.reassign(now_ms, slowest.0.name, from);
--- a/crates/weights/tests/planner.rs
+++ b/crates/weights/tests/planner.rs
@@ -331,3 +331,21 @@
     }
     assert_eq!(faster_followers(&fleet, "a"), 2);
 }
+
+/// Guards against giving an engine to a model that it does not hold.
+#[test]
+fn a_faster_engine_stays_if_it_does_not_hold_the_other_model() {
+    let mut fleet = Fleet::new(8, &["a", "b"]);
+    fleet.work = BTreeMap::from([("a".into(), 1_000.0), ("b".into(), 1_000.0)]);
+    fleet.plan(0);
+    set_speeds(&mut fleet, "a", 2);
+    for (name, models, _) in &mut fleet.engines {
+        if fleet.ms_per_event[name] < 30.0 {
+            models.retain(|(model, _)| **model == *"a");
+        }
+    }
+    for now_ms in (0..60_000).step_by(500) {
+        fleet.plan(now_ms);
+    }
+    assert_eq!(faster_followers(&fleet, "a"), 2);
+}
