List engines that don't answer and keep all places for loads

Cause: a load whose order was not accepted stays among those in progress, whose number is bounded, and is tried again every 100 ms; engines that are furthest behind come first, and those that do not answer are.

--- a/crates/weights/tests/planner.rs
+++ b/crates/weights/tests/planner.rs
@@ -349,3 +349,31 @@
     }
     assert_eq!(faster_followers(&fleet, "a"), 2);
 }
+
+/// The load: a fifth of the engines does not answer while a version is published. Guards against engines
+/// that hold all places for loads, so that no sound engine gets the version.
+#[test]
+fn engines_that_do_not_answer_keep_no_sound_engine_from_loading() {
+    const SILENT: usize = 8;
+    let mut fleet = Fleet::new(44, &["a"]);
+    fleet.publish("a", 2);
+    let silent: BTreeSet<_> = fleet.engines[..SILENT]
+        .iter()
+        .map(|(name, ..)| name.clone())
+        .collect();
+    let mut loaded = 0;
+    for now_ms in (0..20_000).step_by(50) {
+        for load in fleet.plan(now_ms) {
+            match silent.contains(&load.endpoint) {
+                true => fleet
+                    .planner
+                    .record_order_end(now_ms, &load.endpoint, false),
+                false => {
+                    fleet.execute(now_ms, &load);
+                    loaded += 1;
+                }
+            }
+        }
+    }
+    assert_eq!(loaded, fleet.engines.len() - SILENT);
+}
