--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
-"""The leader stands still for 3.2 s while engines are replaced one after the other."""
+"""Twice as many clients as usual send large bodies to a node, beside clients with small requests."""
 
 import asyncio
-import json
 import os
 import signal
 import sys
@@ -9,106 +8,107 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import harness as h
 
-NODES, ENGINES = 8, 24
-FREEZE_S, DRAIN_S = 3.2, 2.0
-REPLACED, GAP_S, START_S = 10, 0.25, 0.9
+MEMORY_MB, BODY_BYTES = 260, 30_000_000
+USUAL, BURST_X, BURST_S = 3, 2, 15
+KEPT, WORK_S = 12, 0.6
 
 
 async def main(record):
-    async with h.Cluster(record, NODES) as cluster:
-        for number in range(ENGINES):
-            await cluster.add_engine(f"i-{number:02}", "shop", h.plain_work(0.02), slots=6)
+    async with h.Cluster(record, 3) as cluster:
+        for number in range(4):
+            await cluster.add_engine(f"i-{number}", "desk", h.plain_work(WORK_S), slots=20)
         await cluster.start(
-            [h.route("page", "/page/", "idempotent", "shop", **{"timeout-ms": 2000})],
-            [{"name": "shop", "max-conns": 110}],
+            [
+                h.route("ticket", "/ticket/", "non_idempotent", "desk", **{"target-latency-ms": 4000}),
+                h.route("photo", "/photo/", "idempotent", "desk", **{"target-latency-ms": 4000}),
+            ],
+            [{"name": "desk", "max-conns": 110}],
         )
-        balancer = h.Balancer(cluster.nodes)
-        taken, acknowledged, answers = {}, {}, []
+        node = cluster.nodes[0]
+        lost, answers, killed = [], [], []
+        peak_mb = 0
 
-        async def client(number):
-            node = balancer.pick(number)
-            attempt = h.new_id()
-            taken[attempt] = node.name
-            headers = {"Attempt-Id": attempt, "Deadline-Ms": 800}
-            try:
-                call = h.request(node.front, "POST", f"/page/{number}", headers, b"x")
-                answers.append((await asyncio.wait_for(call, 1)).status)
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-                answers.append(0)
-
-        async def traffic():
-            number = 0
+        async def memory_limit():
+            """The platform kills a process that uses more than `memory-mb`, and starts it again."""
+            nonlocal peak_mb
             while True:
-                asyncio.create_task(client(number))
-                number += 1
-                await asyncio.sleep(0.01)
-
-        async def replace(number):
-            """The new engine starts first; the old one drains once the new one is known."""
-            name = f"i-{ENGINES + number:02}"
-            await cluster.add_engine(name, "shop", h.plain_work(0.02), slots=6)
-            await asyncio.sleep(START_S)
-            engine = cluster.engines[number]
-            acknowledged[engine.name] = engine.drain()
-            record(f"the store has acknowledged that {engine.name} is draining")
-
-        async def release():
-            await asyncio.gather(*[later(number * GAP_S, replace(number)) for number in range(REPLACED)])
-
-        async def later(seconds, step):
-            await asyncio.sleep(seconds)
-            await step
-
-        async def renewal(lease):
-            """Returns when the store has renewed a lease."""
-            end = cluster.store.leases[lease][1]
-            while cluster.store.leases[lease][1] == end:
-                await asyncio.sleep(0.001)
-
-        load = asyncio.create_task(traffic())
-        await asyncio.sleep(6)
-        leader = json.loads(cluster.store.rows["wp/keeper"]["value"])["vm"]
-        process = next(node for node in cluster.nodes if node.name == leader)
-        lease = cluster.store.rows["wp/keeper"]["lease"]
-        await renewal(lease)
-        await asyncio.sleep(0.25)
-        releasing = asyncio.create_task(release())
-        record("the release begins")
-        await renewal(lease)
-        await renewal(lease)
+                await asyncio.sleep(0.002)
+                try:
+                    with open(f"/proc/{node.process.pid}/status") as file:
+                        fields = dict(line.split(":", 1) for line in file)
+                    used_mb = int(fields["VmRSS"].split()[0]) / 1024
+                except (OSError, KeyError):
+                    continue
+                peak_mb = max(peak_mb, used_mb)
+                if used_mb > MEMORY_MB:
+                    record(f"{node.name} uses {used_mb:.0f} MB, over {MEMORY_MB}: SIGKILL")
+                    killed.append(h.now())
+                    node.signal(signal.SIGKILL)
+                    await node.process.wait()
+                    await asyncio.sleep(0.5)
+                    await node.start()
+
+        async def upload(client):
+            while True:
+                headers = {"Attempt-Id": h.new_id(), "Deadline-Ms": 9000}
+                try:
+                    answer = await h.request(
+                        node.front, "POST", f"/photo/{client}", headers, bytes(BODY_BYTES)
+                    )
+                    record(f"large body of client {client}: {answer.status}")
+                except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                    record(f"large body of client {client}: no answer")
+                    await asyncio.sleep(1)
+
+        async def kept(client):
+            """One connection for many small requests that may not run twice."""
+            while True:
+                try:
+                    reader, writer = await asyncio.open_connection(*node.front)
+                except OSError:
+                    await asyncio.sleep(0.2)
+                    continue
+                try:
+                    while True:
+                        attempt = h.new_id()
+                        headers = {"Attempt-Id": attempt, "Deadline-Ms": 9000}
+                        writer.write(h.request_bytes("POST", f"/ticket/{client}", headers, b"x"))
+                        line, _, _ = await h.read_message(reader)
+                        answers.append(line.split(" ")[1])
+                except (ConnectionError, asyncio.IncompleteReadError):
+                    lost.append((h.now(), attempt))
+                finally:
+                    writer.close()
+
+        watch = asyncio.create_task(memory_limit())
+        tasks = [asyncio.create_task(kept(client)) for client in range(KEPT)]
+        await asyncio.sleep(3)
+        record(f"{USUAL} clients send bodies of {BODY_BYTES} bytes, one after the other each")
+        tasks += [asyncio.create_task(upload(client)) for client in range(USUAL)]
+        await asyncio.sleep(10)
+        record(f"memory so far: {peak_mb:.0f} MB at most")
         if h.trouble():
-            await asyncio.sleep(0.02)
-            record(f"SIGSTOP to the leader {leader}, which has just renewed its lease")
-            process.signal(signal.SIGSTOP)
-            await asyncio.sleep(FREEZE_S)
-            process.signal(signal.SIGCONT)
-            record(f"SIGCONT to {leader}")
-        await releasing
-        await asyncio.sleep(4)
-        load.cancel()
-        return judge(record, cluster, taken, acknowledged, answers, leader)
-
-
-def judge(record, cluster, taken, acknowledged, answers, leader):
-    """DRAIN: reaches an engine over 2 s after it said that it drains, by machines in touch."""
-    late = 0
-    for engine in cluster.engines:
-        if engine.name not in acknowledged:
-            continue
-        since = [(s - acknowledged[engine.name], attempt) for s, attempt in engine.arrived]
-        for after_s, attempt in since:
-            node = taken.get(attempt)
-            if after_s > DRAIN_S and node and (node != leader or not h.trouble()):
-                late += 1
-                record(
-                    f"DRAIN {attempt}: taken by {node}, reached {engine.name} {after_s * 1000:.0f}"
-                    " ms after the acknowledgement"
-                )
-        last = max((after_s for after_s, _ in since), default=0)
-        record(f"{engine.name}: the last request arrived {last:.3f} s after the acknowledgement")
-    served = sum(status == 200 for status in answers)
-    record(f"{len(answers)} requests, {served} served, {late} late at a draining engine")
-    return late > 0
+            record(f"burst: {BURST_X} times as many clients for {BURST_S} s")
+            more = range(USUAL, USUAL * BURST_X)
+            tasks += [asyncio.create_task(upload(client)) for client in more]
+        await asyncio.sleep(BURST_S)
+        for task in tasks:
+            task.cancel()
+        watch.cancel()
+        record(f"memory: {peak_mb:.0f} MB at most; killed {len(killed)} times")
+        return judge(record, cluster, lost, answers)
+
+
+def judge(record, cluster, lost, answers):
+    """LOST: passed on from a kept connection that closes without an answer, over three times."""
+    arrived = {attempt: engine.name for engine in cluster.engines for _, attempt in engine.arrived}
+    passed_on = 0
+    for lost_s, attempt in lost:
+        if attempt in arrived:
+            passed_on += 1
+            record(f"LOST {attempt}: at {arrived[attempt]}, its connection closed at {lost_s:.3f}")
+    record(f"{len(answers)} small requests answered, {passed_on} lost that were passed on")
+    return passed_on > 3
 
 
 h.run(main, __file__)
