--- a/review/1/case.py
+++ b/review/1/case.py
@@ -85,8 +85,8 @@
         job, body, items = batch_job(16, SHORT)
         if await submit(owner, job, body) != 202:
             sys.exit(2)
-        await asyncio.sleep(0.5)
-
+        # The node stands still right after a probe, so it is in rotation for two more seconds.
+        await balancer.next_round()
         froze_s = h.now()
         if h.trouble():
             record(f"SIGSTOP to {owner.name}, which owns {job}; the leader is {leader}")
@@ -102,6 +102,8 @@
         await asyncio.sleep(froze_s + FREEZE_S - 0.45 - h.now())
         rotation = [node.name for node in balancer.candidates()]
         record(f"in rotation: {', '.join(rotation)}; the end of {job} is sent to {owner.name}")
+        if owner.name not in rotation:
+            sys.exit(2)
         answer = await h.request(owner.front, "DELETE", f"/lots/{job}", {})
         ended_s = h.now()
         record(f"the end of {job} is answered {answer.status}")
--- a/review/harness.py
+++ b/review/harness.py
@@ -512,14 +512,23 @@
     def __init__(self, nodes):
         self.nodes = nodes
         self.misses = {node.name: 0 for node in nodes}
+        self.rounds = 0
         self.task = asyncio.create_task(self.probe())
 
     async def probe(self):
         while True:
             for node in self.nodes:
                 asyncio.create_task(self.probe_one(node))
+            self.rounds += 1
             await asyncio.sleep(1)
 
+    async def next_round(self):
+        """Waits until the answers to the next probes have come."""
+        rounds = self.rounds
+        while self.rounds == rounds:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.03)
+
     async def probe_one(self, node):
         self.misses[node.name] = 0 if await node.is_ready() else self.misses[node.name] + 1
 
