Tell the owner of a batch job of an end that another node stores

Cause: an owner decides from memory and looked at the row only to commit a result or after a new lease. The former owner's write of the end conflicted, and it wrote the row as any other node does, without a word to the owner that the row names. The same holds for an owner that its peers don't reach, and between the write of a takeover and the moment from which the new owner runs the batch job.

Change: a former owner passes the end on to the present one. An owner that did not answer is not asked a second time.

--- a/crates/node/src/callers/batch.rs
+++ b/crates/node/src/callers/batch.rs
@@ -11,7 +11,7 @@
 };
 use crate::dialect::Dialect;
 use crate::event;
-use crate::jobs::{Lookup, SubmitOutcome, read, submit as accept};
+use crate::jobs::{Lookup, SubmitOutcome, end, read, submit as accept};
 use crate::node::{Node, Stage};
 
 /// Largest page of results, in bytes before encoding; the encoded page stays below 1 MB.
@@ -99,7 +99,7 @@
 
 /// Ends a batch job for its caller.
 pub async fn end_job<D: Dialect>(node: &Rc<Node<D>>, job: &str) -> CallerResponse {
-    match read::end(node, job).await {
+    match end::end(node, job).await {
         Lookup::Found(()) => body_response(StatusCode::OK, "application/json", "{}"),
         Lookup::NotFound => text_response(StatusCode::NOT_FOUND, "no such batch job"),
         Lookup::Unavailable(reason) => store_unavailable::<D>(&reason),
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -51,7 +51,7 @@
     if node.jobs.has_owner(id) {
         return SubmitOutcome::Stored;
     }
-    let _acquisition = node.jobs.begin_acquiring(id);
+    let acquisition = node.jobs.begin_acquiring(id);
     let record = JobRecord {
         host: host.into(),
         path: path.into(),
@@ -102,6 +102,9 @@
         route = route.name,
         revision = revision.0
     );
+    if acquisition.is_ended() {
+        return SubmitOutcome::Stored;
+    }
     node.jobs.record_work(node.now_ms(), &submission);
     let expires_at_ms = node.now_ms() + route.retention_ms;
     let job = Job::new(submission, route.max_attempts, expires_at_ms);
--- a/crates/node/src/jobs/commit.rs
+++ b/crates/node/src/jobs/commit.rs
@@ -1,21 +1,17 @@
 //! Commits of results and ends of batch jobs to the store.
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use tokio::time::{sleep_until, timeout};
+use tokio::time::sleep_until;
 use wisteriapoint_batch::{CommitBatch, JobState};
 use wisteriapoint_store::{Backoff, CommitOutcome, Transaction};
 
 use super::owned::StateRow;
-use super::{OwnedJob, keys, takeover};
+use super::{Lookup, OwnedJob, end, keys, takeover};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::Node;
 
-/// Timeout for the end of a batch job; after that the caller receives "the store does not answer".
-const END_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Outcome of a write of a batch job's state row.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WriteOutcome {
@@ -91,45 +87,37 @@
     outcome
 }
 
-/// Ends a batch job that this node owns; returns `true` if the end is stored.
-pub async fn end_owned<D: Dialect>(node: &Rc<Node<D>>, owned: &Rc<OwnedJob>) -> bool {
+/// Ends a batch job that this node owns, or has owned until another node took it over unnoticed.
+pub async fn end_owned<D: Dialect>(node: &Rc<Node<D>>, owned: &OwnedJob) -> Lookup<()> {
     owned.close();
-    let (node, owned) = (node.clone(), owned.clone());
-    // A separate task, so that the write continues if the caller disconnects.
-    let ended = tokio::task::spawn_local(async move {
-        let mut row = owned.row.lock().await;
-        if !row.state.open {
-            return true;
+    let mut row = owned.row.lock().await;
+    if !row.state.open {
+        return Lookup::Found(());
+    }
+    let state = JobState {
+        open: false,
+        nonce: rand::random(),
+        ..row.state.clone()
+    };
+    let outputs_key = keys::partial_outputs(&owned.id);
+    let failures_key = keys::failures(&owned.id);
+    let outcome = write_state(node, owned, &mut row, state, |transaction| {
+        transaction
+            .with_remove(outputs_key)
+            .with_remove(failures_key)
+    })
+    .await;
+    match outcome {
+        WriteOutcome::Written => {
+            event!(info, "batch job ended", id = owned.id, by_owner = true);
+            Lookup::Found(())
         }
-        let state = JobState {
-            open: false,
-            nonce: rand::random(),
-            ..row.state.clone()
-        };
-        let outputs_key = keys::partial_outputs(&owned.id);
-        let failures_key = keys::failures(&owned.id);
-        let outcome = write_state(&node, &owned, &mut row, state, |transaction| {
-            transaction
-                .with_remove(outputs_key)
-                .with_remove(failures_key)
-        })
-        .await;
-        event!(
-            info,
-            "batch job ended",
-            id = owned.id,
-            by_owner = outcome == WriteOutcome::Written
-        );
-        match outcome {
-            WriteOutcome::Written => true,
-            WriteOutcome::OwnershipLost => {
-                drop(row);
-                node.drop_job(&owned.id);
-                super::read::end_in_store(&node, &owned.id).await.is_some()
-            }
+        WriteOutcome::OwnershipLost => {
+            drop(row);
+            node.drop_job(&owned.id);
+            end::end_elsewhere(node, &owned.id).await
         }
-    });
-    matches!(timeout(END_TIMEOUT, ended).await, Ok(Ok(true)))
+    }
 }
 
 /// Writes the next state of a batch job, and retries until the outcome is definite.
--- /dev/null
+++ b/crates/node/src/jobs/end.rs
@@ -0,0 +1,176 @@
+//! Ends of batch jobs, which every node accepts, and of which the owner learns.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use wisteriapoint_batch::JobState;
+use wisteriapoint_store::{Backoff, Change, CommitOutcome, Transaction, TransactionalStore};
+
+use super::read::{Lookup, OwnerResponse, query_owner};
+use super::takeover::read_state;
+use super::{commit, keys};
+use crate::control::watch::{RowUpdate, read_all, read_changes};
+use crate::dialect::Dialect;
+use crate::event;
+use crate::node::Node;
+use crate::peers::{PeerRequest, PeerResponse};
+
+/// Timeout for the end of a batch job; after that the caller receives "the store does not answer".
+const END_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum number of attempts to write the end of a batch job while other writes change its row.
+const MAX_END_ATTEMPTS: u32 = 6;
+/// Pause between these attempts.
+const END_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Maximum number of rows that one transaction of the store removes.
+const MAX_REMOVED_ROWS: usize = 32;
+
+/// Ends a batch job at its owner, or in the store if the owner does not answer.
+pub async fn end<D: Dialect>(node: &Rc<Node<D>>, job: &str) -> Lookup<()> {
+    let ended = {
+        let (node, job) = (node.clone(), Box::<str>::from(job));
+        // A separate task, so that the write continues if the caller disconnects.
+        spawn_local(async move {
+            match node.jobs.get(&job) {
+                Some(owned) => commit::end_owned(&node, &owned).await,
+                None => end_elsewhere(&node, &job).await,
+            }
+        })
+    };
+    match timeout(END_TIMEOUT, ended).await {
+        Ok(Ok(lookup)) => lookup,
+        Ok(Err(error)) => Lookup::Unavailable(error.to_string().into()),
+        Err(_) => Lookup::Unavailable("the store does not answer".into()),
+    }
+}
+
+/// Ends a batch job that this node does not own.
+pub async fn end_elsewhere<D: Dialect>(node: &Rc<Node<D>>, job: &str) -> Lookup<()> {
+    let query = PeerRequest::End { job: job.into() };
+    match query_owner(node, job, &query).await {
+        Lookup::Found(OwnerResponse::Answered(PeerResponse::Done)) => Lookup::Found(()),
+        Lookup::Found(_) => end_in_store(node, job).await,
+        Lookup::NotFound => Lookup::NotFound,
+        Lookup::Unavailable(reason) => Lookup::Unavailable(reason),
+    }
+}
+
+/// Ends a batch job in the store, with a row that tells its owner.
+///
+/// The owner may be alive and unreachable from here, or not run the batch job yet.
+async fn end_in_store<D: Dialect>(node: &Node<D>, job: &str) -> Lookup<()> {
+    for _ in 0..MAX_END_ATTEMPTS {
+        let (revision, state) = match read_state(node, job).await {
+            Ok(None) => return Lookup::NotFound,
+            Ok(Some((_, state))) if !state.open => return Lookup::Found(()),
+            Ok(Some(row)) => row,
+            Err(error) => {
+                event!(warn, "end of batch job not stored", id = job, error = error);
+                sleep(END_RETRY_PAUSE).await;
+                continue;
+            }
+        };
+        let ended = JobState {
+            open: false,
+            nonce: rand::random(),
+            ..state
+        };
+        let value = match serde_json::to_vec(&ended) {
+            Ok(value) => value,
+            Err(error) => return Lookup::Unavailable(error.to_string().into()),
+        };
+        let transaction = Transaction::new()
+            .with_expected(keys::state(job), revision)
+            .with_put(keys::state(job), value)
+            .with_put(keys::end(ended.owner.run, job), Vec::new());
+        let committed = node.store.commit(&transaction).await;
+        node.record_store_call("end", &committed);
+        match committed {
+            Ok(CommitOutcome::Done(_)) => {
+                event!(
+                    info,
+                    "batch job ended",
+                    id = job,
+                    by_owner = false,
+                    owner = ended.owner.vm
+                );
+                return Lookup::Found(());
+            }
+            Ok(_) => {}
+            Err(error) => event!(warn, "end of batch job not stored", id = job, error = error),
+        }
+        sleep(END_RETRY_PAUSE).await;
+    }
+    Lookup::Unavailable("the store does not answer".into())
+}
+
+/// Watches for batch jobs of this node that other nodes have ended, while any is open.
+pub async fn watch_ends<D: Dialect>(node: Rc<Node<D>>) {
+    let prefix = keys::ends_prefix(node.owner.run);
+    let apply = |rows: RowUpdate<'_>| apply_ends(&node, &prefix, rows);
+    let mut backoff = Backoff::new();
+    let mut after = None;
+    loop {
+        if node.jobs.first_open_revision().is_none() {
+            node.jobs.inserted().await;
+            after = node.jobs.first_open_revision();
+        }
+        let result = match after {
+            Some(revision) => read_changes(&node, &prefix, revision, &apply).await,
+            None => read_all(&node, &prefix, &apply).await,
+        };
+        after = match result {
+            Ok(revision) => {
+                backoff = Backoff::new();
+                Some(revision)
+            }
+            Err(error) => {
+                event!(
+                    info,
+                    "watch of ended batch jobs failed; reading all",
+                    error = error
+                );
+                if !error.is_history_gone() {
+                    node.store_health.pause(backoff.next_pause()).await;
+                }
+                None
+            }
+        };
+    }
+}
+
+fn apply_ends<D: Dialect>(node: &Rc<Node<D>>, prefix: &str, rows: RowUpdate<'_>) {
+    let keys: Vec<_> = match rows {
+        RowUpdate::All(rows, _) => rows.iter().map(|row| row.key.clone()).collect(),
+        RowUpdate::Changes(changes, _) => {
+            let written = changes.iter().filter_map(|change| match change {
+                Change::Written(row) => Some(row.key.clone()),
+                Change::Removed(_) => None,
+            });
+            written.collect()
+        }
+    };
+    for job in keys.iter().filter_map(|key| key.strip_prefix(prefix)) {
+        node.jobs.record_end(job);
+        if node.jobs.get(job).is_some() {
+            node.drop_job(job);
+        }
+    }
+    for keys in keys.chunks(MAX_REMOVED_ROWS) {
+        spawn_local(remove_rows(node.clone(), keys.to_vec()));
+    }
+}
+
+/// Removes rows that have been applied; one that stays has no further effect.
+async fn remove_rows<D: Dialect>(node: Rc<Node<D>>, keys: Vec<Box<str>>) {
+    let transaction = Transaction {
+        removes: keys,
+        ..Transaction::new()
+    };
+    let committed = node.store.commit(&transaction).await;
+    node.record_store_call("end", &committed);
+    if let Err(error) = committed {
+        event!(info, "row of an ended batch job not removed", error = error);
+    }
+}
--- a/crates/node/src/jobs/keys.rs
+++ b/crates/node/src/jobs/keys.rs
@@ -49,3 +49,13 @@
 pub fn partial_outputs(job: &str) -> String {
     format!("wp/parts/{job}")
 }
+
+/// Returns the prefix of the rows that tell a run of a node of the ends of its batch jobs.
+pub fn ends_prefix(run: u64) -> String {
+    format!("wp/end/{run:016x}/")
+}
+
+/// Returns the key of the row that tells the owner of a batch job, a run of a node, of its end.
+pub fn end(run: u64, job: &str) -> String {
+    format!("{}{job}", ends_prefix(run))
+}
--- a/crates/node/src/jobs/mod.rs
+++ b/crates/node/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 pub mod accept;
 pub mod attempt;
 pub mod commit;
+pub mod end;
 pub mod keys;
 pub mod owned;
 pub mod partial_outputs;
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -1,7 +1,7 @@
 //! State of the batch jobs that this node owns.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use tokio::sync::{Mutex, Notify};
@@ -18,17 +18,26 @@
     owned: RefCell<BTreeMap<Box<str>, Rc<OwnedJob>>>,
     cached_owners: RefCell<BTreeMap<Box<str>, Owner>>,
     is_unverified: Cell<bool>,
-    acquiring: Rc<RefCell<BTreeSet<Box<str>>>>,
+    /// Batch jobs that this node is acquiring, and whether another node has ended them meanwhile.
+    acquiring: Rc<RefCell<BTreeMap<Box<str>, bool>>>,
     demand: RefCell<RequestedWork>,
+    inserted: Notify,
 }
 
 /// Guard that marks a batch job as being accepted or taken over until it is dropped.
 #[derive(Debug)]
 pub struct AcquisitionGuard {
-    acquiring: Rc<RefCell<BTreeSet<Box<str>>>>,
+    acquiring: Rc<RefCell<BTreeMap<Box<str>, bool>>>,
     id: Box<str>,
 }
 
+impl AcquisitionGuard {
+    /// Returns `true` if another node has ended the batch job since the acquisition began.
+    pub fn is_ended(&self) -> bool {
+        self.acquiring.borrow().get(&self.id) == Some(&true)
+    }
+}
+
 impl Drop for AcquisitionGuard {
     fn drop(&mut self) {
         self.acquiring.borrow_mut().remove(&self.id);
@@ -44,6 +53,8 @@
     pub host: Box<str>,
     /// Path under which it was submitted.
     pub path: Box<str>,
+    /// Store revision at which this node became its owner.
+    pub acquired_revision: Index,
     /// State of its items and results.
     pub job: RefCell<Job>,
     /// Partial outputs of items that run or wait to resume.
@@ -107,7 +118,7 @@
 
     /// Returns `true` while a task of this node accepts the batch job or takes it over.
     pub fn is_being_acquired(&self, id: &str) -> bool {
-        self.acquiring.borrow().contains(id)
+        self.acquiring.borrow().contains_key(id)
     }
 
     /// Marks a batch job as being acquired, until the returned guard is dropped.
@@ -116,11 +127,18 @@
     /// task at a time may acquire a batch job.
     pub fn begin_acquiring(&self, id: &str) -> AcquisitionGuard {
         let id = Box::<str>::from(id);
-        self.acquiring.borrow_mut().insert(id.clone());
+        self.acquiring.borrow_mut().insert(id.clone(), false);
         let acquiring = self.acquiring.clone();
         AcquisitionGuard { acquiring, id }
     }
 
+    /// Records that another node has ended a batch job that this node may be acquiring.
+    pub fn record_end(&self, id: &str) {
+        if let Some(is_ended) = self.acquiring.borrow_mut().get_mut(id) {
+            *is_ended = true;
+        }
+    }
+
     /// Returns all batch jobs that this node owns, including ended ones.
     pub fn all(&self) -> Vec<Rc<OwnedJob>> {
         self.owned.borrow().values().cloned().collect()
@@ -130,6 +148,22 @@
     pub fn insert(&self, owned: Rc<OwnedJob>) {
         self.cached_owners.borrow_mut().remove(&owned.id);
         self.owned.borrow_mut().insert(owned.id.clone(), owned);
+        self.inserted.notify_waiters();
+    }
+
+    /// Waits until this node owns another batch job.
+    pub async fn inserted(&self) {
+        self.inserted.notified().await;
+    }
+
+    /// Returns the store revision at which this node acquired the first of its open batch jobs that
+    /// have unlisted items.
+    pub fn first_open_revision(&self) -> Option<Index> {
+        let owned = self.owned.borrow();
+        let is_unfinished =
+            |owned: &&Rc<OwnedJob>| owned.is_open.get() && !owned.job.borrow().is_all_listed();
+        let open = owned.values().filter(is_unfinished);
+        open.map(|owned| owned.acquired_revision).min()
     }
 
     /// Closes and removes a batch job that this node no longer owns.
@@ -187,6 +221,7 @@
             id: id.into(),
             host: record.host.clone(),
             path: record.path.clone(),
+            acquired_revision: row.revision,
             is_open: Cell::new(row.state.open),
             job: RefCell::new(job),
             progress: RefCell::default(),
--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -1,27 +1,22 @@
-//! Reads and ends of batch jobs, which every node serves.
+//! Reads of batch jobs, which every node serves.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::{sleep, timeout};
 use wisteriapoint_batch::{ItemResult, JobState, Owner, Page};
-use wisteriapoint_store::{CommitOutcome, Error, Freshness, Transaction, TransactionalStore};
+use wisteriapoint_store::{Error, Freshness, TransactionalStore};
 
 use super::takeover::{read_record, read_state, read_state_as};
-use super::{OwnedJob, commit, keys, takeover};
+use super::{OwnedJob, keys, takeover};
 use crate::callers::batch::MAX_PAGE_BYTES;
 use crate::dialect::Dialect;
-use crate::event;
 use crate::node::Node;
 use crate::peers::{PeerRequest, PeerResponse, call_peer};
 
 /// Pause before an empty page is returned for a read from the store, as the reader repeats the read
 /// at once.
 const EMPTY_READ_PAUSE: Duration = Duration::from_millis(400);
-/// Maximum number of attempts to write the end of a batch job while other writes change its row.
-const MAX_END_ATTEMPTS: u32 = 6;
-/// Pause between these attempts.
-const END_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Result of an operation on a batch job or one of its items.
 #[derive(Debug)]
@@ -130,71 +125,9 @@
     }
 }
 
-/// Ends a batch job at its owner, or in the store if the owner does not answer.
-pub async fn end<D: Dialect>(node: &Rc<Node<D>>, job: &str) -> Lookup<()> {
-    let to_lookup = |is_ended: bool| match is_ended {
-        true => Lookup::Found(()),
-        false => Lookup::Unavailable("the store does not answer".into()),
-    };
-    if let Some(owned) = node.jobs.get(job) {
-        return to_lookup(commit::end_owned(node, &owned).await);
-    }
-    let query = PeerRequest::End { job: job.into() };
-    match query_owner(node, job, &query).await {
-        Lookup::Found(OwnerResponse::Answered(PeerResponse::Done)) => Lookup::Found(()),
-        Lookup::Found(_) => match end_in_store(node, job).await {
-            Some(true) => Lookup::Found(()),
-            Some(false) => Lookup::NotFound,
-            None => Lookup::Unavailable("the store does not answer".into()),
-        },
-        Lookup::NotFound => Lookup::NotFound,
-        Lookup::Unavailable(reason) => Lookup::Unavailable(reason),
-    }
-}
-
-/// Ends a batch job in the store.
-///
-/// Returns `true` once it has ended, `false` if there is no such batch job, and `None` if the
-/// outcome is ambiguous.
-pub async fn end_in_store<D: Dialect>(node: &Node<D>, job: &str) -> Option<bool> {
-    for _ in 0..MAX_END_ATTEMPTS {
-        let (revision, state) = match read_state(node, job).await {
-            Ok(None) => return Some(false),
-            Ok(Some((_, state))) if !state.open => return Some(true),
-            Ok(Some(row)) => row,
-            Err(error) => {
-                event!(warn, "end of batch job not stored", id = job, error = error);
-                sleep(END_RETRY_PAUSE).await;
-                continue;
-            }
-        };
-        let ended = JobState {
-            open: false,
-            nonce: rand::random(),
-            ..state
-        };
-        let Ok(value) = serde_json::to_vec(&ended) else {
-            return None;
-        };
-        let transaction = Transaction::new()
-            .with_expected(keys::state(job), revision)
-            .with_put(keys::state(job), value);
-        let committed = node.store.commit(&transaction).await;
-        node.record_store_call("end", &committed);
-        match committed {
-            Ok(CommitOutcome::Done(_)) => {
-                event!(info, "batch job ended", id = job, by_owner = false);
-                return Some(true);
-            }
-            Ok(_) => {}
-            Err(error) => event!(warn, "end of batch job not stored", id = job, error = error),
-        }
-        sleep(END_RETRY_PAUSE).await;
-    }
-    None
-}
-
-enum OwnerResponse {
+/// Response of the owner of a batch job to a query.
+pub enum OwnerResponse {
+    /// The owner answered.
     Answered(PeerResponse),
     /// The owner according to the store did not answer or does not run the batch job; contains the
     /// state from the store.
@@ -203,7 +136,7 @@
 
 /// Sends a query to the likely owner, and then to the owner according to the store if the first one
 /// did not answer or is not the owner.
-async fn query_owner<D: Dialect>(
+pub async fn query_owner<D: Dialect>(
     node: &Rc<Node<D>>,
     job: &str,
     query: &PeerRequest,
@@ -212,9 +145,14 @@
         Ok(likely) => likely,
         Err(error) => return Lookup::Unavailable(error.to_string().into()),
     };
+    let mut silent = None;
     if let Some(owner) = likely {
         match call_peer(node, owner.address, query).await {
-            Some(PeerResponse::NotOwner) | None => node.jobs.set_cached_owner(job, None),
+            Some(PeerResponse::NotOwner) => node.jobs.set_cached_owner(job, None),
+            None => {
+                node.jobs.set_cached_owner(job, None);
+                silent = Some(owner);
+            }
             Some(response) => {
                 node.jobs.set_cached_owner(job, Some(owner));
                 return Lookup::Found(OwnerResponse::Answered(response));
@@ -231,6 +169,9 @@
         takeover::spawn_acquire_own(node, job);
         return Lookup::Found(OwnerResponse::NoResponse(state));
     }
+    if silent.as_ref() == Some(&state.owner) {
+        return Lookup::Found(OwnerResponse::NoResponse(state));
+    }
     match call_peer(node, state.owner.address, query).await {
         Some(PeerResponse::NotOwner) | None => Lookup::Found(OwnerResponse::NoResponse(state)),
         Some(response) => {
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -143,7 +143,7 @@
     if node.jobs.is_being_acquired(job) {
         return Ok(false);
     }
-    let _acquisition = node.jobs.begin_acquiring(job);
+    let acquisition = node.jobs.begin_acquiring(job);
     let state = read_state(node, job)
         .await
         .map_err(|error| error.to_string())?;
@@ -196,6 +196,9 @@
     owned.merge_partial_outputs(outputs);
     owned.merge_partial_outputs(partial_outputs::read_stored(node, job).await);
     owned.restore_failures(partial_outputs::read_failures(node, job).await);
+    if acquisition.is_ended() {
+        return Ok(true);
+    }
     node.jobs.insert(owned.clone());
     run::start_tasks(node, owned);
     Ok(true)
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -20,7 +20,7 @@
 use crate::control::leaving;
 use crate::dialect::Dialect;
 use crate::event;
-use crate::jobs::{self, read};
+use crate::jobs::{self, Lookup, read};
 use crate::node::{Node, Stage};
 use crate::relay::{StoreCall, StoreResponse};
 use crate::upstream::ConnectOutcome;
@@ -273,9 +273,9 @@
             None => PeerResponse::NotOwner,
         },
         PeerRequest::End { job } => match node.jobs.get(&job) {
-            Some(owned) => match jobs::commit::end_owned(node, &owned).await {
-                true => PeerResponse::Done,
-                false => PeerResponse::Failed,
+            Some(_) => match jobs::end::end(node, &job).await {
+                Lookup::Found(()) => PeerResponse::Done,
+                Lookup::NotFound | Lookup::Unavailable(_) => PeerResponse::Failed,
             },
             None => PeerResponse::NotOwner,
         },
