Refuse requests that would not end before a stopping node exits

Requests of the last milliseconds were passed on and cut as well.

Cause: a stopping node waited for its connections to end, but compared nowhere the time that a request needs with the time that it has, and it accepted and passed on requests while it released its lease.

Change: from SIGTERM on, a request whose route's longest recent request, and a quarter more, would not end before the exit is refused as not run, with a delay after which another node takes it; without recent ones the deadline and the route's timeout decide. What can end is served, as fewer than half of a zone in rotation means that these nodes get all its traffic. At the exit the node stops accepting, answers what it has read (503 if the body was still being read, else 502), and only then releases its lease. Reads of batch jobs wait for results no longer than until the exit.

--- a/crates/node/src/callers/batch.rs
+++ b/crates/node/src/callers/batch.rs
@@ -7,7 +7,7 @@
 use wisteriapoint_directory::Route;
 
 use super::response::{
-    CallerResponse, body_response, not_run_response, store_unavailable, text_response,
+    CallerResponse, body_response, stopping_response, store_unavailable, text_response,
 };
 use crate::dialect::Dialect;
 use crate::event;
@@ -16,8 +16,6 @@
 
 /// Largest page of results, in bytes before encoding; the encoded page stays below 1 MB.
 pub const MAX_PAGE_BYTES: usize = 700 << 10;
-/// Retry delay sent to a caller that submits to a stopping node; another node accepts the job.
-const STOPPING_RETRY_AFTER_MS: u64 = 50;
 
 /// Submits a batch job and responds once it is stored.
 pub async fn submit_job<D: Dialect>(
@@ -29,7 +27,7 @@
     body: Bytes,
 ) -> CallerResponse {
     if node.stage.get() == Stage::Stopping && !node.jobs.has_owner(id) {
-        return not_run_response::<D>("stopping", STOPPING_RETRY_AFTER_MS);
+        return stopping_response::<D>();
     }
     let submission = match D::parse_submission(&body) {
         Ok(submission) => submission,
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -23,10 +23,15 @@
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
 const METRICS_PATH: &str = "/metrics";
 
-/// Accepts connections from callers until the node stops.
+/// Accepts connections from callers until the node exits.
 pub async fn serve_requests<D: Dialect>(node: Rc<Node<D>>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // Connections that were not accepted are reset, so that callers use another node.
+            () = node.wait_for_exit() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 spawn_local(serve_connection(node.clone(), stream));
             }
@@ -87,9 +92,15 @@
         .keep_alive(!is_closing);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let should_close = async {
+        tokio::select! {
+            _ = closing.changed() => {}
+            () = node.wait_for_exit() => {}
+        }
+    };
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        _ = closing.changed() => {
+        () = should_close => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -8,9 +8,10 @@
 use hyper::header::{ACCEPT_ENCODING, CONNECTION, HOST, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
 use wisteriapoint_directory::{Configuration, Route, RouteKind};
+use wisteriapoint_types::Verdict;
 
 use super::response::{
-    self, CallerResponse, Payload, copy_headers, not_run_response, text_response,
+    self, CallerResponse, Payload, copy_headers, not_run_response, stopping_response, text_response,
 };
 use super::{batch, stream};
 use crate::dialect::{Dialect, InboundMetadata, Operation};
@@ -95,7 +96,14 @@
     );
     let id = request.id.clone();
     let operation = D::classify_request(&request.head.method, &request.head.uri);
-    let (route, mut response) = dispatch(&node, operation, request).await;
+    let (route, mut response) = tokio::select! {
+        biased;
+        answered = dispatch(&node, operation, request) => answered,
+        () = node.wait_for_exit() => (
+            "unfinished".into(),
+            text_response(StatusCode::BAD_GATEWAY, "the node stopped before the request ended"),
+        ),
+    };
     if node.stage.get() == Stage::Stopping {
         // `Connection: close` lets callers reconnect to another node before this connection ends.
         let close = HeaderValue::from_static("close");
@@ -127,9 +135,10 @@
     match operation {
         Operation::ReadResults { job, after } => {
             let wait_ms = request.metadata.wait_ms.unwrap_or(0);
+            let left_ms = node.left_until_exit_ms().unwrap_or(wait_ms);
             (
                 "results".into(),
-                batch::read_results(node, &job, after, wait_ms).await,
+                batch::read_results(node, &job, after, wait_ms.min(left_ms)).await,
             )
         }
         Operation::ReadBody { job, item } => (
@@ -170,7 +179,11 @@
         body,
         ..
     } = request;
-    let body = match read_body(body, max_body_bytes).await {
+    let body = tokio::select! {
+        body = read_body(body, max_body_bytes) => body,
+        () = node.wait_for_exit() => Err(stopping_response::<D>()),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(response) => return response,
     };
@@ -178,6 +191,10 @@
         return batch::submit_job(node, route, &id, &host, head.uri.path(), body).await;
     }
     let deadline_ms = metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let limit_ms = deadline_ms.min(route.timeout_ms);
+    if !can_end_before_exit(node, route, &id, limit_ms) {
+        return stopping_response::<D>();
+    }
     let mut headers = HeaderMap::new();
     copy_headers(&head.headers, &mut headers, |name| {
         name == ACCEPT_ENCODING.as_str()
@@ -199,7 +216,9 @@
     if route.kind == RouteKind::Streaming {
         return stream::handle_stream(node, request, metadata).await;
     }
-    match forward(node, &request).await {
+    let outcome = forward(node, &request).await;
+    record_duration(node, route, arrived_at_ms, &outcome);
+    match outcome {
         ForwardOutcome::Response(response) => {
             let payload = Payload::Full(Some(response.body));
             response::endpoint_response::<D>(response.status, &response.headers, payload)
@@ -218,6 +237,41 @@
     }
 }
 
+/// Returns `true` unless the node stops and would probably exit before a request ends, which lasts
+/// `limit_ms` at most.
+fn can_end_before_exit<D: Dialect>(node: &Node<D>, route: &Route, id: &str, limit_ms: u64) -> bool {
+    let Some(left_ms) = node.left_until_exit_ms() else {
+        return true;
+    };
+    let durations = node.durations.borrow();
+    let expected_ms = durations.expected_ms(node.now_ms(), &route.name, limit_ms);
+    if expected_ms <= left_ms {
+        return true;
+    }
+    event!(
+        info,
+        "request refused; it would not end before the node exits",
+        id = id,
+        route = route.name,
+        expected_ms = expected_ms,
+        left_ms = left_ms,
+    );
+    false
+}
+
+/// Records how long a request has lasted, unless it did not run.
+fn record_duration<D: Dialect>(
+    node: &Node<D>,
+    route: &Route,
+    arrived_at_ms: u64,
+    outcome: &ForwardOutcome,
+) {
+    match outcome {
+        ForwardOutcome::Failed(failure) if failure.verdict == Verdict::NotRun => {}
+        _ => node.record_duration(&route.name, arrived_at_ms),
+    }
+}
+
 /// Reads a body of at most `max_bytes`.
 ///
 /// Of a larger body, reads and discards up to [`MAX_DISCARDED_BYTES`] more, since a caller that is
--- a/crates/node/src/callers/response.rs
+++ b/crates/node/src/callers/response.rs
@@ -17,6 +17,9 @@
 /// Retry delay sent to a caller when the store was unavailable.
 const STORE_RETRY_AFTER_MS: u64 = 300;
 
+/// Retry delay sent to a caller that a stopping node refuses; another node takes the request.
+const STOPPING_RETRY_AFTER_MS: u64 = 50;
+
 /// HTTP response sent to a caller.
 pub type CallerResponse = Response<Payload>;
 
@@ -87,6 +90,11 @@
     response
 }
 
+/// Returns a "not run" response of a node that is stopping.
+pub fn stopping_response<D: Dialect>() -> CallerResponse {
+    not_run_response::<D>("stopping", STOPPING_RETRY_AFTER_MS)
+}
+
 /// Returns a "not run" response for a store that can't be reached.
 pub fn store_unavailable<D: Dialect>(line: &str) -> CallerResponse {
     not_run_response::<D>(line, STORE_RETRY_AFTER_MS)
--- a/crates/node/src/callers/stream/forward.rs
+++ b/crates/node/src/callers/stream/forward.rs
@@ -85,7 +85,10 @@
             } = stream;
             let forwarded = self.forward_events(&node, &run, response, &events).await;
             let failure = match forwarded {
-                Ok(StreamEnd::Complete) => return run.record_completion(),
+                Ok(StreamEnd::Complete) => {
+                    node.record_duration(&self.route.name, self.arrived_at_ms);
+                    return run.record_completion();
+                }
                 Ok(StreamEnd::CallerLeft) => return,
                 Err(failure) => failure,
             };
--- a/crates/node/src/callers/stream/mod.rs
+++ b/crates/node/src/callers/stream/mod.rs
@@ -39,6 +39,7 @@
     digest: Option<Digest>,
     route: Route,
     service: ServiceName,
+    arrived_at_ms: u64,
     end_at_ms: u64,
     /// Attempt at which the caller got the first event, as it says.
     first_attempt: Option<Box<str>>,
@@ -76,6 +77,7 @@
         digest: request.digest,
         route: route.clone(),
         service,
+        arrived_at_ms: request.arrived_at_ms,
         end_at_ms: request
             .deadline_at_ms
             .min(request.arrived_at_ms + route.timeout_ms),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,6 +18,7 @@
     Configuration, Priority, Registry, Requirements, ServiceSizes, Subset,
 };
 use wisteriapoint_peer::Client;
+use wisteriapoint_route::Durations;
 use wisteriapoint_store::Error as StoreError;
 use wisteriapoint_types::{
     EndpointName, FailureDomain, ServiceName, SoftwareVersion, StreamOrigin, WeightVersion,
@@ -41,6 +42,8 @@
 const BALANCER_LAG: Duration = Duration::from_millis(2_300);
 /// Part of the grace period that is reserved for the exit of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(1_300);
+/// Time for the answers of a stopping node that accepts no more connections to reach their callers.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
 /// Interval at which a stopping node checks whether all connections have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -114,6 +117,12 @@
     /// Becomes `true` when callers' connections are to close, after the balancer has stopped
     /// sending requests.
     pub closing: watch::Sender<bool>,
+    /// Becomes `true` when the node accepts no more connections, and answers at once what it has read.
+    pub exiting: watch::Sender<bool>,
+    /// Time of the node's clock at which it exits, in milliseconds; `None` before a stop.
+    pub exit_at_ms: Cell<Option<u64>>,
+    /// Longest recent durations of callers' requests.
+    pub durations: RefCell<Durations>,
 }
 
 /// Configuration, endpoints and weight versions as a node has received them.
@@ -188,6 +197,9 @@
             stage: Cell::new(Stage::Starting),
             stop_begun: watch::channel(false).0,
             closing: watch::channel(false).0,
+            exiting: watch::channel(false).0,
+            exit_at_ms: Cell::new(None),
+            durations: RefCell::default(),
             settings,
         }))
     }
@@ -223,6 +235,26 @@
         let _begun = stop_begun.wait_for(|&begun| begun).await;
     }
 
+    /// Waits until the node answers at once what it has read, as it exits.
+    pub async fn wait_for_exit(&self) {
+        let mut exiting = self.exiting.subscribe();
+        // Fails only without a sender, which lives as long as this node.
+        let _begun = exiting.wait_for(|&begun| begun).await;
+    }
+
+    /// Returns the time until the node exits, in milliseconds; `None` unless it is stopping.
+    pub fn left_until_exit_ms(&self) -> Option<u64> {
+        let exit_at_ms = self.exit_at_ms.get()?;
+        Some(exit_at_ms.saturating_sub(self.now_ms()))
+    }
+
+    /// Records that a request of a route that arrived at the given time has ended.
+    pub fn record_duration(&self, route: &str, arrived_at_ms: u64) {
+        let now_ms = self.now_ms();
+        let mut durations = self.durations.borrow_mut();
+        durations.record(now_ms, route, now_ms - arrived_at_ms);
+    }
+
     /// Returns the configuration in force.
     pub fn configuration(&self) -> Option<Rc<Configuration>> {
         self.directory.borrow().configuration.clone()
@@ -383,7 +415,8 @@
     ///
     /// Reports that it is not ready and waits until the balancer sends no more requests, then hands
     /// batch jobs over to other nodes, closes each connection after its request, and releases the
-    /// lease.
+    /// lease. Requests that can't end before the exit are refused from the beginning, and the last ones
+    /// are answered before the connections close.
     pub async fn stop(self: &Rc<Self>) {
         event!(
             info,
@@ -392,7 +425,8 @@
             in_progress = self.in_progress.get()
         );
         let grace = Duration::from_secs(self.settings.bounds.grace_s);
-        let end = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
+        let exit_at_ms = self.now_ms() + grace.saturating_sub(STOP_MARGIN).as_millis() as u64;
+        self.exit_at_ms.set(Some(exit_at_ms));
         self.stage.set(Stage::Stopping);
         self.stop_begun.send_replace(true);
         self.metrics.set_state("ready", 0);
@@ -400,11 +434,27 @@
         jobs::hand_over(self).await;
         self.closing.send_replace(true);
         // An idle connection closes at once; one with a request in progress, after the response.
+        self.wait_for_connections(self.clock.instant_at(exit_at_ms))
+            .await;
+        let aborted_requests = self.in_progress.get();
+        self.exit_at_ms.set(Some(self.now_ms()));
+        self.exiting.send_replace(true);
+        self.wait_for_connections(tokio::time::Instant::now() + LAST_ANSWERS_TIME)
+            .await;
+        control::release_lease(self).await;
+        event!(
+            info,
+            "stopped",
+            aborted_requests = aborted_requests,
+            open_connections = self.connections.get()
+        );
+    }
+
+    /// Waits until callers have no open connections, or until the given time.
+    async fn wait_for_connections(&self, end: tokio::time::Instant) {
         while self.connections.get() > 0 && tokio::time::Instant::now() < end {
             sleep(STOP_POLL_INTERVAL).await;
         }
-        control::release_lease(self).await;
-        event!(info, "stopped", aborted_requests = self.in_progress.get());
     }
 }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 pub mod demand;
+pub mod durations;
 pub mod pool;
 pub mod queue;
 pub mod retry;
@@ -27,6 +28,7 @@
 mod choice;
 
 pub use demand::{Admission, Class, Demand, Dispatch, Reason, Refusal};
+pub use durations::Durations;
 pub use pool::{Dequeued, Pool};
 pub use queue::TicketKey;
 pub use retry::RetryBudget;
