Keep the age of a node's view of the endpoints below the drain time

Cause: constants that were chosen apart. After a read of the store a node paused 0.9 s and then waited 1.6 s for the leader that had not answered before. Nothing kept the age of what the node knew, and a leader passed its view on as current until one of its own calls had failed.

Change: `View` keeps that age on the clock that includes suspension, and each wait ends before it reaches `drain_ms` less 300 ms. A leader passes its view on only while it is at most 600 ms old, and receivers count it as that old, so no message changes. A leader that did not answer is not asked for 2.5 s; a node watches the store meanwhile, from its last revision and one call a second, so that 250 nodes that lose the leader at once make 250 calls a second of 2,000. A change of leader ends the wait.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod software_history;
 pub mod stream_records;
 pub mod subset;
+pub mod view;
 
 pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Split};
 pub use endpoint::{Endpoint, EndpointRecord, EndpointStage, Load, RECORD_LAG_MS};
@@ -30,3 +31,4 @@
 pub use software_history::{MAX_CALLER_WAIT_MS, SoftwareHistory, SoftwareRecord};
 pub use stream_records::{StreamRecord, StreamRecords};
 pub use subset::{ServiceSizes, Subset};
+pub use view::View;
--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -3,71 +3,109 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
+use wisteriapoint_batch::Owner;
 use wisteriapoint_directory::EndpointRecord;
 use wisteriapoint_store::{Backoff, Change, Error, Index, Row};
 use wisteriapoint_types::EndpointName;
 
-use super::feed::{self, FeedPosition};
-use super::watch::{RowUpdate, read_all, read_changes};
+use super::feed::{self, FeedPosition, PollOutcome};
+use super::watch::{MAX_WATCH_WAIT, RowUpdate, read_all, read_changes_within};
+use crate::clock::boot_ms;
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::{Directory, Node};
 use crate::streams;
 
-/// Least time between two watches of the endpoints: changes in quick succession cost one call, and
-/// nodes still stop using a draining endpoint within its two seconds.
-const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(900);
-
-/// Interval at which a node that watches the rows itself checks for a leader to follow.
-const LEADER_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Least time between two calls to the store for the endpoints: changes in quick succession cost one
+/// call.
+const MIN_CALL_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait of a watch of a node that is not the leader. Its end shows that the store answers, and
+/// then the leader is asked again.
+const FOLLOWER_WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// Time for which a leader that did not answer is not asked again: most are replaced in it.
+const SILENT_LEADER_PAUSE: Duration = Duration::from_millis(2_500);
 
 /// Keeps the registry current: from the store at the leader, from the leader at other nodes.
 ///
 /// Before its first complete read, and while no leader answers, a node reads and watches the rows
-/// itself.
+/// itself. It does so before its view is too old, however long the leader's answer takes.
 pub async fn sync_endpoints<D: Dialect>(node: Rc<Node<D>>) {
     tokio::task::spawn_local(expire_absent_endpoints(node.clone()));
+    let mut leader_changes = node.leader.subscribe();
     let mut backoff = Backoff::new();
     let mut state = SyncState::Unknown;
+    let mut silent: Option<(Owner, Instant)> = None;
+    let mut called_at: Option<Instant> = None;
     loop {
-        let leader = node.leader.borrow().clone();
-        let position = match &leader {
-            Some(leader) if *leader != node.owner && node.directory.borrow().endpoints_loaded => {
-                feed::poll_leader(&node, leader.address, state.position()).await
+        let leader = leader_changes.borrow_and_update().clone();
+        let is_silent = |leader: &Owner| {
+            let mut silent = silent.iter();
+            silent.any(|(other, until)| other == leader && Instant::now() < *until)
+        };
+        let limit = Duration::from_millis(node.view_left_ms());
+        let outcome = match &leader {
+            Some(leader)
+                if *leader != node.owner
+                    && node.directory.borrow().endpoints_loaded
+                    && !is_silent(leader)
+                    && limit >= feed::MIN_POLL_TIME =>
+            {
+                tokio::select! {
+                    outcome = feed::poll_leader(&node, leader.address, state.position(), limit) => {
+                        if let PollOutcome::Silent = outcome {
+                            silent = Some((leader.clone(), Instant::now() + SILENT_LEADER_PAUSE));
+                        }
+                        outcome
+                    }
+                    _ = leader_changes.changed() => continue,
+                }
             }
-            _ => None,
+            _ => PollOutcome::Refused,
         };
-        state = match position {
-            Some(position) => {
-                node.directory.borrow_mut().endpoints_current_ms = node.now_ms();
+        state = match outcome {
+            PollOutcome::Applied(position) => {
                 node.feed.set_fresh(false);
                 SyncState::Leader(position)
             }
-            None => match sync_from_store(&node, state).await {
-                Ok(state) => {
-                    backoff = Backoff::new();
-                    state
+            PollOutcome::Refused | PollOutcome::Silent => {
+                if let Some(called_at) = called_at {
+                    sleep_until(called_at + MIN_CALL_INTERVAL).await;
                 }
-                Err(error) => {
-                    event!(
-                        info,
-                        "endpoints could not be read from the store; retrying",
-                        error = error
-                    );
-                    node.feed.set_fresh(false);
-                    node.store_health.pause(backoff.next_pause()).await;
-                    SyncState::Unknown
+                called_at = Some(Instant::now());
+                tokio::select! {
+                    synced = sync_from_store(&node, state) => match synced {
+                        Ok(state) => {
+                            backoff = Backoff::new();
+                            state
+                        }
+                        Err(error) => {
+                            event!(
+                                info,
+                                "endpoints could not be read from the store; retrying",
+                                error = error
+                            );
+                            node.feed.set_fresh(false);
+                            node.directory.borrow_mut().view.end_watch(None);
+                            node.store_health.pause(backoff.next_pause()).await;
+                            SyncState::Unknown
+                        }
+                    },
+                    _ = leader_changes.changed(), if state != SyncState::Unknown => state,
                 }
-            },
+            }
         };
+        let answered_ms = node.store_health.answered_boot_ms();
+        let mut directory = node.directory.borrow_mut();
+        directory.view.end_watch(Some(answered_ms));
+        drop(directory);
         let count = node.directory.borrow().registry.iter().count();
         node.metrics.set_state("endpoints", count as i64);
     }
 }
 
 /// The source and position up to which the registry is current.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SyncState {
     Unknown,
     /// All endpoints, read from the store at this revision.
@@ -110,22 +148,25 @@
     let prefix = D::ENDPOINTS_PREFIX;
     let apply = |rows: RowUpdate<'_>| apply_row_update(node, rows);
     let is_leader = node.is_leader();
-    let revision = match state.revision(is_leader) {
+    let (revision, as_of_ms) = match state.revision(is_leader) {
         Some(revision) => {
+            node.directory.borrow_mut().view.begin_watch();
             node.feed.set_fresh(is_leader);
-            // A leader may become known at any time.
-            tokio::select! {
-                changes = read_changes(node, prefix, revision, &apply) => changes?,
-                () = sleep(LEADER_POLL_INTERVAL), if !is_leader => revision,
-            }
+            let wait = match is_leader {
+                true => MAX_WATCH_WAIT,
+                false => FOLLOWER_WATCH_WAIT,
+            };
+            let revision = read_changes_within(node, prefix, revision, wait, &apply).await?;
+            (revision, boot_ms())
+        }
+        None => {
+            let called_ms = boot_ms();
+            (read_all(node, prefix, &apply).await?, called_ms)
         }
-        None => read_all(node, prefix, &apply).await?,
     };
+    node.directory.borrow_mut().view.confirm(as_of_ms);
     node.feed.set_revision(revision);
     node.feed.set_fresh(is_leader);
-    if node.directory.borrow().endpoints_loaded {
-        sleep(MIN_WATCH_INTERVAL).await;
-    }
     Ok(match is_leader {
         true => SyncState::All(revision),
         false => SyncState::Used(revision),
--- a/crates/node/src/control/feed.rs
+++ b/crates/node/src/control/feed.rs
@@ -6,30 +6,38 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 use wisteriapoint_batch::Work;
 use wisteriapoint_directory::{EndpointRecord, EventTimes, Registry, ServiceSizes, Subset};
 use wisteriapoint_store::Index;
 use wisteriapoint_types::{EndpointName, ServiceName};
 
+use crate::clock::boot_ms;
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::Node;
-use crate::peers::{PeerRequest, PeerResponse, call_peer};
+use crate::peers::{PeerRequest, PeerResponse, call_peer_within};
 
 use super::endpoints::{remove_endpoint, update_endpoint};
 
 /// Number of changes that are kept; a requester that needs older ones gets all endpoints. Holds
 /// some seconds of weight changes in a fleet of thousands of engines.
 const MAX_KEPT_CHANGES: usize = 8_192;
-/// Longest time that a request waits for a change, in milliseconds. This and the timeout of the
-/// response together are less than the time in which nodes must stop using a draining endpoint, so
-/// a leader that has disappeared is noticed soon enough.
-pub const MAX_WAIT_MS: u64 = 1_000;
+/// Longest time that a request waits for a change, in milliseconds: less than the time after which the
+/// requester has to read the store.
+const MAX_WAIT_MS: u64 = 800;
+
+/// Time for the answer of the leader beyond that: some network hops, and a leader that waits for CPU
+/// time.
+const ANSWER_TRANSIT_MS: u64 = 200;
+/// Least time in which a leader that works has answered.
+pub const MIN_POLL_TIME: Duration = Duration::from_millis(MAX_WAIT_MS + ANSWER_TRANSIT_MS);
 
 /// Age at which a node's report of its work is discarded, in milliseconds. A live node sends
 /// several requests in this time.
@@ -221,7 +229,7 @@
 
 /// Responds to another node as soon as there are changes for it, or after [`MAX_WAIT_MS`].
 ///
-/// Returns `None` if this node does not watch the rows or the store does not answer.
+/// Returns `None` if this node does not watch the rows, or has not heard from the store for too long.
 pub async fn handle_request<D: Dialect>(
     node: &Node<D>,
     request: &FeedRequest,
@@ -232,23 +240,21 @@
     let end = node.clock.instant_at(now_ms + MAX_WAIT_MS);
     loop {
         let changed = node.feed.changed.notified();
-        if !is_fresh(node) {
+        let left_ms = node.view_source_left_ms();
+        if !node.feed.is_fresh.get() || left_ms == 0 {
             return None;
         }
         let response = response_for(node, request);
-        if response.is_all
-            || !response.endpoints.is_empty()
-            || timeout_at(end, changed).await.is_err()
-        {
-            return is_fresh(node).then_some(response);
+        let now = Instant::now();
+        if response.is_all || !response.endpoints.is_empty() || now >= end {
+            return Some(response);
         }
+        // Another look at the view once it may be too old, and at the end of the wait.
+        let look_at = end.min(now + Duration::from_millis(left_ms));
+        let _is_changed = timeout_at(look_at, changed).await.is_ok();
     }
 }
 
-fn is_fresh<D: Dialect>(node: &Node<D>) -> bool {
-    node.feed.is_fresh.get() && !node.store_health.is_failing()
-}
-
 /// Merges speeds measured by another node into the registry and the feed.
 fn merge_speeds<D: Dialect>(node: &Node<D>, speeds: &[(EndpointName, f64)]) {
     let mut directory = node.directory.borrow_mut();
@@ -326,28 +332,45 @@
     }
 }
 
+/// How a request for changes ended.
+#[derive(Debug, Clone, Copy)]
+pub enum PollOutcome {
+    /// The changes up to this position have been applied.
+    Applied(FeedPosition),
+    /// The node has no current view, or is not the leader.
+    Refused,
+    /// The node did not answer in time.
+    Silent,
+}
+
 /// Requests changes after a position from the leader and applies them.
-///
-/// Returns the new position; `None` if the leader did not answer or could not serve the request.
 pub async fn poll_leader<D: Dialect>(
     node: &Rc<Node<D>>,
-    leader: std::net::SocketAddr,
+    leader: SocketAddr,
     after: Option<FeedPosition>,
-) -> Option<FeedPosition> {
-    let request = FeedRequest {
+    limit: Duration,
+) -> PollOutcome {
+    let request = PeerRequest::Endpoints(FeedRequest {
         vm: node.settings.vm.clone(),
         after,
         sizes: node.directory.borrow().sizes.clone(),
         work: node.jobs.work(node.now_ms()),
         speeds: new_measurements(node),
-    };
-    match call_peer(node, leader, &PeerRequest::Endpoints(request)).await {
+    });
+    let sent_ms = boot_ms();
+    match call_peer_within(node, leader, &request, limit).await {
         Some(PeerResponse::Endpoints(Some(response))) => {
             let position = response.position;
+            // The answer may have waited for this node, if it was frozen.
+            let passed_on_ms = boot_ms().min(sent_ms + MIN_POLL_TIME.as_millis() as u64);
+            let mut directory = node.directory.borrow_mut();
+            directory.view.confirm_from_peer(passed_on_ms);
+            drop(directory);
             apply_response(node, response);
-            Some(position)
+            PollOutcome::Applied(position)
         }
-        _ => None,
+        Some(_) => PollOutcome::Refused,
+        None => PollOutcome::Silent,
     }
 }
 
--- a/crates/node/src/control/health.rs
+++ b/crates/node/src/control/health.rs
@@ -7,6 +7,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use crate::clock::boot_ms;
 use crate::event;
 
 /// Time without any answer after which rows may have expired, in milliseconds. Shorter failures
@@ -19,6 +20,7 @@
 pub struct StoreHealth {
     failing_since_ms: Cell<Option<u64>>,
     outage_end_ms: Cell<Option<u64>>,
+    answered_boot_ms: Cell<u64>,
     recovered: Notify,
 }
 
@@ -38,6 +40,7 @@
 
     /// Records an answer, which ends an outage.
     pub fn record_answer(&self, now_ms: u64) {
+        self.answered_boot_ms.set(boot_ms());
         if let Some(since_ms) = self.failing_since_ms.take() {
             if now_ms >= since_ms + OUTAGE_MS {
                 self.outage_end_ms.set(Some(now_ms));
@@ -47,6 +50,11 @@
         }
     }
 
+    /// Returns the time of the last answer, on the clock that includes suspension.
+    pub fn answered_boot_ms(&self) -> u64 {
+        self.answered_boot_ms.get()
+    }
+
     /// Waits until the store answers again after a failure.
     ///
     /// A watch that was open meanwhile may be on a connection that no longer receives anything.
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -51,7 +51,7 @@
             Ok(ClaimOutcome::Leader { fence, as_of }) => {
                 node.metrics.set_state("keeper", 1);
                 event!(info, "became leader", fence = fence.0);
-                node.leader.replace(Some(node.owner.clone()));
+                node.leader.send_replace(Some(node.owner.clone()));
                 node.directory_changed.notify_waiters();
                 tokio::select! {
                     () = lead(&node, fence, as_of) => {}
@@ -61,7 +61,7 @@
                 if node.stage.get() == Stage::Stopping || node.pool.is_cut_off() {
                     release_leadership(&node, fence).await;
                 }
-                node.leader.replace(None);
+                node.leader.send_replace(None);
                 node.metrics.set_state("keeper", 0);
                 event!(info, "no longer leader", fence = fence.0);
                 Ok(())
@@ -73,7 +73,7 @@
                         node.suspects.peers.add(node.now_ms(), leader.address);
                     }
                 }
-                node.leader.replace(leader);
+                node.leader.send_replace(leader);
                 wait_for_change(&node, LEADER_KEY, revision).await
             }
             Err(error) => Err(error),
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -119,9 +119,24 @@
     prefix: &str,
     after: Index,
     apply: &impl Fn(RowUpdate<'_>),
+) -> Result<Index, Error> {
+    read_changes_within(node, prefix, after, MAX_WATCH_WAIT, apply).await
+}
+
+/// Same as [`read_changes`], with the longest time to wait for changes.
+///
+/// # Errors
+///
+/// As [`read_changes`].
+pub async fn read_changes_within<D: Dialect>(
+    node: &Rc<Node<D>>,
+    prefix: &str,
+    after: Index,
+    wait: Duration,
+    apply: &impl Fn(RowUpdate<'_>),
 ) -> Result<Index, Error> {
     let changes = tokio::select! {
-        changes = node.store.watch(prefix, after, MAX_WATCH_WAIT) => changes,
+        changes = node.store.watch(prefix, after, wait) => changes,
         () = node.store_health.recovered() => return Err(Error::HistoryGone),
     };
     node.record_store_call("watch", &changes);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +14,7 @@
 use tokio::time::sleep;
 use wisteriapoint_batch::Owner;
 use wisteriapoint_directory::{
-    Configuration, Priority, Registry, Requirements, ServiceSizes, Subset,
+    Configuration, Priority, Registry, Requirements, ServiceSizes, Subset, View,
 };
 use wisteriapoint_peer::Client;
 use wisteriapoint_route::Durations;
@@ -24,14 +23,14 @@
     EndpointName, FailureDomain, ServiceName, SoftwareVersion, StreamOrigin, WeightVersion,
 };
 
-use crate::clock::Clock;
+use crate::clock::{Clock, boot_ms};
 use crate::control::{Feed, Lease, StoreHealth};
 use crate::dialect::Dialect;
 use crate::jobs::Jobs;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::relay::RelayedStore;
-use crate::settings::NodeSettings;
+use crate::settings::{NodeSettings, SettingsFile};
 use crate::streams::Streams;
 use crate::suspects::SuspectRequests;
 use crate::upstream::{Pool, watch_links};
@@ -47,10 +46,6 @@
 /// Interval at which a stopping node checks whether all connections have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Longest time for which a change of an endpoint is on its way to a node that the leader answers, in
-/// milliseconds: one request for changes, and what it follows.
-const FEED_LAG_MS: u64 = 2_000;
-
 /// Number of connections to endpoints that a node opens for others at the same time, of which each uses
 /// two sockets and 16 kB: those of several nodes at the load that one VM bears.
 const MAX_TUNNELS: usize = 256;
@@ -83,7 +78,7 @@
     /// Endpoint changes that the leader publishes to other nodes.
     pub feed: Feed,
     /// The current leader as last read from the store; `None` if it is not known.
-    pub leader: RefCell<Option<Owner>>,
+    pub leader: watch::Sender<Option<Owner>>,
     /// Store lease to which the rows of this node are attached.
     pub lease: Lease,
     /// Configuration, endpoints and weight versions.
@@ -132,8 +127,8 @@
     pub configuration: Option<Rc<Configuration>>,
     /// Whether all endpoints have been read at least once.
     pub endpoints_loaded: bool,
-    /// Time at which the endpoints were last known to be current, in milliseconds.
-    pub endpoints_current_ms: u64,
+    /// Age of the endpoints.
+    pub view: View,
     /// Endpoints that this node uses; at the leader, all endpoints.
     pub registry: Registry,
     /// Sizes of large services; a node uses only a subset of their endpoints.
@@ -172,7 +167,7 @@
             store: RelayedStore::new(direct, peers.clone()),
             store_health: StoreHealth::new(),
             feed: Feed::new(),
-            leader: RefCell::default(),
+            leader: watch::channel(None).0,
             lease: Lease::new(),
             subset: Subset::new(&owner.vm),
             owner,
@@ -298,9 +293,22 @@
     }
 
     /// Returns `true` if this node knows the endpoints as they were moments ago.
-    pub fn knows_endpoints(&self, now_ms: u64) -> bool {
-        let current_ms = self.directory.borrow().endpoints_current_ms;
-        !self.store_health.is_failing() || now_ms < current_ms + FEED_LAG_MS
+    pub fn knows_endpoints(&self) -> bool {
+        self.view_left_ms() > 0
+    }
+
+    /// Returns the time until this node has to read the endpoints from the store, in milliseconds.
+    pub fn view_left_ms(&self) -> u64 {
+        let answered_ms = self.store_health.answered_boot_ms();
+        let view = self.directory.borrow().view;
+        view.left_ms(boot_ms(), answered_ms, self.settings.bounds.drain_ms)
+    }
+
+    /// Returns the time for which this node may pass its endpoints on to others, in milliseconds.
+    pub fn view_source_left_ms(&self) -> u64 {
+        let answered_ms = self.store_health.answered_boot_ms();
+        let view = self.directory.borrow().view;
+        view.source_left_ms(boot_ms(), answered_ms)
     }
 
     /// Returns `true` if this node is the leader.
@@ -361,19 +369,19 @@
     /// # Errors
     ///
     /// Fails if the settings can't be read or an address can't be bound.
-    pub async fn run(path: PathBuf) -> Result<(), Error> {
-        let settings = NodeSettings::from_file(&path)?;
+    pub async fn run(file: SettingsFile) -> Result<(), Error> {
+        let settings = file.read()?;
         let mut terminate = signal(SignalKind::terminate())
             .map_err(|error| Error::io("handler of SIGTERM", error))?;
         let hangup = on_hangup()?;
         if settings.callers.is_none() {
             event!(info, "start", vm = settings.vm, takes_requests = false);
-            spawn_local(reload(settings, path, hangup));
+            spawn_local(reload(settings, file, hangup));
             terminate.recv().await;
             event!(info, "stop", reason = "SIGTERM");
             return Ok(());
         }
-        spawn_local(reload(settings.clone(), path, hangup));
+        spawn_local(reload(settings.clone(), file, hangup));
         let node = Self::start(settings).await?;
         terminate.recv().await;
         node.stop().await;
@@ -472,9 +480,9 @@
 }
 
 /// Reads the settings again at each SIGHUP and logs whether a restart is needed to apply a change.
-async fn reload(current: NodeSettings, path: PathBuf, mut hangup: Signal) {
+async fn reload(current: NodeSettings, file: SettingsFile, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
-        match NodeSettings::from_file(&path) {
+        match file.read() {
             Ok(settings) if settings == current => event!(info, "reload", changed = false),
             Ok(_) => event!(
                 warn,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -379,12 +379,21 @@
 ) -> Option<PeerResponse> {
     let timeout = match request {
         PeerRequest::Results { wait_ms, .. } => RESPONSE_TIMEOUT + Duration::from_millis(*wait_ms),
-        PeerRequest::Endpoints(_) => RESPONSE_TIMEOUT + Duration::from_millis(feed::MAX_WAIT_MS),
         PeerRequest::Crashes { .. } | PeerRequest::RunIsolated { .. } => SUSPECT_TIMEOUT,
         PeerRequest::Permit { .. } => limits::PERMIT_TIMEOUT,
         PeerRequest::StreamBegan { .. } | PeerRequest::StreamRecord(_) => streams::STREAM_TIMEOUT,
         _ => RESPONSE_TIMEOUT,
     };
+    call_peer_within(node, address, request, timeout).await
+}
+
+/// Same as [`call_peer`], with a timeout for the response.
+pub async fn call_peer_within<D: Dialect>(
+    node: &Node<D>,
+    address: SocketAddr,
+    request: &PeerRequest,
+    timeout: Duration,
+) -> Option<PeerResponse> {
     match node.peers.call(address, request, timeout).await {
         Ok(response) => Some(response),
         Err(error) => {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a node, read from JSON with comments.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::PathBuf;
 
 use serde::Deserialize;
 use wisteriapoint_types::FailureDomain;
@@ -9,6 +9,9 @@
 use crate::Error;
 use crate::error::Kind;
 
+/// Time of a draining endpoint on deployments whose settings do not state it, in milliseconds.
+pub const DEFAULT_DRAIN_MS: u64 = 2_000;
+
 /// Settings of a node, read at its start; a reload only reports whether they changed.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -59,6 +62,13 @@
     pub lease_ms: u64,
     /// Whether engines reject orders with an older fencing token.
     pub engines_check_fences: bool,
+    /// Time for which an endpoint still serves after it has said that it drains, in milliseconds.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
+}
+
+fn default_drain_ms() -> u64 {
+    DEFAULT_DRAIN_MS
 }
 
 impl NodeSettings {
@@ -71,15 +81,29 @@
         let stripped = json_comments::StripComments::new(text.as_bytes());
         serde_json::from_reader(stripped).map_err(|error| Kind::Settings(error).into())
     }
+}
+
+/// File with the settings of a node, and a value that precedes that of the file.
+#[derive(Debug)]
+pub struct SettingsFile {
+    /// Path of the file.
+    pub path: PathBuf,
+    /// Precedes [`Bounds::drain_ms`].
+    pub drain_ms: Option<u64>,
+}
 
-    /// Reads settings from a file.
+impl SettingsFile {
+    /// Reads the settings.
     ///
     /// # Errors
     ///
-    /// Fails if the file can't be read, or as [`from_text`](Self::from_text) does.
-    pub fn from_file(path: &Path) -> Result<Self, Error> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| Error::io(path.display().to_string(), error))?;
-        Self::from_text(&text)
+    /// Fails if the file can't be read, or as [`NodeSettings::from_text`] does.
+    pub fn read(&self) -> Result<NodeSettings, Error> {
+        let text = std::fs::read_to_string(&self.path)
+            .map_err(|error| Error::io(self.path.display().to_string(), error))?;
+        let mut settings = NodeSettings::from_text(&text)?;
+        let bounds = &mut settings.bounds;
+        bounds.drain_ms = self.drain_ms.unwrap_or(bounds.drain_ms);
+        Ok(settings)
     }
 }
--- a/crates/node/src/streams/software.rs
+++ b/crates/node/src/streams/software.rs
@@ -77,7 +77,7 @@
 /// Forgets that the rows name versions that are no longer registered, and observes those that are.
 pub fn observe_versions<D: Dialect>(node: &Node<D>) {
     let directory = node.directory.borrow();
-    if !directory.endpoints_loaded || !node.knows_endpoints(node.now_ms()) {
+    if !directory.endpoints_loaded || !node.knows_endpoints() {
         return;
     }
     let rows = &node.streams.software;
@@ -228,7 +228,7 @@
     let [split] = &*route.splits else {
         return Err(UnknownOrigin::Unknown);
     };
-    if !rows.all_nodes_record.get() || !node.knows_endpoints(node.now_ms()) {
+    if !rows.all_nodes_record.get() || !node.knows_endpoints() {
         return Err(UnknownOrigin::Unknown);
     }
     let read = timeout(ROW_TIMEOUT, read_shared(node, &split.service)).await;
