Record crashes of endpoints that fall silent under a request

Cause: a crash was known by a broken connection only. A run that was given up in silence left no trace, and the instance it was sent to was not compared with the one that came back.

Change: a run that ends without an answer, whether by the objective, the deadline or its caller, waits up to 10 s for evidence: its endpoint is registered as a later instance, or not any more, before it has answered anything. Then a crash is recorded as if the connection had broken, at the moment at which the row is known, so that endpoints which return together count as a burst. An answer of the endpoint or a completion of the request elsewhere ends the wait: a slow endpoint is no crash, and a request that another endpoint completes is no suspect. No message changes. Items of batch jobs are no suspects, as before.

--- a/crates/node/src/callers/stream/forward.rs
+++ b/crates/node/src/callers/stream/forward.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout;
 use wisteriapoint_types::{EndpointName, SoftwareVersion, StreamOrigin};
 
+use super::open::end_run;
 use super::{StreamForwarder, UpstreamStream, failure};
 use crate::callers::response::{CallerResponse, Payload, StreamAborted, endpoint_response};
 use crate::dialect::Dialect;
@@ -39,10 +40,11 @@
         let left_ms = self.end_at_ms.saturating_sub(node.now_ms());
         let body = stream.response.read_body();
         let body = timeout(Duration::from_millis(left_ms), body).await;
-        let error = match body.unwrap_or_else(|_| Err(SendFailure::ambiguous("its time is over"))) {
+        let error = match body.unwrap_or_else(|_| Err(SendFailure::silent("its time is over"))) {
             Ok(body) => {
-                if !status.is_server_error() {
-                    stream.run.record_completion();
+                match status.is_server_error() {
+                    true => stream.run.record_end(),
+                    false => stream.run.record_completion(),
                 }
                 let payload = Payload::Full(Some(body));
                 return Ok(endpoint_response::<D>(status, &headers, payload));
@@ -56,13 +58,7 @@
             endpoint = stream.endpoint,
             reason = error.reason
         );
-        if error.connection_lost {
-            let address = stream.address;
-            stream
-                .run
-                .record_lost_connection(address, &error.reason)
-                .await;
-        }
+        end_run(stream.run, stream.address, &error).await;
         Err(ForwardFailure {
             is_timeout: node.now_ms() >= self.end_at_ms,
             ..failure(error.verdict, &error.reason)
@@ -102,9 +98,7 @@
             if let Some(entry) = node.directory.borrow_mut().registry.get_mut(&endpoint) {
                 entry.record_failure(node.now_ms());
             }
-            if failure.connection_lost {
-                run.record_lost_connection(address, &failure.reason).await;
-            }
+            end_run(run, address, &failure).await;
             match self.resume_upstream(&node, endpoint, &events).await {
                 Ok(next) => stream = next,
                 Err(reason) => {
@@ -182,11 +176,12 @@
                 next = timeout(EVENT_TIMEOUT, reader.next()) => next,
                 () = events.closed() => return Ok(StreamEnd::CallerLeft),
             };
-            let next = next.map_err(|_| SendFailure::ambiguous("no event within the timeout"))?;
+            let next = next.map_err(|_| SendFailure::silent("no event within the timeout"))?;
             let event = match next? {
                 Some(event) => event,
                 None => break,
             };
+            run.record_part();
             let expected = self.last_event.map(|last| last + 1);
             match event.id {
                 Some(id) if expected.is_none_or(|expected| expected == id) => {
--- a/crates/node/src/callers/stream/open.rs
+++ b/crates/node/src/callers/stream/open.rs
@@ -103,8 +103,10 @@
                 self.excluded.push(endpoint);
                 continue;
             }
+            run.record_send();
             let error = match self.send(node, &endpoint, address).await {
                 Ok(response) => {
+                    run.record_part();
                     self.attempts += 1;
                     self.log_begin(&run, &endpoint, &response);
                     return Ok(UpstreamStream {
@@ -116,9 +118,7 @@
                 }
                 Err(error) => error,
             };
-            if error.connection_lost {
-                run.record_lost_connection(address, &error.reason).await;
-            }
+            end_run(run, address, &error).await;
             self.excluded.push(endpoint);
             failure.reason = error.reason;
             failure.is_timeout = node.now_ms() >= self.end_at_ms;
@@ -215,7 +215,7 @@
         let failure = match sent {
             Ok(Ok(response)) => return Ok(response),
             Ok(Err(failure)) => failure,
-            Err(_) => return Err(SendFailure::ambiguous("its time is over")),
+            Err(_) => return Err(SendFailure::silent("its time is over")),
         };
         record_send_failure(
             &mut node.directory.borrow_mut(),
@@ -235,3 +235,14 @@
         Err(failure)
     }
 }
+
+/// Records what a failure says about the endpoint of a run.
+pub(super) async fn end_run<D: Dialect>(run: Run<D>, address: SocketAddr, failure: &SendFailure) {
+    match failure {
+        failure if failure.connection_lost => {
+            run.record_lost_connection(address, &failure.reason).await;
+        }
+        failure if failure.was_silent => {}
+        _ => run.record_end(),
+    }
+}
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -245,10 +245,11 @@
         }
         let occupancy = node.occupancy(&endpoint);
         let timeout_ms = attempt_timeout_ms(request, &history, end_at_ms - now_ms);
+        run.record_send();
         let attempt = send_to_endpoint(node, request, &endpoint, address, end_at_ms - now_ms);
         let result = timeout(Duration::from_millis(timeout_ms), attempt).await;
         let result = result.unwrap_or_else(|_| {
-            Err(SendFailure::ambiguous(format!(
+            Err(SendFailure::silent(format!(
                 "no answer for {timeout_ms} ms"
             )))
         });
@@ -310,7 +311,8 @@
         Err(failure) if failure.connection_lost => {
             run.record_lost_connection(address, &failure.reason).await;
         }
-        _ => {}
+        Err(failure) if failure.was_silent => {}
+        _ => run.record_end(),
     }
 }
 
--- a/crates/node/src/limits/mod.rs
+++ b/crates/node/src/limits/mod.rs
@@ -65,6 +65,9 @@
         }
         Err(failure) => (failure.limit, false, failure.is_leaving),
     };
+    if stated.is_some() {
+        node.suspects.record_answer(outbound.endpoint);
+    }
     if is_leaving {
         leaving::record(node, outbound.endpoint, outbound.id);
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -150,6 +150,8 @@
     pub failure_domain: FailureDomain,
     /// Version of its software, if it is known.
     pub software: Option<SoftwareVersion>,
+    /// Start of its instance, in Unix milliseconds.
+    pub born_unix_ms: u64,
 }
 
 impl<D: Dialect> Node<D> {
@@ -281,6 +283,7 @@
             address: record.address,
             failure_domain: record.failure_domain.clone(),
             software: record.software.clone(),
+            born_unix_ms: record.born_unix_ms,
             name,
         })
     }
@@ -413,6 +416,7 @@
         let peers = bind(node.settings.peer_address).await?;
         peers::start(&node, peers);
         suspects::exchange::start(&node);
+        spawn_local(suspects::silent::watch_silent_runs(node.clone()));
         spawn_local(watch_links::<D>(node.pool.clone()));
         spawn_local(export_cut_off(node.clone()));
         control::start(&node);
--- a/crates/node/src/suspects/mod.rs
+++ b/crates/node/src/suspects/mod.rs
@@ -6,6 +6,7 @@
 pub mod exchange;
 pub mod peers;
 pub mod run;
+pub mod silent;
 pub mod stored;
 
 pub use peers::KnownPeers;
@@ -18,7 +19,9 @@
 use std::rc::Rc;
 
 use tokio::sync::Notify;
-use wisteriapoint_route::{Crash, CrashReport, Recorded, SuspectStatus, Suspects};
+use wisteriapoint_route::{
+    Crash, CrashReport, Recorded, SilentRun, SilentRuns, SuspectStatus, Suspects,
+};
 use wisteriapoint_types::{Digest, EndpointName};
 
 use crate::dialect::Dialect;
@@ -42,6 +45,9 @@
     /// Requests whose crashes a peer has not acknowledged.
     undelivered: RefCell<BTreeMap<SocketAddr, BTreeSet<Digest>>>,
     undelivered_added: Notify,
+    /// Runs that ended without an answer of the endpoint.
+    silent_runs: RefCell<SilentRuns>,
+    silent_run_added: Notify,
     /// The nodes that get crash reports, and are asked for connections to endpoints.
     pub peers: Rc<KnownPeers>,
     is_history_loaded: Cell<bool>,
@@ -56,6 +62,8 @@
             running: RefCell::default(),
             undelivered: RefCell::default(),
             undelivered_added: Notify::new(),
+            silent_runs: RefCell::default(),
+            silent_run_added: Notify::new(),
             peers: Rc::default(),
             is_history_loaded: Cell::default(),
         }
@@ -110,6 +118,20 @@
         self.running.borrow().get(endpoint).copied().unwrap_or(0)
     }
 
+    /// Records that an endpoint has sent a part of an answer, so it has not crashed under requests that
+    /// were given up before.
+    pub fn record_answer(&self, endpoint: &EndpointName) {
+        let mut silent_runs = self.silent_runs.borrow_mut();
+        if !silent_runs.is_empty() {
+            silent_runs.record_answer(endpoint);
+        }
+    }
+
+    fn add_silent_run(&self, now_ms: u64, endpoint: &EndpointName, run: SilentRun) {
+        self.silent_runs.borrow_mut().insert(now_ms, endpoint, run);
+        self.silent_run_added.notify_one();
+    }
+
     fn begin_run(&self, endpoint: &EndpointName) {
         let mut running = self.running.borrow_mut();
         *running.entry(endpoint.clone()).or_default() += 1;
@@ -209,6 +231,9 @@
 
 /// Clears a request that was completed at another node.
 pub fn apply_completion<D: Dialect>(node: &Node<D>, digest: Digest) {
+    let mut silent_runs = node.suspects.silent_runs.borrow_mut();
+    silent_runs.record_completion(digest);
+    drop(silent_runs);
     let mut crashes = node.suspects.crashes.borrow_mut();
     if crashes.clear(node.now_ms(), digest) {
         event!(
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -1,5 +1,6 @@
 //! One run of a request at an endpoint, and what its end says about the request.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wisteriapoint_directory::{EndpointStage, Requirements};
-use wisteriapoint_route::{Crash, CrashReport, SuspectStatus};
+use wisteriapoint_route::{Crash, CrashReport, SilentRun, SuspectStatus};
 use wisteriapoint_types::{Digest, EndpointName, FailureDomain, SoftwareVersion};
 
 use super::exchange::Kept;
@@ -22,6 +23,9 @@
 /// Number of denied permits after which a placement leaves out all endpoints with a limit: a caller waits
 /// for each request for a permit.
 const MAX_DENIALS: u32 = 3;
+/// Time without a part of an answer that has begun after which its endpoint counts as silent, in
+/// milliseconds: more than the times between the events of a stream.
+const MIN_SILENCE_MS: u64 = 250;
 /// Interval at which the nodes are asked whether they have ended.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -77,6 +81,22 @@
     is_isolated: bool,
     /// `true` if the other nodes confirmed that the run is isolated.
     is_confirmed: bool,
+    /// Start of the endpoint's instance, in Unix milliseconds.
+    born_unix_ms: u64,
+    progress: Cell<Progress>,
+}
+
+/// What a run has shown of its endpoint.
+#[derive(Debug, Clone, Copy)]
+enum Progress {
+    /// The request has not been sent.
+    NotSent,
+    /// The endpoint has sent nothing yet.
+    Sent,
+    /// The endpoint last sent a part of its answer at this time, in milliseconds.
+    Heard(u64),
+    /// The answer or its connection has ended.
+    Ended,
 }
 
 impl<D: Dialect> Drop for Run<D> {
@@ -84,6 +104,18 @@
         let Some(digest) = self.digest else {
             return;
         };
+        if self.is_silent() {
+            let run = SilentRun {
+                digest,
+                id: self.id.clone(),
+                failure_domain: self.failure_domain.clone(),
+                born_unix_ms: self.born_unix_ms,
+                isolated: self.is_isolated && self.is_confirmed,
+                shared: self.node.suspects.running(&self.endpoint) > 1,
+            };
+            let suspects = &self.node.suspects;
+            suspects.add_silent_run(self.node.now_ms(), &self.endpoint, run);
+        }
         self.node.suspects.end_run(&self.endpoint);
         if self.is_isolated {
             self.node.suspects.isolated.borrow_mut().remove(&digest);
@@ -298,6 +330,33 @@
             software: chosen.software.clone(),
             is_isolated: false,
             is_confirmed: false,
+            born_unix_ms: chosen.born_unix_ms,
+            progress: Cell::new(Progress::NotSent),
+        }
+    }
+
+    /// Records that the request is sent.
+    pub fn record_send(&self) {
+        self.progress.set(Progress::Sent);
+    }
+
+    /// Records that the endpoint has sent a part of its answer.
+    pub fn record_part(&self) {
+        self.progress.set(Progress::Heard(self.node.now_ms()));
+        self.node.suspects.record_answer(&self.endpoint);
+    }
+
+    /// Records that the answer or its connection has ended, or that the request was refused.
+    pub fn record_end(&self) {
+        self.progress.set(Progress::Ended);
+    }
+
+    /// Returns `true` if the request was sent and then nothing came, until it is given up now.
+    fn is_silent(&self) -> bool {
+        match self.progress.get() {
+            Progress::NotSent | Progress::Ended => false,
+            Progress::Sent => true,
+            Progress::Heard(at_ms) => self.node.now_ms() >= at_ms + MIN_SILENCE_MS,
         }
     }
 
@@ -313,10 +372,14 @@
 
     /// Records that the endpoint completed the request, which clears it.
     pub fn record_completion(&self) {
+        self.record_end();
         let Some(digest) = self.digest else {
             return;
         };
         let now_ms = self.node.now_ms();
+        let mut silent_runs = self.node.suspects.silent_runs.borrow_mut();
+        silent_runs.record_completion(digest);
+        drop(silent_runs);
         let mut crashes = self.node.suspects.crashes.borrow_mut();
         if crashes.clear(now_ms, digest) {
             event!(
@@ -336,13 +399,24 @@
     /// Returns once it is known whether the endpoint has crashed, and all nodes that can be reached
     /// know of the crash. This continues if the caller of the request disconnects meanwhile.
     pub async fn record_lost_connection(self, address: SocketAddr, reason: &str) {
+        self.record_end();
         let Some(digest) = self.digest else {
             return;
         };
         let (reason, lost_at_ms) = (Box::<str>::from(reason), self.node.now_ms());
         let investigation = spawn_local(async move {
             if self.has_crashed(address).await {
-                self.record_crash(digest, lost_at_ms, &reason).await;
+                let crash = ObservedCrash {
+                    id: &self.id,
+                    digest,
+                    endpoint: &self.endpoint,
+                    failure_domain: &self.failure_domain,
+                    at_ms: lost_at_ms,
+                    isolated: self.is_isolated && self.is_confirmed,
+                    was_shared: None,
+                    reason: &reason,
+                };
+                record_crash(&self.node, crash).await;
             }
         });
         if let Err(error) = investigation.await {
@@ -371,46 +445,66 @@
         }
         !is_accepting
     }
+}
 
-    /// Returns `true` if the endpoint drains or is no longer registered, and so may end with requests in
-    /// flight.
-    fn is_endpoint_leaving(&self) -> bool {
-        let directory = self.node.directory.borrow();
-        let registered = directory.registry.get(&self.endpoint);
-        registered.is_none_or(|entry| entry.record.stage == EndpointStage::Draining)
-    }
+/// A crash of an endpoint, and the request that ran there.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ObservedCrash<'a> {
+    /// Id of the request.
+    pub(super) id: &'a str,
+    pub(super) digest: Digest,
+    pub(super) endpoint: &'a EndpointName,
+    pub(super) failure_domain: &'a FailureDomain,
+    /// Time of the crash, in milliseconds.
+    pub(super) at_ms: u64,
+    pub(super) isolated: bool,
+    /// Whether another request ran there as well; `None` if the present requests tell.
+    pub(super) was_shared: Option<bool>,
+    pub(super) reason: &'a str,
+}
 
-    async fn record_crash(&self, digest: Digest, at_ms: u64, reason: &str) {
-        let node = &self.node;
-        let crash = Crash {
-            id: rand::random(),
-            endpoint: &self.endpoint,
-            failure_domain: &self.failure_domain,
-            isolated: self.is_isolated && self.is_confirmed,
-            is_leaving: self.is_endpoint_leaving(),
-        };
-        let recorded = node.suspects.record_crash(at_ms, digest, crash);
-        event!(
-            info,
-            "crash of endpoint recorded",
-            id = self.id,
-            digest = digest,
-            crash = format_args!("{:x}", crash.id),
-            endpoint = self.endpoint,
-            isolated = crash.isolated,
-            is_leaving = crash.is_leaving,
-            known_crashes = node.suspects.reports(node.now_ms(), digest).len(),
-            reason = reason,
-        );
-        count(node, "recorded");
-        log_eviction(node, recorded);
-        // One of the requests at this node is the suspect itself.
-        let is_shared_here = node.suspects.running(&self.endpoint) > 1;
-        if exchange::report(node, digest, &self.endpoint).await || is_shared_here {
-            node.suspects.record_shared(digest, crash.id);
-        }
-        if node.suspects.status(node.now_ms(), digest) == SuspectStatus::Quarantined {
-            spawn_local(stored::store(node.clone(), digest));
-        }
+/// Returns `true` if the endpoint drains or is no longer registered, and so may end with requests in
+/// flight.
+fn is_leaving<D: Dialect>(node: &Node<D>, endpoint: &EndpointName) -> bool {
+    let directory = node.directory.borrow();
+    let registered = directory.registry.get(endpoint);
+    registered.is_none_or(|entry| entry.record.stage == EndpointStage::Draining)
+}
+
+/// Records a crash and tells all nodes that can be reached.
+pub(super) async fn record_crash<D: Dialect>(node: &Rc<Node<D>>, observed: ObservedCrash<'_>) {
+    let ObservedCrash {
+        digest, endpoint, ..
+    } = observed;
+    let crash = Crash {
+        id: rand::random(),
+        endpoint,
+        failure_domain: observed.failure_domain,
+        isolated: observed.isolated,
+        is_leaving: is_leaving(node, endpoint),
+    };
+    let recorded = node.suspects.record_crash(observed.at_ms, digest, crash);
+    event!(
+        info,
+        "crash of endpoint recorded",
+        id = observed.id,
+        digest = digest,
+        crash = format_args!("{:x}", crash.id),
+        endpoint = endpoint,
+        isolated = crash.isolated,
+        is_leaving = crash.is_leaving,
+        known_crashes = node.suspects.reports(node.now_ms(), digest).len(),
+        reason = observed.reason,
+    );
+    count(node, "recorded");
+    log_eviction(node, recorded);
+    // One of the requests at this node is the suspect itself.
+    let is_shared_here = node.suspects.running(endpoint) > 1;
+    let is_shared_now = exchange::report(node, digest, endpoint).await || is_shared_here;
+    if observed.was_shared.unwrap_or(is_shared_now) {
+        node.suspects.record_shared(digest, crash.id);
+    }
+    if node.suspects.status(node.now_ms(), digest) == SuspectStatus::Quarantined {
+        spawn_local(stored::store(node.clone(), digest));
     }
 }
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -65,6 +65,8 @@
     /// `true` if the connection failed after the request was sent, as it does when the endpoint
     /// crashes.
     pub connection_lost: bool,
+    /// `true` if nothing was received until the request was given up.
+    pub was_silent: bool,
     /// `true` if no connection could be made.
     pub is_unreachable: bool,
     /// `true` if the endpoint refused the request, which is treated as a lack of capacity.
@@ -81,6 +83,7 @@
             verdict,
             reason: reason.to_string().into(),
             connection_lost: false,
+            was_silent: false,
             is_unreachable: false,
             was_overloaded: false,
             is_leaving: false,
@@ -95,6 +98,14 @@
         Self::new(Verdict::MayHaveRun, reason)
     }
 
+    /// Returns the failure of a request that this node has given up, as nothing was received in time.
+    pub fn silent(reason: impl ToString) -> Self {
+        Self {
+            was_silent: true,
+            ..Self::ambiguous(reason)
+        }
+    }
+
     /// Returns the failure of a request for which no connection could be made.
     fn unreachable(reason: impl ToString) -> Self {
         Self {
