Keep software versions in their row until a leader has observed the endpoints again

What callers saw: nothing yet; reported by other operators for streams across versions while a node is out of step, and found by reading and a test here. A leader that was frozen for longer than callers wait (60 s) took every version that it knew before for unregistered, and could remove it from the row before it had looked at the endpoints. A stream of a version that was still in use would then have gone on at another one (ORDER).

Cause: `SoftwareHistory::observe` begins anew after a gap, but `updated` judged by the times before the gap if it was called first.

Change: after a gap in the observation `updated` removes and adds nothing; a row stays incomplete while members don't record versions.

--- a/crates/directory/src/software_history.rs
+++ b/crates/directory/src/software_history.rs
@@ -89,7 +89,8 @@
     /// Returns the record of a service that should replace the stored one.
     ///
     /// A stored version is kept until it has been unregistered, as this node observed it, for as long
-    /// as callers wait. While there are nodes that don't record the versions at which they begin
+    /// as callers wait. After a gap in the observation nothing changes until the next one. While there
+    /// are nodes that don't record the versions at which they begin
     /// streams, the record is not complete and the observation begins anew.
     pub fn updated(
         &mut self,
@@ -98,6 +99,15 @@
         stored: &SoftwareRecord,
         all_nodes_record: bool,
     ) -> SoftwareRecord {
+        let is_observed = self
+            .observed_ms
+            .is_some_and(|(_, latest_ms)| now_ms <= latest_ms + MAX_OBSERVATION_GAP_MS);
+        if !is_observed {
+            return SoftwareRecord {
+                is_complete: stored.is_complete && all_nodes_record,
+                ..stored.clone()
+            };
+        }
         if !all_nodes_record {
             self.observed_ms = self.observed_ms.map(|_| (now_ms, now_ms));
         }
--- a/crates/directory/tests/streams.rs
+++ b/crates/directory/tests/streams.rs
@@ -250,6 +250,20 @@
 
 /// Guards against a complete record while nodes of an earlier build begin streams that they do not
 /// record.
+/// Guards against a leader that was frozen for longer than callers wait, and removes the versions that it
+/// knew before it has looked at the endpoints again.
+#[test]
+fn a_leader_that_returns_removes_no_version_before_it_observes() {
+    let mut history = SoftwareHistory::new();
+    observe_between(&mut history, 0, MINUTE_MS, &["a"]);
+    let stored = software_record(&["a", "b"], true);
+    let stored = updated(&mut history, MINUTE_MS, &stored);
+    let returned_ms = 3 * MINUTE_MS;
+    assert_eq!(updated(&mut history, returned_ms, &stored), stored);
+    observe_between(&mut history, returned_ms, returned_ms + 1_000, &["b"]);
+    assert_eq!(updated(&mut history, returned_ms + 1_000, &stored), stored);
+}
+
 #[test]
 fn a_record_is_not_complete_while_nodes_do_not_record() {
     let stored = software_record(&["old"], true);
