Let no stream go on while the view of the endpoints is too old

Seen here in a test: a node wakes after 2.5 s, hears from the others which version began a stream, and sends the rest to an endpoint that is back under its name with newer software.

Cause: the version that began a stream is asked for, but which version an endpoint runs was taken from the node's view, however old.

Change: a stream that has begun goes on only while the view is within the bound that draining endpoints set. Until then it waits as for an endpoint with room (a quarter of the objective, or 1 s within one response), then it is refused as not run, or breaks off, with a reason of its own.

What it costs: while the store is away for more than 1.7 s, streams that break are refused until it is back, as those of unknown origin were before. Items of batch jobs still go on by the view as it is.

--- a/crates/node/src/callers/stream/open.rs
+++ b/crates/node/src/callers/stream/open.rs
@@ -29,6 +29,8 @@
 const RESUME_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Reason of the refusal of a stream that no endpoint may go on with.
 const NO_ORIGIN_REASON: &str = "no endpoint of the software version that began the stream has room";
+/// Reason of the refusal of a stream that has begun, by a node whose view of the endpoints is too old.
+const OLD_VIEW_REASON: &str = "it is not known which software version the endpoints run now";
 /// Reason of the refusal of a stream whose begin could not be recorded.
 const UNRECORDED_REASON: &str = "the software version of the endpoint could not be recorded";
 
@@ -58,6 +60,15 @@
                 failure.is_timeout = true;
                 return Err(failure);
             }
+            // An endpoint may be back under its name with other software.
+            if self.origin != StreamOrigin::None && !node.knows_endpoints() {
+                if node.now_ms() < wait_end_ms {
+                    sleep(RESUME_POLL_INTERVAL).await;
+                    continue;
+                }
+                failure.reason = OLD_VIEW_REASON.into();
+                return Err(failure);
+            }
             let (run, endpoint, address) = match self.place(node, isolation_end_ms).await {
                 Placement::Run {
                     run,
