Make no entry for each slot that a row states

What callers saw: reported by other operators: one odd entry among those of the engines ended the machines that read it again and again. Seen here: an engine whose row states 4,294,967,295 slots takes 64 GB of the owner of a batch job, which ends.

Cause: the choice of the items that migrate to faster engines lists each free slot of each engine.

Change: it lists as many of an engine as there are items that could migrate.

--- a/crates/batch/src/migration.rs
+++ b/crates/batch/src/migration.rs
@@ -48,7 +48,9 @@
         .iter()
         .filter(|free| free.ms_per_event > 0.0)
         .flat_map(|free| {
-            std::iter::repeat_n((free.ms_per_event, free.software), free.slots as usize)
+            // Rows may state any number of slots.
+            let slots = generating.len().min(free.slots as usize);
+            std::iter::repeat_n((free.ms_per_event, free.software), slots)
         })
         .collect();
     slots.sort_by(|(a, _), (b, _)| a.total_cmp(b));
