Log a malformed row once for each revision

What operators saw: found by reading, after the report of an odd entry. A row that can't be parsed was logged at each read of all rows: a malformed member row at each node every 6 s and at each change of the members, rows of endpoints and of the operator at each full read.

--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -205,6 +205,7 @@
             D::parse_endpoint_row(&row.value),
         ) {
             (Some(name), Ok(record)) => records.push((name, record)),
+            _ if !node.malformed_rows.is_new(row) => {}
             (_, Err(error)) => event!(
                 warn,
                 "endpoint row could not be parsed; ignored",
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -115,7 +115,7 @@
             let (fence, as_of) = (row.revision, revision);
             return Ok(ClaimOutcome::Leader { fence, as_of });
         }
-        Some(row) => match members::parse_member(&row.value) {
+        Some(row) => match members::parse_member(node, &row) {
             // A previous run of the node on this VM has definitely ended.
             Some(previous) if previous.vm == node.owner.vm => row.revision,
             leader => return Ok(ClaimOutcome::Follower(leader, revision)),
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use wisteriapoint_batch::Owner;
-use wisteriapoint_store::{Error, Freshness, Index, TransactionalStore};
+use wisteriapoint_store::{Error, Freshness, Index, Row, TransactionalStore};
 
 use crate::dialect::Dialect;
 use crate::event;
@@ -38,20 +38,23 @@
     Ok((format!("{MEMBERS_PREFIX}{}", member.vm), value))
 }
 
-/// Parses the value of a member row; logs an error and returns `None` if it is malformed.
-pub fn parse_member(value: &[u8]) -> Option<Owner> {
-    Some(parse_row(value)?.member)
+/// Parses a member row; returns `None` if it is malformed, which is logged once.
+pub fn parse_member<D: Dialect>(node: &Node<D>, row: &Row) -> Option<Owner> {
+    Some(parse_row(node, row)?.member)
 }
 
-fn parse_row(value: &[u8]) -> Option<MemberRow<Owner>> {
-    match serde_json::from_slice(value) {
-        Ok(row) => Some(row),
+fn parse_row<D: Dialect>(node: &Node<D>, row: &Row) -> Option<MemberRow<Owner>> {
+    match serde_json::from_slice(&row.value) {
+        Ok(parsed) => Some(parsed),
         Err(error) => {
-            event!(
-                error,
-                "member row could not be parsed; ignored",
-                error = error
-            );
+            if node.malformed_rows.is_new(row) {
+                event!(
+                    error,
+                    "member row could not be parsed; ignored",
+                    key = row.key,
+                    error = error
+                );
+            }
             None
         }
     }
@@ -81,7 +84,7 @@
     let rows = node.store.range(MEMBERS_PREFIX, freshness).await;
     node.record_store_call("members", &rows);
     let (rows, revision) = rows?;
-    let rows: Vec<_> = rows.iter().map(|row| parse_row(&row.value)).collect();
+    let rows: Vec<_> = rows.iter().map(|row| parse_row(node, row)).collect();
     // A row that can't be parsed may be of any build.
     let records = |row: &Option<MemberRow<_>>| row.as_ref().is_some_and(|row| row.records_software);
     let all_record = rows.iter().all(records);
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,6 +6,7 @@
 pub mod leader;
 pub mod lease;
 pub mod leaving;
+pub mod malformed;
 pub mod members;
 pub mod orders;
 pub mod watch;
@@ -13,6 +14,7 @@
 pub use feed::Feed;
 pub use health::StoreHealth;
 pub use lease::Lease;
+pub use malformed::MalformedRows;
 pub use members::members;
 
 use std::rc::Rc;
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -170,12 +170,13 @@
 fn apply_operator_row<D: Dialect>(node: &Node<D>, row: &Row) {
     match D::parse_operator_row(&row.key, &row.value) {
         Ok(parsed) => apply_parsed_row(node, parsed, row.revision),
-        Err(error) => event!(
+        Err(error) if node.malformed_rows.is_new(row) => event!(
             warn,
             "operator row could not be parsed; ignored",
             key = row.key,
             error = error
         ),
+        Err(_) => {}
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,7 +24,7 @@
 };
 
 use crate::clock::{Clock, boot_ms};
-use crate::control::{Feed, Lease, StoreHealth};
+use crate::control::{Feed, Lease, MalformedRows, StoreHealth};
 use crate::dialect::Dialect;
 use crate::jobs::Jobs;
 use crate::limits::Limits;
@@ -77,6 +77,8 @@
     pub store_health: StoreHealth,
     /// Endpoint changes that the leader publishes to other nodes.
     pub feed: Feed,
+    /// Malformed rows that have been logged.
+    pub malformed_rows: MalformedRows,
     /// The current leader as last read from the store; `None` if it is not known.
     pub leader: watch::Sender<Option<Owner>>,
     /// Store lease to which the rows of this node are attached.
@@ -169,6 +171,7 @@
             store: RelayedStore::new(direct, peers.clone()),
             store_health: StoreHealth::new(),
             feed: Feed::new(),
+            malformed_rows: MalformedRows::new(),
             leader: watch::channel(None).0,
             lease: Lease::new(),
             subset: Subset::new(&owner.vm),
--- a/crates/node/src/suspects/stored.rs
+++ b/crates/node/src/suspects/stored.rs
@@ -74,6 +74,7 @@
     for row in rows {
         match postcard::from_bytes::<Vec<CrashReport>>(&row.value) {
             Ok(reports) => apply_reports(node, "store", &reports),
+            Err(_) if !node.malformed_rows.is_new(&row) => {}
             Err(error) => event!(
                 error,
                 "stored crashes malformed; ignored",
