Ignore rows of endpoints that state a start far in the future

What callers saw: nothing yet; found after the report of an odd entry. A row with `born` far in the future made all later rows of its endpoint count as those of an earlier instance, so the endpoint stayed as the odd row had it, here draining, for good.

Change: a row whose start is over an hour ahead of the node's clock is malformed: it names no endpoint to use, and later rows count.

Not covered: a start less than an hour ahead; a node whose own clock is over an hour behind uses no endpoint.

--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -26,6 +26,10 @@
 /// Time for which a leader that did not answer is not asked again: most are replaced in it.
 const SILENT_LEADER_PAUSE: Duration = Duration::from_millis(2_500);
 
+/// Longest time by which the clock of an endpoint may be ahead, in milliseconds: many times what clocks
+/// differ that are set at all.
+const MAX_CLOCK_DIFFERENCE_MS: u64 = 3_600_000;
+
 /// Keeps the registry current: from the store at the leader, from the leader at other nodes.
 ///
 /// Before its first complete read, and while no leader answers, a node reads and watches the rows
@@ -200,10 +204,7 @@
 fn replace_from_rows<D: Dialect>(node: &Node<D>, rows: &[Row], revision: Index) {
     let mut records = Vec::new();
     for row in rows {
-        match (
-            D::endpoint_name(&row.key),
-            D::parse_endpoint_row(&row.value),
-        ) {
+        match (D::endpoint_name(&row.key), parse_row(node, row)) {
             (Some(name), Ok(record)) => records.push((name, record)),
             _ if !node.malformed_rows.is_new(row) => {}
             (_, Err(error)) => event!(
@@ -238,6 +239,24 @@
     directory.endpoints_loaded = true;
 }
 
+/// Parses the row of an endpoint.
+///
+/// # Errors
+///
+/// Fails if it is malformed, or states a start so far in the future that it would make later rows count as
+/// those of an earlier instance.
+fn parse_row<D: Dialect>(node: &Node<D>, row: &Row) -> Result<EndpointRecord, Error> {
+    let malformed = |reason: &str| Error::Malformed(reason.into());
+    let record = D::parse_endpoint_row(&row.value);
+    let record = record.map_err(|error| malformed(&error.to_string()))?;
+    match record.born_unix_ms {
+        born if born > node.clock.unix_ms() + MAX_CLOCK_DIFFERENCE_MS => {
+            Err(malformed("it states a start in the future"))
+        }
+        _ => Ok(record),
+    }
+}
+
 fn apply_change<D: Dialect>(node: &Node<D>, change: &Change, revision: Index) {
     let key = match change {
         Change::Written(row) => &row.key,
@@ -249,7 +268,7 @@
     };
     node.feed.record_change(&name, revision);
     match change {
-        Change::Written(row) => match D::parse_endpoint_row(&row.value) {
+        Change::Written(row) => match parse_row(node, row) {
             Ok(record) => update_endpoint(node, &name, record, "store"),
             Err(error) => {
                 event!(
