Give up taking over a batch job whose submission can't be read

What callers saw: nothing; found after the report of an odd entry, for records of batch jobs. A batch job whose submission is missing or malformed could not be taken over, and the leader tried again without end: it read all states, the members and the submission every 0.7 s and no longer watched the members meanwhile.

Change: a submission that is missing or malformed ends the attempt, with one log line; an answer that does not come still repeats it. A malformed state row is logged once for each revision.

--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -251,7 +251,7 @@
     let record = match timeout(READ_TIMEOUT, read_record(node, job)).await {
         Ok(Ok(Some(record))) => record,
         Ok(Ok(None)) => return Lookup::NotFound,
-        Ok(Err(error)) => return Lookup::Unavailable(error),
+        Ok(Err(error)) => return Lookup::Unavailable(error.to_string().into()),
         Err(_) => return Lookup::Unavailable("the store is slow".into()),
     };
     match D::parse_submission(&record.body) {
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
-use wisteriapoint_batch::{Job, JobRecord, JobState, Owner, PartialOutput};
+use wisteriapoint_batch::{Job, JobRecord, JobState, Owner, PartialOutput, Submission};
 use wisteriapoint_store::{
     CommitOutcome, Error, Freshness, Index, Transaction, TransactionalStore,
 };
@@ -103,21 +103,39 @@
 pub async fn read_record<D: Dialect>(
     node: &Node<D>,
     job: &str,
-) -> Result<Option<JobRecord>, Box<str>> {
+) -> Result<Option<JobRecord>, Error> {
     let rows = node
         .store
         .range(&keys::record_prefix(job), Freshness::Linearizable)
         .await;
     node.record_store_call("record", &rows);
-    let (rows, _) = rows.map_err(|error| error.to_string())?;
+    let (rows, _) = rows?;
     if rows.is_empty() {
         return Ok(None);
     }
     let bytes: Vec<u8> = rows.into_iter().flat_map(|row| row.value).collect();
-    let record = postcard::from_bytes(&bytes).map_err(|error| error.to_string())?;
+    let record = postcard::from_bytes(&bytes);
+    let record = record.map_err(|error| Error::Malformed(error.to_string().into()))?;
     Ok(Some(record))
 }
 
+/// Reads and parses the submission of a batch job.
+///
+/// # Errors
+///
+/// Fails if the store does not answer, or the submission is missing or malformed.
+async fn read_submission<D: Dialect>(
+    node: &Node<D>,
+    job: &str,
+) -> Result<(JobRecord, Submission), Error> {
+    let malformed = |reason: &str| Error::Malformed(reason.into());
+    let record = read_record(node, job).await?;
+    let record = record.ok_or_else(|| malformed("it is missing"))?;
+    let submission = D::parse_submission(&record.body);
+    let submission = submission.map_err(|error| malformed(&error.to_string()))?;
+    Ok((record, submission))
+}
+
 /// Takes over a batch job; returns `true` if this node owns it now or nothing is left to run.
 ///
 /// `outputs` are partial outputs that the previous owner sent.
@@ -154,11 +172,21 @@
     if !state.open || state.listed >= state.total || (is_own && node.jobs.get(job).is_some()) {
         return Ok(true);
     }
-    let Some(record) = read_record(node, job).await? else {
-        return Err("submission missing".into());
+    let (record, submission) = match read_submission(node, job).await {
+        Ok(read) => read,
+        // It stays so, and another attempt would read the same rows again.
+        Err(Error::Malformed(reason)) => {
+            event!(
+                error,
+                "submission malformed; batch job not taken over",
+                id = job,
+                reason = reason
+            );
+            return Ok(true);
+        }
+        Err(error) => return Err(error.to_string().into()),
     };
     let listed = read::listed_results(node, job).await?;
-    let submission = D::parse_submission(&record.body).map_err(|error| error.to_string())?;
     let (max_failures, retention_ms) = read_limits(node, &record).await?;
     let from = state.owner.vm.clone();
     let new_state = JobState {
@@ -272,11 +300,13 @@
     let mut is_none_left = true;
     for row in rows?.0 {
         let Ok(state) = serde_json::from_slice::<JobState>(&row.value) else {
-            event!(
-                error,
-                "batch job state malformed; skipping the batch job",
-                key = row.key
-            );
+            if node.malformed_rows.is_new(&row) {
+                event!(
+                    error,
+                    "batch job state malformed; skipping the batch job",
+                    key = row.key
+                );
+            }
             continue;
         };
         let is_ownerless =
