Add numbers of endpoints' responses without overflow

What callers saw: nothing; found after the report of an odd entry, for what responses state.

Evidence: a_load_of_any_size_is_only_a_full_endpoint (crates/directory/tests/overload.rs); before, the same sum fails in a build with checks, by reading.

--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -259,7 +259,7 @@
     /// Returns `true` if a new request would start at once, or if its expected time,
     /// including that in the queue, is within the usable share of the objective.
     pub fn can_meet_objective(&self, now_ms: u64, objective_ms: u64) -> bool {
-        let rounds = f64::from(self.occupancy(now_ms) + 1) / self.slots();
+        let rounds = (f64::from(self.occupancy(now_ms)) + 1.0) / self.slots();
         rounds <= 1.0 || self.service_ms * rounds <= objective_ms as f64 * USABLE_OBJECTIVE_SHARE
     }
 
@@ -337,9 +337,9 @@
     /// recent, the reported load.
     pub fn occupancy(&self, now_ms: u64) -> u32 {
         match self.load {
-            Some((at_ms, load)) if now_ms < at_ms + LOAD_MAX_AGE_MS => {
-                self.in_flight.max(load.running + load.waiting)
-            }
+            Some((at_ms, load)) if now_ms < at_ms + LOAD_MAX_AGE_MS => self
+                .in_flight
+                .max(load.running.saturating_add(load.waiting)),
             _ => self.in_flight,
         }
     }
--- a/crates/directory/tests/overload.rs
+++ b/crates/directory/tests/overload.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use wisteriapoint_directory::{EndpointRecord, EndpointStage, Priority, Registry, Requirements};
+use wisteriapoint_directory::{
+    Endpoint, EndpointRecord, EndpointStage, Load, Priority, Registry, Requirements,
+};
 use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, StreamOrigin};
 
 const SLOTS: u32 = 6;
@@ -138,3 +140,17 @@
     assert_eq!((outcome.refused, outcome.in_time), (0, 0));
     assert!(outcome.late > 380);
 }
+
+/// Guards against a load at the edge of its type, which an endpoint may state in any response.
+#[test]
+fn a_load_of_any_size_is_only_a_full_endpoint() {
+    let mut endpoint = Endpoint::new(record());
+    let load = Load {
+        running: u32::MAX,
+        waiting: u32::MAX,
+    };
+    endpoint.record_load(0, load);
+    assert_eq!(endpoint.occupancy(0), u32::MAX);
+    assert!(!endpoint.has_free_slot(0));
+    assert!(!endpoint.can_meet_objective(0, 0));
+}
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -255,7 +255,7 @@
         });
         let start = SendStart {
             at_ms: now_ms,
-            occupancy: occupancy + 1,
+            occupancy: occupancy.saturating_add(1),
         };
         record_result(node, &endpoint, &service, start, &result);
         end_run(run, address, &result).await;
