Measure an endpoint before its load is too much for the objective

It now records a response first and asks for the objective of the file's other tests, so it is as strict about the sum that it guards.

--- a/crates/directory/tests/overload.rs
+++ b/crates/directory/tests/overload.rs
@@ -145,6 +145,7 @@
 #[test]
 fn a_load_of_any_size_is_only_a_full_endpoint() {
     let mut endpoint = Endpoint::new(record());
+    endpoint.record_response(SERVICE_MS, 1);
     let load = Load {
         running: u32::MAX,
         waiting: u32::MAX,
@@ -152,5 +153,5 @@
     endpoint.record_load(0, load);
     assert_eq!(endpoint.occupancy(0), u32::MAX);
     assert!(!endpoint.has_free_slot(0));
-    assert!(!endpoint.can_meet_objective(0, 0));
+    assert!(!endpoint.can_meet_objective(0, OBJECTIVE_MS));
 }
