Let streams that can't go on elsewhere wait for a silent endpoint

Cause: one timeout between events for all streams, chosen so that a stream can go on elsewhere before its caller leaves.

Change: a stream that can't be resumed, or has no attempt left, waits until its caller leaves or its own time is over. One that can be goes on elsewhere after 1.5 s, or three objectives if that is longer, as callers wait for four.

--- a/crates/node/src/callers/stream/forward.rs
+++ b/crates/node/src/callers/stream/forward.rs
@@ -19,8 +19,11 @@
 use crate::upstream::{EventReader, SendFailure, UpstreamResponse};
 use crate::{event, streams};
 
-/// Longest gap between two events of an endpoint; callers disconnect after 2 s.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Gap between two events after which a stream goes on at another endpoint, in milliseconds: callers
+/// disconnect after 2 s, or four times the objective if that is longer.
+const MIN_RESUME_GAP_MS: u64 = 1_500;
+/// The same in multiples of the objective.
+const RESUME_GAP_OBJECTIVES: u64 = 3;
 
 /// How the forwarding of an endpoint's events ended.
 enum StreamEnd {
@@ -156,6 +159,19 @@
         }
     }
 
+    /// Returns the longest time to wait for the next event.
+    ///
+    /// An endpoint that preempts a request is silent for a while. A stream that can't go on elsewhere
+    /// waits for it as long as its caller does, and until its time is over.
+    fn event_timeout<D: Dialect>(&self, node: &Node<D>) -> Duration {
+        let gap_ms = MIN_RESUME_GAP_MS.max(self.route.objective_ms * RESUME_GAP_OBJECTIVES);
+        let timeout_ms = match self.may_resume() {
+            true => gap_ms,
+            false => gap_ms.max(self.end_at_ms.saturating_sub(node.now_ms())),
+        };
+        Duration::from_millis(timeout_ms)
+    }
+
     /// Forwards events until the response ends or the caller disconnects.
     ///
     /// # Errors
@@ -182,7 +198,7 @@
         let last_event = self.last_event;
         loop {
             let next = tokio::select! {
-                next = timeout(EVENT_TIMEOUT, reader.next()) => next,
+                next = timeout(self.event_timeout(node), reader.next()) => next,
                 () = events.closed() => return Ok(StreamEnd::CallerLeft),
             };
             let next = next.map_err(|_| SendFailure::silent("no event within the timeout"))?;
