Refuse requests until a node has asked for the crashes of others

Cause: readiness waits for the history of crashes, requests did not.

Batch jobs, whose items are no suspects, are served as before.

--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -22,6 +22,8 @@
 
 /// Retry delay sent to a caller before the first configuration has been received.
 const NO_CONFIGURATION_RETRY_AFTER_MS: u64 = 500;
+/// Retry delay sent to a caller while the node does not know yet which requests crash endpoints.
+const STARTING_RETRY_AFTER_MS: u64 = 200;
 /// Deadline of a request that states none; the timeout of its route is shorter.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
@@ -190,6 +192,9 @@
     if route.kind == RouteKind::Rollout {
         return batch::submit_job(node, route, &id, &host, head.uri.path(), body).await;
     }
+    if !node.suspects.is_history_loaded() {
+        return not_run_response::<D>("starting", STARTING_RETRY_AFTER_MS);
+    }
     let deadline_ms = metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let limit_ms = deadline_ms.min(route.timeout_ms);
     if !can_end_before_exit(node, route, &id, limit_ms) {
