Ask the leader for endpoints also while the store serves this node badly

A node that neither the store nor a peer that relays serves would have kept an old view although a leader answers.

Change: after a failed read the leader is asked with the least time in which one that works has answered, and a read is repeated after a second at most, as a watch is. 250 nodes make 250 calls a second to a store that is away, of 2,000.

--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -41,13 +41,18 @@
     let mut state = SyncState::Unknown;
     let mut silent: Option<(Owner, Instant)> = None;
     let mut called_at: Option<Instant> = None;
+    let mut has_store_failed = false;
     loop {
         let leader = leader_changes.borrow_and_update().clone();
         let is_silent = |leader: &Owner| {
             let mut silent = silent.iter();
             silent.any(|(other, until)| other == leader && Instant::now() < *until)
         };
-        let limit = Duration::from_millis(node.view_left_ms());
+        // A view that is too old is read from the store first, and else from the leader all the same.
+        let limit = match Duration::from_millis(node.view_left_ms()) {
+            left if has_store_failed => left.max(feed::MIN_POLL_TIME),
+            left => left,
+        };
         let outcome = match &leader {
             Some(leader)
                 if *leader != node.owner
@@ -69,6 +74,7 @@
         };
         state = match outcome {
             PollOutcome::Applied(position) => {
+                has_store_failed = false;
                 node.feed.set_fresh(false);
                 SyncState::Leader(position)
             }
@@ -80,6 +86,7 @@
                 tokio::select! {
                     synced = sync_from_store(&node, state) => match synced {
                         Ok(state) => {
+                            has_store_failed = false;
                             backoff = Backoff::new();
                             state
                         }
@@ -89,9 +96,11 @@
                                 "endpoints could not be read from the store; retrying",
                                 error = error
                             );
+                            has_store_failed = true;
                             node.feed.set_fresh(false);
                             node.directory.borrow_mut().view.end_watch(None);
-                            node.store_health.pause(backoff.next_pause()).await;
+                            let pause = backoff.next_pause().min(FOLLOWER_WATCH_WAIT);
+                            node.store_health.pause(pause).await;
                             SyncState::Unknown
                         }
                     },
