--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -29,7 +29,7 @@
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             // Connections that were not accepted are reset, so that callers use another node.
-            () = node.wait_for_exit() => return,
+            () = node.shutdown.exiting() => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -80,7 +80,7 @@
         let node = node.clone();
         async move { InfallibleResult::Ok(handle_request(node, request).await) }
     });
-    let mut closing = node.closing.subscribe();
+    let mut closing = node.shutdown.closing();
     let is_closing = *closing.borrow_and_update();
     let mut builder = Builder::new();
     // The HTTP library's header timeout also covers the idle time before a request.
@@ -95,7 +95,7 @@
     let should_close = async {
         tokio::select! {
             _ = closing.changed() => {}
-            () = node.wait_for_exit() => {}
+            () = node.shutdown.exiting() => {}
         }
     };
     let result = tokio::select! {
--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -101,7 +101,7 @@
     let (route, mut response) = tokio::select! {
         biased;
         answered = dispatch(&node, operation, request) => answered,
-        () = node.wait_for_exit() => (
+        () = node.shutdown.exiting() => (
             "unfinished".into(),
             text_response(StatusCode::BAD_GATEWAY, "the node stopped before the request ended"),
         ),
@@ -137,7 +137,7 @@
     match operation {
         Operation::ReadResults { job, after } => {
             let wait_ms = request.metadata.wait_ms.unwrap_or(0);
-            let left_ms = node.left_until_exit_ms().unwrap_or(wait_ms);
+            let left_ms = node.shutdown.left_ms(node.now_ms()).unwrap_or(wait_ms);
             (
                 "results".into(),
                 batch::read_results(node, &job, after, wait_ms.min(left_ms)).await,
@@ -183,7 +183,7 @@
     } = request;
     let body = tokio::select! {
         body = read_body(body, max_body_bytes) => body,
-        () = node.wait_for_exit() => Err(stopping_response::<D>()),
+        () = node.shutdown.exiting() => Err(stopping_response::<D>()),
     };
     let body = match body {
         Ok(body) => body,
@@ -245,7 +245,7 @@
 /// Returns `true` unless the node stops and would probably exit before a request ends, which lasts
 /// `limit_ms` at most.
 fn can_end_before_exit<D: Dialect>(node: &Node<D>, route: &Route, id: &str, limit_ms: u64) -> bool {
-    let Some(left_ms) = node.left_until_exit_ms() else {
+    let Some(left_ms) = node.shutdown.left_ms(node.now_ms()) else {
         return true;
     };
     let durations = node.durations.borrow();
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -40,7 +40,7 @@
         if node.lease.id().is_none() {
             tokio::select! {
                 () = node.lease.changed() => {}
-                () = node.wait_for_stop() => {}
+                () = node.shutdown.begun() => {}
             }
             continue;
         }
@@ -211,7 +211,7 @@
                 }
             },
             () = node.lease.changed() => {}
-            () = node.wait_for_stop() => {}
+            () = node.shutdown.begun() => {}
         }
         if node.lease.id() != lease || node.stage.get() == Stage::Stopping {
             return;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod peers;
 pub mod relay;
 pub mod settings;
+pub mod shutdown;
 pub mod streams;
 pub mod suspects;
 pub mod upstream;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,13 +5,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 use wisteriapoint_batch::Owner;
 use wisteriapoint_directory::{
     Configuration, Priority, Registry, Requirements, ServiceSizes, Subset, View,
@@ -31,20 +29,11 @@
 use crate::metrics::Metrics;
 use crate::relay::RelayedStore;
 use crate::settings::{NodeSettings, SettingsFile};
+use crate::shutdown::Shutdown;
 use crate::streams::Streams;
 use crate::suspects::SuspectRequests;
 use crate::upstream::{Pool, watch_links};
-use crate::{Error, callers, control, event, jobs, peers, suspects};
-
-/// Time for which a stopping node still accepts new connections: the balancer probes once a
-/// second and removes a node after two failed probes.
-const BALANCER_LAG: Duration = Duration::from_millis(2_300);
-/// Part of the grace period that is reserved for the exit of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(1_300);
-/// Time for the answers of a stopping node that accepts no more connections to reach their callers.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
-/// Interval at which a stopping node checks whether all connections have ended.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
+use crate::{Error, callers, control, event, peers, suspects};
 
 /// Number of connections to endpoints that a node opens for others at the same time, of which each uses
 /// two sockets and 16 kB: those of several nodes at the load that one VM bears.
@@ -109,15 +98,8 @@
     pub connections: Cell<usize>,
     /// Current stage in the life cycle.
     pub stage: Cell<Stage>,
-    /// Becomes `true` when a stop begins.
-    pub stop_begun: watch::Sender<bool>,
-    /// Becomes `true` when callers' connections are to close, after the balancer has stopped
-    /// sending requests.
-    pub closing: watch::Sender<bool>,
-    /// Becomes `true` when the node accepts no more connections, and answers at once what it has read.
-    pub exiting: watch::Sender<bool>,
-    /// Time of the node's clock at which it exits, in milliseconds; `None` before a stop.
-    pub exit_at_ms: Cell<Option<u64>>,
+    /// Progress of the stop.
+    pub shutdown: Shutdown,
     /// Longest recent durations of callers' requests.
     pub durations: RefCell<Durations>,
 }
@@ -195,10 +177,7 @@
             in_progress: Cell::new(0),
             connections: Cell::new(0),
             stage: Cell::new(Stage::Starting),
-            stop_begun: watch::channel(false).0,
-            closing: watch::channel(false).0,
-            exiting: watch::channel(false).0,
-            exit_at_ms: Cell::new(None),
+            shutdown: Shutdown::new(),
             durations: RefCell::default(),
             settings,
         }))
@@ -228,26 +207,6 @@
         }
     }
 
-    /// Waits until the node begins to stop.
-    pub async fn wait_for_stop(&self) {
-        let mut stop_begun = self.stop_begun.subscribe();
-        // Fails only without a sender, which lives as long as this node.
-        let _begun = stop_begun.wait_for(|&begun| begun).await;
-    }
-
-    /// Waits until the node answers at once what it has read, as it exits.
-    pub async fn wait_for_exit(&self) {
-        let mut exiting = self.exiting.subscribe();
-        // Fails only without a sender, which lives as long as this node.
-        let _begun = exiting.wait_for(|&begun| begun).await;
-    }
-
-    /// Returns the time until the node exits, in milliseconds; `None` unless it is stopping.
-    pub fn left_until_exit_ms(&self) -> Option<u64> {
-        let exit_at_ms = self.exit_at_ms.get()?;
-        Some(exit_at_ms.saturating_sub(self.now_ms()))
-    }
-
     /// Records that a request of a route that arrived at the given time has ended.
     pub fn record_duration(&self, route: &str, arrived_at_ms: u64) {
         let now_ms = self.now_ms();
@@ -425,52 +384,6 @@
         control::start(&node);
         Ok(node)
     }
-
-    /// Stops the node gracefully.
-    ///
-    /// Reports that it is not ready and waits until the balancer sends no more requests, then hands
-    /// batch jobs over to other nodes, closes each connection after its request, and releases the
-    /// lease. Requests that can't end before the exit are refused from the beginning, and the last ones
-    /// are answered before the connections close.
-    pub async fn stop(self: &Rc<Self>) {
-        event!(
-            info,
-            "stop",
-            reason = "SIGTERM",
-            in_progress = self.in_progress.get()
-        );
-        let grace = Duration::from_secs(self.settings.bounds.grace_s);
-        let exit_at_ms = self.now_ms() + grace.saturating_sub(STOP_MARGIN).as_millis() as u64;
-        self.exit_at_ms.set(Some(exit_at_ms));
-        self.stage.set(Stage::Stopping);
-        self.stop_begun.send_replace(true);
-        self.metrics.set_state("ready", 0);
-        sleep(BALANCER_LAG).await;
-        jobs::hand_over(self).await;
-        self.closing.send_replace(true);
-        // An idle connection closes at once; one with a request in progress, after the response.
-        self.wait_for_connections(self.clock.instant_at(exit_at_ms))
-            .await;
-        let aborted_requests = self.in_progress.get();
-        self.exit_at_ms.set(Some(self.now_ms()));
-        self.exiting.send_replace(true);
-        self.wait_for_connections(tokio::time::Instant::now() + LAST_ANSWERS_TIME)
-            .await;
-        control::release_lease(self).await;
-        event!(
-            info,
-            "stopped",
-            aborted_requests = aborted_requests,
-            open_connections = self.connections.get()
-        );
-    }
-
-    /// Waits until callers have no open connections, or until the given time.
-    async fn wait_for_connections(&self, end: tokio::time::Instant) {
-        while self.connections.get() > 0 && tokio::time::Instant::now() < end {
-            sleep(STOP_POLL_INTERVAL).await;
-        }
-    }
 }
 
 /// Keeps the metric that tells whether the node is cut off from the endpoints.
--- a/crates/node/src/suspects/mod.rs
+++ b/crates/node/src/suspects/mod.rs
@@ -3,6 +3,7 @@
 //! A node that sees a crash tells all others before the caller gets a failure, so that the request
 //! is known wherever it is resent. [`Suspects`] decides which requests run, isolated or at all.
 
+mod crash;
 pub mod exchange;
 pub mod peers;
 pub mod run;
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -7,12 +7,13 @@
 
 use tokio::task::spawn_local;
 use tokio::time::sleep;
-use wisteriapoint_directory::{EndpointStage, Requirements};
-use wisteriapoint_route::{Crash, CrashReport, SilentRun, SuspectStatus};
+use wisteriapoint_directory::Requirements;
+use wisteriapoint_route::{CrashReport, SilentRun, SuspectStatus};
 use wisteriapoint_types::{Digest, EndpointName, FailureDomain, SoftwareVersion};
 
+use super::crash::{ObservedCrash, record_crash};
 use super::exchange::Kept;
-use super::{count, exchange, log_eviction, record_down, stored};
+use super::{count, exchange, record_down};
 use crate::dialect::Dialect;
 use crate::node::{ChosenEndpoint, Node};
 use crate::{event, limits};
@@ -446,65 +447,3 @@
         !is_accepting
     }
 }
-
-/// A crash of an endpoint, and the request that ran there.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ObservedCrash<'a> {
-    /// Id of the request.
-    pub(super) id: &'a str,
-    pub(super) digest: Digest,
-    pub(super) endpoint: &'a EndpointName,
-    pub(super) failure_domain: &'a FailureDomain,
-    /// Time of the crash, in milliseconds.
-    pub(super) at_ms: u64,
-    pub(super) isolated: bool,
-    /// Whether another request ran there as well; `None` if the present requests tell.
-    pub(super) was_shared: Option<bool>,
-    pub(super) reason: &'a str,
-}
-
-/// Returns `true` if the endpoint drains or is no longer registered, and so may end with requests in
-/// flight.
-fn is_leaving<D: Dialect>(node: &Node<D>, endpoint: &EndpointName) -> bool {
-    let directory = node.directory.borrow();
-    let registered = directory.registry.get(endpoint);
-    registered.is_none_or(|entry| entry.record.stage == EndpointStage::Draining)
-}
-
-/// Records a crash and tells all nodes that can be reached.
-pub(super) async fn record_crash<D: Dialect>(node: &Rc<Node<D>>, observed: ObservedCrash<'_>) {
-    let ObservedCrash {
-        digest, endpoint, ..
-    } = observed;
-    let crash = Crash {
-        id: rand::random(),
-        endpoint,
-        failure_domain: observed.failure_domain,
-        isolated: observed.isolated,
-        is_leaving: is_leaving(node, endpoint),
-    };
-    let recorded = node.suspects.record_crash(observed.at_ms, digest, crash);
-    event!(
-        info,
-        "crash of endpoint recorded",
-        id = observed.id,
-        digest = digest,
-        crash = format_args!("{:x}", crash.id),
-        endpoint = endpoint,
-        isolated = crash.isolated,
-        is_leaving = crash.is_leaving,
-        known_crashes = node.suspects.reports(node.now_ms(), digest).len(),
-        reason = observed.reason,
-    );
-    count(node, "recorded");
-    log_eviction(node, recorded);
-    // One of the requests at this node is the suspect itself.
-    let is_shared_here = node.suspects.running(endpoint) > 1;
-    let is_shared_now = exchange::report(node, digest, endpoint).await || is_shared_here;
-    if observed.was_shared.unwrap_or(is_shared_now) {
-        node.suspects.record_shared(digest, crash.id);
-    }
-    if node.suspects.status(node.now_ms(), digest) == SuspectStatus::Quarantined {
-        spawn_local(stored::store(node.clone(), digest));
-    }
-}
--- a/crates/node/src/suspects/silent.rs
+++ b/crates/node/src/suspects/silent.rs
@@ -8,7 +8,7 @@
 use wisteriapoint_route::SilentRun;
 use wisteriapoint_types::EndpointName;
 
-use super::run::{ObservedCrash, record_crash};
+use super::crash::{ObservedCrash, record_crash};
 use crate::dialect::Dialect;
 use crate::node::Node;
 
