Call the store for endpoints only when the view is about to be too old

What operators paid: the change that bounds the age of the view let each node without an answering leader watch the store at most twice a second.

Change: such a node asks the leader again every 0.3 s, and calls the store 0.6 s before its view is too old.

--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -17,9 +17,16 @@
 use crate::node::{Directory, Node};
 use crate::streams;
 
-/// Least time between two calls to the store for the endpoints: changes in quick succession cost one
-/// call.
+/// Least time between two calls of the leader to the store for the endpoints: changes in quick succession
+/// cost one call.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(500);
+/// The same of other nodes, which matters only if endpoints drain in less than a second.
+const MIN_FOLLOWER_CALL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time before its view is too old at which a node without a leader that answers reads the store, in
+/// milliseconds: many times the duration of a call.
+const READ_AHEAD_MS: u64 = 600;
+/// Pause before a leader that has no current view is asked again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait of a watch of a node that is not the leader. Its end shows that the store answers, and
 /// then the leader is asked again.
 const FOLLOWER_WATCH_WAIT: Duration = Duration::from_millis(1_000);
@@ -78,9 +85,21 @@
                 node.feed.set_fresh(false);
                 SyncState::Leader(position)
             }
+            // All nodes may have lost the leader at once, so each calls the store only when it has to.
+            _ if !node.is_leader() && node.view_left_ms() > READ_AHEAD_MS => {
+                tokio::select! {
+                    () = sleep(REFUSED_PAUSE) => {}
+                    _ = leader_changes.changed() => {}
+                }
+                continue;
+            }
             PollOutcome::Refused | PollOutcome::Silent => {
                 if let Some(called_at) = called_at {
-                    sleep_until(called_at + MIN_CALL_INTERVAL).await;
+                    let interval = match node.is_leader() {
+                        true => MIN_CALL_INTERVAL,
+                        false => MIN_FOLLOWER_CALL_INTERVAL,
+                    };
+                    sleep_until(called_at + interval).await;
                 }
                 called_at = Some(Instant::now());
                 tokio::select! {
