Let crashes in silence wait for each other before they count

Cause: three endpoints that fall silent together return together, but not in the same instant. Their crashes counted as one burst only if their new rows were seen within 0.1 s, as for broken connections; else innocent requests ran isolated, and an isolated run in the second wave condemned them.

Change: a crash in silence is recorded a second after it is known, and as one among others if endpoints that did not run the request, one of the failure domain or two anywhere, crashed in silence within two seconds of it. A completion in that second clears the request.

--- a/crates/node/src/suspects/crash.rs
+++ b/crates/node/src/suspects/crash.rs
@@ -23,6 +23,8 @@
     /// Time of the crash, in milliseconds.
     pub(super) at_ms: u64,
     pub(super) isolated: bool,
+    /// Whether something else than the request explains it better.
+    pub(super) has_other_cause: bool,
     /// Whether another request ran there as well; `None` if the present requests tell.
     pub(super) was_shared: Option<bool>,
     pub(super) reason: &'a str,
@@ -46,7 +48,7 @@
         endpoint,
         failure_domain: observed.failure_domain,
         isolated: observed.isolated,
-        is_leaving: is_leaving(node, endpoint),
+        is_leaving: observed.has_other_cause || is_leaving(node, endpoint),
     };
     let recorded = node.suspects.record_crash(observed.at_ms, digest, crash);
     event!(
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -414,6 +414,7 @@
                     failure_domain: &self.failure_domain,
                     at_ms: lost_at_ms,
                     isolated: self.is_isolated && self.is_confirmed,
+                    has_other_cause: false,
                     was_shared: None,
                     reason: &reason,
                 };
--- a/crates/node/src/suspects/silent.rs
+++ b/crates/node/src/suspects/silent.rs
@@ -5,15 +5,13 @@
 
 use tokio::task::spawn_local;
 use tokio::time::sleep;
-use wisteriapoint_route::SilentRun;
-use wisteriapoint_types::EndpointName;
+use wisteriapoint_route::SilentCrash;
 
 use super::crash::{ObservedCrash, record_crash};
 use crate::dialect::Dialect;
 use crate::node::Node;
 
-/// Interval at which the records of silent endpoints are looked at; changes of several endpoints that
-/// arrive together are then recorded as crashes at the same moment.
+/// Interval at which the records of silent endpoints are looked at.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Records the crashes under runs without an answer, once the records of their endpoints show them.
@@ -22,14 +20,14 @@
         node.suspects.silent_run_added.notified().await;
         while !node.suspects.silent_runs.borrow().is_empty() {
             sleep(CHECK_INTERVAL).await;
-            for (endpoint, run) in take_crashed(&node) {
-                spawn_local(record(node.clone(), endpoint, run));
+            for crash in take_crashed(&node) {
+                spawn_local(record(node.clone(), crash));
             }
         }
     }
 }
 
-fn take_crashed<D: Dialect>(node: &Node<D>) -> Vec<(EndpointName, SilentRun)> {
+fn take_crashed<D: Dialect>(node: &Node<D>) -> Vec<SilentCrash> {
     let directory = node.directory.borrow();
     let mut runs = node.suspects.silent_runs.borrow_mut();
     runs.take_crashed(node.now_ms(), |endpoint| {
@@ -38,16 +36,18 @@
     })
 }
 
-async fn record<D: Dialect>(node: Rc<Node<D>>, endpoint: EndpointName, run: SilentRun) {
-    let crash = ObservedCrash {
+async fn record<D: Dialect>(node: Rc<Node<D>>, crash: SilentCrash) {
+    let SilentCrash { endpoint, run, .. } = crash;
+    let observed = ObservedCrash {
         id: &run.id,
         digest: run.digest,
         endpoint: &endpoint,
         failure_domain: &run.failure_domain,
         at_ms: node.now_ms(),
         isolated: run.isolated,
+        has_other_cause: crash.correlated,
         was_shared: Some(run.shared),
         reason: "the endpoint was silent, and is registered anew or no longer",
     };
-    record_crash(&node, crash).await;
+    record_crash(&node, observed).await;
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -33,7 +33,7 @@
 pub use pool::{Dequeued, Pool};
 pub use queue::TicketKey;
 pub use retry::RetryBudget;
-pub use silence::{SilentRun, SilentRuns};
+pub use silence::{SilentCrash, SilentRun, SilentRuns};
 pub use state::{EndpointKey, EndpointState, Load, Outcome};
 pub use subset::Subset;
 pub use suspect::{Crash, CrashReport, Recorded, SuspectStatus, Suspects};
