Count a crash in silence once, whichever nodes record it

Cause: nodes that ran the same request learn of the end of an instance up to a second and more apart, and each gave the crash a number of its own. Records of one endpoint within a second are one crash, later ones are another: three crashes became four, and four quarantine.

Change: the number of a crash in silence is made of the endpoint and the start of the instance that ended, so it is the same at all nodes. Crashes with a broken connection are seen at once and keep their random numbers.

--- a/crates/node/src/suspects/crash.rs
+++ b/crates/node/src/suspects/crash.rs
@@ -17,6 +17,8 @@
 pub(super) struct ObservedCrash<'a> {
     /// Id of the request.
     pub(super) id: &'a str,
+    /// Number by which reports of the crash are recognised.
+    pub(super) crash_id: u64,
     pub(super) digest: Digest,
     pub(super) endpoint: &'a EndpointName,
     pub(super) failure_domain: &'a FailureDomain,
@@ -44,7 +46,7 @@
         digest, endpoint, ..
     } = observed;
     let crash = Crash {
-        id: rand::random(),
+        id: observed.crash_id,
         endpoint,
         failure_domain: observed.failure_domain,
         isolated: observed.isolated,
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -409,6 +409,7 @@
             if self.has_crashed(address).await {
                 let crash = ObservedCrash {
                     id: &self.id,
+                    crash_id: rand::random(),
                     digest,
                     endpoint: &self.endpoint,
                     failure_domain: &self.failure_domain,
--- a/crates/node/src/suspects/silent.rs
+++ b/crates/node/src/suspects/silent.rs
@@ -6,6 +6,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wisteriapoint_route::SilentCrash;
+use wisteriapoint_types::hash64;
 
 use super::crash::{ObservedCrash, record_crash};
 use crate::dialect::Dialect;
@@ -40,6 +41,8 @@
     let SilentCrash { endpoint, run, .. } = crash;
     let observed = ObservedCrash {
         id: &run.id,
+        // The same at all nodes, which learn of the end of an instance at different times.
+        crash_id: hash64(run.born_unix_ms, endpoint.as_str().as_bytes()),
         digest: run.digest,
         endpoint: &endpoint,
         failure_domain: &run.failure_domain,
