Keys of workspaces, and reports of use by the leader

Change: requests are authenticated, endpoints get the workspace's name and never the key, batch jobs belong to a workspace, keys are refused as not run where the configuration may have changed; each node tells the leader its counts and learns the age of the configuration; the leader decides, stores and sends each window under its fencing token. Only where the configuration has workspaces and the settings have duties.

--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -44,4 +44,7 @@
     /// Random number drawn for each write, with which a node distinguishes its own write from an
     /// otherwise equal one.
     pub nonce: u64,
+    /// Workspace that submitted the batch job; `None` if it has none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<Box<str>>,
 }
--- a/crates/directory/src/configuration.rs
+++ b/crates/directory/src/configuration.rs
@@ -1,6 +1,9 @@
 //! Routes, services and limits that the operator configures.
 
-use wisteriapoint_types::ServiceName;
+use std::collections::BTreeMap;
+
+use wisteriapoint_types::{FailureDomain, ServiceName};
+use wisteriapoint_workspace::{Credential, Rejection, Workspace, Workspaces};
 
 /// One version of the complete configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -13,6 +16,8 @@
     pub services: Vec<Service>,
     /// Limits on requests of callers.
     pub limits: Limits,
+    /// Workspaces whose keys requests carry; `None` if requests carry no keys.
+    pub workspaces: Option<Workspaces>,
 }
 
 /// Rules for the requests to one host under one path prefix.
@@ -44,6 +49,8 @@
     pub retention_ms: u64,
     /// Whether a single weight version must generate each result.
     pub single_version: bool,
+    /// Whether requests need no key.
+    pub is_anonymous: bool,
 }
 
 /// Whether the requests of a route may be sent again.
@@ -77,6 +84,23 @@
     pub max_connections: usize,
     /// Models that the endpoints load; empty for services that do not generate.
     pub models: Vec<Box<str>>,
+    /// Bounds and prices of orders of endpoints; `None` if the operator decides their number.
+    pub scaling: Option<Scaling>,
+}
+
+/// Bounds and prices of orders of endpoints, for each failure domain.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Scaling {
+    /// Least number of endpoints.
+    pub min: u32,
+    /// Largest number of endpoints.
+    pub max: u32,
+    /// Time from an order until the endpoint serves, in milliseconds.
+    pub boot_ms: u64,
+    /// Price of an endpoint that may be reclaimed, as a part of the price of another.
+    pub spot_price: Option<f64>,
+    /// Price of an endpoint for a second, by failure domain.
+    pub prices: BTreeMap<FailureDomain, f64>,
 }
 
 /// Limits on requests of callers.
@@ -125,6 +149,22 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// Returns the workspace of a request, or `None` if it needs none and states none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a key is required and the credential is none in force.
+    pub fn authenticate(
+        &self,
+        credential: &Credential,
+        is_anonymous: bool,
+    ) -> Result<Option<&Workspace>, Rejection> {
+        match &self.workspaces {
+            Some(workspaces) => workspaces.authenticate(credential, is_anonymous),
+            None => Ok(None),
+        }
+    }
+
     /// Returns `true` if any route belongs to the host.
     pub fn has_host(&self, host: &str) -> bool {
         self.routes.iter().any(|route| &*route.host == host)
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod subset;
 pub mod view;
 
-pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Split};
+pub use configuration::{Configuration, Limits, Route, RouteKind, Scaling, Service, Split};
 pub use endpoint::{Endpoint, EndpointRecord, EndpointStage, Load, RECORD_LAG_MS};
 pub use event_times::EventTimes;
 pub use paths::Paths;
--- a/crates/directory/tests/configuration.rs
+++ b/crates/directory/tests/configuration.rs
@@ -24,6 +24,7 @@
         due_ms: 0,
         retention_ms: 0,
         single_version: false,
+        is_anonymous: false,
     }
 }
 
--- a/crates/node/src/callers/batch.rs
+++ b/crates/node/src/callers/batch.rs
@@ -22,8 +22,8 @@
     node: &Rc<Node<D>>,
     route: &Route,
     id: &str,
-    host: &str,
-    path: &str,
+    (host, path): (&str, &str),
+    workspace: Option<&str>,
     body: Bytes,
 ) -> CallerResponse {
     if node.stage.get() == Stage::Stopping && !node.jobs.has_owner(id) {
@@ -41,7 +41,7 @@
             return text_response(StatusCode::BAD_REQUEST, &error.to_string());
         }
     };
-    match accept(node, route, id, host, path, body, submission).await {
+    match accept(node, route, id, (host, path), workspace, body, submission).await {
         SubmitOutcome::Stored => body_response(StatusCode::ACCEPTED, "application/json", "{}"),
         SubmitOutcome::NotStored(reason) => {
             event!(
@@ -103,3 +103,27 @@
         Lookup::Unavailable(reason) => store_unavailable::<D>(&reason),
     }
 }
+
+/// Returns the response to a request about a batch job that its workspace may not access, as if there
+/// were none; `None` if it may.
+pub async fn check_access<D: Dialect>(
+    node: &Rc<Node<D>>,
+    job: &str,
+    workspace: Option<&str>,
+) -> Option<CallerResponse> {
+    match read::workspace(node, job).await {
+        Lookup::Found(None) => None,
+        Lookup::Found(owner) if owner.as_deref() == workspace => None,
+        Lookup::Found(_) => {
+            event!(
+                info,
+                "batch job of another workspace; answered as unknown",
+                id = job,
+                workspace = workspace.unwrap_or_default(),
+            );
+            Some(text_response(StatusCode::NOT_FOUND, "no such batch job"))
+        }
+        Lookup::NotFound => Some(text_response(StatusCode::NOT_FOUND, "no such batch job")),
+        Lookup::Unavailable(reason) => Some(store_unavailable::<D>(&reason)),
+    }
+}
--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -9,11 +9,13 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use wisteriapoint_directory::{Configuration, Route, RouteKind};
 use wisteriapoint_types::Verdict;
+use wisteriapoint_workspace::{Credential, Rejection, Workspace};
 
 use super::response::{
     self, CallerResponse, Payload, copy_headers, not_run_response, stopping_response, text_response,
 };
 use super::{batch, stream};
+use crate::clock::boot_ms;
 use crate::dialect::{Dialect, InboundMetadata, Operation};
 use crate::event;
 use crate::forward::{ForwardOutcome, ForwardRequest, forward, request_digest};
@@ -24,6 +26,9 @@
 const NO_CONFIGURATION_RETRY_AFTER_MS: u64 = 500;
 /// Retry delay sent to a caller while the node does not know yet which requests crash endpoints.
 const STARTING_RETRY_AFTER_MS: u64 = 200;
+/// Retry delay sent to a caller with a key by a node that can't tell whether it is valid: another node
+/// takes the request.
+const UNKNOWN_KEYS_RETRY_AFTER_MS: u64 = 50;
 /// Deadline of a request that states none; the timeout of its route is shorter.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
@@ -134,6 +139,29 @@
     request: CallerRequest,
 ) -> (Box<str>, CallerResponse) {
     let configuration = request.configuration.clone();
+    let route = match operation {
+        Operation::Request => match configuration.route(&request.host, request.head.uri.path()) {
+            Some(route) => Some(route),
+            None => {
+                let response = text_response(StatusCode::NOT_FOUND, "no route");
+                return ("none".into(), response);
+            }
+        },
+        _ => None,
+    };
+    let is_anonymous = route.is_some_and(|route| route.is_anonymous);
+    let workspace = match authenticate(node, &request, is_anonymous) {
+        Ok(workspace) => workspace,
+        Err(response) => return ("unauthenticated".into(), response),
+    };
+    if let Operation::ReadResults { job, .. }
+    | Operation::ReadBody { job, .. }
+    | Operation::EndJob { job } = &operation
+        && configuration.workspaces.is_some()
+        && let Some(response) = batch::check_access(node, job, workspace.as_deref()).await
+    {
+        return ("hidden".into(), response);
+    }
     match operation {
         Operation::ReadResults { job, after } => {
             let wait_ms = request.metadata.wait_ms.unwrap_or(0);
@@ -148,17 +176,66 @@
             batch::read_item_body(node, &job, &item).await,
         ),
         Operation::EndJob { job } => ("end".into(), batch::end_job(node, &job).await),
-        Operation::Request => {
-            let Some(route) = configuration.route(&request.host, request.head.uri.path()) else {
-                return (
-                    "none".into(),
-                    text_response(StatusCode::NOT_FOUND, "no route"),
-                );
-            };
-            (
+        Operation::Request => match route {
+            Some(route) => (
                 route.name.clone(),
-                handle_routed_request(node, route, request).await,
-            )
+                handle_routed_request(node, route, request, workspace).await,
+            ),
+            None => (
+                "none".into(),
+                text_response(StatusCode::NOT_FOUND, "no route"),
+            ),
+        },
+    }
+}
+
+/// Returns the workspace that sent a request; `None` if requests carry no keys, or this one needs none.
+fn authenticate<D: Dialect>(
+    node: &Node<D>,
+    request: &CallerRequest,
+    is_anonymous: bool,
+) -> Result<Option<Rc<str>>, CallerResponse> {
+    let credential = &request.metadata.credential;
+    let configuration = &request.configuration;
+    if configuration.workspaces.is_none() {
+        return Ok(None);
+    }
+    let is_key = matches!(credential, Credential::Key(_));
+    if is_key && !node.knows_keys() {
+        node.metrics
+            .unauthenticated
+            .with_label_values(&["old-knowledge"])
+            .inc();
+        event!(
+            info,
+            "request refused; the configuration may have changed",
+            id = request.id,
+            age_ms = node.coordination.knowledge.age_ms(boot_ms()).unwrap_or(0),
+        );
+        let line = "it is not known whether the key is valid";
+        return Err(not_run_response::<D>(line, UNKNOWN_KEYS_RETRY_AFTER_MS));
+    }
+    match configuration.authenticate(credential, is_anonymous) {
+        Ok(workspace) => Ok(workspace.map(Workspace::shared_name)),
+        Err(rejection) => {
+            let reason = match rejection {
+                Rejection::NoKey => "no-key",
+                Rejection::MalformedKey => "malformed-key",
+                Rejection::UnknownKey => "unknown-key",
+            };
+            node.metrics
+                .unauthenticated
+                .with_label_values(&[reason])
+                .inc();
+            event!(
+                info,
+                "request rejected; it has no valid key",
+                id = request.id,
+                reason = reason,
+                version = configuration.version,
+            );
+            let line = rejection.to_string();
+            Err(text_response(StatusCode::UNAUTHORIZED, &line))
         }
     }
 }
@@ -167,10 +244,12 @@
     node: &Rc<Node<D>>,
     route: &Route,
     request: CallerRequest,
+    workspace: Option<Rc<str>>,
 ) -> CallerResponse {
     if request.metadata.id.is_none() {
         return text_response(StatusCode::BAD_REQUEST, "a request needs an id");
     }
+    let has_workspaces = request.configuration.workspaces.is_some();
     let max_body_bytes = request.configuration.limits.max_body_bytes;
     let CallerRequest {
         metadata,
@@ -190,7 +269,15 @@
         Err(response) => return response,
     };
     if route.kind == RouteKind::Rollout {
-        return batch::submit_job(node, route, &id, &host, head.uri.path(), body).await;
+        return batch::submit_job(
+            node,
+            route,
+            &id,
+            (&host, head.uri.path()),
+            workspace.as_deref(),
+            body,
+        )
+        .await;
     }
     if !node.suspects.is_history_loaded() {
         return not_run_response::<D>("starting", STARTING_RETRY_AFTER_MS);
@@ -202,7 +289,7 @@
     }
     let mut headers = HeaderMap::new();
     copy_headers(&head.headers, &mut headers, |name| {
-        name == ACCEPT_ENCODING.as_str()
+        name == ACCEPT_ENCODING.as_str() || (has_workspaces && D::is_identity_header(name))
     });
     let upstream_request = UpstreamRequest {
         method: head.method,
@@ -213,8 +300,10 @@
     let request = ForwardRequest {
         id: &id,
         route,
-        digest: Some(request_digest(&upstream_request)),
+        digest: Some(request_digest(&upstream_request, workspace.as_deref())),
         upstream_request,
+        credential: workspace.is_some().then_some(metadata.credential),
+        workspace,
         deadline_at_ms: arrived_at_ms + deadline_ms,
         arrived_at_ms,
     };
--- a/crates/node/src/callers/stream/forward.rs
+++ b/crates/node/src/callers/stream/forward.rs
@@ -13,7 +13,7 @@
 use super::{StreamForwarder, UpstreamStream, failure};
 use crate::callers::response::{CallerResponse, Payload, StreamAborted, endpoint_response};
 use crate::dialect::Dialect;
-use crate::forward::{ForwardFailure, InFlightGuard};
+use crate::forward::{ForwardFailure, InFlightGuard, begin_counting};
 use crate::node::Node;
 use crate::suspects::Run;
 use crate::upstream::{EventReader, SendFailure, UpstreamResponse};
@@ -154,6 +154,7 @@
         software: Option<&SoftwareVersion>,
     ) {
         self.origin.record_event(software);
+        begin_counting(node, self.workspace.as_deref(), self.credential);
         if let Some(software) = self.origin.software().filter(|_| self.route.resumable) {
             streams::record_begin(node, &self.id, &self.service, software).await;
         }
--- a/crates/node/src/callers/stream/mod.rs
+++ b/crates/node/src/callers/stream/mod.rs
@@ -11,6 +11,7 @@
 use tokio::task::spawn_local;
 use wisteriapoint_directory::Route;
 use wisteriapoint_types::{Digest, EndpointName, ServiceName, StreamOrigin, Verdict};
+use wisteriapoint_workspace::Credential;
 
 use super::response::{CallerResponse, Payload, endpoint_response, failure_response};
 use crate::dialect::{Dialect, InboundMetadata};
@@ -37,6 +38,8 @@
     id: Box<str>,
     upstream_request: UpstreamRequest,
     digest: Option<Digest>,
+    workspace: Option<Rc<str>>,
+    credential: Option<Credential>,
     route: Route,
     service: ServiceName,
     arrived_at_ms: u64,
@@ -77,6 +80,8 @@
         id: id.into(),
         upstream_request: request.upstream_request,
         digest: request.digest,
+        workspace: request.workspace,
+        credential: request.credential,
         route: route.clone(),
         service,
         arrived_at_ms: request.arrived_at_ms,
--- a/crates/node/src/callers/stream/open.rs
+++ b/crates/node/src/callers/stream/open.rs
@@ -11,8 +11,8 @@
 use super::{StreamForwarder, UpstreamStream, failure};
 use crate::dialect::{Dialect, OutboundMetadata};
 use crate::forward::{
-    ForwardFailure, LIMIT_REASON, OVERLOAD_BACKOFF_MS, PLACEMENT_OBJECTIVE_DIVISOR,
-    QUARANTINE_REASON, pause_suspect, record_send_failure,
+    ForwardFailure, KEY_REASON, LIMIT_REASON, OVERLOAD_BACKOFF_MS, PLACEMENT_OBJECTIVE_DIVISOR,
+    QUARANTINE_REASON, may_send, pause_suspect, record_send_failure,
 };
 use crate::node::Node;
 use crate::suspects::{self, Isolation, Placement, Run};
@@ -114,6 +114,10 @@
                 self.excluded.push(endpoint);
                 continue;
             }
+            if !may_send(node, self.workspace.as_deref(), self.credential) {
+                failure.reason = KEY_REASON.into();
+                return Err(failure);
+            }
             run.record_send();
             let error = match self.send(node, &endpoint, address).await {
                 Ok(response) => {
@@ -219,6 +223,7 @@
             endpoint,
             remaining_ms: Some(left_ms),
             last_event: self.last_event,
+            workspace: self.workspace.as_deref(),
         };
         let pending = limits::send(node, address, &self.upstream_request, outbound);
         let sent = timeout(Duration::from_millis(left_ms), pending).await;
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -10,6 +10,7 @@
 pub struct Clock {
     start: Instant,
     start_unix_ms: u64,
+    start_boot_ms: u64,
 }
 
 impl Clock {
@@ -19,6 +20,7 @@
         Self {
             start: Instant::now(),
             start_unix_ms: since_epoch.as_millis() as u64,
+            start_boot_ms: boot_ms(),
         }
     }
 
@@ -32,6 +34,12 @@
         self.start_unix_ms + self.now_ms()
     }
 
+    /// Returns the time of day in Unix milliseconds, as it was at the start and has advanced since,
+    /// suspension included; steps of the VM's time of day have no effect.
+    pub fn unix_ms_with_suspension(&self) -> u64 {
+        self.start_unix_ms + boot_ms().saturating_sub(self.start_boot_ms)
+    }
+
     /// Returns the instant at which [`now_ms`](Self::now_ms) reaches `at_ms`.
     pub fn instant_at(&self, at_ms: u64) -> Instant {
         self.start + Duration::from_millis(at_ms)
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -51,6 +51,7 @@
             Ok(ClaimOutcome::Leader { fence, as_of }) => {
                 node.metrics.set_state("keeper", 1);
                 event!(info, "became leader", fence = fence.0);
+                node.leadership_fence.set(fence);
                 node.leader.send_replace(Some(node.owner.clone()));
                 node.directory_changed.notify_waiters();
                 tokio::select! {
@@ -162,6 +163,7 @@
         () = watch_members(node) => {}
         () = watch::watch_operator_rows(node.clone()) => {}
         () = streams::maintain_rows(node) => {}
+        () = wisteriapoint_duties::hold(node.clone(), fence.0, duty_delay(node)) => {}
         () = wait_until_lost(node, fence, as_of) => {}
     }
 }
@@ -177,6 +179,13 @@
     }
 }
 
+/// Returns the time for which a new leader makes no call to the platform's API.
+///
+/// A platform that checks fencing tokens still forbids that holders take turns within a lease.
+fn duty_delay<D: Dialect>(node: &Node<D>) -> Duration {
+    Duration::from_millis(node.settings.bounds.lease_ms)
+}
+
 /// Removes the leader row, so that the successor need not wait for the lease to expire.
 async fn release_leadership<D: Dialect>(node: &Rc<Node<D>>, fence: Index) {
     let transaction = Transaction::new()
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -248,6 +248,7 @@
         endpoint,
         remaining_ms: None,
         last_event: None,
+        workspace: None,
     };
     let response = exchange::<D>(&node.pool, address, request, outbound, may_send);
     match timeout(ENGINE_TIMEOUT, response).await {
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -5,6 +5,7 @@
 
 use wisteriapoint_store::{Backoff, Change, Error, Freshness, Index, Row, TransactionalStore};
 
+use crate::clock::boot_ms;
 use crate::dialect::{Dialect, OperatorRow};
 use crate::event;
 use crate::node::Node;
@@ -100,10 +101,14 @@
     prefix: &str,
     apply: &impl Fn(RowUpdate<'_>),
 ) -> Result<Index, Error> {
+    let called_boot_ms = boot_ms();
     let rows = node.store.range(prefix, Freshness::Linearizable).await;
     node.record_store_call("read", &rows);
     let (rows, revision) = rows?;
     apply(RowUpdate::All(&rows, revision));
+    if D::CONFIGURATION_KEY.starts_with(prefix) {
+        node.coordination.knowledge.confirm(called_boot_ms);
+    }
     node.update_readiness();
     Ok(revision)
 }
@@ -153,6 +158,7 @@
 ///
 /// Fails if the store does not answer, or stores no configuration or a malformed one.
 pub async fn read_configuration<D: Dialect>(node: &Node<D>) -> Result<(), Error> {
+    let called_boot_ms = boot_ms();
     let row = node
         .store
         .row(D::CONFIGURATION_KEY, Freshness::Linearizable)
@@ -164,6 +170,7 @@
     let parsed = D::parse_operator_row(&row.key, &row.value)
         .map_err(|error| Error::Malformed(error.to_string().into()))?;
     apply_parsed_row(node, parsed, row.revision);
+    node.coordination.knowledge.confirm(called_boot_ms);
     Ok(())
 }
 
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -7,8 +7,10 @@
 use tokio::net::TcpStream;
 use wisteriapoint_batch::{Page, Submission};
 use wisteriapoint_directory::{Configuration, EndpointRecord, Load, StatedLimit};
+use wisteriapoint_duties::DutyClient;
 use wisteriapoint_store::TransactionalStore;
 use wisteriapoint_types::{EndpointName, WeightVersion};
+use wisteriapoint_workspace::Credential;
 
 use crate::Error;
 
@@ -18,6 +20,8 @@
 pub trait Dialect: 'static {
     /// Client of the platform's store.
     type Store: TransactionalStore;
+    /// Client of the platform's API.
+    type DutyClient: DutyClient;
 
     /// Prefix of the rows that operators and trainers write.
     const OPERATOR_PREFIX: &'static str;
@@ -29,6 +33,9 @@
     /// Creates a client of the store at an address.
     fn open_store(address: SocketAddr) -> Self::Store;
 
+    /// Creates a client of the platform's API at an address.
+    fn open_duties(address: SocketAddr) -> Self::DutyClient;
+
     /// Opens a connection to an endpoint.
     ///
     /// # Errors
@@ -86,6 +93,9 @@
     /// Returns `true` for a header of endpoints that must not be passed on to callers.
     fn is_internal_header(name: &str) -> bool;
 
+    /// Returns `true` for a header by which a request states who sends it.
+    fn is_identity_header(name: &str) -> bool;
+
     /// Adds the header that states after which time a refused caller may retry, in milliseconds.
     fn set_retry_after(headers: &mut HeaderMap, after_ms: u64);
 
@@ -164,6 +174,8 @@
     pub last_event: Option<u64>,
     /// Id of the attempt at which the caller received the first event of that stream.
     pub first_attempt: Option<Box<str>>,
+    /// Credential of the caller.
+    pub credential: Credential,
 }
 
 /// Metadata that a node sends to an endpoint in the headers of a request.
@@ -177,6 +189,8 @@
     pub remaining_ms: Option<u64>,
     /// Id of the last event of a stream that this node has received.
     pub last_event: Option<u64>,
+    /// Name of the workspace that sent the request, if it has one.
+    pub workspace: Option<&'a str>,
 }
 
 /// Parsed head of an endpoint's response.
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, timeout};
 use wisteriapoint_directory::{Priority, Requirements, Route, RouteKind};
 use wisteriapoint_types::{Digest, EndpointName, ServiceName, Verdict};
+use wisteriapoint_workspace::Credential;
 
 use crate::dialect::{Dialect, OutboundMetadata, ResponseHead};
 use crate::node::Node;
@@ -36,6 +37,9 @@
 /// Reason of the refusal of a quarantined request.
 pub const QUARANTINE_REASON: &str = "it has crashed the endpoints that ran it";
 
+/// Reason of the refusal of a request whose key has been removed, or may have been.
+pub const KEY_REASON: &str = "its key is not known to be valid any more";
+
 /// Reason of the refusal of a request for which no endpoint accepts more.
 pub const LIMIT_REASON: &str = "its endpoints accept no more requests now";
 
@@ -51,6 +55,11 @@
     /// Digest by which a resent request is recognised; `None` for a call of a batch job, which is owed
     /// whatever happened to its endpoints, and so never a crash suspect.
     pub digest: Option<Digest>,
+    /// Workspace that sent it, of which endpoints are told.
+    pub workspace: Option<Rc<str>>,
+    /// Credential that has to be valid at each send; `None` for calls of batch jobs, which go on when a
+    /// key is removed, and are not counted.
+    pub credential: Option<Credential>,
     /// Deadline of the caller on the node's clock, in milliseconds.
     pub deadline_at_ms: u64,
     /// Time of arrival on the node's clock, in milliseconds.
@@ -243,9 +252,13 @@
         if now_ms >= end_at_ms {
             return history.into_outcome("its time is over", true);
         }
+        if !may_send(node, request.workspace.as_deref(), request.credential) {
+            return history.into_outcome(KEY_REASON, false);
+        }
         let occupancy = node.occupancy(&endpoint);
         let timeout_ms = attempt_timeout_ms(request, &history, end_at_ms - now_ms);
         run.record_send();
+        let counted = begin_counting(node, request.workspace.as_deref(), request.credential);
         let attempt = send_to_endpoint(node, request, &endpoint, address, end_at_ms - now_ms);
         let result = timeout(Duration::from_millis(timeout_ms), attempt).await;
         let result = result.unwrap_or_else(|_| {
@@ -257,6 +270,11 @@
             at_ms: now_ms,
             occupancy: occupancy.saturating_add(1),
         };
+        if let (Err(failure), Some(workspace)) = (&result, &request.workspace)
+            && failure.verdict == Verdict::NotRun
+        {
+            node.coordination.cancel(counted, workspace);
+        }
         record_result(node, &endpoint, &service, start, &result);
         end_run(run, address, &result).await;
         let failure = match result {
@@ -285,6 +303,35 @@
     }
 }
 
+/// Returns `true` if the credential of a request is still that of its workspace.
+pub fn may_send<D: Dialect>(
+    node: &Node<D>,
+    workspace: Option<&str>,
+    credential: Option<Credential>,
+) -> bool {
+    let (Some(workspace), Some(credential)) = (workspace, credential) else {
+        return true;
+    };
+    let valid = node.configuration().is_some_and(|configuration| {
+        let found = configuration.authenticate(&credential, false);
+        found.is_ok_and(|found| found.is_none_or(|found| found.name() == workspace))
+    });
+    valid && node.knows_keys()
+}
+
+/// Counts a request of a workspace as running; returns its window.
+pub fn begin_counting<D: Dialect>(
+    node: &Node<D>,
+    workspace: Option<&str>,
+    credential: Option<Credential>,
+) -> Option<u64> {
+    let (Some(workspace), Some(_)) = (workspace, credential) else {
+        return None;
+    };
+    let now_unix_ms = node.clock.unix_ms_with_suspension();
+    node.coordination.begin(now_unix_ms, workspace)
+}
+
 /// Waits before a crash suspect is placed again, so that two of them don't meet once more.
 pub async fn pause_suspect() {
     let pause_ms = rand::random_range(1..=MAX_SUSPECT_PAUSE_MS);
@@ -362,6 +409,7 @@
         endpoint,
         remaining_ms: Some(left_ms),
         last_event: None,
+        workspace: request.workspace.as_deref(),
     };
     let response: UpstreamResponse =
         limits::send(node, address, &request.upstream_request, outbound).await?;
@@ -479,10 +527,10 @@
     }
 }
 
-/// Returns the digest of path, query, body and credentials, which identifies a repeated request.
+/// Returns the digest of path, query, body and sender, which identifies a repeated request.
 ///
-/// Callers without credentials can't be told apart.
-pub fn request_digest(upstream_request: &UpstreamRequest) -> Digest {
+/// Callers without credentials can't be told apart, nor those of one workspace.
+pub fn request_digest(upstream_request: &UpstreamRequest, workspace: Option<&str>) -> Digest {
     let path = upstream_request
         .uri
         .path_and_query()
@@ -490,6 +538,7 @@
     let mut parts = vec![path.as_bytes(), &upstream_request.body];
     let credentials = upstream_request.headers.get(AUTHORIZATION);
     parts.extend(credentials.map(HeaderValue::as_bytes));
+    parts.extend(workspace.map(str::as_bytes));
     Digest::new(&parts)
 }
 
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -39,8 +39,8 @@
     node: &Rc<Node<D>>,
     route: &Route,
     id: &str,
-    host: &str,
-    path: &str,
+    (host, path): (&str, &str),
+    workspace: Option<&str>,
     body: Bytes,
     submission: Submission,
 ) -> SubmitOutcome {
@@ -65,6 +65,7 @@
         listed: 0,
         commits: 0,
         nonce: rand::random(),
+        workspace: workspace.map(Into::into),
     };
     let transaction = match submission_transaction(id, &record, &state) {
         Ok(transaction) => transaction,
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -178,6 +178,7 @@
             endpoint: &endpoint,
             remaining_ms: Some(self.remaining_ms),
             last_event: self.last_event(),
+            workspace: self.owned.workspace.as_deref(),
         };
         let pending = limits::send(node, self.address, &upstream_request, outbound);
         let result = match timeout(RESPONSE_HEAD_TIMEOUT, pending).await {
@@ -215,7 +216,10 @@
     fn build_request(&self, route: &Route) -> Result<UpstreamRequest, AttemptOutcome> {
         const MALFORMED: AttemptOutcome = AttemptOutcome::Abandoned(AbandonReason::Malformed);
         let mut headers = HeaderMap::new();
-        let item_headers = self.item.headers.iter();
+        let has_workspace = self.owned.workspace.is_some();
+        let item_headers = self.item.headers.iter().filter(|(name, _)| {
+            !has_workspace || !D::is_identity_header(&name.to_ascii_lowercase())
+        });
         let host = (HOST.as_str(), &*route.host);
         for (name, value) in item_headers
             .map(|(name, value)| (&**name, &**value))
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -9,14 +9,21 @@
     ItemFailures, ItemKey, Job, JobRecord, JobState, Owner, PartialOutput, Progress, RequestedWork,
     Submission, Work,
 };
+use wisteriapoint_directory::Configuration;
 use wisteriapoint_store::Index;
-use wisteriapoint_types::{EndpointName, SoftwareVersion, StreamOrigin};
+use wisteriapoint_types::{EndpointName, ServiceName, SoftwareVersion, StreamOrigin};
+
+/// Number of batch jobs of other nodes whose workspaces are remembered; one that is forgotten costs a
+/// read.
+const MAX_KNOWN_WORKSPACES: usize = 4_096;
 
 /// All batch jobs that this node owns, and a cache of the owners of others.
 #[derive(Debug, Default)]
 pub struct Jobs {
     owned: RefCell<BTreeMap<Box<str>, Rc<OwnedJob>>>,
     cached_owners: RefCell<BTreeMap<Box<str>, Owner>>,
+    /// Workspaces of batch jobs of other nodes.
+    workspaces: RefCell<BTreeMap<Box<str>, Option<Box<str>>>>,
     is_unverified: Cell<bool>,
     /// Batch jobs that this node is acquiring, and whether another node has ended them meanwhile.
     acquiring: Rc<RefCell<BTreeMap<Box<str>, bool>>>,
@@ -53,6 +60,8 @@
     pub host: Box<str>,
     /// Path under which it was submitted.
     pub path: Box<str>,
+    /// Workspace that submitted it; `None` if it has none.
+    pub workspace: Option<Box<str>>,
     /// Store revision at which this node became its owner.
     pub acquired_revision: Index,
     /// State of its items and results.
@@ -209,6 +218,38 @@
         self.demand.borrow().work(now_ms)
     }
 
+    /// Returns the number of waiting items of open batch jobs for a service.
+    pub fn waiting_items(&self, configuration: &Configuration, service: &ServiceName) -> u32 {
+        let owned = self.owned.borrow();
+        let open = owned.values().filter(|owned| owned.is_open.get());
+        let of_service = open.filter(|owned| {
+            let route = configuration.route(&owned.host, &owned.path);
+            let splits = route.into_iter().flat_map(|route| &route.splits);
+            splits.into_iter().any(|split| split.service == *service)
+        });
+        of_service
+            .map(|owned| owned.job.borrow().waiting() as u32)
+            .sum()
+    }
+
+    /// Returns the workspace of a batch job that this node owns, or has read of; `None` if it does not
+    /// know it.
+    pub fn workspace(&self, id: &str) -> Option<Option<Box<str>>> {
+        match self.owned.borrow().get(id) {
+            Some(owned) => Some(owned.workspace.clone()),
+            None => self.workspaces.borrow().get(id).cloned(),
+        }
+    }
+
+    /// Records the workspace of a batch job, which never changes.
+    pub fn record_workspace(&self, id: &str, workspace: Option<Box<str>>) {
+        let mut workspaces = self.workspaces.borrow_mut();
+        workspaces.insert(id.into(), workspace);
+        if workspaces.len() > MAX_KNOWN_WORKSPACES {
+            workspaces.pop_first();
+        }
+    }
+
     /// Returns the number of batch jobs of this node whose items may run.
     pub fn open_count(&self) -> usize {
         let owned = self.owned.borrow();
@@ -223,6 +264,7 @@
             id: id.into(),
             host: record.host.clone(),
             path: record.path.clone(),
+            workspace: row.state.workspace.clone(),
             acquired_revision: row.revision,
             is_open: Cell::new(row.state.open),
             job: RefCell::new(job),
--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -125,6 +125,28 @@
     }
 }
 
+/// Returns the workspace that submitted a batch job, from this node or the store; `None` if it has none.
+pub async fn workspace<D: Dialect>(node: &Node<D>, job: &str) -> Lookup<Option<Box<str>>> {
+    if let Some(workspace) = node.jobs.workspace(job) {
+        return Lookup::Found(workspace);
+    }
+    // A stale read may miss a new batch job.
+    for freshness in [Freshness::Stale, Freshness::Linearizable] {
+        match read_state_as(node, job, freshness).await {
+            Ok(Some((_, state))) => {
+                node.jobs.record_workspace(job, state.workspace.clone());
+                if state.owner != node.owner && node.jobs.cached_owner(job).is_none() {
+                    node.jobs.set_cached_owner(job, Some(state.owner));
+                }
+                return Lookup::Found(state.workspace);
+            }
+            Ok(None) => {}
+            Err(error) => return Lookup::Unavailable(error.to_string().into()),
+        }
+    }
+    Lookup::NotFound
+}
+
 /// Response of the owner of a batch job to a query.
 pub enum OwnerResponse {
     /// The owner answered.
--- a/crates/node/src/jobs/score.rs
+++ b/crates/node/src/jobs/score.rs
@@ -47,7 +47,7 @@
             configuration.route(&scorer.host, path).cloned()
         });
         let outcome = match &route {
-            Some(route) => call_scorer(node, scorer, route).await,
+            Some(route) => call_scorer(node, owned, scorer, route).await,
             None => ForwardOutcome::not_sent("no route to the scorer"),
         };
         let max_failures = route.map_or(u32::MAX, |route| route.max_attempts.max(1));
@@ -94,6 +94,7 @@
 
 async fn call_scorer<D: Dialect>(
     node: &Rc<Node<D>>,
+    owned: &OwnedJob,
     scorer: &Scorer,
     route: &Route,
 ) -> ForwardOutcome {
@@ -113,6 +114,8 @@
     let request = ForwardRequest {
         id: &scorer.id,
         digest: None,
+        workspace: owned.workspace.as_deref().map(Into::into),
+        credential: None,
         upstream_request: post_request(uri, headers, Bytes::from(scorer.body.clone())),
         deadline_at_ms: now_ms + route.objective_ms * CALL_TIMEOUT_OBJECTIVES,
         arrived_at_ms: now_ms,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -48,6 +48,10 @@
     pub store_calls: IntCounterVec,
     /// Orders to engines by HTTP status, or `none` for an order without a response.
     pub orders: IntCounterVec,
+    /// Calls to the platform's API by duty and outcome.
+    pub duty_calls: IntCounterVec,
+    /// Requests without a valid key by reason; `old-knowledge` for those of a node that can't tell.
+    pub unauthenticated: IntCounterVec,
     /// Gauges of the node's state: `ready`, `keeper`, `configuration_version`, `endpoints`,
     /// `open_jobs`, `cut_off`.
     pub state: IntGaugeVec,
@@ -90,6 +94,16 @@
                 )?,
                 store_calls: counter("store_calls_total", "Calls", &["call", "result"])?,
                 orders: counter("orders_total", "Orders to engines", &["reply"])?,
+                duty_calls: counter(
+                    "duty_calls_total",
+                    "Calls to the platform's API",
+                    &["duty", "outcome"],
+                )?,
+                unauthenticated: counter(
+                    "unauthenticated_requests_total",
+                    "Requests without a valid key",
+                    &["reason"],
+                )?,
                 state: IntGaugeVec::new(
                     Opts::new("wisteriapoint_state", "State of the node"),
                     &["of"],
@@ -109,6 +123,8 @@
             registry.register(Box::new(metrics.leaving_endpoints.clone()))?;
             registry.register(Box::new(metrics.store_calls.clone()))?;
             registry.register(Box::new(metrics.orders.clone()))?;
+            registry.register(Box::new(metrics.duty_calls.clone()))?;
+            registry.register(Box::new(metrics.unauthenticated.clone()))?;
             registry.register(Box::new(metrics.state.clone()))?;
             Ok(metrics)
         };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,9 +14,10 @@
 use wisteriapoint_directory::{
     Configuration, Priority, Registry, Requirements, ServiceSizes, Subset, View,
 };
+use wisteriapoint_duties::{Coordination, ServiceDemand};
 use wisteriapoint_peer::Client;
 use wisteriapoint_route::Durations;
-use wisteriapoint_store::Error as StoreError;
+use wisteriapoint_store::{Error as StoreError, Index};
 use wisteriapoint_types::{
     EndpointName, FailureDomain, ServiceName, SoftwareVersion, StreamOrigin, WeightVersion,
 };
@@ -100,6 +101,12 @@
     pub stage: Cell<Stage>,
     /// Progress of the stop.
     pub shutdown: Shutdown,
+    /// Knowledge of the newest configuration, counts of use, and the state of the duties.
+    pub coordination: Coordination,
+    /// Client of the platform's API; `None` if there are no duties.
+    pub duty_client: Option<D::DutyClient>,
+    /// Fencing token of the last leadership of this node.
+    pub leadership_fence: Cell<Index>,
     /// Longest recent durations of callers' requests.
     pub durations: RefCell<Durations>,
 }
@@ -179,6 +186,12 @@
             stage: Cell::new(Stage::Starting),
             shutdown: Shutdown::new(),
             durations: RefCell::default(),
+            coordination: Coordination::new(settings.duties.as_ref()),
+            duty_client: settings
+                .duties
+                .as_ref()
+                .map(|duties| D::open_duties(duties.address)),
+            leadership_fence: Cell::default(),
             settings,
         }))
     }
@@ -276,6 +289,36 @@
         view.source_left_ms(boot_ms(), answered_ms)
     }
 
+    /// Returns `true` if the keys of the configuration in force may be used.
+    pub fn knows_keys(&self) -> bool {
+        match self.settings.bounds.revoke_ms {
+            Some(bound_ms) => self.coordination.knowledge.left_ms(boot_ms(), bound_ms) > 0,
+            None => true,
+        }
+    }
+
+    /// Returns the requests that wait or run at this node, by service.
+    pub fn demand_by_service(&self) -> Vec<ServiceDemand> {
+        let Some(configuration) = self.configuration() else {
+            return Vec::new();
+        };
+        let directory = self.directory.borrow();
+        let scaled = configuration.services.iter();
+        let scaled = scaled.filter(|service| service.scaling.is_some());
+        let demand = scaled.map(|service| {
+            let endpoints = directory.registry.iter();
+            let of_service = endpoints.filter(|(_, entry)| entry.record.service == service.name);
+            ServiceDemand {
+                service: service.name.as_str().into(),
+                running: of_service.map(|(_, entry)| entry.in_flight).sum(),
+                waiting: self.jobs.waiting_items(&configuration, &service.name),
+            }
+        });
+        demand
+            .filter(|demand| demand.running + demand.waiting > 0)
+            .collect()
+    }
+
     /// Returns `true` if this node is the leader.
     pub fn is_leader(&self) -> bool {
         self.leader.borrow().as_ref() == Some(&self.owner)
@@ -382,6 +425,8 @@
         spawn_local(watch_links::<D>(node.pool.clone()));
         spawn_local(export_cut_off(node.clone()));
         control::start(&node);
+        let bound_ms = node.settings.bounds.revoke_ms;
+        spawn_local(wisteriapoint_duties::run(node.clone(), bound_ms));
         Ok(node)
     }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,6 +11,7 @@
 use tokio::task::spawn_local;
 use wisteriapoint_batch::{Page, PartialOutput};
 use wisteriapoint_directory::{Permit, Priority, RateLimit, StreamRecord};
+use wisteriapoint_duties::{CoordinationRequest, CoordinationResponse};
 use wisteriapoint_peer::{Answer, serve_with_tunnels};
 use wisteriapoint_route::CrashReport;
 use wisteriapoint_store::Error as StoreError;
@@ -133,6 +134,8 @@
         /// Its address.
         address: SocketAddr,
     },
+    /// Tells the holder of the duties what the sender counts, and asks for the newest configuration.
+    Coordinate(CoordinationRequest),
 }
 
 /// The response to a [`PeerRequest`].
@@ -181,6 +184,8 @@
     StreamRecord(Option<StreamRecord>),
     /// Whether the connection now leads to the endpoint.
     Connect(ConnectOutcome),
+    /// The newest configuration, and which counts are final.
+    Coordinated(CoordinationResponse),
 }
 
 type PendingRequest = (PeerRequest, oneshot::Sender<Answer<PeerResponse>>);
@@ -335,6 +340,9 @@
             leaving::apply(node, &endpoint, born_unix_ms, "peer", "");
             PeerResponse::Done
         }
+        PeerRequest::Coordinate(request) => {
+            PeerResponse::Coordinated(node.coordination.handle(&**node, request))
+        }
         // Handled before, as it also needs the connection of the request.
         PeerRequest::Connect { .. } => PeerResponse::Failed,
         PeerRequest::TakeOver { job, parts } => match jobs::take_over(node, &job, parts).await {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use serde::Deserialize;
+use wisteriapoint_duties::DutySettings;
 use wisteriapoint_types::FailureDomain;
 
 use crate::Error;
@@ -13,7 +14,7 @@
 pub const DEFAULT_DRAIN_MS: u64 = 2_000;
 
 /// Settings of a node, read at its start; a reload only reports whether they changed.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Name of the VM on which the node runs.
@@ -30,6 +31,8 @@
     pub store: StoreSettings,
     /// Time limits of the platform.
     pub bounds: Bounds,
+    /// Work that one node does towards the platform; absent if none is wanted.
+    pub duties: Option<DutySettings>,
 }
 
 /// Addresses at which a node listens for callers and the balancer.
@@ -65,6 +68,9 @@
     /// Time for which an endpoint still serves after it has said that it drains, in milliseconds.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
+    /// Time after which a key that the configuration no longer has must have no effect, in
+    /// milliseconds; without it, a node goes on with the keys that it knows.
+    pub revoke_ms: Option<u64>,
 }
 
 fn default_drain_ms() -> u64 {
