Batch jobs of a route go to one owner

Change: a node passes a submission on to the node that ranks first for the route among the larger VMs, and asks it before the store; one that does not answer within 200 ms is bypassed. Followers watch the leader's row only while the leader does not answer.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod item;
 pub mod job;
 pub mod migration;
+pub mod placement;
 pub mod record;
 pub mod work;
 
--- a/crates/node/src/callers/batch.rs
+++ b/crates/node/src/callers/batch.rs
@@ -11,7 +11,7 @@
 };
 use crate::dialect::Dialect;
 use crate::event;
-use crate::jobs::{Lookup, SubmitOutcome, end, read, submit as accept};
+use crate::jobs::{Lookup, SubmitOutcome, end, read, submit_at_owner};
 use crate::node::{Node, Stage};
 
 /// Largest page of results, in bytes before encoding; the encoded page stays below 1 MB.
@@ -41,7 +41,7 @@
             return text_response(StatusCode::BAD_REQUEST, &error.to_string());
         }
     };
-    match accept(node, route, id, (host, path), workspace, body, submission).await {
+    match submit_at_owner(node, route, id, (host, path), workspace, body, submission).await {
         SubmitOutcome::Stored => body_response(StatusCode::ACCEPTED, "application/json", "{}"),
         SubmitOutcome::NotStored(reason) => {
             event!(
@@ -69,11 +69,11 @@
 /// Returns the page of results that starts at position `after`, waiting up to `wait_ms` for one.
 pub async fn read_results<D: Dialect>(
     node: &Rc<Node<D>>,
-    job: &str,
+    (host, job): (&str, &str),
     after: u32,
     wait_ms: u64,
 ) -> CallerResponse {
-    match read::results(node, job, after, wait_ms).await {
+    match read::results(node, (host, job), after, wait_ms).await {
         Lookup::Found(page) => {
             body_response(StatusCode::OK, "application/json", D::encode_page(&page))
         }
@@ -85,10 +85,10 @@
 /// Returns the body of an item.
 pub async fn read_item_body<D: Dialect>(
     node: &Rc<Node<D>>,
-    job: &str,
+    (host, job): (&str, &str),
     item: &str,
 ) -> CallerResponse {
-    match read::item_body(node, job, item).await {
+    match read::item_body(node, (host, job), item).await {
         Lookup::Found(body) => body_response(StatusCode::OK, "application/octet-stream", body),
         Lookup::NotFound => text_response(StatusCode::NOT_FOUND, "no such item"),
         Lookup::Unavailable(reason) => store_unavailable::<D>(&reason),
@@ -96,8 +96,8 @@
 }
 
 /// Ends a batch job for its caller.
-pub async fn end_job<D: Dialect>(node: &Rc<Node<D>>, job: &str) -> CallerResponse {
-    match end::end(node, job).await {
+pub async fn end_job<D: Dialect>(node: &Rc<Node<D>>, (host, job): (&str, &str)) -> CallerResponse {
+    match end::end(node, (host, job)).await {
         Lookup::Found(()) => body_response(StatusCode::OK, "application/json", "{}"),
         Lookup::NotFound => text_response(StatusCode::NOT_FOUND, "no such batch job"),
         Lookup::Unavailable(reason) => store_unavailable::<D>(&reason),
@@ -108,10 +108,10 @@
 /// were none; `None` if it may.
 pub async fn check_access<D: Dialect>(
     node: &Rc<Node<D>>,
-    job: &str,
+    (host, job): (&str, &str),
     workspace: Option<&str>,
 ) -> Option<CallerResponse> {
-    match read::workspace(node, job).await {
+    match read::workspace(node, (host, job)).await {
         Lookup::Found(None) => None,
         Lookup::Found(owner) if owner.as_deref() == workspace => None,
         Lookup::Found(_) => {
--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -158,7 +158,8 @@
     | Operation::ReadBody { job, .. }
     | Operation::EndJob { job } = &operation
         && configuration.workspaces.is_some()
-        && let Some(response) = batch::check_access(node, job, workspace.as_deref()).await
+        && let Some(response) =
+            batch::check_access(node, (&request.host, job), workspace.as_deref()).await
     {
         return ("hidden".into(), response);
     }
@@ -168,14 +169,17 @@
             let left_ms = node.shutdown.left_ms(node.now_ms()).unwrap_or(wait_ms);
             (
                 "results".into(),
-                batch::read_results(node, &job, after, wait_ms.min(left_ms)).await,
+                batch::read_results(node, (&request.host, &job), after, wait_ms.min(left_ms)).await,
             )
         }
         Operation::ReadBody { job, item } => (
             "body".into(),
-            batch::read_item_body(node, &job, &item).await,
+            batch::read_item_body(node, (&request.host, &job), &item).await,
+        ),
+        Operation::EndJob { job } => (
+            "end".into(),
+            batch::end_job(node, (&request.host, &job)).await,
         ),
-        Operation::EndJob { job } => ("end".into(), batch::end_job(node, &job).await),
         Operation::Request => match route {
             Some(route) => (
                 route.name.clone(),
--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -79,6 +79,11 @@
             }
             _ => PollOutcome::Refused,
         };
+        if leader.is_some_and(|leader| leader != node.owner)
+            && !matches!(outcome, PollOutcome::Applied(_))
+        {
+            node.leader_doubted.notify_one();
+        }
         state = match outcome {
             PollOutcome::Applied(position) => {
                 has_store_failed = false;
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -74,7 +74,16 @@
                         node.suspects.peers.add(node.now_ms(), leader.address);
                     }
                 }
+                let is_known = leader.is_some();
                 node.leader.send_replace(leader);
+                if is_known {
+                    // A leader that answers is still the leader or knows the same endpoints.
+                    tokio::select! {
+                        () = node.leader_doubted.notified() => {}
+                        () = node.lease.changed() => {}
+                        () = node.shutdown.begun() => {}
+                    }
+                }
                 wait_for_change(&node, LEADER_KEY, revision).await
             }
             Err(error) => Err(error),
@@ -110,7 +119,10 @@
     let row = node.store.row(LEADER_KEY, Freshness::Linearizable).await;
     node.record_store_call("keeper", &row);
     let (row, revision) = row?;
-    let (key, value) = (LEADER_KEY, members::member_row(&node.owner)?.1);
+    let (key, value) = (
+        LEADER_KEY,
+        members::member_row(&node.owner, node.settings.cpu_share)?.1,
+    );
     let expected = match row {
         Some(row) if row.value == value => {
             let (fence, as_of) = (row.revision, revision);
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -144,7 +144,7 @@
     let lease = node.store.grant_lease(Duration::from_millis(ttl_ms)).await;
     node.record_store_call("grant", &lease);
     let lease = lease?;
-    let (key, value) = members::member_row(&node.owner)?;
+    let (key, value) = members::member_row(&node.owner, node.settings.cpu_share)?;
     let transaction = Transaction::new().with_leased_put(key, value, lease);
     let committed = node.store.commit(&transaction).await;
     node.record_store_call("member", &committed);
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -21,6 +21,9 @@
     /// Whether the member begins streams only at software versions that it has recorded.
     #[serde(default)]
     records_software: bool,
+    /// Processor share of the VM in cores, if it is stated.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    cpu_share: Option<f64>,
 }
 
 /// Returns key and value of the row of a member.
@@ -28,10 +31,11 @@
 /// # Errors
 ///
 /// Fails only if the member can't be encoded.
-pub fn member_row(member: &Owner) -> Result<(String, Vec<u8>), Error> {
+pub fn member_row(member: &Owner, cpu_share: Option<f64>) -> Result<(String, Vec<u8>), Error> {
     let row = MemberRow {
         member,
         records_software: true,
+        cpu_share,
     };
     let value = serde_json::to_vec(&row);
     let value = value.map_err(|error| Error::Malformed(error.to_string().into()))?;
@@ -89,6 +93,12 @@
     let records = |row: &Option<MemberRow<_>>| row.as_ref().is_some_and(|row| row.records_software);
     let all_record = rows.iter().all(records);
     node.streams.software.set_all_nodes_record(all_record);
+    let known = rows.iter().flatten();
+    node.capacities.replace(
+        known
+            .map(|row| (row.member.address, row.cpu_share))
+            .collect(),
+    );
     let members = rows.into_iter().flatten().map(|row| row.member);
     Ok((members.collect(), revision))
 }
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -4,17 +4,24 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 use wisteriapoint_batch::{Job, JobRecord, JobState, Submission};
-use wisteriapoint_directory::Route;
+use wisteriapoint_directory::{Route, RouteKind};
 use wisteriapoint_store::{CommitOutcome, Index, Transaction};
 
 use super::owned::{OwnedJob, StateRow};
-use super::{keys, run, takeover};
+use super::{keys, read, run, takeover};
 use crate::dialect::Dialect;
 use crate::event;
-use crate::node::Node;
+use crate::node::{Node, Stage};
+use crate::peers::{PeerRequest, PeerResponse, call_peer_within};
 
+/// Time for the owner of a route to store a batch job: some network hops and a write; after that, the
+/// node that received it stores it itself within the usual objective of a submission.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(200);
+/// Largest submission that is passed on to another node; a message is limited to 8 MiB.
+const MAX_FORWARDED_BYTES: usize = 4 << 20;
 /// Interval between checks whether a concurrent copy of a submission has been handled.
 const DUPLICATE_POLL: Duration = Duration::from_millis(10);
 /// Maximum number of reads that determine whether a write with an ambiguous outcome took effect;
@@ -24,7 +31,7 @@
 const STATE_READ_PAUSE: Duration = Duration::from_millis(150);
 
 /// Outcome of a submission.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum SubmitOutcome {
     /// The batch job is stored, by this submission or an earlier copy of it.
     Stored,
@@ -34,6 +41,76 @@
     Ambiguous(Box<str>),
 }
 
+/// Stores a batch job at the node that owns those of its route, or else at this one.
+///
+/// A node that does not answer may still store it; the row of the batch job then decides which of the
+/// two owns it.
+pub async fn submit_at_owner<D: Dialect>(
+    node: &Rc<Node<D>>,
+    route: &Route,
+    id: &str,
+    (host, path): (&str, &str),
+    workspace: Option<&str>,
+    body: Bytes,
+    submission: Submission,
+) -> SubmitOutcome {
+    let preferred = read::preferred_owner(node, route);
+    let is_known = node.jobs.has_owner(id) || node.jobs.is_being_acquired(id);
+    let mut may_be_stored = false;
+    if let Some(address) = preferred.filter(|_| !is_known && body.len() <= MAX_FORWARDED_BYTES) {
+        let request = PeerRequest::Submit {
+            job: id.into(),
+            host: host.into(),
+            path: path.into(),
+            workspace: workspace.map(Into::into),
+            body: body.to_vec(),
+        };
+        match call_peer_within(node, address, &request, FORWARD_TIMEOUT).await {
+            Some(PeerResponse::Submitted(SubmitOutcome::Stored, owner)) => {
+                node.jobs.set_cached_owner(id, Some(owner));
+                node.jobs.record_workspace(id, workspace.map(Into::into));
+                return SubmitOutcome::Stored;
+            }
+            Some(PeerResponse::Submitted(SubmitOutcome::Ambiguous(_), _)) => may_be_stored = true,
+            Some(_) => {}
+            None => {
+                may_be_stored = true;
+                node.suspects.peers.record_silence(node.now_ms(), address);
+            }
+        }
+    }
+    let place = (host, path);
+    match submit(node, route, id, place, workspace, body, submission).await {
+        SubmitOutcome::NotStored(reason) if may_be_stored => SubmitOutcome::Ambiguous(reason),
+        outcome => outcome,
+    }
+}
+
+/// Stores a batch job that another node has received.
+pub async fn submit_for_peer<D: Dialect>(
+    node: &Rc<Node<D>>,
+    id: &str,
+    (host, path): (&str, &str),
+    workspace: Option<&str>,
+    body: Bytes,
+) -> SubmitOutcome {
+    let not_stored = |reason: &str| SubmitOutcome::NotStored(reason.into());
+    let Some(configuration) = node.configuration() else {
+        return not_stored("no configuration yet");
+    };
+    let route = configuration.route(host, path);
+    let Some(route) = route.filter(|route| route.kind == RouteKind::Rollout) else {
+        return not_stored("no route for batch jobs");
+    };
+    if node.stage.get() != Stage::Serving {
+        return not_stored("not serving");
+    }
+    match D::parse_submission(&body) {
+        Ok(submission) => submit(node, route, id, (host, path), workspace, body, submission).await,
+        Err(error) => not_stored(&error.to_string()),
+    }
+}
+
 /// Stores a batch job and starts to run it.
 pub async fn submit<D: Dialect>(
     node: &Rc<Node<D>>,
--- a/crates/node/src/jobs/commit.rs
+++ b/crates/node/src/jobs/commit.rs
@@ -115,7 +115,7 @@
         WriteOutcome::OwnershipLost => {
             drop(row);
             node.drop_job(&owned.id);
-            end::end_elsewhere(node, &owned.id).await
+            end::end_elsewhere(node, (&owned.host, &owned.id)).await
         }
     }
 }
--- a/crates/node/src/jobs/end.rs
+++ b/crates/node/src/jobs/end.rs
@@ -27,14 +27,15 @@
 const MAX_REMOVED_ROWS: usize = 32;
 
 /// Ends a batch job at its owner, or in the store if the owner does not answer.
-pub async fn end<D: Dialect>(node: &Rc<Node<D>>, job: &str) -> Lookup<()> {
+pub async fn end<D: Dialect>(node: &Rc<Node<D>>, (host, job): (&str, &str)) -> Lookup<()> {
     let ended = {
         let (node, job) = (node.clone(), Box::<str>::from(job));
+        let host = Box::<str>::from(host);
         // A separate task, so that the write continues if the caller disconnects.
         spawn_local(async move {
             match node.jobs.get(&job) {
                 Some(owned) => commit::end_owned(&node, &owned).await,
-                None => end_elsewhere(&node, &job).await,
+                None => end_elsewhere(&node, (&host, &job)).await,
             }
         })
     };
@@ -46,9 +47,12 @@
 }
 
 /// Ends a batch job that this node does not own.
-pub async fn end_elsewhere<D: Dialect>(node: &Rc<Node<D>>, job: &str) -> Lookup<()> {
+pub async fn end_elsewhere<D: Dialect>(
+    node: &Rc<Node<D>>,
+    (host, job): (&str, &str),
+) -> Lookup<()> {
     let query = PeerRequest::End { job: job.into() };
-    match query_owner(node, job, &query).await {
+    match query_owner(node, (host, job), &query).await {
         Lookup::Found(OwnerResponse::Answered(PeerResponse::Done)) => Lookup::Found(()),
         Lookup::Found(_) => end_in_store(node, job).await,
         Lookup::NotFound => Lookup::NotFound,
--- a/crates/node/src/jobs/mod.rs
+++ b/crates/node/src/jobs/mod.rs
@@ -14,7 +14,7 @@
 pub mod score;
 pub mod takeover;
 
-pub use accept::{SubmitOutcome, submit};
+pub use accept::{SubmitOutcome, submit, submit_at_owner, submit_for_peer};
 pub use owned::{Jobs, OwnedJob};
 pub use read::Lookup;
 pub use takeover::{
--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -1,10 +1,14 @@
 //! Reads of batch jobs, which every node serves.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::{sleep, timeout};
+use wisteriapoint_batch::placement::ranked_owners;
 use wisteriapoint_batch::{ItemResult, JobState, Owner, Page};
+use wisteriapoint_directory::{Route, RouteKind};
 use wisteriapoint_store::{Error, Freshness, TransactionalStore};
 
 use super::takeover::{read_record, read_state, read_state_as};
@@ -12,12 +16,17 @@
 use crate::callers::batch::MAX_PAGE_BYTES;
 use crate::dialect::Dialect;
 use crate::node::Node;
-use crate::peers::{PeerRequest, PeerResponse, call_peer};
+use crate::peers::{PeerRequest, PeerResponse, call_peer, call_peer_within};
 
 /// Pause before an empty page is returned for a read from the store, as the reader repeats the read
 /// at once.
 const EMPTY_READ_PAUSE: Duration = Duration::from_millis(400);
 
+/// Time for the answer of a node that is asked whether it owns a batch job: some network hops.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Number of routes of one host whose owners are asked; with more, a read of the store is cheaper.
+const MAX_ASKED_OWNERS: usize = 3;
+
 /// Result of an operation on a batch job or one of its items.
 #[derive(Debug)]
 pub enum Lookup<T> {
@@ -32,7 +41,7 @@
 /// Returns a page of the results of a batch job, from this node, the owner or the store.
 pub async fn results<D: Dialect>(
     node: &Rc<Node<D>>,
-    job: &str,
+    (host, job): (&str, &str),
     after: u32,
     wait_ms: u64,
 ) -> Lookup<Page> {
@@ -45,7 +54,7 @@
         after,
         wait_ms,
     };
-    match query_owner(node, job, &query).await {
+    match query_owner(node, (host, job), &query).await {
         Lookup::Found(OwnerResponse::Answered(PeerResponse::Page { page, is_definite })) => {
             confirm_page(node, job, after, page, is_definite).await
         }
@@ -104,7 +113,11 @@
 }
 
 /// Returns the request body of an item, from this node, the owner or the store.
-pub async fn item_body<D: Dialect>(node: &Rc<Node<D>>, job: &str, item: &str) -> Lookup<Vec<u8>> {
+pub async fn item_body<D: Dialect>(
+    node: &Rc<Node<D>>,
+    (host, job): (&str, &str),
+    item: &str,
+) -> Lookup<Vec<u8>> {
     if let Some(owned) = node.jobs.get(job) {
         return match owned.item_body(item) {
             Some(body) => Lookup::Found(body),
@@ -115,7 +128,7 @@
         job: job.into(),
         item: item.into(),
     };
-    match query_owner(node, job, &query).await {
+    match query_owner(node, (host, job), &query).await {
         Lookup::Found(OwnerResponse::Answered(PeerResponse::Body(body))) => Lookup::Found(body),
         Lookup::Found(OwnerResponse::Answered(PeerResponse::NotFound)) => Lookup::NotFound,
         Lookup::Found(OwnerResponse::Answered(_)) => Lookup::Unavailable("the owner failed".into()),
@@ -126,10 +139,18 @@
 }
 
 /// Returns the workspace that submitted a batch job, from this node or the store; `None` if it has none.
-pub async fn workspace<D: Dialect>(node: &Node<D>, job: &str) -> Lookup<Option<Box<str>>> {
+pub async fn workspace<D: Dialect>(
+    node: &Node<D>,
+    (host, job): (&str, &str),
+) -> Lookup<Option<Box<str>>> {
     if let Some(workspace) = node.jobs.workspace(job) {
         return Lookup::Found(workspace);
     }
+    if ask_preferred_owners(node, (host, job)).await.is_some()
+        && let Some(workspace) = node.jobs.workspace(job)
+    {
+        return Lookup::Found(workspace);
+    }
     // A stale read may miss a new batch job.
     for freshness in [Freshness::Stale, Freshness::Linearizable] {
         match read_state_as(node, job, freshness).await {
@@ -160,10 +181,10 @@
 /// did not answer or is not the owner.
 pub async fn query_owner<D: Dialect>(
     node: &Rc<Node<D>>,
-    job: &str,
+    (host, job): (&str, &str),
     query: &PeerRequest,
 ) -> Lookup<OwnerResponse> {
-    let likely = match likely_owner(node, job).await {
+    let likely = match likely_owner(node, (host, job)).await {
         Ok(likely) => likely,
         Err(error) => return Lookup::Unavailable(error.to_string().into()),
     };
@@ -203,19 +224,69 @@
     }
 }
 
-/// Returns the cached owner, or else the owner according to a stale read if that is another node.
+/// Returns the node other than this one that owns the batch jobs of a route, as far as this node knows
+/// the members.
+pub fn preferred_owner<D: Dialect>(node: &Node<D>, route: &Route) -> Option<SocketAddr> {
+    let capacities = node.capacities.borrow();
+    let own = node.owner.address;
+    let responsive = node.suspects.peers.responsive(node.now_ms());
+    let others = responsive.into_iter().filter(|address| *address != own);
+    let others = others.map(|address| (address, capacities.get(&address).copied().flatten()));
+    let candidates: Vec<_> = others.chain([(own, node.settings.cpu_share)]).collect();
+    let key = format!("{}{}", route.host, route.prefix);
+    let first = ranked_owners(&key, &candidates).into_iter().next();
+    first.filter(|address| *address != own)
+}
+
+/// Returns the cached owner, or else the owner of the batch jobs of the host's routes if it has this one,
+/// or else the owner according to a stale read if that is another node.
 ///
 /// A stale read costs a tenth of a linearizable one. A node that is not the owner says so in its
 /// response.
-async fn likely_owner<D: Dialect>(node: &Node<D>, job: &str) -> Result<Option<Owner>, Error> {
+async fn likely_owner<D: Dialect>(
+    node: &Node<D>,
+    (host, job): (&str, &str),
+) -> Result<Option<Owner>, Error> {
     if let Some(owner) = node.jobs.cached_owner(job) {
         return Ok(Some(owner));
     }
+    if let Some(owner) = ask_preferred_owners(node, (host, job)).await {
+        return Ok(Some(owner));
+    }
     let state = read_state_as(node, job, Freshness::Stale).await?;
     let owner = state.map(|(_, state)| state.owner);
     Ok(owner.filter(|owner| *owner != node.owner))
 }
 
+/// Asks the nodes that own the batch jobs of a host's routes whether they own one; caches the owner and
+/// the workspace.
+async fn ask_preferred_owners<D: Dialect>(
+    node: &Node<D>,
+    (host, job): (&str, &str),
+) -> Option<Owner> {
+    let configuration = node.configuration()?;
+    let routes = configuration.routes.iter();
+    let routes = routes.filter(|route| route.kind == RouteKind::Rollout && *route.host == *host);
+    let mut asked = BTreeSet::new();
+    for route in routes.take(MAX_ASKED_OWNERS) {
+        let Some(address) = preferred_owner(node, route).filter(|&address| asked.insert(address))
+        else {
+            continue;
+        };
+        let query = PeerRequest::Owns { job: job.into() };
+        match call_peer_within(node, address, &query, ASK_TIMEOUT).await {
+            Some(PeerResponse::Owns { owner, workspace }) => {
+                node.jobs.record_workspace(job, workspace);
+                node.jobs.set_cached_owner(job, Some(owner.clone()));
+                return Some(owner);
+            }
+            Some(_) => {}
+            None => node.suspects.peers.record_silence(node.now_ms(), address),
+        }
+    }
+    None
+}
+
 async fn stored_results<D: Dialect>(
     node: &Node<D>,
     job: &str,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -71,6 +71,8 @@
     pub malformed_rows: MalformedRows,
     /// The current leader as last read from the store; `None` if it is not known.
     pub leader: watch::Sender<Option<Owner>>,
+    /// Notifies the election that the leader does not answer, and so may be replaced.
+    pub leader_doubted: Notify,
     /// Store lease to which the rows of this node are attached.
     pub lease: Lease,
     /// Configuration, endpoints and weight versions.
@@ -87,6 +89,8 @@
     pub limits: Limits,
     /// Batch jobs that this node owns.
     pub jobs: Jobs,
+    /// Processor shares of the VMs of the members, by the address of the node.
+    pub capacities: RefCell<BTreeMap<SocketAddr, Option<f64>>>,
     /// Client for requests to other nodes.
     pub peers: Client,
     /// Permits to connect other nodes to endpoints.
@@ -177,6 +181,8 @@
             suspects,
             streams: Streams::new(),
             limits: Limits::new(),
+            capacities: RefCell::default(),
+            leader_doubted: Notify::new(),
             jobs: Jobs::new(),
             peers,
             tunnels: Arc::new(Semaphore::new(MAX_TUNNELS)),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use wisteriapoint_batch::{Page, PartialOutput};
+use wisteriapoint_batch::{Owner, Page, PartialOutput};
 use wisteriapoint_directory::{Permit, Priority, RateLimit, StreamRecord};
 use wisteriapoint_duties::{CoordinationRequest, CoordinationResponse};
 use wisteriapoint_peer::{Answer, serve_with_tunnels};
@@ -21,7 +21,7 @@
 use crate::control::leaving;
 use crate::dialect::Dialect;
 use crate::event;
-use crate::jobs::{self, Lookup, read};
+use crate::jobs::{self, Lookup, SubmitOutcome, read};
 use crate::node::{Node, Stage};
 use crate::relay::{StoreCall, StoreResponse};
 use crate::upstream::ConnectOutcome;
@@ -136,6 +136,24 @@
     },
     /// Tells the holder of the duties what the sender counts, and asks for the newest configuration.
     Coordinate(CoordinationRequest),
+    /// Submits a batch job to the node that is to own it.
+    Submit {
+        /// Id of the batch job.
+        job: Box<str>,
+        /// Host that selects its route.
+        host: Box<str>,
+        /// Path under which it was submitted.
+        path: Box<str>,
+        /// Workspace that submitted it.
+        workspace: Option<Box<str>>,
+        /// Request body as received.
+        body: Vec<u8>,
+    },
+    /// Asks whether the node owns a batch job; one that does not looks for it nowhere.
+    Owns {
+        /// Id of the batch job.
+        job: Box<str>,
+    },
 }
 
 /// The response to a [`PeerRequest`].
@@ -186,6 +204,15 @@
     Connect(ConnectOutcome),
     /// The newest configuration, and which counts are final.
     Coordinated(CoordinationResponse),
+    /// Outcome of a submission, and the node that stored it.
+    Submitted(SubmitOutcome, Owner),
+    /// The node owns the batch job, which this workspace submitted.
+    Owns {
+        /// The node.
+        owner: Owner,
+        /// The workspace.
+        workspace: Option<Box<str>>,
+    },
 }
 
 type PendingRequest = (PeerRequest, oneshot::Sender<Answer<PeerResponse>>);
@@ -278,7 +305,7 @@
             None => PeerResponse::NotOwner,
         },
         PeerRequest::End { job } => match node.jobs.get(&job) {
-            Some(_) => match jobs::end::end(node, &job).await {
+            Some(_) => match jobs::end::end(node, ("", &job)).await {
                 Lookup::Found(()) => PeerResponse::Done,
                 Lookup::NotFound | Lookup::Unavailable(_) => PeerResponse::Failed,
             },
@@ -343,6 +370,25 @@
         PeerRequest::Coordinate(request) => {
             PeerResponse::Coordinated(node.coordination.handle(&**node, request))
         }
+        PeerRequest::Submit {
+            job,
+            host,
+            path,
+            workspace,
+            body,
+        } => {
+            let place = (&*host, &*path);
+            let outcome =
+                jobs::submit_for_peer(node, &job, place, workspace.as_deref(), body.into()).await;
+            PeerResponse::Submitted(outcome, node.owner.clone())
+        }
+        PeerRequest::Owns { job } => match node.jobs.get(&job) {
+            Some(owned) => PeerResponse::Owns {
+                owner: node.owner.clone(),
+                workspace: owned.workspace.clone(),
+            },
+            None => PeerResponse::NotOwner,
+        },
         // Handled before, as it also needs the connection of the request.
         PeerRequest::Connect { .. } => PeerResponse::Failed,
         PeerRequest::TakeOver { job, parts } => match jobs::take_over(node, &job, parts).await {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -29,6 +29,8 @@
     pub metrics_address: SocketAddr,
     /// Address and limits of the platform's store.
     pub store: StoreSettings,
+    /// Processor share of the VM in cores; nodes with little of it own no batch jobs.
+    pub cpu_share: Option<f64>,
     /// Time limits of the platform.
     pub bounds: Bounds,
     /// Work that one node does towards the platform; absent if none is wanted.
