Longer leases for nodes without work

Change: a node has a lease of four seconds until it owns a batch job or claims leadership, and for 30 s after.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -27,6 +27,8 @@
 /// Pause before a claim of a node that is cut off from the endpoints: others claim first, if any is
 /// not.
 const CUT_OFF_CLAIM_PAUSE: Duration = Duration::from_millis(1_500);
+/// Longest wait for a lease under which leadership may be claimed.
+const MAX_LEASE_WAIT: Duration = Duration::from_secs(1);
 /// Time for a member whose row was removed to write it again: it may be alive and have lost its
 /// lease.
 const MEMBER_RETURN_PAUSE: Duration = Duration::from_millis(700);
@@ -135,6 +137,14 @@
         },
         None => Index(0),
     };
+    node.lease.request_short();
+    let min_ms = node.settings.store.min_lease_ms;
+    while node.lease.id().is_some() && !node.lease.is_short(min_ms) {
+        tokio::select! {
+            () = node.lease.changed() => {}
+            () = sleep(MAX_LEASE_WAIT) => return Err(Error::LeaseExpired),
+        }
+    }
     let Some(lease) = node.lease.id() else {
         return Err(Error::LeaseExpired);
     };
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -18,10 +18,14 @@
 use crate::node::{Node, Stage};
 use crate::suspects;
 
-/// Time to live of the lease, in milliseconds: short enough that the batch jobs of a dead node
-/// continue on another node well before their deadlines, long enough that a short delay of the
-/// store does not end it.
+/// Time to live of the lease of a node that owns batch jobs or is the leader, in milliseconds: short
+/// enough that its work continues on another node well before the deadlines, long enough that a short
+/// delay of the store does not end it.
 const TTL_MS: u64 = 2_000;
+/// The same of other nodes, which nobody waits for: each renewal costs a call to the store.
+const IDLE_TTL_MS: u64 = 4_000;
+/// Time without work after which a node returns to the longer time to live.
+const IDLE_AFTER: Duration = Duration::from_secs(30);
 /// Renewals per time to live; two of them may fail.
 const RENEWALS_PER_TTL: u64 = 4;
 /// Time for which the lease must remain valid for an order to be sent, in milliseconds; covers the
@@ -40,6 +44,9 @@
 pub struct Lease {
     id: Cell<Option<LeaseId>>,
     valid_until_boot_ms: Cell<u64>,
+    ttl_ms: Cell<u64>,
+    is_urgent: Cell<bool>,
+    requested: Notify,
     changed: Notify,
 }
 
@@ -68,6 +75,20 @@
         self.id.get() == Some(lease) && self.is_valid()
     }
 
+    /// Returns `true` if the lease expires soon after this node has died; `min_ms` is the shortest time
+    /// to live that the store grants.
+    pub fn is_short(&self, min_ms: u64) -> bool {
+        self.id.get().is_some() && self.ttl_ms.get() <= TTL_MS.max(min_ms)
+    }
+
+    /// Requests a lease that expires soon after this node has died, for as long as it has work.
+    pub fn request_short(&self) {
+        self.is_urgent.set(true);
+        if self.ttl_ms.get() > TTL_MS {
+            self.requested.notify_one();
+        }
+    }
+
     /// Waits until a lease is obtained or lost.
     pub async fn changed(&self) {
         self.changed.notified().await;
@@ -84,6 +105,7 @@
     /// The validity counts from the beginning of the call.
     pub fn record_renewal(&self, id: LeaseId, call_boot_ms: u64, ttl_ms: u64) {
         self.valid_until_boot_ms.set(call_boot_ms + ttl_ms);
+        self.ttl_ms.set(ttl_ms);
         if self.id.replace(Some(id)) != Some(id) {
             self.changed.notify_waiters();
         }
@@ -99,12 +121,22 @@
 
 /// Obtains and renews a lease with the member row under it until the node stops.
 pub async fn maintain_lease<D: Dialect>(node: Rc<Node<D>>) {
-    let ttl_ms = TTL_MS.max(node.settings.store.min_lease_ms);
+    let min_ms = node.settings.store.min_lease_ms;
     let mut backoff = Backoff::new();
+    let mut works_until: Option<Instant> = None;
     let mut members_due = Instant::now();
     while node.stage.get() != Stage::Stopping || node.lease.id().is_some() {
+        let is_urgent = node.lease.is_urgent.take();
+        if is_urgent || node.is_leader() || node.jobs.open_count() > 0 {
+            works_until = Some(Instant::now() + IDLE_AFTER);
+        }
+        let ttl_ms = match works_until {
+            Some(until) if Instant::now() < until => TTL_MS.max(min_ms),
+            _ => IDLE_TTL_MS.max(min_ms),
+        };
         let result = match node.lease.id() {
             None => obtain(&node, ttl_ms).await,
+            Some(_) if node.lease.ttl_ms.get() != ttl_ms => replace(&node, ttl_ms).await,
             Some(lease) => renew(&node, lease, ttl_ms).await,
         };
         match result {
@@ -115,7 +147,10 @@
                     members_due = Instant::now() + MEMBERS_READ_INTERVAL;
                     update_peer_addresses(&node).await;
                 }
-                sleep(Duration::from_millis(ttl_ms / RENEWALS_PER_TTL)).await;
+                tokio::select! {
+                    () = sleep(Duration::from_millis(ttl_ms / RENEWALS_PER_TTL)) => {}
+                    () = node.lease.requested.notified() => {}
+                }
             }
             Err(error) => {
                 event!(
@@ -140,6 +175,15 @@
 }
 
 async fn obtain<D: Dialect>(node: &Rc<Node<D>>, ttl_ms: u64) -> Result<(), Error> {
+    replace(node, ttl_ms).await?;
+    // While this node had no lease, other nodes may have taken over its batch jobs.
+    tokio::task::spawn_local(jobs::verify_ownership(node.clone()));
+    tokio::task::spawn_local(suspects::exchange::load_history(node.clone()));
+    Ok(())
+}
+
+/// Obtains a lease and moves the member row to it; a lease that the node had expires by itself.
+async fn replace<D: Dialect>(node: &Rc<Node<D>>, ttl_ms: u64) -> Result<(), Error> {
     let call_boot_ms = boot_ms();
     let lease = node.store.grant_lease(Duration::from_millis(ttl_ms)).await;
     node.record_store_call("grant", &lease);
@@ -153,10 +197,7 @@
         CommitOutcome::LeaseEnded | CommitOutcome::Conflict => return Err(Error::LeaseExpired),
     }
     node.lease.record_renewal(lease, call_boot_ms, ttl_ms);
-    event!(info, "lease obtained", lease = lease.0);
-    // While this node had no lease, other nodes may have taken over its batch jobs.
-    tokio::task::spawn_local(jobs::verify_ownership(node.clone()));
-    tokio::task::spawn_local(suspects::exchange::load_history(node.clone()));
+    event!(info, "lease obtained", lease = lease.0, ttl_ms = ttl_ms);
     Ok(())
 }
 
--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -32,6 +32,7 @@
 pub fn start_tasks<D: Dialect>(node: &Rc<Node<D>>, owned: Rc<OwnedJob>) {
     node.metrics
         .set_state("open_jobs", node.jobs.open_count() as i64);
+    node.lease.request_short();
     spawn_local(commit::commit_results(node.clone(), owned.clone()));
     spawn_local(partial_outputs::store_periodically(
         node.clone(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -214,6 +214,7 @@
             Err(error) if error.is_healthy_response() => "refused",
             Err(_) => "failed",
         };
+        event!(debug, "store call", call = call, outcome = outcome);
         self.metrics
             .store_calls
             .with_label_values(&[call, outcome])
