Long items leave engines that are slow at the moment

Cause: 15 % of the engines are 2.5 times slower for 0.6 s at a time, and a step ends with its longest outputs, which took 47 ms an event where 41 are usual; migration by the mean time per event came when the engine was fast again. Change: the time between two events tells how fast an engine is now; long items leave a slow one for one that is fast, and placement avoids slow ones; migration for good wants a ratio of 1.7.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -185,6 +185,16 @@
         }
     }
 
+    /// Returns a running item to the waiting state, to run again at once.
+    pub fn requeue_now(&mut self, key: ItemKey) {
+        if let ItemState::Running { failures } = self.states[key.0 as usize] {
+            self.states[key.0 as usize] = ItemState::Waiting {
+                not_before_ms: 0,
+                failures,
+            };
+        }
+    }
+
     /// Records a failure of a running item and returns `true` if the item must be abandoned.
     pub fn record_failure(&mut self, key: ItemKey) -> bool {
         match &mut self.states[key.0 as usize] {
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod migration;
 pub mod placement;
 pub mod record;
+pub mod relocation;
 pub mod work;
 
 pub use commit::CommitBatch;
--- a/crates/batch/src/migration.rs
+++ b/crates/batch/src/migration.rs
@@ -7,8 +7,9 @@
 
 use crate::ItemKey;
 
-/// Minimum ratio of the engines' times per event; smaller differences are due to load alone.
-const MIN_SPEEDUP: f64 = 1.3;
+/// Minimum ratio of the engines' times per event; smaller differences are due to load, or to engines
+/// that were slow for some hundred milliseconds and no longer are.
+const MIN_SPEEDUP: f64 = 1.7;
 /// Minimum time that an item runs on an engine before it migrates, in milliseconds: the engine's
 /// speed must be measured first, and most items finish sooner.
 const MIN_TIME_ON_ENGINE_MS: u64 = 700;
--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -30,6 +30,9 @@
 /// Time after which the record of an endpoint that was down is that of its present incarnation: a row
 /// expires within three heartbeats, and a new one is known two seconds after the start.
 pub const RECORD_LAG_MS: u64 = 6_000;
+/// Age up to which the time between two events tells how fast an endpoint is now, in milliseconds: an
+/// endpoint that shares its machine is slow for some hundred milliseconds at a time.
+const GAP_MAX_AGE_MS: u64 = 300;
 /// Age from which a reported load is ignored.
 const LOAD_MAX_AGE_MS: u64 = 300;
 
@@ -83,6 +86,8 @@
     pub ms_per_event: f64,
     measured_at_ms: Option<u64>,
     service_ms: f64,
+    /// Time between two successive events of one output, and when the second arrived.
+    last_gap: Option<(u64, f64)>,
     load: Option<(u64, Load)>,
     failures: u32,
     paused_until_ms: u64,
@@ -103,6 +108,7 @@
             ms_per_event: 0.0,
             measured_at_ms: None,
             service_ms: 0.0,
+            last_gap: None,
             load: None,
             failures: 0,
             paused_until_ms: 0,
@@ -279,6 +285,17 @@
         self.update_mean(ms_per_event, EVENT_TIME_SMOOTHING);
     }
 
+    /// Records the time between two successive events of one output.
+    pub fn record_event_gap(&mut self, now_ms: u64, gap_ms: f64) {
+        self.last_gap = Some((now_ms, gap_ms));
+    }
+
+    /// Returns the time between two successive events a moment ago, if any output was generated then.
+    pub fn recent_gap_ms(&self, now_ms: u64) -> Option<f64> {
+        let (at_ms, gap_ms) = self.last_gap?;
+        (now_ms <= at_ms + GAP_MAX_AGE_MS).then_some(gap_ms)
+    }
+
     /// Merges the mean that another node measured into the mean of this endpoint.
     pub fn merge_peer_mean(&mut self, ms_per_event: f64) {
         self.update_mean(ms_per_event, PEER_MEAN_WEIGHT);
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -23,6 +23,12 @@
 /// equal cost: a hop between domains takes about a millisecond, an event of a text tens of them.
 const REMOTE_DOMAIN_COST_FACTOR: f64 = 1.02;
 
+/// Ratio of the time for an event a moment ago to the mean from which an endpoint counts as slow at the
+/// moment; smaller differences are due to load.
+const MIN_SLOWNESS: f64 = 1.5;
+/// Largest ratio that counts.
+const MAX_SLOWNESS: f64 = 4.0;
+
 /// Cost factor of a caller's request for an endpoint with a limit: others are used first as long as
 /// they have a free slot, since a request for a permit takes time.
 const CALLER_LIMIT_COST_FACTOR: f64 = 2.0;
@@ -364,8 +370,8 @@
 }
 
 /// Returns the cost of a new request at an endpoint: the mean time per event, multiplied by one
-/// plus the occupied share of the slots and by the factors for another failure domain and for a
-/// limit.
+/// plus the occupied share of the slots and by the factors for another failure domain, for a limit and
+/// for an endpoint that is slow at the moment.
 fn cost(
     now_ms: u64,
     endpoint: &Endpoint,
@@ -387,5 +393,10 @@
         Priority::Caller => CALLER_LIMIT_COST_FACTOR,
         Priority::Batch => BATCH_LIMIT_COST_FACTOR,
     };
-    ms_per_event * (1.0 + occupancy / slots) * domain_factor * limit_factor
+    let slowness = endpoint.recent_gap_ms(now_ms).unwrap_or(0.0) / mean_ms_per_event;
+    let pace_factor = match slowness {
+        slowness if slowness >= MIN_SLOWNESS => slowness.min(MAX_SLOWNESS),
+        _ => 1.0,
+    };
+    ms_per_event * (1.0 + occupancy / slots) * domain_factor * limit_factor * pace_factor
 }
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -271,6 +271,7 @@
         let mut reader = EventReader::new(body, &connection);
         let mut timer = EventTimer::new(node.now_ms());
         let resumed_after = self.last_event();
+        let mut previous_ms = None;
         loop {
             let next = timeout(EVENT_TIMEOUT, reader.next()).await;
             let event =
@@ -285,6 +286,11 @@
                 .find_map(|line| D::event_version(line));
             version = reported.or(version);
             self.append_event(route, event, version)?;
+            let now_ms = node.now_ms();
+            self.owned.record_event_at(self.key, now_ms);
+            if let Some(previous_ms) = previous_ms.replace(now_ms) {
+                self.record_event_gap(node, now_ms - previous_ms);
+            }
             if let Some(ms_per_event) = timer.record_event(node.now_ms()) {
                 self.record_event_time(node, ms_per_event);
             }
@@ -309,6 +315,13 @@
         }
     }
 
+    /// Records the time between two events of the endpoint.
+    fn record_event_gap(&self, node: &Node<D>, gap_ms: u64) {
+        if let Some(endpoint) = node.directory.borrow_mut().registry.get_mut(&self.endpoint) {
+            endpoint.record_event_gap(node.now_ms(), gap_ms as f64);
+        }
+    }
+
     /// Records the endpoint's time per event.
     fn record_event_time(&self, node: &Node<D>, ms_per_event: f64) {
         if let Some(endpoint) = node.directory.borrow_mut().registry.get_mut(&self.endpoint) {
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -73,6 +73,8 @@
     /// Endpoint at which each output is being generated, and the time in milliseconds of the node's
     /// clock at which that started.
     pub generating: RefCell<BTreeMap<ItemKey, (EndpointName, u64)>>,
+    /// Time at which the last event of each running item arrived, in milliseconds.
+    pub last_event_at_ms: RefCell<BTreeMap<ItemKey, u64>>,
     /// Time in milliseconds since which an item with a partial output waits for an endpoint that may go
     /// on with it.
     pub waiting_since_ms: RefCell<BTreeMap<ItemKey, u64>>,
@@ -271,6 +273,7 @@
             progress: RefCell::default(),
             scorer_failures: RefCell::default(),
             generating: RefCell::default(),
+            last_event_at_ms: RefCell::default(),
             waiting_since_ms: RefCell::default(),
             empty_resumes: RefCell::default(),
             row: Mutex::new(row),
@@ -319,6 +322,11 @@
             .unwrap_or(0)
     }
 
+    /// Records the arrival of an event of an item.
+    pub fn record_event_at(&self, key: ItemKey, now_ms: u64) {
+        self.last_event_at_ms.borrow_mut().insert(key, now_ms);
+    }
+
     /// Returns what generated the partial output of an item.
     pub fn origin(&self, key: ItemKey) -> StreamOrigin {
         let progress = self.progress.borrow();
--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -8,6 +8,7 @@
 use tokio::task::{AbortHandle, JoinSet, spawn_local};
 use tokio::time::sleep;
 use wisteriapoint_batch::migration::{FreeSlots, GeneratingItem, items_to_migrate};
+use wisteriapoint_batch::relocation::{PacedItem, is_fast, items_to_relocate};
 use wisteriapoint_batch::{ItemKey, Job, Outcome};
 use wisteriapoint_directory::{Priority, Registry, Requirements, Route};
 use wisteriapoint_types::ServiceName;
@@ -22,8 +23,8 @@
 /// Interval between checks for free slots while items wait; other nodes occupy and release slots
 /// without notifying this one.
 const CAPACITY_POLL: Duration = Duration::from_millis(30);
-/// Interval between checks while no item waits, as stragglers may migrate.
-const IDLE_POLL: Duration = Duration::from_millis(200);
+/// Interval between checks while no item waits, as items may leave engines that turn slow.
+const IDLE_POLL: Duration = Duration::from_millis(60);
 
 /// Minimum time between checks for stragglers, in milliseconds; engines send a few events in it.
 const MIGRATION_INTERVAL_MS: u64 = 200;
@@ -59,6 +60,7 @@
             migrated_at_ms = node.now_ms();
             migrate_stragglers(&node, &owned, &handles);
         }
+        relocate_items(&node, &owned, &handles);
         let poll = match owned.job.borrow().waiting() {
             0 => IDLE_POLL,
             _ => CAPACITY_POLL,
@@ -209,6 +211,76 @@
     }
 }
 
+/// Lets long items go on elsewhere whose engines are slow at the moment, unless an item waits to start.
+fn relocate_items<D: Dialect>(
+    node: &Node<D>,
+    owned: &OwnedJob,
+    handles: &BTreeMap<ItemKey, AbortHandle>,
+) {
+    if owned.job.borrow().waiting() > 0 {
+        return;
+    }
+    let Some(service) = route_of(node, owned).and_then(|route| route.select_service(0.0).cloned())
+    else {
+        return;
+    };
+    let now_ms = node.now_ms();
+    let relocating = {
+        let directory = node.directory.borrow();
+        let registry = &directory.registry;
+        let usual_ms = registry.mean_ms_per_event(&service);
+        let items = paced_items(owned, registry, now_ms);
+        let job = owned.job.borrow();
+        let requirements = requirements(node, &job, &service);
+        let fast = registry.iter().filter(|(_, endpoint)| {
+            let gap_ms = endpoint.recent_gap_ms(now_ms);
+            gap_ms.is_some_and(|gap_ms| is_fast(gap_ms, usual_ms))
+                && endpoint.satisfies(now_ms, &requirements)
+                && !endpoint.is_paused(now_ms)
+        });
+        items_to_relocate(&items, usual_ms, fast.count())
+    };
+    for key in relocating {
+        let Some(handle) = handles.get(&key) else {
+            continue;
+        };
+        handle.abort();
+        owned.job.borrow_mut().requeue_now(key);
+        node.metrics.items.with_label_values(&["relocated"]).inc();
+        event!(
+            debug,
+            "item requeued as its engine is slow at the moment",
+            id = owned.id,
+            item = key.0
+        );
+    }
+}
+
+fn paced_items(owned: &OwnedJob, registry: &Registry, now_ms: u64) -> Vec<PacedItem> {
+    let generating = owned.generating.borrow();
+    let last_event_at_ms = owned.last_event_at_ms.borrow();
+    let paced = generating
+        .iter()
+        .filter_map(|(&key, (endpoint, since_ms))| {
+            let endpoint = registry.get(endpoint)?;
+            // Another software version could not go on with the output.
+            endpoint.record.software.as_ref()?;
+            let last_ms = *last_event_at_ms.get(&key)?;
+            // Before its first event here the output is read in.
+            if last_ms <= *since_ms {
+                return None;
+            }
+            let recent_ms = endpoint.recent_gap_ms(now_ms).unwrap_or(0.0);
+            Some(PacedItem {
+                key,
+                events: owned.last_event(key),
+                on_engine_ms: now_ms.saturating_sub(*since_ms),
+                gap_ms: recent_ms.max(now_ms.saturating_sub(last_ms) as f64),
+            })
+        });
+    paced.collect()
+}
+
 fn generating_items<'a>(owned: &OwnedJob, registry: &'a Registry) -> Vec<GeneratingItem<'a>> {
     let generating = owned.generating.borrow();
     let generating = generating
