A new leader spreads engines that have followed no model

Change: only an engine that holds more than the oldest version of a model counts as its follower; the others are spread by the targets.

--- a/crates/weights/src/planner.rs
+++ b/crates/weights/src/planner.rs
@@ -190,10 +190,11 @@
         });
     }
 
-    /// Assigns each engine without a model to the model whose newest version it is closest to.
+    /// Assigns each engine without a model to the one that it has followed, or else to the one with the
+    /// least assigned capacity relative to its target.
     ///
-    /// Among equal models, the one with the least assigned capacity relative to its target is
-    /// taken. A new planner thus restores the assignments of its predecessor.
+    /// A new planner thus restores the assignments of its predecessor. That an engine holds the newest
+    /// version of a model says nothing if all engines do, as before a model's first version.
     fn assign_models(
         &mut self,
         targets: &BTreeMap<Box<str>, f64>,
@@ -202,23 +203,39 @@
         published: &BTreeMap<Box<str>, WeightVersion>,
     ) {
         let mut model_capacities = self.capacity_of_models(engines, capacities);
-        for (engine, capacity) in engines.iter().zip(capacities) {
-            if self.assignments.contains_key(engine.name) {
-                continue;
-            }
-            let candidates = targets.iter().filter_map(|(model, &target)| {
-                Some((model, target, version_of(engine.models, model)?))
-            });
-            let best = candidates.min_by_key(|(model, target, held)| {
-                let newest = published.get(*model).copied().unwrap_or_default();
-                let behind = newest.0.saturating_sub(held.0);
-                let assigned = model_capacities.get(&***model).copied().unwrap_or(0.0);
-                let filled = assigned / target.max(f64::MIN_POSITIVE);
-                (behind, (filled * 1_000.0) as u64)
-            });
-            if let Some((model, ..)) = best {
-                *model_capacities.entry(model.clone()).or_default() += capacity;
-                self.assignments.insert(engine.name.clone(), model.clone());
+        let oldest = |model: &str| {
+            let held = engines.iter();
+            held.filter_map(|engine| version_of(engine.models, model))
+                .min()
+        };
+        let oldest: BTreeMap<_, _> = targets
+            .keys()
+            .filter_map(|model| Some((model.clone(), oldest(model)?)))
+            .collect();
+        for only_followers in [true, false] {
+            for (engine, capacity) in engines.iter().zip(capacities) {
+                if self.assignments.contains_key(engine.name) {
+                    continue;
+                }
+                let candidates = targets.iter().filter_map(|(model, &target)| {
+                    let held = version_of(engine.models, model)?;
+                    let has_followed = oldest.get(model).is_some_and(|oldest| held > *oldest);
+                    (has_followed || !only_followers).then_some((model, target, held))
+                });
+                let best = candidates.min_by_key(|(model, target, held)| {
+                    let newest = published.get(*model).copied().unwrap_or_default();
+                    let behind = match only_followers {
+                        true => newest.0.saturating_sub(held.0),
+                        false => 0,
+                    };
+                    let assigned = model_capacities.get(&***model).copied().unwrap_or(0.0);
+                    let filled = assigned / target.max(f64::MIN_POSITIVE);
+                    (behind, (filled * 1_000.0) as u64)
+                });
+                if let Some((model, ..)) = best {
+                    *model_capacities.entry(model.clone()).or_default() += capacity;
+                    self.assignments.insert(engine.name.clone(), model.clone());
+                }
             }
         }
     }
--- a/crates/weights/tests/planner.rs
+++ b/crates/weights/tests/planner.rs
@@ -377,3 +377,21 @@
     }
     assert_eq!(loaded, fleet.engines.len() - SILENT);
 }
+
+/// The load: the leader changes after the first versions of three of four models were named and before
+/// any engine has loaded one. Guards against a new leader that gives all engines to the fourth, as they
+/// all hold its newest version, and takes two seconds for each that it gives back.
+#[test]
+fn a_new_planner_spreads_engines_that_have_followed_no_model() {
+    let mut fleet = Fleet::new(38, &["a", "b", "c", "d"]);
+    fleet.work = ["a", "b", "c", "d"].map(|model| (model.into(), 1.0)).into();
+    for model in ["a", "b", "c"] {
+        fleet.publish(model, 2);
+    }
+    fleet.plan(0);
+    for model in ["a", "b", "c", "d"] {
+        let names = fleet.engines.iter().map(|(name, ..)| name);
+        let of_model = names.filter(|name| fleet.planner.assigned_model(name) == Some(model));
+        assert!((9..=10).contains(&of_model.count()), "{model}");
+    }
+}
