Engines that do not answer give their places for loads to others

Change: an engine that neither answers nor says that it is busy loses its place and pauses for 100 ms, doubled up to 1.6 s, and loads after all others; a busy one keeps its place.

--- a/crates/weights/src/planner.rs
+++ b/crates/weights/src/planner.rs
@@ -14,6 +14,8 @@
 const ENGINES_PER_LOAD: usize = 5;
 /// Expected duration of a load, after which the engine is queried again, in milliseconds.
 const EXPECTED_LOAD_MS: u64 = 910;
+/// Number of times that the pause doubles while an engine does not answer.
+const MAX_PAUSE_DOUBLINGS: u32 = 4;
 /// Pause before an engine that did not accept an order is queried again, in milliseconds.
 const RETRY_PAUSE_MS: u64 = 100;
 
@@ -65,6 +67,8 @@
     assignments: BTreeMap<EndpointName, Box<str>>,
     reassigned_at_ms: Option<u64>,
     loading: BTreeMap<EndpointName, Loading>,
+    /// Engines that did not answer or accept the last order; they load after all others.
+    silent: BTreeMap<EndpointName, Silence>,
 }
 
 #[derive(Debug)]
@@ -72,6 +76,15 @@
     load: WeightLoad,
     born_unix_ms: u64,
     resend_at_ms: Option<u64>,
+    /// Whether the engine executes an order, for which its place is kept.
+    is_busy: bool,
+}
+
+/// Orders in a row that an engine did not answer or accept.
+#[derive(Debug, Default)]
+struct Silence {
+    failures: u32,
+    until_ms: u64,
 }
 
 impl Planner {
@@ -110,9 +123,11 @@
                 loads.push(loading.load.clone());
             }
         }
+        let is_paused = |silence: &Silence| now_ms < silence.until_ms;
         let mut due: Vec<_> = engines
             .iter()
             .filter(|engine| !self.loading.contains_key(engine.name))
+            .filter(|engine| !self.silent.get(engine.name).is_some_and(is_paused))
             .filter_map(|engine| {
                 let model = self.assignments.get(engine.name)?;
                 let version = *published.get(model)?;
@@ -120,7 +135,10 @@
                 (held < version).then(|| (version.0 - held.0, engine, model.clone(), version))
             })
             .collect();
-        due.sort_by_key(|(behind, engine, _, _)| (std::cmp::Reverse(*behind), engine.name));
+        due.sort_by_key(|(behind, engine, _, _)| {
+            let is_silent = self.silent.contains_key(engine.name);
+            (is_silent, std::cmp::Reverse(*behind), engine.name)
+        });
         let max_concurrent_loads = MIN_CONCURRENT_LOADS.max(engines.len() / ENGINES_PER_LOAD);
         let max_new_loads = max_concurrent_loads.saturating_sub(self.loading.len());
         for (_, engine, model, version) in due.into_iter().take(max_new_loads) {
@@ -134,6 +152,7 @@
                 load,
                 born_unix_ms: engine.born_unix_ms,
                 resend_at_ms: None,
+                is_busy: false,
             };
             self.loading.insert(engine.name.clone(), loading);
         }
@@ -148,6 +167,10 @@
         is_busy: bool,
         models: &[(Box<str>, WeightVersion)],
     ) {
+        self.silent.remove(endpoint);
+        if let Some(loading) = self.loading.get_mut(endpoint) {
+            loading.is_busy = is_busy;
+        }
         let is_loaded = self.loading.get(endpoint).is_some_and(|loading| {
             let held = version_of(models, &loading.load.model);
             held >= Some(loading.load.version)
@@ -161,13 +184,20 @@
     ///
     /// `is_accepted` is `true` if the engine has started to execute the order.
     pub fn record_order_end(&mut self, now_ms: u64, endpoint: &EndpointName, is_accepted: bool) {
-        if let Some(loading) = self.loading.get_mut(endpoint) {
-            let pause_ms = if is_accepted {
-                EXPECTED_LOAD_MS
-            } else {
-                RETRY_PAUSE_MS
-            };
-            loading.resend_at_ms = Some(now_ms + pause_ms);
+        match self.loading.get_mut(endpoint) {
+            Some(loading) if is_accepted => loading.resend_at_ms = Some(now_ms + EXPECTED_LOAD_MS),
+            Some(loading) if loading.is_busy => {
+                loading.resend_at_ms = Some(now_ms + RETRY_PAUSE_MS);
+            }
+            // Others load meanwhile.
+            Some(_) => {
+                self.loading.remove(endpoint);
+                let silence = self.silent.entry(endpoint.clone()).or_default();
+                let pause_ms = RETRY_PAUSE_MS << silence.failures.min(MAX_PAUSE_DOUBLINGS);
+                silence.failures += 1;
+                silence.until_ms = now_ms + pause_ms;
+            }
+            None => {}
         }
     }
 
@@ -183,6 +213,7 @@
     ) {
         self.assignments
             .retain(|name, model| !models.contains(model) || present.contains_key(name));
+        self.silent.retain(|name, _| present.contains_key(name));
         self.loading.retain(|name, loading| {
             let is_other = !models.contains(&loading.load.model);
             let engine = present.get(name);
