--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,6 +1,7 @@
 //! Calls to the store, relayed through another node while the store does not serve this one.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +20,11 @@
 /// Time after a failure during which the direct path is not tried first, and a relayed one not at
 /// all.
 const FAILED_PATH_BACKOFF: Duration = Duration::from_millis(1_000);
+/// Time for which a peer through which a call failed is not used: the store may refuse a part of the
+/// nodes for many seconds.
+const FAILED_PEER_PAUSE: Duration = Duration::from_secs(3);
+/// Number of peers that one call is tried through.
+const MAX_RELAY_PEERS: usize = 3;
 /// Longest wait of a relayed watch. With [`RELAY_TIMEOUT`] it stays below the two seconds within
 /// which a configuration must be in force, even if the peer fails meanwhile.
 const MAX_RELAYED_WATCH: Duration = Duration::from_millis(800);
@@ -75,6 +81,8 @@
     direct_backoff_until: Cell<Option<Instant>>,
     direct_failed: Notify,
     relay_backoff_until: Cell<Option<Instant>>,
+    /// Peers through which a call failed lately, with the time until which they are not used.
+    failed_peers: RefCell<BTreeMap<SocketAddr, Instant>>,
 }
 
 fn is_backing_off(until: &Cell<Option<Instant>>) -> bool {
@@ -151,42 +159,91 @@
         }
     }
 
-    /// Relays a call through a random peer; returns `None` if that is not possible now.
+    /// Relays a call through one random peer after another; returns `None` if that is not possible now.
     ///
     /// A transaction that was already sent may be sent again: its conditions let it take effect
-    /// only once.
+    /// only once. A call through a peer that did not answer in time is not tried further.
     async fn relay(&self, call: &StoreCall) -> Option<Result<StoreResponse, Error>> {
         if is_backing_off(&self.shared.relay_backoff_until) {
             return None;
         }
-        let addresses = self.shared.peer_addresses.borrow().clone();
-        let index = rand::random_range(0..addresses.len().max(1));
-        let &peer = addresses.get(index)?;
         let mut timeout = RELAY_TIMEOUT;
         if let StoreCall::Watch(..) = call {
             timeout += MAX_RELAYED_WATCH;
         }
-        let request = PeerRequest::Store(call.clone());
-        let reply = self.peers.call_for_reply(peer, &request, timeout).await;
-        let response = reply.map_or_else(
-            |error| Err(Error::Unavailable(error.to_string().into())),
-            relayed_response,
-        );
-        match &response {
-            Err(error) if !error.is_healthy_response() => {
-                event!(
-                    debug,
-                    "store call through peer failed",
-                    peer = peer,
-                    error = error
-                );
-                self.shared
-                    .relay_backoff_until
-                    .set(Some(Instant::now() + FAILED_PATH_BACKOFF));
+        let end = Instant::now() + timeout;
+        let mut last: Option<Error> = None;
+        let mut tried = Vec::new();
+        for _ in 0..MAX_RELAY_PEERS {
+            let Some(peer) = self
+                .shared
+                .random_peer(&tried)
+                .filter(|_| Instant::now() < end)
+            else {
+                break;
+            };
+            tried.push(peer);
+            let request = PeerRequest::Store(call.clone());
+            let left = end - Instant::now();
+            let reply = self.peers.call_for_reply(peer, &request, left).await;
+            let response = reply.map_or_else(
+                |error| Err(Error::Unavailable(error.to_string().into())),
+                relayed_response,
+            );
+            match response {
+                Err(error) if !error.is_healthy_response() => {
+                    event!(
+                        debug,
+                        "store call through peer failed",
+                        peer = peer,
+                        error = error
+                    );
+                    self.shared.record_failed_peer(peer);
+                    last = Some(match last {
+                        Some(earlier) => error.after(earlier),
+                        None => error,
+                    });
+                }
+                response => {
+                    event!(debug, "store call through peer succeeded", peer = peer);
+                    return Some(response);
+                }
             }
-            _ => event!(debug, "store call through peer succeeded", peer = peer),
         }
-        Some(response)
+        let until = Instant::now() + FAILED_PATH_BACKOFF;
+        last.map(|error| {
+            self.shared.relay_backoff_until.set(Some(until));
+            Err(error)
+        })
+    }
+}
+
+impl Shared {
+    /// Returns a random peer that has not been tried, one without a recent failure if there is any.
+    fn random_peer(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let addresses = self.peer_addresses.borrow();
+        let failed = self.failed_peers.borrow();
+        let is_usable =
+            |address: &&SocketAddr| failed.get(address).is_none_or(|until| *until <= now);
+        let untried: Vec<_> = addresses
+            .iter()
+            .filter(|address| !tried.contains(address))
+            .collect();
+        let usable: Vec<_> = untried.iter().copied().filter(is_usable).collect();
+        let candidates = match usable.is_empty() {
+            true => untried,
+            false => usable,
+        };
+        let index = rand::random_range(0..candidates.len().max(1));
+        candidates.get(index).map(|address| **address)
+    }
+
+    fn record_failed_peer(&self, peer: SocketAddr) {
+        let now = Instant::now();
+        let mut failed = self.failed_peers.borrow_mut();
+        failed.retain(|_, until| *until > now);
+        failed.insert(peer, now + FAILED_PEER_PAUSE);
     }
 }
 
--- a/crates/node/tests/relay.rs
+++ b/crates/node/tests/relay.rs
@@ -119,3 +119,35 @@
     sent.unwrap();
     assert!(!committed.unwrap_err().may_have_taken_effect());
 }
+
+/// The load: the store refuses this node and some of its peers. Guards against a lease that is lost as a
+/// renewal meets such a peer, and no other is tried for a second.
+#[tokio::test]
+async fn a_call_goes_through_another_peer_if_the_store_refuses_the_first() {
+    let store = RelayedStore::new(RefusingStore, Client::new());
+    let mut peers = Vec::new();
+    for is_refused in [true, true, false] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        peers.push(listener.local_addr().unwrap());
+        tokio::spawn(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                tokio::spawn(async move {
+                    while read_call(&mut stream).await.is_ok() {
+                        let response = match is_refused {
+                            true => refused(),
+                            false => Ok(StoreResponse::Done),
+                        };
+                        if respond(&mut stream, response).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+    }
+    store.set_peers(peers);
+    for _ in 0..20 {
+        store.renew_lease(LeaseId(1)).await.unwrap();
+    }
+}
