Node settings: memory and descriptors of the VM

The bound on what is held for callers has to follow from the VM, whose limits the platform states. The workspace builds.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -31,6 +31,11 @@
     pub store: StoreSettings,
     /// Processor share of the VM in cores; nodes with little of it own no batch jobs.
     pub cpu_share: Option<f64>,
+    /// Memory of the VM in MB, which bounds the bytes held for callers; a default applies if absent.
+    pub memory_mb: Option<u64>,
+    /// Descriptors that the VM allows, which bound the callers' connections; a default applies if
+    /// absent.
+    pub max_descriptors: Option<u64>,
     /// Time limits of the platform.
     pub bounds: Bounds,
     /// Work that one node does towards the platform; absent if none is wanted.
