Crate intake: progress of bodies, answers and the limit of endpoints' answers

The reader of a body has to judge its progress also while it discards data that the account does not hold, and answers that wait for slow readers have to be counted too. Progress is now a type of its own (256 bytes within the reader's span), Budget::keep counts complete answers, and Limits states the bytes for endpoints' answers, 20 % of the VM within 32 to 48 MiB.

--- a/crates/intake/src/account.rs
+++ b/crates/intake/src/account.rs
@@ -4,24 +4,18 @@
 use std::task::Waker;
 
 use crate::limits::Limits;
+use crate::progress::Progress;
 use crate::storage::Storage;
 
 /// Time without progress after which a body gives way to any other one, in milliseconds.
 const MAX_CONTENDED_STALL_MS: u64 = 1_000;
-/// Bytes that count as progress: a caller at 26 bytes/s, below any modem, is never refused for its
-/// slowness alone.
-const PROGRESS_BYTES: usize = 256;
-
 /// A body that has not been received to its end.
 #[derive(Debug)]
 pub(crate) struct Unfinished {
     pub(crate) storage: Storage,
     pub(crate) max_bytes: Option<usize>,
     pub(crate) waker: Option<Waker>,
-    /// Time of the last progress.
-    progress_at_ms: u64,
-    /// Size at the last progress.
-    progress_bytes: usize,
+    progress: Progress,
 }
 
 impl Unfinished {
@@ -30,20 +24,12 @@
             storage: Storage::default(),
             max_bytes,
             waker: None,
-            progress_at_ms: now_ms,
-            progress_bytes: 0,
+            progress: Progress::new(now_ms),
         }
     }
 
-    pub(crate) fn stalled_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.progress_at_ms)
-    }
-
     pub(crate) fn record_progress(&mut self, now_ms: u64) {
-        if self.storage.len() - self.progress_bytes >= PROGRESS_BYTES {
-            self.progress_at_ms = now_ms;
-            self.progress_bytes = self.storage.len();
-        }
+        self.progress.record(self.storage.len(), now_ms);
     }
 }
 
@@ -68,6 +54,17 @@
         }
     }
 
+    /// Counts the bytes of complete data, which can't give way later; returns `false` if there is no
+    /// room.
+    pub(crate) fn keep(&mut self, more_bytes: usize) -> bool {
+        let held_bytes = self.unfinished_bytes + self.finished_bytes;
+        let has_room = held_bytes == 0 || held_bytes + more_bytes <= self.limits.total_bytes;
+        if has_room {
+            self.finished_bytes += more_bytes;
+        }
+        has_room
+    }
+
     /// Removes an unfinished body, with its bytes.
     pub(crate) fn remove(&mut self, id: u64) -> Option<Unfinished> {
         let removed = self.unfinished.remove(&id)?;
@@ -90,7 +87,7 @@
         let others = self.unfinished.iter().filter(|&(&other, _)| other != id);
         let mut yielding: Vec<_> = others
             .map(|(&other, body)| {
-                let is_stalled = body.stalled_ms(now_ms) >= MAX_CONTENDED_STALL_MS;
+                let is_stalled = body.progress.stalled_ms(now_ms) >= MAX_CONTENDED_STALL_MS;
                 (is_stalled, body.storage.len(), other)
             })
             .filter(|&(is_stalled, bytes, _)| bytes > 0 && (is_stalled || bytes > size_bytes))
--- a/crates/intake/src/budget.rs
+++ b/crates/intake/src/budget.rs
@@ -7,7 +7,6 @@
 
 use crate::account::{Account, Unfinished};
 use crate::limits::Limits;
-use crate::storage::Storage;
 
 /// Bytes held for callers; clones share the account.
 #[derive(Debug, Clone)]
@@ -24,10 +23,10 @@
     id: u64,
 }
 
-/// A body that was received to its end; its bytes are released on drop.
-struct Finished {
+/// Complete data, whose bytes are released on drop.
+struct Held<T: AsRef<[u8]>> {
     budget: Budget,
-    storage: Storage,
+    data: T,
 }
 
 impl Budget {
@@ -49,7 +48,22 @@
         }
     }
 
-    /// Returns the bytes of all bodies.
+    /// Counts an answer, until the last clone of the result is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the account is full.
+    pub fn keep(&self, answer: Bytes) -> Result<Bytes, Refused> {
+        match self.account().keep(answer.len()) {
+            true => Ok(Bytes::from_owner(Held {
+                budget: self.clone(),
+                data: answer,
+            })),
+            false => Err(Refused),
+        }
+    }
+
+    /// Returns the bytes of all bodies and answers.
     pub fn held_bytes(&self) -> usize {
         let account = self.account();
         account.unfinished_bytes + account.finished_bytes
@@ -87,13 +101,6 @@
         Ok(())
     }
 
-    /// Returns the time since the last progress, in milliseconds; 0 after a refusal.
-    pub fn stalled_ms(&self, now_ms: u64) -> u64 {
-        let account = self.budget.account();
-        let body = account.unfinished.get(&self.id);
-        body.map_or(0, |body| body.stalled_ms(now_ms))
-    }
-
     /// Waits until the body is refused in favour of another one.
     pub fn poll_refused(&self, context: &Context<'_>) -> Poll<()> {
         let mut account = self.budget.account();
@@ -113,9 +120,9 @@
         let mut account = self.budget.account();
         let body = account.remove(self.id).ok_or(Refused)?;
         account.finished_bytes += body.storage.len();
-        Ok(Bytes::from_owner(Finished {
+        Ok(Bytes::from_owner(Held {
             budget: self.budget.clone(),
-            storage: body.storage,
+            data: body.storage,
         }))
     }
 }
@@ -126,14 +133,14 @@
     }
 }
 
-impl AsRef<[u8]> for Finished {
+impl<T: AsRef<[u8]>> AsRef<[u8]> for Held<T> {
     fn as_ref(&self) -> &[u8] {
-        self.storage.as_ref()
+        self.data.as_ref()
     }
 }
 
-impl Drop for Finished {
+impl<T: AsRef<[u8]>> Drop for Held<T> {
     fn drop(&mut self) {
-        self.budget.account().finished_bytes -= self.storage.len();
+        self.budget.account().finished_bytes -= self.data.as_ref().len();
     }
 }
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -20,8 +20,10 @@
 pub mod budget;
 pub mod connections;
 pub mod limits;
+pub mod progress;
 mod storage;
 
 pub use budget::{Budget, Refused, Reservation};
 pub use connections::{Connection, Connections, Stage};
 pub use limits::Limits;
+pub use progress::Progress;
--- a/crates/intake/src/limits.rs
+++ b/crates/intake/src/limits.rs
@@ -9,6 +9,12 @@
 const CONNECTIONS_PERCENT: u64 = 20;
 /// Memory of a connection with a full read buffer of 16 KiB, in bytes.
 const CONNECTION_BYTES: u64 = 24_000;
+/// Percentage of the memory for the answers of endpoints.
+const ANSWERS_PERCENT: u64 = 20;
+/// Least and most bytes for the answers of endpoints: the largest answer, and what a VM with the usual
+/// 260 MB can bear, as a buffer needs twice its size while it grows.
+const MIN_ANSWER_BYTES: usize = 32 << 20;
+const MAX_ANSWER_BYTES: usize = 48 << 20;
 /// Size up to which a body may use the part of the account that is kept free of larger ones.
 const SMALL_BODY_BYTES: usize = 64 << 10;
 
@@ -23,6 +29,8 @@
     pub small_reserve_bytes: usize,
     /// Size up to which a body is small, in bytes.
     pub small_body_bytes: usize,
+    /// Bytes of all answers of endpoints together.
+    pub answer_bytes: usize,
     /// Connections.
     pub connections: usize,
 }
@@ -38,6 +46,9 @@
             unfinished_bytes: total_bytes / 4 * 3,
             small_reserve_bytes: total_bytes / 8,
             small_body_bytes: SMALL_BODY_BYTES,
+            answer_bytes: usize::try_from(percent(ANSWERS_PERCENT))
+                .unwrap_or(usize::MAX)
+                .clamp(MIN_ANSWER_BYTES, MAX_ANSWER_BYTES),
             connections: usize::try_from(connections).unwrap_or(usize::MAX).max(1),
         }
     }
--- a/crates/intake/tests/budget.rs
+++ b/crates/intake/tests/budget.rs
@@ -9,6 +9,7 @@
     unfinished_bytes: 150_000,
     small_reserve_bytes: 20_000,
     small_body_bytes: 4_096,
+    answer_bytes: 100_000,
     connections: 100,
 };
 
@@ -183,3 +184,15 @@
     assert!(large.append(&[7; 1], 2_000).is_err());
     assert_eq!(active.finish().map(|body| body.len()), Ok(70_000));
 }
+
+/// Guards against answers that are not counted while slow readers fetch them.
+#[test]
+fn answers_count_until_they_are_dropped() {
+    let budget = Budget::new(LIMITS);
+    let kept = budget.keep(Bytes::from(vec![7; 190_000])).unwrap();
+    assert_eq!(budget.held_bytes(), 190_000);
+    assert!(budget.keep(Bytes::from(vec![7; 20_000])).is_err());
+    drop(kept);
+    assert_eq!(budget.held_bytes(), 0);
+    assert!(budget.keep(Bytes::from(vec![7; 20_000])).is_ok());
+}
