Node: bodies, answers and connections of callers are bounded by the VM

Legal bodies that stop short of their end were kept without bound, and so were connections. Bytes of bodies are now reserved before they are kept; a body that makes no progress for 10 s gets 408, one that gives way gets 503 as not run with Retry-After. Connections are bounded by half of the descriptors and a fifth of the memory, idle ones close first; an answer that is not read for idle-timeout-ms ends its connection. Refusals are counted and logged once a second.

--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -1,5 +1,6 @@
 //! Connections from callers, from the load balancer and from readers of metrics.
 
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,9 +9,11 @@
 use hyper::{Method, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{sleep, timeout};
+use wisteriapoint_intake::{Connection, Stage as ConnectionStage};
 
+use super::caller_io::CallerStream;
 use super::request::handle_request;
 use super::response::{InfallibleResult, body_response, text_response};
 use crate::dialect::Dialect;
@@ -21,6 +24,10 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Smallest buffer size that the HTTP library accepts.
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
+/// Longest time for the refusal of a request whose connection has to close.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Number of turns of other tasks in which a connection that was asked to close does so.
+const CLOSE_TURNS: usize = 8;
 const METRICS_PATH: &str = "/metrics";
 
 /// Accepts connections from callers until the node exits.
@@ -33,7 +40,9 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                spawn_local(serve_connection(node.clone(), stream));
+                make_room(&node).await;
+                let connection = node.intake.connections.open(node.now_ms());
+                spawn_local(serve_connection(node.clone(), connection, stream));
             }
             Err(error) => {
                 event!(
@@ -47,6 +56,24 @@
     }
 }
 
+/// Closes connections until another one may be served; the callers behind it wait meanwhile.
+async fn make_room<D: Dialect>(node: &Rc<Node<D>>) {
+    let connections = &node.intake.connections;
+    while !connections.has_room() {
+        if !connections.close_one(node.now_ms()) {
+            sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        }
+        node.record_refusal("", "connections");
+        for _ in 0..CLOSE_TURNS {
+            if connections.has_room() {
+                return;
+            }
+            yield_now().await;
+        }
+    }
+}
+
 /// Counts an open connection as long as the guard exists.
 struct ConnectionGuard<D: Dialect>(Rc<Node<D>>);
 
@@ -63,7 +90,12 @@
     }
 }
 
-async fn serve_connection<D: Dialect>(node: Rc<Node<D>>, stream: TcpStream) {
+async fn serve_connection<D: Dialect>(
+    node: Rc<Node<D>>,
+    connection: Connection,
+    stream: TcpStream,
+) {
+    let entry = Rc::new(connection);
     let _guard = ConnectionGuard::new(node.clone());
     if let Err(error) = stream.set_nodelay(true) {
         event!(
@@ -77,8 +109,13 @@
         .map(|configuration| configuration.limits);
     let limits = limits.unwrap_or_default();
     let service = service_fn(|request| {
-        let node = node.clone();
-        async move { InfallibleResult::Ok(handle_request(node, request).await) }
+        let (node, entry) = (node.clone(), entry.clone());
+        async move {
+            entry.set_stage(ConnectionStage::Running);
+            let response = handle_request(node, entry.clone(), request).await;
+            entry.set_stage(ConnectionStage::Idle);
+            InfallibleResult::Ok(response)
+        }
     });
     let mut closing = node.shutdown.closing();
     let is_closing = *closing.borrow_and_update();
@@ -90,6 +127,8 @@
         .header_read_timeout(Duration::from_millis(header_timeout_ms))
         .max_buf_size(limits.max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
         .keep_alive(!is_closing);
+    let write_timeout = Duration::from_millis(limits.idle_timeout_ms);
+    let stream = CallerStream::new(stream, entry.clone(), node.clock, write_timeout);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let should_close = async {
@@ -104,6 +143,13 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        () = poll_fn(|context| entry.poll_closed(context)) => {
+            connection.as_mut().graceful_shutdown();
+            match entry.is_idle() {
+                true => Ok(()),
+                false => timeout(REFUSAL_TIMEOUT, connection).await.unwrap_or(Ok(())),
+            }
+        }
     };
     if let Err(error) = result {
         event!(debug, "caller connection failed", error = error);
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -1,7 +1,10 @@
 //! HTTP server for callers: connections, requests and responses.
 
 pub mod batch;
+pub mod body;
+pub mod caller_io;
 pub mod connection;
+pub mod intake;
 pub mod request;
 pub mod response;
 pub mod stream;
--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -2,15 +2,15 @@
 
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{ACCEPT_ENCODING, CONNECTION, HOST, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
 use wisteriapoint_directory::{Configuration, Route, RouteKind};
+use wisteriapoint_intake::{Connection, Stage as ConnectionStage};
 use wisteriapoint_types::Verdict;
 use wisteriapoint_workspace::{Credential, Rejection, Workspace};
 
+use super::body::{BodyError, BodyFailure, read_body};
 use super::response::{
     self, CallerResponse, Payload, copy_headers, not_run_response, stopping_response, text_response,
 };
@@ -32,8 +32,8 @@
 /// Deadline of a request that states none; the timeout of its route is shorter.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
-/// Bytes beyond the size limit that are read and discarded before the caller gets its response.
-const MAX_DISCARDED_BYTES: usize = 8 << 20;
+/// Retry delay sent to a caller whose body had to give way to others.
+const ACCOUNT_FULL_RETRY_AFTER_MS: u64 = 1_000;
 
 /// A caller's request, before its body has been read.
 #[derive(Debug)]
@@ -52,6 +52,8 @@
     pub host: Box<str>,
     /// Body, not yet read.
     pub body: Incoming,
+    /// Connection on which the request arrived.
+    pub connection: Rc<Connection>,
 }
 
 /// Counts a request in progress as long as the guard exists.
@@ -73,6 +75,7 @@
 /// Handles a request and returns its response.
 pub async fn handle_request<D: Dialect>(
     node: Rc<Node<D>>,
+    connection: Rc<Connection>,
     request: Request<Incoming>,
 ) -> CallerResponse {
     let _in_progress = InProgressGuard::new(node.clone());
@@ -96,6 +99,7 @@
         head,
         host,
         body,
+        connection,
     };
     let (method, path) = (
         request.head.method.clone(),
@@ -167,15 +171,15 @@
         Operation::ReadResults { job, after } => {
             let wait_ms = request.metadata.wait_ms.unwrap_or(0);
             let left_ms = node.shutdown.left_ms(node.now_ms()).unwrap_or(wait_ms);
-            (
-                "results".into(),
-                batch::read_results(node, (&request.host, &job), after, wait_ms.min(left_ms)).await,
-            )
+            let wait_ms = wait_ms.min(left_ms);
+            let place = (&*request.host, &*job);
+            let results = batch::read_results(node, place, after, wait_ms).await;
+            ("results".into(), keep_answer(node, &request.id, results))
+        }
+        Operation::ReadBody { job, item } => {
+            let body = batch::read_item_body(node, (&request.host, &job), &item).await;
+            ("body".into(), keep_answer(node, &request.id, body))
         }
-        Operation::ReadBody { job, item } => (
-            "body".into(),
-            batch::read_item_body(node, (&request.host, &job), &item).await,
-        ),
         Operation::EndJob { job } => (
             "end".into(),
             batch::end_job(node, (&request.host, &job)).await,
@@ -262,15 +266,21 @@
         head,
         host,
         body,
+        connection,
         ..
     } = request;
+    connection.set_stage(ConnectionStage::Body {
+        since_ms: node.now_ms(),
+    });
+    let held = (&node.intake.budget, &*connection);
     let body = tokio::select! {
-        body = read_body(body, max_body_bytes) => body,
-        () = node.shutdown.exiting() => Err(stopping_response::<D>()),
+        body = read_body(body, max_body_bytes, held, node.clock) => body,
+        () = node.shutdown.exiting() => return stopping_response::<D>(),
     };
+    connection.set_stage(ConnectionStage::Running);
     let body = match body {
         Ok(body) => body,
-        Err(response) => return response,
+        Err(error) => return body_error_response(node, &id, error),
     };
     if route.kind == RouteKind::Rollout {
         return batch::submit_job(
@@ -335,6 +345,48 @@
     }
 }
 
+/// Returns the response to a request whose body was not received; it has not run.
+fn body_error_response<D: Dialect>(node: &Node<D>, id: &str, error: BodyError) -> CallerResponse {
+    let mut response = match error.failure {
+        BodyFailure::BrokenOff => text_response(StatusCode::BAD_REQUEST, "the body broke off"),
+        BodyFailure::TooLarge => text_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
+        BodyFailure::Refused => {
+            node.record_refusal(id, "account-full");
+            let line = "too many bytes are held for callers";
+            not_run_response::<D>(line, ACCOUNT_FULL_RETRY_AFTER_MS)
+        }
+        BodyFailure::Stalled => {
+            node.record_refusal(id, "no-progress");
+            let line = "the body made no progress";
+            text_response(StatusCode::REQUEST_TIMEOUT, line)
+        }
+    };
+    if error.is_unread {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+/// Counts the answer to a read, which waits in memory for a slow reader; refuses it if there is no room.
+fn keep_answer<D: Dialect>(node: &Node<D>, id: &str, response: CallerResponse) -> CallerResponse {
+    let (head, payload) = response.into_parts();
+    let kept = match payload {
+        Payload::Full(Some(answer)) => node.intake.budget.keep(answer),
+        payload @ (Payload::Full(None) | Payload::Chunks(_)) => {
+            return CallerResponse::from_parts(head, payload);
+        }
+    };
+    match kept {
+        Ok(answer) => CallerResponse::from_parts(head, Payload::Full(Some(answer))),
+        Err(_) => {
+            node.record_refusal(id, "account-full");
+            let line = "too many bytes are held for callers";
+            not_run_response::<D>(line, ACCOUNT_FULL_RETRY_AFTER_MS)
+        }
+    }
+}
+
 /// Returns `true` unless the node stops and would probably exit before a request ends, which lasts
 /// `limit_ms` at most.
 fn can_end_before_exit<D: Dialect>(node: &Node<D>, route: &Route, id: &str, limit_ms: u64) -> bool {
@@ -369,33 +421,3 @@
         _ => node.record_duration(&route.name, arrived_at_ms),
     }
 }
-
-/// Reads a body of at most `max_bytes`.
-///
-/// Of a larger body, reads and discards up to [`MAX_DISCARDED_BYTES`] more, since a caller that is
-/// still sending would not see the response.
-async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, CallerResponse> {
-    let mut buffer = BytesMut::new();
-    let mut read_bytes = 0;
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return Err(text_response(StatusCode::BAD_REQUEST, "the body broke off"));
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        read_bytes += data.len();
-        match read_bytes {
-            read if read <= max_bytes => buffer.extend_from_slice(&data),
-            read if read <= max_bytes + MAX_DISCARDED_BYTES => buffer.clear(),
-            _ => break,
-        }
-    }
-    match read_bytes > max_bytes {
-        true => Err(text_response(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body too large",
-        )),
-        false => Ok(buffer.freeze()),
-    }
-}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -52,6 +52,9 @@
     pub duty_calls: IntCounterVec,
     /// Requests without a valid key by reason; `old-knowledge` for those of a node that can't tell.
     pub unauthenticated: IntCounterVec,
+    /// Refusals because of what is held for callers by reason: `account-full`, `no-progress`,
+    /// `connections` for a connection closed in favour of another one.
+    pub intake_refusals: IntCounterVec,
     /// Gauges of the node's state: `ready`, `keeper`, `configuration_version`, `endpoints`,
     /// `open_jobs`, `cut_off`.
     pub state: IntGaugeVec,
@@ -104,6 +107,11 @@
                     "Requests without a valid key",
                     &["reason"],
                 )?,
+                intake_refusals: counter(
+                    "intake_refusals_total",
+                    "Refusals because of what is held for callers",
+                    &["reason"],
+                )?,
                 state: IntGaugeVec::new(
                     Opts::new("wisteriapoint_state", "State of the node"),
                     &["of"],
@@ -125,6 +133,7 @@
             registry.register(Box::new(metrics.orders.clone()))?;
             registry.register(Box::new(metrics.duty_calls.clone()))?;
             registry.register(Box::new(metrics.unauthenticated.clone()))?;
+            registry.register(Box::new(metrics.intake_refusals.clone()))?;
             registry.register(Box::new(metrics.state.clone()))?;
             Ok(metrics)
         };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,7 @@
     EndpointName, FailureDomain, ServiceName, SoftwareVersion, StreamOrigin, WeightVersion,
 };
 
+use crate::callers::intake::Intake;
 use crate::clock::{Clock, boot_ms};
 use crate::control::{Feed, Lease, MalformedRows, StoreHealth};
 use crate::dialect::Dialect;
@@ -101,6 +102,8 @@
     pub in_progress: Cell<usize>,
     /// Number of open connections of callers.
     pub connections: Cell<usize>,
+    /// Bytes and connections held for callers.
+    pub intake: Intake,
     /// Current stage in the life cycle.
     pub stage: Cell<Stage>,
     /// Progress of the stop.
@@ -159,6 +162,7 @@
         let clock = Clock::new();
         let peers = Client::new();
         let suspects = SuspectRequests::new();
+        let intake_limits = settings.intake_limits();
         let direct = D::open_store(settings.store.address);
         Ok(Rc::new(Self {
             store: RelayedStore::new(direct, peers.clone()),
@@ -177,7 +181,8 @@
                 peers.clone(),
                 suspects.peers.clone(),
                 clock,
-            ),
+            )
+            .with_max_response_bytes(intake_limits.answer_bytes),
             suspects,
             streams: Streams::new(),
             limits: Limits::new(),
@@ -189,6 +194,7 @@
             metrics: Metrics::new()?,
             in_progress: Cell::new(0),
             connections: Cell::new(0),
+            intake: Intake::new(intake_limits),
             stage: Cell::new(Stage::Starting),
             shutdown: Shutdown::new(),
             durations: RefCell::default(),
@@ -234,6 +240,24 @@
         durations.record(now_ms, route, now_ms - arrived_at_ms);
     }
 
+    /// Counts a refusal because of what is held for callers, and logs at most one line a second.
+    pub fn record_refusal(&self, id: &str, reason: &str) {
+        let counter = &self.metrics.intake_refusals;
+        counter.with_label_values(&[reason]).inc();
+        if let Some(count) = self.intake.count_refusal(self.now_ms()) {
+            event!(
+                warn,
+                "refused because of what is held for callers",
+                id = id,
+                reason = reason,
+                count = count,
+                held_bytes = self.intake.budget.held_bytes(),
+                unfinished_bytes = self.intake.budget.unfinished_bytes(),
+                connections = self.intake.connections.count(),
+            );
+        }
+    }
+
     /// Returns the configuration in force.
     pub fn configuration(&self) -> Option<Rc<Configuration>> {
         self.directory.borrow().configuration.clone()
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
 use wisteriapoint_duties::DutySettings;
+use wisteriapoint_intake::Limits;
 use wisteriapoint_types::FailureDomain;
 
 use crate::Error;
@@ -96,6 +98,15 @@
     }
 }
 
+impl NodeSettings {
+    /// Returns the limits of what is held for callers; if the descriptors of the VM are not stated, the
+    /// limit of the process applies.
+    pub fn intake_limits(&self) -> Limits {
+        let own_limit = || getrlimit(Resource::Nofile).current;
+        Limits::for_vm(self.memory_mb, self.max_descriptors.or_else(own_limit))
+    }
+}
+
 /// File with the settings of a node, and a value that precedes that of the file.
 #[derive(Debug)]
 pub struct SettingsFile {
--- a/crates/node/src/upstream/memory.rs
+++ b/crates/node/src/upstream/memory.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Most bytes of responses that a node holds beyond what each may hold freely: a VM has 260 MB, and
+/// Most bytes of responses that a node holds, unless set otherwise, beyond what each may hold freely: a VM has 260 MB, and
 /// a buffer needs twice its size while it grows.
 const MAX_HELD_BYTES: usize = 48 << 20;
 /// Bytes that each response may hold whatever others do, so that large ones don't keep out the usual
@@ -13,9 +13,16 @@
 const FREE_BYTES: usize = 16 << 10;
 
 /// Bytes of responses that a node holds; clones share the count.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct ResponseMemory {
     held_bytes: Arc<AtomicUsize>,
+    max_bytes: usize,
+}
+
+impl Default for ResponseMemory {
+    fn default() -> Self {
+        Self::with_max_bytes(MAX_HELD_BYTES)
+    }
 }
 
 /// A buffer for a part of a response, whose size counts until it is dropped.
@@ -50,6 +57,14 @@
         Self::default()
     }
 
+    /// Creates a count without held bytes, which are at most `max_bytes`.
+    pub fn with_max_bytes(max_bytes: usize) -> Self {
+        Self {
+            held_bytes: Arc::default(),
+            max_bytes,
+        }
+    }
+
     /// Creates an empty buffer of at most `max_bytes`.
     pub fn buffer(&self, max_bytes: usize) -> ResponseBuffer {
         ResponseBuffer {
@@ -67,11 +82,8 @@
     /// Reserves memory for a buffer of `length_bytes`; returns `false` if too much is held.
     fn try_grow(&mut self, length_bytes: usize) -> bool {
         let more = length_bytes.saturating_sub(FREE_BYTES + self.bytes);
-        let held_bytes = &self.memory.held_bytes;
-        let add = |held: usize| {
-            held.checked_add(more)
-                .filter(|&held| held <= MAX_HELD_BYTES)
-        };
+        let (held_bytes, max_bytes) = (&self.memory.held_bytes, self.memory.max_bytes);
+        let add = |held: usize| held.checked_add(more).filter(|&held| held <= max_bytes);
         let is_reserved = more == 0
             || held_bytes
                 .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -202,6 +202,14 @@
         }
     }
 
+    /// Sets the most bytes of responses that the node holds.
+    pub fn with_max_response_bytes(self, max_bytes: usize) -> Self {
+        Self {
+            memory: ResponseMemory::with_max_bytes(max_bytes),
+            ..self
+        }
+    }
+
     /// Returns `true` if this node is cut off from the endpoints, and others are not.
     pub fn is_cut_off(&self) -> bool {
         self.paths().is_cut_off()
