A body may pause for the idle timeout of a connection

Cause: a body without progress for 10 s was refused, though a client within the limits may be idle for idle-timeout-ms, 15 s. Change: the reader of a body takes the idle timeout of the configuration.

--- a/crates/intake/src/progress.rs
+++ b/crates/intake/src/progress.rs
@@ -1,6 +1,6 @@
 //! Progress of a body, in bytes within a span of time.
 
-/// Bytes that count as progress. Within the longest span that a reader allows, 10 s, this is 26
+/// Bytes that count as progress. Within the usual idle timeout of a connection, 15 s, this is 17
 /// bytes/s, so that no honest caller is refused for its slowness alone.
 const PROGRESS_BYTES: usize = 256;
 
--- a/crates/node/src/callers/body.rs
+++ b/crates/node/src/callers/body.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::{sleep, timeout};
+use wisteriapoint_directory::Limits;
 use wisteriapoint_intake::{Budget, Connection, Progress};
 
 use crate::clock::Clock;
@@ -17,9 +18,6 @@
 const MAX_DISCARDED_BYTES: usize = 8 << 20;
 /// Longest time for which the rest of a refused body is discarded.
 const MAX_DISCARD_TIME: Duration = Duration::from_millis(500);
-/// Longest time without progress of a body: two thirds of the usual idle timeout of a connection, so
-/// that a caller that paused learns why its connection ends.
-const MAX_STALL_MS: u64 = 10_000;
 
 /// Reason for which a body was not received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,7 +50,7 @@
     Closed,
 }
 
-/// Reads a body of at most `max_bytes`.
+/// Reads a body of at most `max_body_bytes`, which may pause for the idle timeout of a connection.
 ///
 /// Of a larger body, reads and discards up to [`MAX_DISCARDED_BYTES`] more, since a caller that is
 /// still sending would not see the response.
@@ -62,10 +60,11 @@
 /// Fails if the body can't be received; it holds nothing then.
 pub async fn read_body(
     mut body: Incoming,
-    max_bytes: usize,
+    limits: Limits,
     (budget, connection): (&Budget, &Connection),
     clock: Clock,
 ) -> Result<Bytes, BodyError> {
+    let (max_bytes, max_stall_ms) = (limits.max_body_bytes, limits.idle_timeout_ms);
     let announced_bytes = body.size_hint().exact();
     let announced_bytes = announced_bytes.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
     let mut progress = Progress::new(clock.now_ms());
@@ -77,7 +76,7 @@
     let mut read_bytes = 0;
     let error = |failure, is_unread| BodyError { failure, is_unread };
     loop {
-        let left_ms = MAX_STALL_MS.saturating_sub(progress.stalled_ms(clock.now_ms()));
+        let left_ms = max_stall_ms.saturating_sub(progress.stalled_ms(clock.now_ms()));
         let refused = poll_fn(|context| match &reservation {
             Some(reservation) => reservation.poll_refused(context),
             None => std::task::Poll::Pending,
--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -258,7 +258,7 @@
         return text_response(StatusCode::BAD_REQUEST, "a request needs an id");
     }
     let has_workspaces = request.configuration.workspaces.is_some();
-    let max_body_bytes = request.configuration.limits.max_body_bytes;
+    let limits = request.configuration.limits;
     let CallerRequest {
         metadata,
         id,
@@ -274,7 +274,7 @@
     });
     let held = (&node.intake.budget, &*connection);
     let body = tokio::select! {
-        body = read_body(body, max_body_bytes, held, node.clock) => body,
+        body = read_body(body, limits, held, node.clock) => body,
         () = node.shutdown.exiting() => return stopping_response::<D>(),
     };
     connection.set_stage(ConnectionStage::Running);
