Name the type of the demand that a node has reported

Cause: clippy -D warnings fails on crates/duties for a type that is too complex, so no crate that depends on it can be checked. Change: a type alias for one reported entry.

--- a/crates/duties/src/exchange.rs
+++ b/crates/duties/src/exchange.rs
@@ -57,6 +57,9 @@
     pub first_open_window: Option<u64>,
 }
 
+/// VM of a node, the time of its report and its requests by service.
+type NodeDemand = (Box<str>, u64, Vec<ServiceDemand>);
+
 /// State of the duties at one node.
 #[derive(Debug, Default)]
 pub struct Coordination {
@@ -64,7 +67,7 @@
     pub knowledge: Knowledge,
     usage: RefCell<Option<UsageCounter>>,
     pub(crate) ledger: RefCell<Option<UsageLedger>>,
-    demand: RefCell<Vec<(Box<str>, u64, Vec<ServiceDemand>)>>,
+    demand: RefCell<Vec<NodeDemand>>,
     counted: Notify,
     last_read_boot_ms: Cell<u64>,
 }
