Keep urgent requests with wrong estimates, and compare shedding with simple orders

Change: late units stay in their level, and the admitted error of estimates is measured; crates/experiment runs the decision against first come, earliest deadline and priority alone under seven loads.

--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -1,4 +1,4 @@
-//! Simulations that run the routing, rollout and weight libraries on a virtual clock.
+//! Simulations that run the routing, rollout, weight and shedding libraries on a virtual clock.
 //!
 //! ```
 //! use wisteriapoint_experiment::report::Spread;
@@ -11,3 +11,4 @@
 pub mod policy;
 pub mod report;
 pub mod rollouts;
+pub mod shedding;
--- a/crates/shedding/src/decision.rs
+++ b/crates/shedding/src/decision.rs
@@ -2,32 +2,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::plan::{may_be_in_time, plan};
+use crate::plan::plan;
 use crate::room::FreeTimes;
-use crate::segment::{Unit, due_at_ms, units};
-use crate::{Group, GroupId, HINT_ERROR, Request, Room};
+use crate::segment::{due_at_ms, units};
+use crate::{Group, GroupId, Request, Room, Rules};
 
 /// Least time until a refused caller returns, in milliseconds: some network hops, so that a caller
 /// does not return with the state that refused it.
 const MIN_RETURN_MS: u64 = 100;
 
-/// Time after which a waiting request gains a level of priority, in milliseconds. Callers, whose
-/// deadlines are at most some seconds, never gain one; items of batch jobs do.
-const AGING_MS: u64 = 10_000;
-
-/// Parameters of a decision.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Rules {
-    /// Time after which a waiting request gains a level of priority, in milliseconds.
-    pub aging_ms: u64,
-}
-
-impl Default for Rules {
-    fn default() -> Self {
-        Self { aging_ms: AGING_MS }
-    }
-}
-
 /// What becomes of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -49,8 +32,10 @@
 /// Returns the outcome of each request, in the order of the requests.
 ///
 /// Requests start by priority with aging, then by the share of their workspace, then by due time; of
-/// those that can't all be in time, the ones whose refusal costs least for their work come last.
-/// A request is refused if it is late even if the estimate of its work is ten times too high.
+/// those that can't all be in time, the ones whose refusal costs least for their work come last in
+/// their priority.
+/// A request is refused if it is late even if the estimate of its work is as much too high as the rules
+/// admit.
 pub fn decide(
     now_ms: u64,
     requests: &[Request],
@@ -59,7 +44,7 @@
     rules: &Rules,
 ) -> Vec<Outcome> {
     let groups: BTreeMap<_, _> = groups.iter().map(|group| (group.id, group)).collect();
-    let mut lost_groups = hopeless_groups(now_ms, requests, &groups, room);
+    let mut lost_groups = hopeless_groups(now_ms, requests, &groups, room, rules);
     // A group that is given up frees the slots of its members, so the rest is decided again.
     loop {
         let decided = decide_without(now_ms, requests, &groups, &lost_groups, room, rules);
@@ -88,7 +73,7 @@
 ) -> Decided {
     let is_useless = |request: &Request| {
         let is_lost = |group: GroupId| lost_groups.contains(&group);
-        request.group.is_some_and(is_lost) || is_hopeless(now_ms, request, groups)
+        request.group.is_some_and(is_lost) || is_hopeless(now_ms, request, groups, rules)
     };
     let mut outcomes: Vec<_> = requests
         .iter()
@@ -107,32 +92,17 @@
     let mut times = FreeTimes::new(now_ms, room, ends_ms);
     let is_excluded = |index: usize| is_useless(&requests[index]);
     let units = units(now_ms, requests, groups, room, rules, is_excluded);
-    let plan = plan(requests, &units, &mut times);
+    let plan = plan(requests, &units, &mut times, rules);
     let mut refused: Vec<usize> = (0..requests.len())
         .filter(|&index| !requests[index].is_running && is_excluded(index))
         .collect();
     let mut refused_groups = Vec::new();
-    let mut late = Vec::new();
-    for unit in plan.late {
-        match may_be_in_time(requests, unit, &times) {
-            true => {
-                for &index in &unit.members {
-                    times.occupy(requests[index].remaining_ms());
-                }
-                late.push(unit);
-            }
-            false => {
-                refused.extend(&unit.members);
-                refused_groups.extend(unit.group);
-            }
-        }
+    for unit in plan.refused {
+        refused.extend(&unit.members);
+        refused_groups.extend(unit.group);
     }
-    let members = |units: Vec<&Unit>| -> Vec<usize> {
-        let members = units.iter().flat_map(|unit| unit.members.iter().copied());
-        members.collect()
-    };
-    let in_order = members(plan.in_time).into_iter().chain(members(late));
-    for index in in_order.take(free) {
+    let in_order = plan.in_order.iter().flat_map(|unit| &unit.members);
+    for &index in in_order.take(free) {
         outcomes[index] = Outcome::Start;
     }
     refused.sort_by_key(|&index| {
@@ -160,9 +130,14 @@
 }
 
 /// Returns `true` if a request is late even if it goes on now and needs the least work.
-fn is_hopeless(now_ms: u64, request: &Request, groups: &BTreeMap<GroupId, &Group>) -> bool {
+fn is_hopeless(
+    now_ms: u64,
+    request: &Request,
+    groups: &BTreeMap<GroupId, &Group>,
+    rules: &Rules,
+) -> bool {
     let due_at_ms = due_at_ms(groups, request.group, request.deadline_at_ms);
-    now_ms.saturating_add(request.least_remaining_ms().max(1)) > due_at_ms
+    now_ms.saturating_add(rules.least_remaining_ms(request).max(1)) > due_at_ms
 }
 
 /// Returns the groups that have a member which is late for certain, or more work than all slots can
@@ -172,13 +147,14 @@
     requests: &[Request],
     groups: &BTreeMap<GroupId, &Group>,
     room: &Room,
+    rules: &Rules,
 ) -> BTreeSet<GroupId> {
     let of_members = requests
         .iter()
-        .filter(|request| is_hopeless(now_ms, request, groups))
+        .filter(|request| is_hopeless(now_ms, request, groups, rules))
         .filter_map(|request| request.group);
     let too_large = groups.values().filter(|group| {
-        let least_ms = group.remaining_ms / HINT_ERROR / room.total_slots();
+        let least_ms = rules.least_ms(group.remaining_ms) / room.total_slots();
         now_ms.saturating_add(least_ms) > group.due_at_ms
     });
     let too_large = too_large.map(|group| group.id);
--- a/crates/shedding/src/lib.rs
+++ b/crates/shedding/src/lib.rs
@@ -16,8 +16,10 @@
 mod plan;
 mod request;
 mod room;
+mod rules;
 mod segment;
 
-pub use decision::{Outcome, Rules, decide};
+pub use decision::{Outcome, decide};
 pub use request::{Group, GroupId, HINT_ERROR, Request, RequestId, WorkspaceId};
 pub use room::Room;
+pub use rules::{HintErrors, Rules};
--- a/crates/shedding/src/plan.rs
+++ b/crates/shedding/src/plan.rs
@@ -1,21 +1,42 @@
 //! Plan of the units of a decision: which of them are expected to be served in time.
 
-use crate::Request;
 use crate::room::FreeTimes;
 use crate::segment::Unit;
+use crate::{Request, Rules};
 
-/// Units in the order in which they start, and units that are expected to be late.
+/// Units in the order in which they start, and units that are late for certain.
 #[derive(Debug, Default)]
 pub(crate) struct Plan<'a> {
-    pub(crate) in_time: Vec<&'a Unit>,
-    pub(crate) late: Vec<&'a Unit>,
+    pub(crate) in_order: Vec<&'a Unit>,
+    pub(crate) refused: Vec<&'a Unit>,
 }
 
-/// Plans the units segment by segment, and advances the times at which the slots become free.
-pub(crate) fn plan<'a>(requests: &[Request], units: &'a [Unit], times: &mut FreeTimes) -> Plan<'a> {
+/// Plans the units level by level, and advances the times at which the slots become free.
+///
+/// Units that are late unless their estimates are too high come after the others of their level, but
+/// before less urgent ones. Behind those, an urgent request with a wrong estimate was lost although
+/// its priority alone would have served it.
+pub(crate) fn plan<'a>(
+    requests: &[Request],
+    units: &'a [Unit],
+    times: &mut FreeTimes,
+    rules: &Rules,
+) -> Plan<'a> {
     let mut plan = Plan::default();
-    for segment in units.chunk_by(|a, b| a.segment == b.segment) {
-        plan_segment(requests, segment, times, &mut plan);
+    for level in units.chunk_by(|a, b| a.segment.0 == b.segment.0) {
+        let mut late = Vec::new();
+        for segment in level.chunk_by(|a, b| a.segment == b.segment) {
+            plan_segment(requests, segment, times, &mut plan.in_order, &mut late);
+        }
+        for unit in late {
+            match may_be_in_time(requests, unit, times, rules) {
+                true => {
+                    occupy_all(requests, &[unit], times);
+                    plan.in_order.push(unit);
+                }
+                false => plan.refused.push(unit),
+            }
+        }
     }
     plan
 }
@@ -28,7 +49,8 @@
     requests: &[Request],
     segment: &'a [Unit],
     times: &mut FreeTimes,
-    plan: &mut Plan<'a>,
+    in_time: &mut Vec<&'a Unit>,
+    late: &mut Vec<&'a Unit>,
 ) {
     let base = times.clone();
     let mut accepted: Vec<&Unit> = Vec::new();
@@ -67,10 +89,10 @@
     for unit in left_out {
         match occupy_in_time(requests, unit, times) {
             true => accepted.push(unit),
-            false => plan.late.push(unit),
+            false => late.push(unit),
         }
     }
-    plan.in_time.append(&mut accepted);
+    in_time.append(&mut accepted);
 }
 
 fn occupy_all(requests: &[Request], units: &[&Unit], times: &mut FreeTimes) {
@@ -104,8 +126,8 @@
 
 /// Returns `true` if a unit ends in time in the free slots if its estimates are as much too high as
 /// estimates can be.
-pub(crate) fn may_be_in_time(requests: &[Request], unit: &Unit, times: &FreeTimes) -> bool {
+fn may_be_in_time(requests: &[Request], unit: &Unit, times: &FreeTimes, rules: &Rules) -> bool {
     let mut occupied = times.clone();
-    let mut members = unit.members.iter();
-    members.all(|&index| occupied.occupy(requests[index].least_remaining_ms()) <= unit.due_at_ms)
+    let mut members = unit.members.iter().map(|&index| &requests[index]);
+    members.all(|member| occupied.occupy(rules.least_remaining_ms(member)) <= unit.due_at_ms)
 }
--- a/crates/shedding/src/request.rs
+++ b/crates/shedding/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests that compete for capacity, and groups of them.
 
-/// Factor by which an estimate of the work may be wrong in either direction.
+/// Largest factor by which an estimate of the work may be wrong in either direction.
 pub const HINT_ERROR: u64 = 10;
 
 /// Cost of any refusal besides the work that it repeats, in milliseconds of work. It keeps short
@@ -54,7 +54,7 @@
     /// Time at which all members are due, in milliseconds.
     pub due_at_ms: u64,
     /// Estimated work of all unfinished members, also of those that other nodes run, in
-    /// milliseconds.
+    /// milliseconds; `u64::MAX` if a member was lost.
     pub remaining_ms: u64,
 }
 
@@ -118,11 +118,6 @@
         }
     }
 
-    /// Returns the least time in a slot that it may need still, in milliseconds.
-    pub fn least_remaining_ms(&self) -> u64 {
-        (self.work_ms / HINT_ERROR).saturating_sub(self.spent_ms)
-    }
-
     /// Returns what its refusal costs the caller, in milliseconds of work.
     pub fn refusal_cost_ms(&self) -> u64 {
         REFUSAL_COST_MS
