Order items of a batch job by groups that can be complete in time

Cause: items start longest first, so if a step does not fit before its due time, the slots work on the longest groups and few groups complete. Change: Item keeps the length hint, Job::order_by_groups puts groups that can be complete first when the hints exceed the room by half, and Precedence orders the open batch jobs of a node. Jobs without hints, or with enough room, keep their order.

--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -51,6 +51,9 @@
     pub body: Vec<u8>,
     /// Expected length of the output, in tokens.
     pub expected_tokens: u32,
+    /// Length of the output that the caller estimates, in tokens; `None` if `expected_tokens` is only
+    /// a bound.
+    pub length_hint: Option<u32>,
     /// Group of the item; items of one group share a prompt and are useful only together.
     pub group: Option<Box<str>>,
     /// Request that scores the finished text.
@@ -66,6 +69,7 @@
             headers: Vec::new(),
             body,
             expected_tokens: 0,
+            length_hint: None,
             group: None,
             scorer: None,
         }
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{CommitBatch, Item, ItemKey, ItemResult, Outcome, Submission};
+use crate::{CommitBatch, Item, ItemKey, ItemResult, Outcome, Pace, Submission, groups};
 
 /// Maximum time that a finished item waits for others to be committed with it, in milliseconds.
 /// Two commits per second are a small fraction of the store's capacity.
@@ -167,6 +167,21 @@
         })
     }
 
+    /// Orders the items anew by the groups that can be complete within `left_ms` at a pace.
+    pub fn order_by_groups(&mut self, left_ms: u64, pace: Pace) {
+        let keys = (0..self.states.len() as u32).map(ItemKey);
+        let unfinished = keys.filter(|&key| !self.is_item_done(key)).collect();
+        self.order = groups::order(&self.submission.items, unfinished, left_ms, pace);
+    }
+
+    /// Returns the longest length hint of an unfinished item, in tokens, or 0 without hints.
+    pub fn longest_hint(&self) -> u32 {
+        let items = self.submission.items.iter().zip(&self.states);
+        let unfinished = items.filter(|(_, state)| **state != ItemState::Done);
+        let hints = unfinished.filter_map(|(item, _)| item.length_hint);
+        hints.max().unwrap_or(0)
+    }
+
     /// Lets a waiting item wait for another pause, while others start.
     pub fn defer(&mut self, now_ms: u64, key: ItemKey) {
         if let ItemState::Waiting { not_before_ms, .. } = &mut self.states[key.0 as usize] {
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -14,19 +14,23 @@
 //! ```
 
 pub mod commit;
+pub mod groups;
 pub mod item;
 pub mod job;
 pub mod migration;
 pub mod placement;
+pub mod precedence;
 pub mod record;
 pub mod relocation;
 pub mod work;
 
 pub use commit::CommitBatch;
+pub use groups::Pace;
 pub use item::{
     Item, ItemFailures, ItemKey, ItemResult, Outcome, PartialOutput, Progress, Scorer, Step,
     Submission,
 };
 pub use job::{Job, Page};
+pub use precedence::Precedence;
 pub use record::{JobRecord, JobState, Owner};
 pub use work::{RequestedWork, Work};
