Endpoints: the leader knows which ones the platform may reclaim

Cause: a row may say "spot": true, but the record that nodes exchange is postcard and must not change, so the kind was lost. Change: the new method Dialect::is_spot_row reads it, and the directory keeps the names of such endpoints wherever rows are read from the store; only the leader's set is complete. A kind that is stated in another way counts as plain and hides no row.

--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -1,5 +1,6 @@
 //! The endpoint registry of a node, kept current from the store or from the leader.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -236,9 +237,15 @@
 
 fn replace_from_rows<D: Dialect>(node: &Node<D>, rows: &[Row], revision: Index) {
     let mut records = Vec::new();
+    let mut spot_endpoints = BTreeSet::new();
     for row in rows {
         match (D::endpoint_name(&row.key), parse_row(node, row)) {
-            (Some(name), Ok(record)) => records.push((name, record)),
+            (Some(name), Ok(record)) => {
+                if D::is_spot_row(&row.value) {
+                    spot_endpoints.insert(name.clone());
+                }
+                records.push((name, record));
+            }
             _ if !node.malformed_rows.is_new(row) => {}
             (_, Err(error)) => event!(
                 warn,
@@ -269,6 +276,7 @@
     let now_ms = node.now_ms();
     let outage_end_ms = node.store_health.outage_end_ms(now_ms);
     directory.registry.replace(now_ms, records, outage_end_ms);
+    directory.spot_endpoints = spot_endpoints;
     directory.endpoints_loaded = true;
 }
 
@@ -302,7 +310,11 @@
     node.feed.record_change(&name, revision);
     match change {
         Change::Written(row) => match parse_row(node, row) {
-            Ok(record) => update_endpoint(node, &name, record, "store"),
+            Ok(record) => {
+                let is_spot = D::is_spot_row(&row.value);
+                node.directory.borrow_mut().set_spot(&name, is_spot);
+                update_endpoint(node, &name, record, "store");
+            }
             Err(error) => {
                 event!(
                     warn,
@@ -379,6 +391,7 @@
         .registry
         .handle_row_removal(node.now_ms(), name, outage_end_ms);
     if directory.registry.get(name).is_none() {
+        directory.set_spot(name, false);
         node.pool.forget(name);
     }
 }
@@ -402,6 +415,7 @@
             );
             node.feed.record_change(&name, node.feed.revision());
             node.feed.publish();
+            directory.set_spot(&name, false);
             node.pool.forget(&name);
         }
     }
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -62,6 +62,9 @@
     /// Fails if the row is malformed; such an endpoint is not used.
     fn parse_endpoint_row(value: &[u8]) -> Result<EndpointRecord, Error>;
 
+    /// Returns `true` if the row of an endpoint says that the platform may reclaim it.
+    fn is_spot_row(value: &[u8]) -> bool;
+
     /// Returns the row that reports to operators that a VM holds no more data.
     fn retired_row(vm: &str) -> (Box<str>, Vec<u8>);
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -129,6 +129,8 @@
     pub view: View,
     /// Endpoints that this node uses; at the leader, all endpoints.
     pub registry: Registry,
+    /// Endpoints that the platform may reclaim; current at the leader only.
+    pub spot_endpoints: BTreeSet<EndpointName>,
     /// Sizes of large services; a node uses only a subset of their endpoints.
     pub sizes: ServiceSizes,
     /// The newest published weight version of each model.
@@ -137,6 +139,16 @@
     pub retiring_vms: BTreeSet<Box<str>>,
 }
 
+impl Directory {
+    /// Records whether the platform may reclaim an endpoint.
+    pub fn set_spot(&mut self, name: &EndpointName, is_spot: bool) {
+        match is_spot {
+            true => self.spot_endpoints.insert(name.clone()),
+            false => self.spot_endpoints.remove(name),
+        };
+    }
+}
+
 /// An endpoint that was chosen for a request.
 #[derive(Debug, Clone)]
 pub struct ChosenEndpoint {
