Scaling: odd rows of endpoints cause no orders

Cause: a row with an unknown failure domain would lead to orders there, which the platform never accepts, and one with a huge number of slots would make all other endpoints look superfluous. Change: endpoints are counted and ordered only in failure domains with a price, if any has one; the median of the stated slots counts. Plans and reasons can be written to logs.

--- a/crates/scaling/src/plan.rs
+++ b/crates/scaling/src/plan.rs
@@ -1,6 +1,7 @@
 //! Numbers of endpoints by failure domain and kind, and what they have to cover.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use crate::{Kind, Service, Terms};
 
@@ -20,6 +21,17 @@
     counts: BTreeMap<Box<str>, [u32; 2]>,
 }
 
+impl fmt::Display for Plan {
+    /// Writes each failure domain with its plain and its spot endpoints, such as `a:3+1 b:2+0`.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (domain, [plain, spot])) in self.counts.iter().enumerate() {
+            let separator = if index > 0 { " " } else { "" };
+            write!(f, "{separator}{domain}:{plain}+{spot}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Least numbers of endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Requirement {
@@ -58,21 +70,27 @@
 }
 
 impl Plan {
-    /// Creates a plan without endpoints in the failure domains of a service.
+    /// Creates a plan without endpoints in the failure domains of a service: those with a price, or if
+    /// none has one, those with endpoints.
     pub fn empty(service: &Service) -> Self {
-        let domains = service.terms.prices.keys().chain(service.domains.keys());
+        let priced = service.terms.prices.keys();
+        let present = service.domains.keys();
+        let present = present.filter(|_| service.terms.prices.is_empty());
         Self {
-            counts: domains.map(|domain| (domain.clone(), [0, 0])).collect(),
+            counts: priced
+                .chain(present)
+                .map(|domain| (domain.clone(), [0, 0]))
+                .collect(),
         }
     }
 
-    /// Returns the endpoints of a service that accept requests.
+    /// Returns the endpoints of a service that accept requests, in the failure domains where more can be
+    /// ordered.
     pub fn ready(service: &Service) -> Self {
         let mut plan = Self::empty(service);
-        for (domain, endpoints) in &service.domains {
-            for kind in Kind::ALL {
-                plan.set(domain, kind, endpoints.of(kind).ready);
-            }
+        for (domain, counts) in &mut plan.counts {
+            let endpoints = service.domains.get(domain).copied().unwrap_or_default();
+            *counts = Kind::ALL.map(|kind| endpoints.of(kind).ready);
         }
         plan
     }
--- a/crates/scaling/src/scaler.rs
+++ b/crates/scaling/src/scaler.rs
@@ -64,6 +64,21 @@
     Steady,
 }
 
+impl Reason {
+    /// Returns the name of the reason in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Observing => "observing",
+            Self::WorkWaits => "work-waits",
+            Self::Short => "short",
+            Self::Unanswered => "unanswered",
+            Self::Surplus => "surplus",
+            Self::Price => "price",
+            Self::Steady => "steady",
+        }
+    }
+}
+
 /// What to order, and the inputs of the decision.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Decision {
--- a/crates/scaling/src/service.rs
+++ b/crates/scaling/src/service.rs
@@ -54,7 +54,7 @@
     pub name: Box<str>,
     /// Bounds and prices.
     pub terms: Terms,
-    /// Requests that one endpoint runs at the same time; `None` if no endpoint is known.
+    /// Requests that an endpoint runs at the same time, as most do; `None` if no endpoint is known.
     pub slots: Option<u32>,
     /// Present endpoints by failure domain.
     pub domains: BTreeMap<Box<str>, DomainEndpoints>,
@@ -136,6 +136,13 @@
 }
 
 impl Service {
+    /// Returns the median of the slots that endpoints state: one that states very many must not make all
+    /// others look superfluous.
+    pub fn usual_slots(mut stated: Vec<u32>) -> Option<u32> {
+        stated.sort_unstable();
+        stated.get(stated.len().saturating_sub(1) / 2).copied()
+    }
+
     /// Returns the requests that the endpoints that accept requests run at the same time.
     pub fn ready_slots(&self) -> u32 {
         let domains = self.domains.values();
--- a/crates/scaling/tests/loads.rs
+++ b/crates/scaling/tests/loads.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Platform, SLOTS, same_price, terms};
-use wisteriapoint_scaling::{Kind, Order, Outcome, Reason};
+use wisteriapoint_scaling::{Kind, Order, Outcome, Reason, Service};
 
 fn is_up(order: &Order) -> bool {
     order.count > order.before
@@ -185,6 +185,25 @@
     assert!(refused.windows(2).all(|pair| pair[1] - pair[0] >= 5_000));
 }
 
+/// Guards against orders in a failure domain that only the row of an odd endpoint names, and against an odd
+/// number of slots that makes all other endpoints look superfluous.
+#[test]
+fn odd_rows_of_endpoints_cause_no_orders() {
+    let mut platform = Platform::new(same_price(2, 20), 1);
+    platform.terms.prices.remove("c");
+    let decisions = platform.run(20_000, |_| 4);
+    assert!(
+        decisions
+            .iter()
+            .all(|decision| decision.ready.count("c", Kind::Plain) == 0)
+    );
+    let elsewhere = |order: &Order| &*order.failure_domain == "c";
+    assert!(!platform.orders.iter().any(|(_, order, _)| elsewhere(order)));
+    assert_eq!(Service::usual_slots(vec![4, u32::MAX, 4, 0, 4]), Some(4));
+    assert_eq!(Service::usual_slots(vec![u32::MAX, 4]), Some(4));
+    assert_eq!(Service::usual_slots(Vec::new()), None);
+}
+
 /// Guards against orders of a new holder that has not heard from all nodes.
 #[test]
 fn the_first_order_follows_ten_seconds_of_observation() {
