Duties: the holder orders endpoints

Cause: the platform's call for orders of endpoints existed, but nothing decided and sent them. Environment::scaled_services gives bounds, prices and endpoints, and nothing while the leader has not read all rows.

--- a/crates/duties/src/environment.rs
+++ b/crates/duties/src/environment.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use wisteriapoint_batch::Owner;
+use wisteriapoint_scaling::Service;
 use wisteriapoint_store::{Error, TransactionalStore};
 
 use crate::{
@@ -11,6 +12,15 @@
     ServiceDemand,
 };
 
+/// The services whose endpoints may be ordered, with their present endpoints.
+#[derive(Debug, Clone)]
+pub struct ScaledServices {
+    /// Bounds, prices and present endpoints.
+    pub services: Vec<Service>,
+    /// Age of what is known of the endpoints, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A node as the duties see it.
 pub trait Environment: 'static {
     /// Client of the platform's store.
@@ -49,6 +59,10 @@
     /// Returns the requests that wait or run at this node, by service.
     fn demand(&self) -> Vec<ServiceDemand>;
 
+    /// Returns the services whose endpoints may be ordered; `None` while this node does not know all
+    /// endpoints as they are.
+    fn scaled_services(&self) -> Option<ScaledServices>;
+
     /// Returns the client of the store.
     fn store(&self) -> &Self::Store;
     /// Counts a call to the store by its result.
--- a/crates/duties/src/exchange.rs
+++ b/crates/duties/src/exchange.rs
@@ -57,9 +57,6 @@
     pub first_open_window: Option<u64>,
 }
 
-/// VM of a node, the time of its report and its requests by service.
-type NodeDemand = (Box<str>, u64, Vec<ServiceDemand>);
-
 /// State of the duties at one node.
 #[derive(Debug, Default)]
 pub struct Coordination {
@@ -67,11 +64,19 @@
     pub knowledge: Knowledge,
     usage: RefCell<Option<UsageCounter>>,
     pub(crate) ledger: RefCell<Option<UsageLedger>>,
-    demand: RefCell<Vec<NodeDemand>>,
+    demand: RefCell<Vec<DemandReport>>,
     counted: Notify,
     last_read_boot_ms: Cell<u64>,
 }
 
+/// The last report of a node's demand.
+#[derive(Debug)]
+struct DemandReport {
+    vm: Box<str>,
+    at_boot_ms: u64,
+    demand: Vec<ServiceDemand>,
+}
+
 impl Coordination {
     /// Creates the state; without settings nothing is counted.
     pub fn new(settings: Option<&DutySettings>) -> Self {
@@ -113,9 +118,9 @@
     /// Returns the requests that wait or run at all nodes, by service.
     pub fn total_demand(&self, now_boot_ms: u64) -> Vec<ServiceDemand> {
         let mut reports = self.demand.borrow_mut();
-        reports.retain(|(_, at_ms, _)| now_boot_ms < at_ms + DEMAND_MAX_AGE_MS);
+        reports.retain(|report| now_boot_ms < report.at_boot_ms + DEMAND_MAX_AGE_MS);
         let mut total: Vec<ServiceDemand> = Vec::new();
-        for demand in reports.iter().flat_map(|(_, _, demand)| demand) {
+        for demand in reports.iter().flat_map(|report| &report.demand) {
             match total
                 .iter_mut()
                 .find(|other| other.service == demand.service)
@@ -130,10 +135,23 @@
         total
     }
 
+    /// Returns the number of nodes whose demand is known, and the age of the oldest report in
+    /// milliseconds.
+    pub fn demand_reports(&self, now_boot_ms: u64) -> (usize, u64) {
+        let reports = self.demand.borrow();
+        let times = reports.iter().map(|report| report.at_boot_ms);
+        let oldest_ms = times.min().unwrap_or(now_boot_ms);
+        (reports.len(), now_boot_ms.saturating_sub(oldest_ms))
+    }
+
     pub(crate) fn record_demand(&self, now_boot_ms: u64, vm: &str, demand: Vec<ServiceDemand>) {
         let mut reports = self.demand.borrow_mut();
-        reports.retain(|(other, ..)| **other != *vm);
-        reports.push((vm.into(), now_boot_ms, demand));
+        reports.retain(|report| *report.vm != *vm);
+        reports.push(DemandReport {
+            vm: vm.into(),
+            at_boot_ms: now_boot_ms,
+            demand,
+        });
     }
 
     /// Answers another node; a node that is not the holder tells what it knows of the configuration.
--- a/crates/duties/src/holder.rs
+++ b/crates/duties/src/holder.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::Environment;
+use crate::scale_duty::scale_endpoints;
 use crate::usage_duty::report_usage;
 
 /// Does all duties under a fencing token, until the caller drops the task as the node no longer holds
@@ -14,5 +15,8 @@
     if env.duty_settings().is_none() {
         return std::future::pending().await;
     }
-    report_usage(&env, fence, delay).await;
+    tokio::join!(
+        report_usage(&env, fence, delay),
+        scale_endpoints(&env, fence, delay)
+    );
 }
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -9,9 +9,10 @@
 pub mod environment;
 pub mod exchange;
 pub mod holder;
+pub mod scale_duty;
 pub mod usage_duty;
 
 pub use client::{Duty, DutyCall, DutyClient, DutyOutcome, DutySettings};
-pub use environment::Environment;
+pub use environment::{Environment, ScaledServices};
 pub use exchange::{Coordination, CoordinationRequest, CoordinationResponse, ServiceDemand, run};
 pub use holder::hold;
--- a/crates/node/src/control/feed.rs
+++ b/crates/node/src/control/feed.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Returns `true` if this node, as the leader, has and watches the rows of all endpoints.
+    pub fn is_fresh(&self) -> bool {
+        self.is_fresh.get()
+    }
+
     /// Discards all changes after a read of all rows at `revision`.
     pub fn reset(&self, revision: Index) {
         self.changes.borrow_mut().clear();
--- a/crates/node/src/coordination.rs
+++ b/crates/node/src/coordination.rs
@@ -1,19 +1,23 @@
 //! A node as the duties see it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use wisteriapoint_batch::Owner;
+use wisteriapoint_directory::{EndpointStage, Scaling};
 use wisteriapoint_duties::{
     Coordination, CoordinationRequest, CoordinationResponse, DutySettings, Environment,
-    ServiceDemand,
+    ScaledServices, ServiceDemand,
 };
+use wisteriapoint_scaling::{DomainEndpoints, Kind, Service, Terms};
 use wisteriapoint_store::{Error, Index};
+use wisteriapoint_types::ServiceName;
 
 use crate::clock::boot_ms;
 use crate::control::watch;
 use crate::dialect::Dialect;
-use crate::node::Node;
+use crate::node::{Directory, Node};
 use crate::peers::{PeerRequest, PeerResponse, call_peer_within};
 use crate::relay::RelayedStore;
 
@@ -79,6 +83,23 @@
         self.demand_by_service()
     }
 
+    fn scaled_services(&self) -> Option<ScaledServices> {
+        if !self.feed.is_fresh() {
+            return None;
+        }
+        let configuration = self.configuration()?;
+        let answered_ms = self.store_health.answered_boot_ms();
+        let directory = self.directory.borrow();
+        let services = configuration.services.iter().filter_map(|service| {
+            let scaling = service.scaling.as_ref()?;
+            Some(scaled_service(&directory, &service.name, scaling))
+        });
+        Some(ScaledServices {
+            services: services.collect(),
+            age_ms: directory.view.age_ms(boot_ms(), answered_ms),
+        })
+    }
+
     fn store(&self) -> &Self::Store {
         &self.store
     }
@@ -108,3 +129,36 @@
         self.metrics.set_state(of, value);
     }
 }
+
+/// Returns a service with its bounds and prices, and its endpoints by failure domain and kind.
+fn scaled_service(directory: &Directory, name: &ServiceName, scaling: &Scaling) -> Service {
+    let endpoints = directory.registry.iter();
+    let endpoints = endpoints.filter(|(_, entry)| entry.record.service == *name);
+    let mut domains: BTreeMap<Box<str>, DomainEndpoints> = BTreeMap::new();
+    let mut slots = Vec::new();
+    for (endpoint, entry) in endpoints {
+        let kind = match directory.spot_endpoints.contains(endpoint) {
+            true => Kind::Spot,
+            false => Kind::Plain,
+        };
+        let domain = entry.record.failure_domain.as_str();
+        let domain = domains.entry(domain.into()).or_default();
+        domain.add(kind, entry.record.stage == EndpointStage::Ready);
+        slots.push(entry.record.slots);
+    }
+    let prices = scaling.prices.iter();
+    Service {
+        name: name.as_str().into(),
+        terms: Terms {
+            min: scaling.min,
+            max: scaling.max,
+            boot_ms: scaling.boot_ms,
+            spot_price: scaling.spot_price,
+            prices: prices
+                .map(|(domain, &price)| (domain.as_str().into(), price))
+                .collect(),
+        },
+        slots: Service::usual_slots(slots),
+        domains,
+    }
+}
