Scaling: nothing is given up while the demand of a member is unknown

Cause: a leader that is cut off from nodes sees their demand vanish after 4 s, and would give up the endpoints that they use 15 s later. Change: Environment::member_count tells how many nodes have a row; while fewer have reported, the demand counts as partial and no order of fewer endpoints is made. Orders of more still are.

--- a/crates/duties/src/environment.rs
+++ b/crates/duties/src/environment.rs
@@ -59,6 +59,8 @@
     /// Returns the requests that wait or run at this node, by service.
     fn demand(&self) -> Vec<ServiceDemand>;
 
+    /// Returns the number of nodes that have a row, this one included.
+    fn member_count(&self) -> usize;
     /// Returns the services whose endpoints may be ordered; `None` while this node does not know all
     /// endpoints as they are.
     fn scaled_services(&self) -> Option<ScaledServices>;
--- a/crates/duties/src/scale_duty.rs
+++ b/crates/duties/src/scale_duty.rs
@@ -25,6 +25,7 @@
 struct Inputs {
     demand: Demand,
     nodes: usize,
+    members: usize,
     demand_age_ms: u64,
     endpoints_age_ms: u64,
 }
@@ -85,14 +86,19 @@
         let coordination = self.env.coordination();
         let demand = coordination.total_demand(now_ms);
         let (nodes, demand_age_ms) = coordination.demand_reports(now_ms);
+        let members = self.env.member_count();
         let services = known.services.iter();
         let names: BTreeSet<_> = services.map(|service| &service.name).collect();
         self.scalers.retain(|name, _| names.contains(name));
         let mut orders = Vec::new();
         for service in &known.services {
             let inputs = Inputs {
-                demand: demand_of(&demand, &service.name),
+                demand: Demand {
+                    is_partial: nodes < members,
+                    ..demand_of(&demand, &service.name)
+                },
                 nodes,
+                members,
                 demand_age_ms,
                 endpoints_age_ms: known.age_ms,
             };
@@ -131,6 +137,7 @@
             running = inputs.demand.running,
             waiting = inputs.demand.waiting,
             nodes = inputs.nodes,
+            members = inputs.members,
             demand_age_ms = inputs.demand_age_ms,
             endpoints_age_ms = inputs.endpoints_age_ms,
         );
@@ -180,6 +187,7 @@
     demand.map_or(Demand::default(), |demand| Demand {
         running: demand.running,
         waiting: demand.waiting,
+        is_partial: false,
     })
 }
 
--- a/crates/duties/tests/common/mod.rs
+++ b/crates/duties/tests/common/mod.rs
@@ -134,6 +134,7 @@
     pub(crate) may_act: Cell<bool>,
     pub(crate) knows_endpoints: Cell<bool>,
     pub(crate) view_age_ms: Cell<u64>,
+    pub(crate) members: Cell<usize>,
     pub(crate) gauges: RefCell<BTreeMap<Box<str>, i64>>,
 }
 
@@ -160,6 +161,7 @@
             may_act: Cell::new(true),
             knows_endpoints: Cell::new(true),
             view_age_ms: Cell::new(0),
+            members: Cell::new(1),
             gauges: RefCell::default(),
         })
     }
@@ -235,6 +237,10 @@
         Vec::new()
     }
 
+    fn member_count(&self) -> usize {
+        self.members.get()
+    }
+
     fn scaled_services(&self) -> Option<ScaledServices> {
         let mut domains: BTreeMap<Box<str>, DomainEndpoints> = BTreeMap::new();
         for (domain, count) in self.platform.ready() {
--- a/crates/duties/tests/scaling.rs
+++ b/crates/duties/tests/scaling.rs
@@ -91,6 +91,44 @@
     assert_eq!(orders(&platform).len(), count);
 }
 
+/// Guards against a holder that acts within the lease of its predecessor where leases are long.
+#[tokio::test(start_paused = true)]
+async fn no_order_is_sent_before_the_delay() {
+    let platform = Platform::new(2);
+    platform.requests.set(100);
+    let node = Node::new(&platform, "vm-1", &[Duty::Scaling]);
+    let delay = Duration::from_secs(20);
+    let work = async {
+        tokio::join!(hold(node.clone(), 7, delay), node.clone().report());
+    };
+    assert!(timeout(Duration::from_secs(25), work).await.is_err());
+    let orders = orders(&platform);
+    assert!(
+        orders[0].at_ms >= 20_000,
+        "ordered after {} ms",
+        orders[0].at_ms
+    );
+}
+
+/// Guards against endpoints that are given up as the holder is cut off from the nodes that use them.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_given_up_without_the_demand_of_all_members() {
+    let platform = Platform::new(10);
+    let node = Node::new(&platform, "vm-1", &[Duty::Scaling]);
+    node.members.set(2);
+    hold_for(&node, 7, 60).await;
+    assert_eq!(orders(&platform), []);
+    node.members.set(1);
+    hold_for(&node, 8, 60).await;
+    let orders = orders(&platform);
+    assert!(!orders.is_empty());
+    assert!(
+        orders
+            .windows(2)
+            .all(|pair| pair[1].at_ms - pair[0].at_ms >= 3_000)
+    );
+}
+
 /// Guards against a holder that asks for endpoints where there are none until it has them, while others
 /// could be had elsewhere.
 #[tokio::test(start_paused = true)]
--- a/crates/node/src/coordination.rs
+++ b/crates/node/src/coordination.rs
@@ -83,6 +83,10 @@
         self.demand_by_service()
     }
 
+    fn member_count(&self) -> usize {
+        self.capacities.borrow().len()
+    }
+
     fn scaled_services(&self) -> Option<ScaledServices> {
         if !self.feed.is_fresh() {
             return None;
--- a/crates/scaling/src/history.rs
+++ b/crates/scaling/src/history.rs
@@ -30,6 +30,7 @@
     requests: u32,
     /// Requests for which no slot is free.
     backlog: u32,
+    is_partial: bool,
 }
 
 impl History {
@@ -47,6 +48,7 @@
             at_ms: now_ms,
             requests: demand.requests(),
             backlog: demand.requests().saturating_sub(ready_slots),
+            is_partial: demand.is_partial,
         });
     }
 
@@ -81,10 +83,10 @@
         pairs.max().unwrap_or(0)
     }
 
-    /// Returns `true` if work waits now.
-    pub(crate) fn has_backlog(&self) -> bool {
+    /// Returns `true` if work waits now, or may wait at a node whose demand is not known.
+    pub(crate) fn may_have_backlog(&self) -> bool {
         let last = self.observations.back();
-        last.is_some_and(|last| last.backlog > 0)
+        last.is_some_and(|last| last.backlog > 0 || last.is_partial)
     }
 
     /// Returns `true` if work has waited for a while and, as its amount changes, will wait for longer
--- a/crates/scaling/src/lib.rs
+++ b/crates/scaling/src/lib.rs
@@ -15,7 +15,7 @@
 //! };
 //! let mut scaler = Scaler::new();
 //! for now_ms in (0..=10_000).step_by(250) {
-//!     scaler.observe(now_ms, &service, Demand { running: 8, waiting: 8 });
+//!     scaler.observe(now_ms, &service, Demand { running: 8, waiting: 8, is_partial: false });
 //! }
 //! let decision = scaler.decide(10_000, &service);
 //! let order = &decision.orders[0];
--- a/crates/scaling/src/scaler.rs
+++ b/crates/scaling/src/scaler.rs
@@ -281,7 +281,7 @@
             last_ms.is_none_or(|last_ms: u64| now_ms >= last_ms + pause_ms)
         };
         self.history.age_ms(now_ms) >= DOWN_WINDOW_MS
-            && !self.history.has_backlog()
+            && !self.history.may_have_backlog()
             && has_passed(self.last_up_ms, DOWN_WINDOW_MS)
             && has_passed(self.last_down_ms, DOWN_INTERVAL_MS)
     }
--- a/crates/scaling/src/service.rs
+++ b/crates/scaling/src/service.rs
@@ -67,6 +67,8 @@
     pub running: u32,
     /// Requests that wait at the nodes.
     pub waiting: u32,
+    /// Whether the requests of a node are not known; no endpoint is given up then.
+    pub is_partial: bool,
 }
 
 /// An order of a total number of endpoints of one kind in one failure domain.
--- a/crates/scaling/tests/common/mod.rs
+++ b/crates/scaling/tests/common/mod.rs
@@ -31,6 +31,8 @@
     pub(crate) orders: Vec<(u64, Order, Outcome)>,
     /// Orders for which the platform gives no answer, and whether it carries them out.
     pub(crate) unanswered: Option<bool>,
+    /// Whether the holder does not hear from a node.
+    pub(crate) is_partial: bool,
     groups: BTreeMap<(Box<str>, Kind), Group>,
 }
 
@@ -73,6 +75,7 @@
             now_ms: 0,
             orders: Vec::new(),
             unanswered: None,
+            is_partial: false,
         }
     }
 
@@ -141,7 +144,11 @@
             let service = self.service();
             let running = requests(self.now_ms).min(service.ready_slots());
             let waiting = requests(self.now_ms) - running;
-            let demand = Demand { running, waiting };
+            let demand = Demand {
+                running,
+                waiting,
+                is_partial: self.is_partial,
+            };
             self.scaler.observe(self.now_ms, &service, demand);
             let decision = self.scaler.decide(self.now_ms, &service);
             if let Some(order) = decision.orders.first() {
--- a/crates/scaling/tests/loads.rs
+++ b/crates/scaling/tests/loads.rs
@@ -167,6 +167,20 @@
     assert_eq!(platform.orders, []);
 }
 
+/// Guards against endpoints that are given up as the holder does not hear from the nodes that use them.
+#[test]
+fn nothing_is_given_up_while_the_demand_of_a_node_is_unknown() {
+    let mut platform = Platform::new(same_price(1, 20), 4);
+    platform.run(120_000, |_| 80);
+    let count = platform.orders.len();
+    platform.is_partial = true;
+    platform.run(60_000, |_| 20);
+    assert_eq!(platform.orders[count..], []);
+    platform.is_partial = false;
+    platform.run(60_000, |_| 20);
+    assert!(platform.orders.len() > count);
+}
+
 /// Guards against calls that ask again and again where none are to be had.
 #[test]
 fn a_refusal_leads_elsewhere_and_is_respected_for_a_while() {
