Scaling: properties for steps, prices and steady loads

Cause: the property that a repeating load settles knew one period and one price, and none checked that a settled plan covers its load. Change: steps of 0.5 to 14 s with random prices must settle; a steady load must be covered with headroom, by plain endpoints to a half, and without the spot endpoints of any failure domain. No code is changed.

--- a/crates/scaling/tests/random.rs
+++ b/crates/scaling/tests/random.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Platform, TICK_MS, same_price};
+use common::{Platform, SLOTS, TICK_MS, same_price, terms};
 use proptest::prelude::*;
 use wisteriapoint_scaling::{Kind, Order, Outcome};
 
@@ -119,23 +119,58 @@
     fn a_repeating_load_settles(
         plain in 1..10_u32,
         requests in 0..200_u32,
-        percent in 0..=100_u32,
+        base in 0..100_u32,
+        period_ms in 500..14_000_u64,
+        share in 0.1..1.0_f64,
+        prices in prop::array::uniform3(prop_oneof![Just(1.0), 0.5..3.0_f64]),
         max in 2..20_u32,
         is_spot in any::<bool>(),
         refuses in any::<bool>(),
     ) {
-        let mut platform = Platform::new(same_price(1, max), plain.min(max));
+        let prices = [("a", prices[0]), ("b", prices[1]), ("c", prices[2])];
+        let mut platform = Platform::new(terms(1, max, &prices), plain.min(max));
         if !is_spot {
             platform.terms.spot_price = None;
         }
         if refuses {
             platform.refuse("a", Kind::Spot, u64::MAX);
         }
-        platform.run(200_000, jitter(requests, percent));
+        let step_ms = (period_ms as f64 * share) as u64;
+        let load = |now_ms: u64| match now_ms % period_ms < step_ms {
+            true => requests,
+            false => base.min(requests),
+        };
+        platform.run(300_000, load);
         let count = platform.orders.len();
-        platform.run(100_000, jitter(requests, percent));
+        platform.run(100_000, load);
         let late = platform.orders[count..].iter();
         let late = late.filter(|(.., outcome)| *outcome != Outcome::Refused);
         prop_assert_eq!(late.collect::<Vec<_>>(), Vec::<&(u64, Order, Outcome)>::new());
     }
+
+    /// Guards against a plan that grows in one place and forgets the plain half, or the loss of a failure
+    /// domain's spot endpoints.
+    #[test]
+    fn a_steady_load_is_covered(
+        plain in 1..20_u32,
+        requests in 0..150_u32,
+        prices in prop::array::uniform3(0.5..3.0_f64),
+        spot_price in prop::option::of(0.1..1.2_f64),
+    ) {
+        let prices = [("a", prices[0]), ("b", prices[1]), ("c", prices[2])];
+        let mut platform = Platform::new(terms(1, 60, &prices), plain);
+        platform.terms.spot_price = spot_price;
+        platform.run(300_000, |_| requests);
+        let slots = |endpoints: u32| endpoints * SLOTS;
+        prop_assert!(slots(platform.ready()) * 10 >= requests * 11);
+        prop_assert!(slots(platform.ready_of(Kind::Plain)) * 2 >= requests);
+        for domain in DOMAINS {
+            let left = platform.ready() - platform.ready_in(domain, Kind::Spot);
+            prop_assert!(slots(left) >= requests, "{left} without {domain}");
+        }
+        let is_cheap = spot_price.is_some_and(|price| price < 1.0);
+        prop_assert!(is_cheap || platform.ready_of(Kind::Spot) == 0);
+        let most = requests * 15 / 10 + 4 * SLOTS;
+        prop_assert!(is_cheap || slots(platform.ready()) <= most);
+    }
 }
