Specify the singleton duties and check them exhaustively

The model runs UsageLedger and UsageRecord with two nodes that claim, pause, lose the store and are killed, and calls that are lost, late and repeated, with and without fence checks.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert!(explore(bounds, None).violation.is_none());
 //! ```
 
+pub mod duties;
 pub mod explore;
 pub mod ownership;
 pub mod recovery;
