Bind calls of the duties to the lease of the claim

The model of the duties shows that a holder may send a lower fence after a higher one: it is paused, its lease expires, another node claims the row and reports, and the first obtains a new lease before it learns of that (Claim 1, Claim 0, Send 0, Obtain 1, Send 1). may_act took any valid lease. Leadership now keeps the lease of its claim, as orders do, and the lease is taken before the row is read. Orders took the lease after their delay, which may be a later one; now they get the same. The new test and all tests of crates/node pass.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 use wisteriapoint_batch::Owner;
 use wisteriapoint_store::{
-    Backoff, CommitOutcome, Error, Freshness, Index, Transaction, TransactionalStore,
+    Backoff, CommitOutcome, Error, Freshness, Index, LeaseId, Transaction, TransactionalStore,
 };
 
 use super::members::{self, MEMBERS_PREFIX};
@@ -50,14 +50,18 @@
             sleep(CUT_OFF_CLAIM_PAUSE).await;
         }
         let result = match claim_leadership(&node).await {
-            Ok(ClaimOutcome::Leader { fence, as_of }) => {
+            Ok(ClaimOutcome::Leader {
+                fence,
+                lease,
+                as_of,
+            }) => {
                 node.metrics.set_state("keeper", 1);
                 event!(info, "became leader", fence = fence.0);
-                node.leadership_fence.set(fence);
+                node.lease.record_leadership(fence, lease);
                 node.leader.send_replace(Some(node.owner.clone()));
                 node.directory_changed.notify_waiters();
                 tokio::select! {
-                    () = lead(&node, fence, as_of) => {}
+                    () = lead(&node, fence, lease, as_of) => {}
                     // Others can still send orders.
                     () = node.pool.wait_for_cut_off() => {}
                 }
@@ -109,6 +113,8 @@
     Leader {
         /// Fencing token of its leadership.
         fence: Index,
+        /// Lease under which the row was claimed.
+        lease: LeaseId,
         /// Revision of the store at which the row was confirmed.
         as_of: Index,
     },
@@ -118,6 +124,8 @@
 }
 
 async fn claim_leadership<D: Dialect>(node: &Rc<Node<D>>) -> Result<ClaimOutcome, Error> {
+    // A row that is found to be this node's own was claimed under no later lease than this one.
+    let lease_before_read = node.lease.id().ok_or(Error::LeaseExpired)?;
     let row = node.store.row(LEADER_KEY, Freshness::Linearizable).await;
     node.record_store_call("keeper", &row);
     let (row, revision) = row?;
@@ -127,8 +135,11 @@
     );
     let expected = match row {
         Some(row) if row.value == value => {
-            let (fence, as_of) = (row.revision, revision);
-            return Ok(ClaimOutcome::Leader { fence, as_of });
+            return Ok(ClaimOutcome::Leader {
+                fence: row.revision,
+                lease: lease_before_read,
+                as_of: revision,
+            });
         }
         Some(row) => match members::parse_member(node, &row) {
             // A previous run of the node on this VM has definitely ended.
@@ -156,6 +167,7 @@
     match committed? {
         CommitOutcome::Done(fence) => Ok(ClaimOutcome::Leader {
             fence,
+            lease,
             as_of: fence,
         }),
         // Another node claimed leadership first; the next read returns that node.
@@ -179,14 +191,14 @@
 }
 
 /// Runs the tasks of the leader until the row or the lease is lost.
-async fn lead<D: Dialect>(node: &Rc<Node<D>>, fence: Index, as_of: Index) {
+async fn lead<D: Dialect>(node: &Rc<Node<D>>, fence: Index, lease: LeaseId, as_of: Index) {
     tokio::select! {
-        () = orders::send_orders(node.clone(), fence, order_delay(node)) => {}
+        () = orders::send_orders(node.clone(), (fence, lease), order_delay(node)) => {}
         () = watch_members(node) => {}
         () = watch::watch_operator_rows(node.clone()) => {}
         () = streams::maintain_rows(node) => {}
         () = wisteriapoint_duties::hold(node.clone(), fence.0, duty_delay(node)) => {}
-        () = wait_until_lost(node, fence, as_of) => {}
+        () = wait_until_lost(node, (fence, lease), as_of) => {}
     }
 }
 
@@ -224,8 +236,11 @@
 }
 
 /// Returns once the leader row has changed, the lease is lost or the node stops.
-async fn wait_until_lost<D: Dialect>(node: &Rc<Node<D>>, fence: Index, mut as_of: Index) {
-    let lease = node.lease.id();
+async fn wait_until_lost<D: Dialect>(
+    node: &Rc<Node<D>>,
+    (fence, lease): (Index, LeaseId),
+    mut as_of: Index,
+) {
     loop {
         tokio::select! {
             checked = watch_leader_row(node, fence, as_of) => match checked {
@@ -244,7 +259,7 @@
             () = node.lease.changed() => {}
             () = node.shutdown.begun() => {}
         }
-        if node.lease.id() != lease || node.stage.get() == Stage::Stopping {
+        if node.lease.id() != Some(lease) || node.stage.get() == Stage::Stopping {
             return;
         }
     }
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -7,7 +7,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 use wisteriapoint_store::{
-    Backoff, CommitOutcome, Error, Freshness, LeaseId, Transaction, TransactionalStore,
+    Backoff, CommitOutcome, Error, Freshness, Index, LeaseId, Transaction, TransactionalStore,
 };
 
 use super::members;
@@ -45,6 +45,8 @@
     id: Cell<Option<LeaseId>>,
     valid_until_boot_ms: Cell<u64>,
     ttl_ms: Cell<u64>,
+    /// Fencing token of the last leadership, and the lease under which it was claimed.
+    leadership: Cell<Option<(Index, LeaseId)>>,
     is_urgent: Cell<bool>,
     requested: Notify,
     changed: Notify,
@@ -75,6 +77,18 @@
         self.id.get() == Some(lease) && self.is_valid()
     }
 
+    /// Records that leadership with a fencing token was claimed under `lease`.
+    pub fn record_leadership(&self, fence: Index, lease: LeaseId) {
+        self.leadership.set(Some((fence, lease)));
+    }
+
+    /// Returns `true` if the last leadership has this fencing token and its lease is still
+    /// [held](Self::holds).
+    pub fn holds_leadership(&self, fence: Index) -> bool {
+        let leadership = self.leadership.get();
+        leadership.is_some_and(|(last, lease)| last == fence && self.holds(lease))
+    }
+
     /// Returns `true` if the lease expires soon after this node has died; `min_ms` is the shortest time
     /// to live that the store grants.
     pub fn is_short(&self, min_ms: u64) -> bool {
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -46,11 +46,12 @@
 }
 
 /// Plans loads and sends orders, after an initial delay, until the task is dropped.
-pub async fn send_orders<D: Dialect>(node: Rc<Node<D>>, fence: Index, delay: Duration) {
+pub async fn send_orders<D: Dialect>(
+    node: Rc<Node<D>>,
+    (fence, lease): (Index, LeaseId),
+    delay: Duration,
+) {
     sleep(delay).await;
-    let Some(lease) = node.lease.id() else {
-        return;
-    };
     let leadership = Leadership { fence, lease };
     let mut planner = Planner::new();
     let mut orders: JoinSet<OrderOutcome> = JoinSet::new();
--- a/crates/node/src/coordination.rs
+++ b/crates/node/src/coordination.rs
@@ -121,7 +121,7 @@
     }
 
     fn may_act(&self, fence: u64) -> bool {
-        self.is_leader() && self.lease.is_valid() && self.leadership_fence.get() == Index(fence)
+        self.is_leader() && self.lease.holds_leadership(Index(fence))
     }
 
     fn record_duty_call(&self, duty: &str, outcome: &str) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,7 +17,7 @@
 use wisteriapoint_duties::{Coordination, ServiceDemand};
 use wisteriapoint_peer::Client;
 use wisteriapoint_route::Durations;
-use wisteriapoint_store::{Error as StoreError, Index};
+use wisteriapoint_store::Error as StoreError;
 use wisteriapoint_types::{
     EndpointName, FailureDomain, ServiceName, SoftwareVersion, StreamOrigin, WeightVersion,
 };
@@ -112,8 +112,6 @@
     pub coordination: Coordination,
     /// Client of the platform's API; `None` if there are no duties.
     pub duty_client: Option<D::DutyClient>,
-    /// Fencing token of the last leadership of this node.
-    pub leadership_fence: Cell<Index>,
     /// Longest recent durations of callers' requests.
     pub durations: RefCell<Durations>,
 }
@@ -215,7 +213,6 @@
                 .duties
                 .as_ref()
                 .map(|duties| D::open_duties(duties.address)),
-            leadership_fence: Cell::default(),
             settings,
         }))
     }
--- a/crates/node/tests/lease.rs
+++ b/crates/node/tests/lease.rs
@@ -2,7 +2,7 @@
 
 use wisteriapoint_node::clock::boot_ms;
 use wisteriapoint_node::control::Lease;
-use wisteriapoint_store::LeaseId;
+use wisteriapoint_store::{Index, LeaseId};
 
 const TTL_MS: u64 = 60_000;
 
@@ -20,3 +20,21 @@
     assert!(lease.is_valid() && lease.holds(new));
     assert!(!lease.holds(previous));
 }
+
+/// Guards against a call of a former holder of the duties under its previous fencing token: it was
+/// paused, its lease expired, and it has a new lease before it observes that another node leads.
+#[test]
+fn a_new_lease_does_not_renew_the_fence_of_the_previous_one() {
+    let (previous, new) = (LeaseId(7), LeaseId(8));
+    let lease = Lease::new();
+    assert!(!lease.holds_leadership(Index(0)));
+    lease.record_renewal(previous, boot_ms(), TTL_MS);
+    lease.record_leadership(Index(40), previous);
+    assert!(lease.holds_leadership(Index(40)));
+    assert!(!lease.holds_leadership(Index(39)));
+    lease.record_expiry();
+    lease.record_renewal(new, boot_ms(), TTL_MS);
+    assert!(lease.is_valid() && !lease.holds_leadership(Index(40)));
+    lease.record_leadership(Index(50), new);
+    assert!(lease.holds_leadership(Index(50)));
+}
