Intake: smaller shares, so that all of them together fit a VM of 120 MB

With 40 % for bodies and 20 % for connections, a trial with all crowds at once and bodies of 32 MiB on a VM of 120 MB reached VmHWM 114,276 kB.

--- a/crates/intake/src/limits.rs
+++ b/crates/intake/src/limits.rs
@@ -2,11 +2,11 @@
 
 /// Memory assumed for a VM whose settings state none, in MB: the largest of the deployments.
 const DEFAULT_MEMORY_MB: u64 = 512;
-/// Percentage of the memory for the bodies of requests; on a VM of 120 MB this is one body of 32 MiB
-/// and a third of another.
-const BODIES_PERCENT: u64 = 40;
+/// Percentage of the memory for the bodies of requests; on a VM of 120 MB seven eighths of this hold one
+/// body of 32 MiB.
+const BODIES_PERCENT: u64 = 34;
 /// Percentage of the memory for the connections of callers.
-const CONNECTIONS_PERCENT: u64 = 20;
+const CONNECTIONS_PERCENT: u64 = 15;
 /// Memory of a connection with a full read buffer of 16 KiB, in bytes.
 const CONNECTION_BYTES: u64 = 24_000;
 /// Percentage of the memory for the answers of endpoints.
@@ -43,7 +43,7 @@
         let connections = percent(CONNECTIONS_PERCENT) / CONNECTION_BYTES;
         Self {
             total_bytes,
-            unfinished_bytes: total_bytes / 4 * 3,
+            unfinished_bytes: total_bytes / 8 * 7,
             small_reserve_bytes: total_bytes / 8,
             small_body_bytes: SMALL_BODY_BYTES,
             answer_bytes: usize::try_from(percent(ANSWERS_PERCENT))
--- a/crates/intake/tests/budget.rs
+++ b/crates/intake/tests/budget.rs
@@ -185,6 +185,14 @@
     assert_eq!(active.finish().map(|body| body.len()), Ok(70_000));
 }
 
+/// Guards against shares of the smallest VM in which the largest body fits only beside nothing else.
+#[test]
+fn largest_body_fits_the_shares_of_the_smallest_vm() {
+    let limits = Limits::for_memory(120);
+    let large_bytes = limits.total_bytes - limits.small_reserve_bytes;
+    assert!(limits.unfinished_bytes.min(large_bytes) >= 32 << 20);
+}
+
 /// Guards against answers that are not counted while slow readers fetch them.
 #[test]
 fn answers_count_until_they_are_dropped() {
--- a/crates/intake/tests/connections.rs
+++ b/crates/intake/tests/connections.rs
@@ -33,7 +33,7 @@
 #[test]
 fn connections_are_bounded_by_memory_and_descriptors() {
     let limits = |memory, descriptors| Limits::for_vm(memory, descriptors).connections;
-    assert_eq!(limits(Some(120), Some(3_075)), 1_000);
+    assert_eq!(limits(Some(120), Some(3_075)), 750);
     assert_eq!(limits(Some(512), Some(3_075)), 1_537);
-    assert_eq!(limits(Some(512), None), 4_266);
+    assert_eq!(limits(Some(512), None), 3_200);
 }
