Fingerprints of requests are computed without a copy of the body

Digest::new joined all parts before it hashed them, so a body of 32 MiB took twice its size while it was forwarded, uncounted.

--- a/crates/types/src/hash.rs
+++ b/crates/types/src/hash.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64_with_seed, xxh3_128};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// Returns the 64-bit hash of a byte string under a seed.
 pub fn hash64(seed: u64, bytes: &[u8]) -> u64 {
@@ -18,12 +18,13 @@
 impl Digest {
     /// Computes the fingerprint of the parts in order, each prefixed by its length.
     pub fn new(parts: &[&[u8]]) -> Self {
-        let mut joined = Vec::new();
+        // Parts are hashed where they are, as a body may be as large as a quarter of the memory.
+        let mut hasher = Xxh3::new();
         for part in parts {
-            joined.extend_from_slice(&(part.len() as u64).to_le_bytes());
-            joined.extend_from_slice(part);
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
         }
-        Self(xxh3_128(&joined))
+        Self(hasher.digest128())
     }
 }
 
