--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -156,7 +156,7 @@
     let is_anonymous = route.is_some_and(|route| route.is_anonymous);
     let workspace = match authenticate(node, &request, is_anonymous) {
         Ok(workspace) => workspace,
-        Err(response) => return ("unauthenticated".into(), response),
+        Err(response) => return ("unauthenticated".into(), *response),
     };
     if let Operation::ReadResults { job, .. }
     | Operation::ReadBody { job, .. }
@@ -202,7 +202,7 @@
     node: &Node<D>,
     request: &CallerRequest,
     is_anonymous: bool,
-) -> Result<Option<Rc<str>>, CallerResponse> {
+) -> Result<Option<Rc<str>>, Box<CallerResponse>> {
     let credential = &request.metadata.credential;
     let configuration = &request.configuration;
     if configuration.workspaces.is_none() {
@@ -221,7 +221,10 @@
             age_ms = node.coordination.knowledge.age_ms(boot_ms()).unwrap_or(0),
         );
         let line = "it is not known whether the key is valid";
-        return Err(not_run_response::<D>(line, UNKNOWN_KEYS_RETRY_AFTER_MS));
+        return Err(Box::new(not_run_response::<D>(
+            line,
+            UNKNOWN_KEYS_RETRY_AFTER_MS,
+        )));
     }
     match configuration.authenticate(credential, is_anonymous) {
         Ok(workspace) => Ok(workspace.map(Workspace::shared_name)),
@@ -243,7 +246,7 @@
                 version = configuration.version,
             );
             let line = rejection.to_string();
-            Err(text_response(StatusCode::UNAUTHORIZED, &line))
+            Err(Box::new(text_response(StatusCode::UNAUTHORIZED, &line)))
         }
     }
 }
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -70,6 +70,13 @@
         self.id.get().is_some() && boot_ms() + ORDER_MARGIN_MS < self.valid_until_boot_ms.get()
     }
 
+    /// Returns `true` if the last leadership has this fencing token and its lease stays valid for
+    /// `duration_ms` at least.
+    pub fn holds_leadership_for(&self, fence: Index, duration_ms: u64) -> bool {
+        let is_long_enough = boot_ms() + duration_ms < self.valid_until_boot_ms.get();
+        is_long_enough && self.holds_leadership(fence)
+    }
+
     /// Returns `true` if `lease` is the current lease and [valid](Self::is_valid).
     ///
     /// Leadership ends with the lease under which it was claimed, even if the node has a later one.
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -106,7 +106,10 @@
     node.record_store_call("read", &rows);
     let (rows, revision) = rows?;
     apply(RowUpdate::All(&rows, revision));
-    if D::CONFIGURATION_KEY.starts_with(prefix) {
+    let mut configurations = rows.iter().filter(|row| *row.key == *D::CONFIGURATION_KEY);
+    let is_parsed = |row: &Row| D::parse_operator_row(&row.key, &row.value).is_ok();
+    // What a malformed configuration says of the keys is not known.
+    if D::CONFIGURATION_KEY.starts_with(prefix) && configurations.all(is_parsed) {
         node.coordination.knowledge.confirm(called_boot_ms);
     }
     node.update_readiness();
