Store the first window of the reports before nodes learn of it

Change: a holder stores the first window when the row is absent, and reads the row again if another did.

--- a/crates/duties/src/usage_duty.rs
+++ b/crates/duties/src/usage_duty.rs
@@ -90,7 +90,8 @@
 
 /// Reads the row until the store answers.
 ///
-/// A deployment without the row begins with the window in progress.
+/// A deployment without the row begins with the window in progress. That is stored before any node
+/// learns of it, since nodes discard their counts of earlier windows.
 async fn load<E: Environment>(env: &Rc<E>, windows: Windows) -> StoredRecord {
     loop {
         let row = env.store().row(USAGE_KEY, Freshness::Linearizable).await;
@@ -100,8 +101,9 @@
                 .map(|record| (record, row.revision))
                 .map_err(|error| Error::Malformed(error.to_string().into())),
             Ok((None, _)) => {
-                let current = windows.window_of(env.unix_ms());
-                Ok((UsageRecord::new(current), Index(0)))
+                let record = UsageRecord::new(windows.window_of(env.unix_ms()));
+                let stored = store(env, &record, Index(0)).await;
+                stored.map(|revision| (record, revision))
             }
             Err(error) => Err(error),
         };
@@ -125,6 +127,31 @@
     }
 }
 
+/// Replaces the row of a revision, 0 for none; returns the new revision.
+///
+/// # Errors
+///
+/// Fails if the row has another revision, or if it is not known whether it was written.
+async fn store<E: Environment>(
+    env: &Rc<E>,
+    record: &UsageRecord,
+    expected: Index,
+) -> Result<Index, Error> {
+    let value = record.to_bytes();
+    let value = value.map_err(|error| Error::Malformed(error.to_string().into()))?;
+    let transaction = Transaction::new()
+        .with_expected(USAGE_KEY, expected)
+        .with_put(USAGE_KEY, value);
+    let committed = env.store().commit(&transaction).await;
+    env.record_store_call("usage", &committed);
+    match committed? {
+        CommitOutcome::Done(revision) => Ok(revision),
+        CommitOutcome::Conflict | CommitOutcome::LeaseEnded => {
+            Err(Error::Refused("another holder has written the row".into()))
+        }
+    }
+}
+
 /// Decides and stores the windows that are complete.
 ///
 /// # Errors
@@ -151,19 +178,7 @@
         let window = decided.window;
         let total: u64 = decided.counts.values().sum();
         let record = current.record.with_decided(decided);
-        let value = record.to_bytes();
-        let value = value.map_err(|error| Error::Malformed(error.to_string().into()))?;
-        let transaction = Transaction::new()
-            .with_expected(USAGE_KEY, current.revision)
-            .with_put(USAGE_KEY, value);
-        let committed = env.store().commit(&transaction).await;
-        env.record_store_call("usage", &committed);
-        let revision = match committed? {
-            CommitOutcome::Done(revision) => revision,
-            CommitOutcome::Conflict | CommitOutcome::LeaseEnded => {
-                return Err(Error::Refused("another holder has written the row".into()));
-            }
-        };
+        let revision = store(env, &record, current.revision).await?;
         event!(
             info,
             "counts of a window decided",
