Node: a stream is not closed as an idle connection

The connection of a stream counted as idle as soon as its head was sent, so that a crowd of new connections closed it between two events. It is idle now once its answer has been sent or dropped.

--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -1,9 +1,13 @@
 //! Connections from callers, from the load balancer and from readers of metrics.
 
 use std::future::poll_fn;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Method, StatusCode};
@@ -15,7 +19,7 @@
 
 use super::caller_io::CallerStream;
 use super::request::handle_request;
-use super::response::{InfallibleResult, body_response, text_response};
+use super::response::{InfallibleResult, Payload, StreamAborted, body_response, text_response};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::{Node, Stage};
@@ -90,6 +94,39 @@
     }
 }
 
+/// Payload whose connection is idle once it has been sent or dropped; until then a stream may send
+/// nothing for seconds.
+struct ServedPayload {
+    payload: Payload,
+    entry: Rc<Connection>,
+}
+
+impl Body for ServedPayload {
+    type Data = Bytes;
+    type Error = StreamAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
+        Pin::new(&mut self.payload).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.payload.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.payload.size_hint()
+    }
+}
+
+impl Drop for ServedPayload {
+    fn drop(&mut self) {
+        self.entry.set_stage(ConnectionStage::Idle);
+    }
+}
+
 async fn serve_connection<D: Dialect>(
     node: Rc<Node<D>>,
     connection: Connection,
@@ -113,8 +150,7 @@
         async move {
             entry.set_stage(ConnectionStage::Running);
             let response = handle_request(node, entry.clone(), request).await;
-            entry.set_stage(ConnectionStage::Idle);
-            InfallibleResult::Ok(response)
+            InfallibleResult::Ok(response.map(|payload| ServedPayload { payload, entry }))
         }
     });
     let mut closing = node.shutdown.closing();
--- a/crates/wisteriapoint/tests/excess/process.rs
+++ b/crates/wisteriapoint/tests/excess/process.rs
@@ -16,6 +16,8 @@
 const HOST: &str = "intake.example";
 /// Attempts at an ordinary request; a caller repeats one that was refused without running.
 const MAX_ATTEMPTS: usize = 40;
+/// Time between two events of a stream, in milliseconds.
+const EVENT_MS: u64 = 400;
 const ATTEMPT_INTERVAL: Duration = Duration::from_millis(500);
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -27,7 +29,7 @@
     pid: u32,
     _folder: TempDir,
     _store: Store,
-    _running: [RunningServer; 2],
+    _running: [RunningServer; 3],
 }
 
 /// Returns the head of a request with the given id and line about its body.
@@ -48,6 +50,10 @@
         let endpoint = Endpoint::new("plain-0").with_service_time_ms(5);
         let endpoint_server = endpoint.serve().await.unwrap();
         endpoint.register(&store, "plain", endpoint_server.address);
+        let engine = Endpoint::new("engine-0").with_models(&["m"], EVENT_MS);
+        let engine_server = engine.serve().await.unwrap();
+        engine.register(&store, "engines", engine_server.address);
+        store.put("op/version/m", &json!({ "model": "m", "version": 1 }));
         store.put(
             "op/config",
             &json!({
@@ -56,12 +62,25 @@
                     "max-header-bytes": 16_384, "max-body-bytes": max_body_bytes,
                     "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000,
                 },
-                "routes": [{
-                    "name": "score", "host": HOST, "prefix": "/score/", "kind": "idempotent",
-                    "timeout-ms": 10_000, "target-latency-ms": 200, "service": "plain",
-                    "max-attempts": 3, "due-ms": 7_500, "retention-s": 120.0,
-                }],
-                "services": [{ "name": "plain", "max-conns": 100 }],
+                "routes": [
+                    {
+                        "name": "score", "host": HOST, "prefix": "/score/", "kind": "idempotent",
+                        "timeout-ms": 10_000, "target-latency-ms": 200, "service": "plain",
+                        "max-attempts": 3, "due-ms": 7_500, "retention-s": 120.0,
+                    },
+                    {
+                        "name": "chat", "host": HOST, "prefix": "/chat/", "kind": "streaming",
+                        "timeout-ms": 60_000, "target-latency-ms": 500, "service": "engines",
+                        "max-attempts": 3,
+                    },
+                ],
+                "services": [
+                    { "name": "plain", "max-conns": 100 },
+                    {
+                        "name": "engines", "max-conns": 100,
+                        "engine": { "models": [{ "name": "m" }] },
+                    },
+                ],
             }),
         );
         let [.., high, low] = (std::process::id() % 50_000 + 256).to_be_bytes();
@@ -89,7 +108,7 @@
             child: Mutex::new(child),
             _folder: folder,
             _store: store,
-            _running: [store_server, endpoint_server],
+            _running: [store_server, endpoint_server, engine_server],
         };
         assert!(node.is_ordinary_request_answered().await, "node not ready");
         node
@@ -137,6 +156,17 @@
         None
     }
 
+    /// Opens a stream of the given number of events and returns its connection.
+    pub(crate) async fn open_stream(&self, events: usize) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        let head = format!(
+            "POST /chat/x HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: stream\r\nmodel: m\r\n\
+             test-events: {events}\r\ndeadline-ms: 50000\r\ncontent-length: 5\r\n\r\nhello"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream
+    }
+
     /// Sends a request with a body of the given size; returns the status of its answer.
     async fn status_of(&self, body_bytes: usize) -> Option<u16> {
         let exchange = async {
