--- a/crates/wisteriapoint/tests/excess/process.rs
+++ b/crates/wisteriapoint/tests/excess/process.rs
@@ -25,6 +25,8 @@
 pub(crate) struct NodeProcess {
     /// Address for callers.
     pub(crate) address: SocketAddr,
+    /// Endpoint of the ordinary requests.
+    pub(crate) endpoint: Endpoint,
     child: Mutex<Child>,
     pid: u32,
     _folder: TempDir,
@@ -104,6 +106,7 @@
             .unwrap();
         let node = Self {
             address: SocketAddr::from((ip, 7001)),
+            endpoint,
             pid: child.id(),
             child: Mutex::new(child),
             _folder: folder,
