Node: responses to refused bodies stand with the other responses

The responses are built in response.rs and the names of the reasons stand at BodyFailure; nothing else changes.

--- a/crates/node/src/callers/body.rs
+++ b/crates/node/src/callers/body.rs
@@ -32,6 +32,18 @@
     Stalled,
 }
 
+impl BodyFailure {
+    /// Returns the reason as metrics and log lines name it, if the body was refused because of what is
+    /// held for callers.
+    pub fn refusal_reason(self) -> Option<&'static str> {
+        match self {
+            Self::Refused => Some("account-full"),
+            Self::Stalled => Some("no-progress"),
+            Self::BrokenOff | Self::TooLarge => None,
+        }
+    }
+}
+
 /// Failure to receive a body.
 #[derive(Debug, Clone, Copy)]
 pub struct BodyError {
--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -10,9 +10,10 @@
 use wisteriapoint_types::Verdict;
 use wisteriapoint_workspace::{Credential, Rejection, Workspace};
 
-use super::body::{BodyError, BodyFailure, read_body};
+use super::body::read_body;
 use super::response::{
-    self, CallerResponse, Payload, copy_headers, not_run_response, stopping_response, text_response,
+    self, CallerResponse, Payload, account_full_response, body_error_response, copy_headers,
+    not_run_response, stopping_response, text_response,
 };
 use super::{batch, stream};
 use crate::clock::boot_ms;
@@ -32,9 +33,6 @@
 /// Deadline of a request that states none; the timeout of its route is shorter.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
-/// Retry delay sent to a caller whose body had to give way to others.
-const ACCOUNT_FULL_RETRY_AFTER_MS: u64 = 1_000;
-
 /// A caller's request, before its body has been read.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -283,7 +281,12 @@
     connection.set_stage(ConnectionStage::Running);
     let body = match body {
         Ok(body) => body,
-        Err(error) => return body_error_response(node, &id, error),
+        Err(error) => {
+            if let Some(reason) = error.failure.refusal_reason() {
+                node.record_refusal(&id, reason);
+            }
+            return body_error_response::<D>(error);
+        }
     };
     if route.kind == RouteKind::Rollout {
         return batch::submit_job(
@@ -348,44 +351,21 @@
     }
 }
 
-/// Returns the response to a request whose body was not received; it has not run.
-fn body_error_response<D: Dialect>(node: &Node<D>, id: &str, error: BodyError) -> CallerResponse {
-    let mut response = match error.failure {
-        BodyFailure::BrokenOff => text_response(StatusCode::BAD_REQUEST, "the body broke off"),
-        BodyFailure::TooLarge => text_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
-        BodyFailure::Refused => {
-            node.record_refusal(id, "account-full");
-            let line = "too many bytes are held for callers";
-            not_run_response::<D>(line, ACCOUNT_FULL_RETRY_AFTER_MS)
-        }
-        BodyFailure::Stalled => {
-            node.record_refusal(id, "no-progress");
-            let line = "the body made no progress";
-            text_response(StatusCode::REQUEST_TIMEOUT, line)
-        }
-    };
-    if error.is_unread {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-    }
-    response
-}
-
 /// Counts the answer to a read, which waits in memory for a slow reader; refuses it if there is no room.
 fn keep_answer<D: Dialect>(node: &Node<D>, id: &str, response: CallerResponse) -> CallerResponse {
     let (head, payload) = response.into_parts();
     let kept = match payload {
-        Payload::Full(Some(answer)) => node.intake.budget.keep(answer),
-        payload @ (Payload::Full(None) | Payload::Chunks(_)) => {
-            return CallerResponse::from_parts(head, payload);
+        Payload::Full(Some(answer)) => {
+            let kept = node.intake.budget.keep(answer);
+            kept.map(|answer| Payload::Full(Some(answer)))
         }
+        payload => Ok(payload),
     };
     match kept {
-        Ok(answer) => CallerResponse::from_parts(head, Payload::Full(Some(answer))),
+        Ok(payload) => CallerResponse::from_parts(head, payload),
         Err(_) => {
             node.record_refusal(id, "account-full");
-            let line = "too many bytes are held for callers";
-            not_run_response::<D>(line, ACCOUNT_FULL_RETRY_AFTER_MS)
+            account_full_response::<D>()
         }
     }
 }
--- a/crates/node/src/callers/response.rs
+++ b/crates/node/src/callers/response.rs
@@ -6,17 +6,21 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::sync::mpsc;
 use wisteriapoint_types::Verdict;
 
+use super::body::{BodyError, BodyFailure};
 use crate::dialect::Dialect;
 use crate::forward::ForwardFailure;
 
 /// Retry delay sent to a caller when the store was unavailable.
 const STORE_RETRY_AFTER_MS: u64 = 300;
 
+/// Retry delay sent to a caller whose body or answer has no room.
+const ACCOUNT_FULL_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Retry delay sent to a caller that a stopping node refuses; another node takes the request.
 const STOPPING_RETRY_AFTER_MS: u64 = 50;
 
@@ -100,6 +104,29 @@
     not_run_response::<D>(line, STORE_RETRY_AFTER_MS)
 }
 
+/// Returns a "not run" response of a node that holds too much for callers.
+pub fn account_full_response<D: Dialect>() -> CallerResponse {
+    let line = "too many bytes are held for callers";
+    not_run_response::<D>(line, ACCOUNT_FULL_RETRY_AFTER_MS)
+}
+
+/// Returns the response to a request whose body was not received; it has not run.
+pub fn body_error_response<D: Dialect>(error: BodyError) -> CallerResponse {
+    let mut response = match error.failure {
+        BodyFailure::BrokenOff => text_response(StatusCode::BAD_REQUEST, "the body broke off"),
+        BodyFailure::TooLarge => text_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
+        BodyFailure::Refused => account_full_response::<D>(),
+        BodyFailure::Stalled => {
+            text_response(StatusCode::REQUEST_TIMEOUT, "the body made no progress")
+        }
+    };
+    if error.is_unread {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
 /// Returns the response for a request that failed without an endpoint's response.
 pub fn failure_response<D: Dialect>(failure: &ForwardFailure) -> CallerResponse {
     match failure {
