Give the free slots of a service to the most urgent batch job of a node

Cause: the batch job whose task wakes first took every free slot, so a more urgent one that was submitted later waited for its end. Change: before an item starts, its batch job yields to one of higher priority, or of short slack, that could use the same endpoint; items are ordered by groups every 200 ms.

--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -9,9 +9,9 @@
 use tokio::time::sleep;
 use wisteriapoint_batch::migration::{FreeSlots, GeneratingItem, items_to_migrate};
 use wisteriapoint_batch::relocation::{PacedItem, is_fast, items_to_relocate};
-use wisteriapoint_batch::{ItemKey, Job, Outcome};
+use wisteriapoint_batch::{ItemKey, Job, Outcome, Pace, Precedence};
 use wisteriapoint_directory::{Priority, Registry, Requirements, Route};
-use wisteriapoint_types::ServiceName;
+use wisteriapoint_types::{EndpointName, ServiceName};
 
 use super::abandon::{AbandonReason, abandon_expired, abandon_item};
 use super::attempt::{Attempt, AttemptOutcome, AttemptResult};
@@ -26,8 +26,9 @@
 /// Interval between checks while no item waits, as items may leave engines that turn slow.
 const IDLE_POLL: Duration = Duration::from_millis(60);
 
-/// Minimum time between checks for stragglers, in milliseconds; engines send a few events in it.
-const MIGRATION_INTERVAL_MS: u64 = 200;
+/// Minimum time between checks for stragglers, and between changes of the order of the items, in
+/// milliseconds; engines send a few events in it.
+const CHECK_INTERVAL_MS: u64 = 200;
 
 /// Starts the tasks that run the items of a batch job, commit results and store partial outputs.
 pub fn start_tasks<D: Dialect>(node: &Rc<Node<D>>, owned: Rc<OwnedJob>) {
@@ -52,12 +53,16 @@
     // Dropped on return, which aborts the running attempts and closes their connections.
     let mut attempts: JoinSet<AttemptResult> = JoinSet::new();
     let mut handles: BTreeMap<ItemKey, AbortHandle> = BTreeMap::new();
-    let mut migrated_at_ms = 0;
+    let mut checked_at_ms = 0;
     while owned.is_open.get() && !owned.job.borrow().is_done() {
         abandon_expired(&node, &owned);
+        let is_check_due = node.now_ms() >= checked_at_ms + CHECK_INTERVAL_MS;
+        if is_check_due {
+            checked_at_ms = node.now_ms();
+            order_items(&node, &owned);
+        }
         start_items(&node, &owned, &mut attempts, &mut handles);
-        if node.now_ms() >= migrated_at_ms + MIGRATION_INTERVAL_MS {
-            migrated_at_ms = node.now_ms();
+        if is_check_due {
             migrate_stragglers(&node, &owned, &handles);
         }
         relocate_items(&node, &owned, &handles);
@@ -121,6 +126,11 @@
             }
             ItemPlacement::NoEndpoint => return,
         };
+        if must_yield(node, owned, &service, &chosen.name) {
+            // Wakes the batch job that precedes this one, which may not have seen the free slot yet.
+            node.directory_changed.notify_waiters();
+            return;
+        }
         if !limits::try_acquire_batch(node, &chosen.name) {
             continue;
         }
@@ -134,6 +144,89 @@
     }
 }
 
+/// Orders the waiting items by the groups that can be complete before the due time.
+fn order_items<D: Dialect>(node: &Node<D>, owned: &OwnedJob) {
+    let route = route_of(node, owned);
+    let service = route.as_ref().and_then(|route| route.select_service(0.0));
+    let Some((route, service)) = route.as_ref().zip(service) else {
+        return;
+    };
+    let directory = node.directory.borrow();
+    let endpoints = directory.registry.iter();
+    let of_service = endpoints.filter(|(_, endpoint)| endpoint.record.service == *service);
+    let pace = Pace {
+        ms_per_token: directory.registry.mean_ms_per_event(service),
+        // A row may state any number of slots.
+        slots: of_service.fold(0, |sum, (_, other)| other.record.slots.saturating_add(sum)),
+    };
+    let left_ms = left_ms(node.now_ms(), &owned.job.borrow(), route);
+    owned.job.borrow_mut().order_by_groups(left_ms, pace);
+}
+
+/// Returns the time until the results of a batch job are due, in milliseconds, or 0 after it.
+fn left_ms(now_ms: u64, job: &Job, route: &Route) -> u64 {
+    let submitted_at_ms = job.expires_at_ms().saturating_sub(route.retention_ms);
+    let due_at_ms = submitted_at_ms.saturating_add(route.due_ms);
+    due_at_ms.saturating_sub(now_ms)
+}
+
+/// Returns `true` if another batch job precedes this one and could use the endpoint now.
+///
+/// A batch job whose items wait for other weights or for a pause does not hold up the slot.
+fn must_yield<D: Dialect>(
+    node: &Node<D>,
+    owned: &Rc<OwnedJob>,
+    service: &ServiceName,
+    endpoint: &EndpointName,
+) -> bool {
+    let now_ms = node.now_ms();
+    let directory = node.directory.borrow();
+    let (Some(own), Some(endpoint)) = (
+        precedence(node, owned, service, &directory.registry),
+        directory.registry.get(endpoint),
+    ) else {
+        return false;
+    };
+    node.jobs.all().iter().any(|other| {
+        let job = other.job.borrow();
+        other.is_open.get()
+            && !Rc::ptr_eq(other, owned)
+            && precedence(node, other, service, &directory.registry)
+                .is_some_and(|precedence| precedence < own)
+            && job.next_runnable(now_ms).is_some()
+            && endpoint.satisfies(now_ms, &requirements(node, &job, service))
+    })
+}
+
+/// Returns the precedence of a batch job, or `None` if its route does not use the service.
+fn precedence<D: Dialect>(
+    node: &Node<D>,
+    owned: &OwnedJob,
+    service: &ServiceName,
+    registry: &Registry,
+) -> Option<Precedence> {
+    let configuration = node.configuration()?;
+    let route = configuration.route(&owned.host, &owned.path)?;
+    route
+        .splits
+        .iter()
+        .find(|split| split.service == *service)?;
+    let workspace = configuration
+        .workspaces
+        .as_ref()
+        .zip(owned.workspace.as_deref());
+    let workspace = workspace.and_then(|(workspaces, name)| workspaces.get(name));
+    let priority = workspace.and_then(|workspace| workspace.priority());
+    let job = owned.job.borrow();
+    let needed_ms = f64::from(job.longest_hint()) * registry.mean_ms_per_event(service);
+    Some(Precedence::new(
+        priority.unwrap_or(route.priority),
+        left_ms(node.now_ms(), &job, route),
+        route.due_ms,
+        needed_ms as u64,
+    ))
+}
+
 /// Where an item may start.
 enum ItemPlacement {
     /// At this endpoint.
