Owners by route only where the settings state processor shares

Cause: four tests of batch jobs, whose fleets state no processor share, failed or were flaky since batch jobs of a route go to one owner: the owner was another node than the one that they stop or cut off.

--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -225,8 +225,9 @@
 }
 
 /// Returns the node other than this one that owns the batch jobs of a route, as far as this node knows
-/// the members.
+/// the members; `None` if the settings state no processor share, and nodes own what they receive.
 pub fn preferred_owner<D: Dialect>(node: &Node<D>, route: &Route) -> Option<SocketAddr> {
+    node.settings.cpu_share?;
     let capacities = node.capacities.borrow();
     let own = node.owner.address;
     let responsive = node.suspects.peers.responsive(node.now_ms());
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -31,7 +31,8 @@
     pub metrics_address: SocketAddr,
     /// Address and limits of the platform's store.
     pub store: StoreSettings,
-    /// Processor share of the VM in cores; nodes with little of it own no batch jobs.
+    /// Processor share of the VM in cores. Batch jobs of a route then go to one owner among the nodes with
+    /// much of it; without it, each node owns the batch jobs that it receives.
     pub cpu_share: Option<f64>,
     /// Memory of the VM in MB, which bounds the bytes held for callers; a default applies if absent.
     pub memory_mb: Option<u64>,
