--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use wisteriapoint_store::{
     Backoff, CommitOutcome, Error, Freshness, Index, LeaseId, Transaction, TransactionalStore,
 };
@@ -110,6 +110,22 @@
         }
     }
 
+    /// Requests such a lease and waits for it, at most for `limit`; `min_ms` is the shortest time to live
+    /// that the store grants.
+    ///
+    /// The loss of a node that owns work must be noticed as soon as the work is acknowledged.
+    pub async fn wait_for_short(&self, min_ms: u64, limit: Duration) {
+        self.request_short();
+        let obtained = async {
+            while self.id.get().is_some() && !self.is_short(min_ms) {
+                self.changed().await;
+            }
+        };
+        if timeout(limit, obtained).await.is_err() {
+            event!(info, "shorter lease not obtained in time");
+        }
+    }
+
     /// Waits until a lease is obtained or lost.
     pub async fn changed(&self) {
         self.changed.notified().await;
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -22,6 +22,9 @@
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Largest submission that is passed on to another node; a message is limited to 8 MiB.
 const MAX_FORWARDED_BYTES: usize = 4 << 20;
+/// Longest wait for a lease that expires soon after this node has died; a store that is slower than that
+/// delays the acknowledgement no further.
+const MAX_LEASE_WAIT: Duration = Duration::from_millis(100);
 /// Interval between checks whether a concurrent copy of a submission has been handled.
 const DUPLICATE_POLL: Duration = Duration::from_millis(10);
 /// Maximum number of reads that determine whether a write with an ambiguous outcome took effect;
@@ -129,6 +132,8 @@
         return SubmitOutcome::Stored;
     }
     let acquisition = node.jobs.begin_acquiring(id);
+    let min_ms = node.settings.store.min_lease_ms;
+    node.lease.wait_for_short(min_ms, MAX_LEASE_WAIT).await;
     let record = JobRecord {
         host: host.into(),
         path: path.into(),
