--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -9,13 +9,16 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::error::{Error, Kind};
 use crate::frame;
 use crate::tunnel::TunnelStream;
 
 const MAX_IDLE_PER_PEER: usize = 4;
+/// Time for which an idle connection is kept. A connection may deliver nothing any more without being
+/// closed, and each such connection costs a call its time limit.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(1_000);
 
 /// A response, and whether its request was sent more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,7 +35,13 @@
 /// receive it twice and has to treat every request as idempotent.
 #[derive(Debug, Clone, Default)]
 pub struct Client {
-    idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<TcpStream>>>>,
+    idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    stream: TcpStream,
+    expires_at: Instant,
 }
 
 impl Client {
@@ -152,14 +161,18 @@
 
     fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.get_mut(&address)?.pop()
+        let connections = idle.get_mut(&address)?;
+        let now = Instant::now();
+        connections.retain(|idle| idle.expires_at > now);
+        connections.pop().map(|idle| idle.stream)
     }
 
     fn return_idle(&self, address: SocketAddr, stream: TcpStream) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let streams = idle.entry(address).or_default();
-        if streams.len() < MAX_IDLE_PER_PEER {
-            streams.push(stream);
+        let connections = idle.entry(address).or_default();
+        if connections.len() < MAX_IDLE_PER_PEER {
+            let expires_at = Instant::now() + MAX_IDLE_TIME;
+            connections.push(IdleConnection { stream, expires_at });
         }
     }
 }
