Take an open watch for no proof of the age of the endpoints

Callers saw requests at endpoints that had said long before that they drain. The leader took its view of the endpoints for current while a watch was open and the store answered any other call. After the connection of the watch had fallen silent, it passed a view that was up to 30 s old on to all nodes as current.

A view is now as old as its last confirmation by an answer of the watch itself. An answer that a frozen node reads late counts from the end of the wait.

A node that can't wait for the leader's answer, since its own view is too old, no longer doubts the leader.

--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -11,7 +11,7 @@
 use wisteriapoint_types::EndpointName;
 
 use super::feed::{self, FeedPosition, PollOutcome};
-use super::watch::{MAX_WATCH_WAIT, RowUpdate, read_all, read_changes_within};
+use super::watch::{RowUpdate, read_all, read_changes_within};
 use crate::clock::boot_ms;
 use crate::dialect::Dialect;
 use crate::event;
@@ -52,10 +52,10 @@
     let mut has_store_failed = false;
     loop {
         let leader = leader_changes.borrow_and_update().clone();
-        let is_silent = |leader: &Owner| {
+        let was_silent = leader.as_ref().is_some_and(|leader| {
             let mut silent = silent.iter();
             silent.any(|(other, until)| other == leader && Instant::now() < *until)
-        };
+        });
         // A view that is too old is read from the store first, and else from the leader all the same.
         let limit = match Duration::from_millis(node.view_left_ms()) {
             left if has_store_failed => left.max(feed::MIN_POLL_TIME),
@@ -65,7 +65,7 @@
             Some(leader)
                 if *leader != node.owner
                     && node.directory.borrow().endpoints_loaded
-                    && !is_silent(leader)
+                    && !was_silent
                     && limit >= feed::MIN_POLL_TIME =>
             {
                 tokio::select! {
@@ -80,9 +80,14 @@
             }
             _ => PollOutcome::Refused,
         };
-        if leader.is_some_and(|leader| leader != node.owner)
-            && !matches!(outcome, PollOutcome::Applied(_))
-        {
+        // A view that is too old to wait for an answer says nothing of the leader.
+        let is_doubted = match outcome {
+            PollOutcome::Applied(_) => false,
+            _ => leader.is_some_and(|leader| {
+                leader != node.owner && (was_silent || limit >= feed::MIN_POLL_TIME)
+            }),
+        };
+        if is_doubted {
             node.leader_doubted.notify_one();
         }
         state = match outcome {
@@ -123,7 +128,6 @@
                             );
                             has_store_failed = true;
                             node.feed.set_fresh(false);
-                            node.directory.borrow_mut().view.end_watch(None);
                             let pause = backoff.next_pause().min(FOLLOWER_WATCH_WAIT);
                             node.store_health.pause(pause).await;
                             SyncState::Unknown
@@ -133,10 +137,6 @@
                 }
             }
         };
-        let answered_ms = node.store_health.answered_boot_ms();
-        let mut directory = node.directory.borrow_mut();
-        directory.view.end_watch(Some(answered_ms));
-        drop(directory);
         let count = node.directory.borrow().registry.iter().count();
         node.metrics.set_state("endpoints", count as i64);
     }
@@ -186,21 +186,20 @@
     let prefix = D::ENDPOINTS_PREFIX;
     let apply = |rows: RowUpdate<'_>| apply_row_update(node, rows);
     let is_leader = node.is_leader();
+    let called_ms = boot_ms();
     let (revision, as_of_ms) = match state.revision(is_leader) {
         Some(revision) => {
-            node.directory.borrow_mut().view.begin_watch();
             node.feed.set_fresh(is_leader);
             let wait = match is_leader {
-                true => MAX_WATCH_WAIT,
+                true => Duration::from_millis(node.view_source_wait_ms()),
                 false => FOLLOWER_WATCH_WAIT,
             };
             let revision = read_changes_within(node, prefix, revision, wait, &apply).await?;
-            (revision, boot_ms())
-        }
-        None => {
-            let called_ms = boot_ms();
-            (read_all(node, prefix, &apply).await?, called_ms)
+            // The answer may have waited for this node, if it was frozen.
+            let answered_by_ms = called_ms + wait.as_millis() as u64;
+            (revision, boot_ms().min(answered_by_ms))
         }
+        None => (read_all(node, prefix, &apply).await?, called_ms),
     };
     node.directory.borrow_mut().view.confirm(as_of_ms);
     node.feed.set_revision(revision);
--- a/crates/node/src/control/feed.rs
+++ b/crates/node/src/control/feed.rs
@@ -32,7 +32,7 @@
 const MAX_KEPT_CHANGES: usize = 8_192;
 /// Longest time that a request waits for a change, in milliseconds: less than the time after which the
 /// requester has to read the store.
-const MAX_WAIT_MS: u64 = 800;
+const MAX_WAIT_MS: u64 = 600;
 
 /// Time for the answer of the leader beyond that: some network hops, and a leader that waits for CPU
 /// time.
--- a/crates/node/src/control/health.rs
+++ b/crates/node/src/control/health.rs
@@ -20,7 +20,6 @@
 pub struct StoreHealth {
     failing_since_ms: Cell<Option<u64>>,
     outage_end_ms: Cell<Option<u64>>,
-    answered_boot_ms: Cell<u64>,
     recovered: Notify,
 }
 
@@ -40,7 +39,6 @@
 
     /// Records an answer, which ends an outage.
     pub fn record_answer(&self, now_ms: u64) {
-        self.answered_boot_ms.set(boot_ms());
         if let Some(since_ms) = self.failing_since_ms.take() {
             if now_ms >= since_ms + OUTAGE_MS {
                 self.outage_end_ms.set(Some(now_ms));
@@ -50,9 +48,9 @@
         }
     }
 
-    /// Returns the time of the last answer, on the clock that includes suspension.
-    pub fn answered_boot_ms(&self) -> u64 {
-        self.answered_boot_ms.get()
+    /// Records that a read has found a change that a watch did not deliver.
+    pub fn record_missed_change(&self) {
+        self.watches_doubted.notify_waiters();
     }
 
     /// Waits until the store answers again after a failure.
--- a/crates/node/src/coordination.rs
+++ b/crates/node/src/coordination.rs
@@ -94,7 +94,6 @@
             return None;
         }
         let configuration = self.configuration()?;
-        let answered_ms = self.store_health.answered_boot_ms();
         let directory = self.directory.borrow();
         let services = configuration.services.iter().filter_map(|service| {
             let scaling = service.scaling.as_ref()?;
@@ -102,7 +101,7 @@
         });
         Some(ScaledServices {
             services: services.collect(),
-            age_ms: directory.view.age_ms(boot_ms(), answered_ms),
+            age_ms: directory.view.age_ms(boot_ms()),
         })
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -319,14 +319,18 @@
     pub fn view_left_ms(&self) -> u64 {
         let answered_ms = self.store_health.answered_boot_ms();
         let view = self.directory.borrow().view;
-        view.left_ms(boot_ms(), answered_ms, self.settings.bounds.drain_ms)
+        view.left_ms(boot_ms(), self.settings.bounds.drain_ms)
     }
 
     /// Returns the time for which this node may pass its endpoints on to others, in milliseconds.
     pub fn view_source_left_ms(&self) -> u64 {
-        let answered_ms = self.store_health.answered_boot_ms();
-        let view = self.directory.borrow().view;
-        view.source_left_ms(boot_ms(), answered_ms)
+        self.directory.borrow().view.source_left_ms(boot_ms())
+    }
+
+    /// Returns the longest wait of a watch that confirms the endpoints while they may still be passed on,
+    /// in milliseconds.
+    pub fn view_source_wait_ms(&self) -> u64 {
+        self.directory.borrow().view.source_wait_ms(boot_ms())
     }
 
     /// Returns `true` if the keys of the configuration in force may be used.
