Bound the age of the configuration on all deployments, whatever the watches say

Callers were refused or served by an older configuration up to 28 s after a newer one had to be in force, and trainers' versions were ordered as late. A watch waits up to 30 s, and nothing else told a node that its watch was silent: its other calls succeeded on other connections. Only deployments that remove keys had a bound on the age of what a node knows.

The leader reads the rows of the operator and of trainers every 2/5 of the bound; the others ask the leader every 3/10 of it, by the message that exists for keys, and read the store themselves only when less than a fifth is left. The wait for a leader's answer ends before that. So a healthy store gets 1.25 calls a second more in all, whatever the number of nodes. A read that finds what a watch has not delivered ends the open watches, with a warning. During an outage no node reads for this.

--- a/crates/duties/src/environment.rs
+++ b/crates/duties/src/environment.rs
@@ -38,8 +38,6 @@
     fn boot_ms(&self) -> u64;
     /// Returns the time of day in Unix milliseconds, which includes suspension.
     fn unix_ms(&self) -> u64;
-    /// Returns `true` if the configuration in force names workspaces.
-    fn has_workspaces(&self) -> bool;
     /// Returns the version of the configuration in force.
     fn configuration_version(&self) -> Option<u64>;
     /// Reads the configuration from the store and puts it into force.
@@ -48,8 +46,6 @@
     ///
     /// Fails if the store does not answer or the configuration is malformed.
     fn read_configuration(&self) -> impl Future<Output = Result<(), Error>>;
-    /// Waits until the configuration or another fact of the directory changes.
-    fn changed(&self) -> impl Future<Output = ()>;
     /// Sends a request to the holder; returns `None` without an answer in time.
     fn ask(
         &self,
--- a/crates/duties/src/exchange.rs
+++ b/crates/duties/src/exchange.rs
@@ -1,25 +1,27 @@
 //! The exchange of each node with the holder of the duties.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wisteriapoint_event::event;
 use wisteriapoint_usage::{UsageCounter, UsageLedger, WindowCounts, Windows};
 use wisteriapoint_workspace::Knowledge;
 
 use crate::{Duty, DutySettings, Environment};
 
-/// Time between two requests to the holder if nothing is to be told, in milliseconds, where no bound
-/// asks for a shorter one.
+/// Longest time between two requests to the holder, in milliseconds.
 const MAX_INTERVAL_MS: u64 = 1_500;
 /// Least time between two requests to the holder, which bounds the counts that are lost with a node.
 const MIN_INTERVAL: Duration = Duration::from_millis(250);
-/// Pause after a failed read of the configuration.
+/// Time after a read of the configuration in which it is not read again, in milliseconds.
 const READ_RETRY_PAUSE_MS: u64 = 500;
+/// Shortest time between two requests to the holder if nothing is to be told, in milliseconds.
+const MIN_PAUSE_MS: u64 = 250;
 /// Age at which what another node said of its demand is discarded, in milliseconds.
 const DEMAND_MAX_AGE_MS: u64 = 4_000;
 
@@ -177,42 +179,57 @@
     }
 }
 
-/// Times that follow from the bound on the age of the configuration.
+/// Times that follow from the bound on the age of the configuration, in milliseconds.
 #[derive(Debug, Clone, Copy)]
 struct Pace {
+    /// Greatest age.
+    bound_ms: u64,
     /// Time between two reads of the holder.
     read_ms: u64,
     /// Time between two requests to the holder.
     interval_ms: u64,
+    /// Time for the answer of a holder that works.
+    answer_ms: u64,
     /// Time before its knowledge is too old at which a node reads the store itself.
     ahead_ms: u64,
 }
 
 impl Pace {
-    /// Together with the transit, the age at a node stays below the bound less the time to read.
-    fn new(bound_ms: Option<u64>) -> Self {
-        let bound_ms = bound_ms.unwrap_or(u64::MAX);
+    /// The oldest knowledge of the holder, the time until it is passed on and the time to read the store
+    /// are within the bound.
+    fn new(bound_ms: u64) -> Self {
         Self {
-            read_ms: (bound_ms / 5).min(MAX_INTERVAL_MS),
+            bound_ms,
+            read_ms: (bound_ms / 5 * 2).min(MAX_INTERVAL_MS),
             interval_ms: (bound_ms / 10 * 3).min(MAX_INTERVAL_MS),
-            ahead_ms: bound_ms / 5 * 2,
+            answer_ms: bound_ms / 10,
+            ahead_ms: bound_ms / 5,
+        }
+    }
+
+    /// Returns the time until a node has to read the store itself, in milliseconds.
+    ///
+    /// The first read is that of the watch.
+    fn until_read_ms<E: Environment>(self, env: &E) -> u64 {
+        let knowledge = &env.coordination().knowledge;
+        let now_boot_ms = env.boot_ms();
+        match knowledge.age_ms(now_boot_ms) {
+            Some(_) => {
+                let left_ms = knowledge.left_ms(now_boot_ms, self.bound_ms);
+                left_ms.saturating_sub(self.ahead_ms)
+            }
+            None => self.interval_ms,
         }
     }
 }
 
 /// Keeps the knowledge of a node current and tells the holder what it counts, until the node exits.
 ///
-/// `bound_ms` is the time after which a removed key must have no effect.
-pub async fn run<E: Environment>(env: Rc<E>, bound_ms: Option<u64>) {
-    if bound_ms.is_none() && env.duty_settings().is_none() {
-        return;
-    }
+/// `bound_ms` is the greatest age of the knowledge that the configuration in force is the newest one. A
+/// watch does not keep it current: its connection may deliver nothing any more.
+pub async fn run<E: Environment>(env: Rc<E>, bound_ms: u64) {
     let pace = Pace::new(bound_ms);
     loop {
-        if !env.has_workspaces() && env.duty_settings().is_none() {
-            env.changed().await;
-            continue;
-        }
         let earliest = Instant::now() + MIN_INTERVAL;
         let holder = env.holder();
         let interval_ms = match holder {
@@ -224,24 +241,19 @@
                 pace.read_ms
             }
             Some(holder) => {
-                exchange(&env, holder.address).await;
+                // Without an answer the store is read in time.
+                let limit_ms = pace.until_read_ms(&*env).max(pace.answer_ms);
+                exchange(&env, holder.address, Duration::from_millis(limit_ms)).await;
                 pace.interval_ms
             }
             None => pace.interval_ms,
         };
-        let left_ms = |now_ms| match bound_ms {
-            Some(bound_ms) if env.has_workspaces() => {
-                env.coordination().knowledge.left_ms(now_ms, bound_ms)
-            }
-            _ => u64::MAX,
-        };
-        let now_ms = env.boot_ms();
         let read_after_ms = env.coordination().last_read_boot_ms.get() + READ_RETRY_PAUSE_MS;
-        if left_ms(now_ms) < pace.ahead_ms && now_ms >= read_after_ms {
+        if pace.until_read_ms(&*env) == 0 && env.boot_ms() >= read_after_ms {
             read_configuration(&env).await;
         }
-        let until_read_ms = left_ms(env.boot_ms()).saturating_sub(pace.ahead_ms);
-        let pause_ms = interval_ms.min(until_read_ms.max(READ_RETRY_PAUSE_MS));
+        let until_ask_ms = pace.until_read_ms(&*env).saturating_sub(pace.answer_ms);
+        let pause_ms = interval_ms.min(until_ask_ms.max(MIN_PAUSE_MS));
         tokio::select! {
             () = sleep(Duration::from_millis(pause_ms)) => {}
             () = env.coordination().counted.notified() => sleep_until(earliest).await,
@@ -258,7 +270,7 @@
 }
 
 /// Tells the holder the counts and the demand of this node, and learns how old its configuration is.
-async fn exchange<E: Environment>(env: &Rc<E>, holder: std::net::SocketAddr) {
+async fn exchange<E: Environment>(env: &Rc<E>, holder: SocketAddr, limit: Duration) {
     let coordination = env.coordination();
     let request = CoordinationRequest {
         vm: env.owner().vm.clone(),
@@ -267,7 +279,7 @@
         demand: env.demand(),
     };
     let sent_boot_ms = env.boot_ms();
-    let Some(response) = env.ask(holder, request).await else {
+    let Ok(Some(response)) = timeout(limit, env.ask(holder, request)).await else {
         return;
     };
     if let Some(first_open) = response.first_open_window {
--- a/crates/duties/tests/common/mod.rs
+++ b/crates/duties/tests/common/mod.rs
@@ -135,6 +135,14 @@
     pub(crate) knows_endpoints: Cell<bool>,
     pub(crate) view_age_ms: Cell<u64>,
     pub(crate) members: Cell<usize>,
+    /// Holder of the duties, if it is another node.
+    pub(crate) other_holder: RefCell<Option<Owner>>,
+    /// Time that a read of the configuration takes, in milliseconds.
+    pub(crate) read_ms: Cell<u64>,
+    /// Number of reads of the configuration.
+    pub(crate) reads: Cell<u32>,
+    /// Answer of the other holder; without one, it does not answer.
+    pub(crate) answer: Cell<Option<CoordinationResponse>>,
     pub(crate) gauges: RefCell<BTreeMap<Box<str>, i64>>,
 }
 
@@ -162,6 +170,10 @@
             knows_endpoints: Cell::new(true),
             view_age_ms: Cell::new(0),
             members: Cell::new(1),
+            other_holder: RefCell::default(),
+            read_ms: Cell::new(0),
+            reads: Cell::new(0),
+            answer: Cell::new(None),
             gauges: RefCell::default(),
         })
     }
@@ -202,7 +214,8 @@
     }
 
     fn holder(&self) -> Option<Owner> {
-        Some(self.owner.clone())
+        let other = self.other_holder.borrow().clone();
+        Some(other.unwrap_or_else(|| self.owner.clone()))
     }
 
     fn boot_ms(&self) -> u64 {
@@ -213,24 +226,23 @@
         self.platform.now_ms()
     }
 
-    fn has_workspaces(&self) -> bool {
-        false
-    }
-
     fn configuration_version(&self) -> Option<u64> {
         Some(1)
     }
 
     async fn read_configuration(&self) -> Result<(), Error> {
+        let called_ms = self.boot_ms();
+        self.reads.set(self.reads.get() + 1);
+        sleep(Duration::from_millis(self.read_ms.get())).await;
+        self.coordination.knowledge.confirm(called_ms);
         Ok(())
     }
 
-    async fn changed(&self) {
-        std::future::pending().await
-    }
-
     async fn ask(&self, _: SocketAddr, _: CoordinationRequest) -> Option<CoordinationResponse> {
-        None
+        match self.answer.get() {
+            Some(answer) => Some(answer),
+            None => std::future::pending().await,
+        }
     }
 
     fn demand(&self) -> Vec<ServiceDemand> {
--- a/crates/node/src/control/health.rs
+++ b/crates/node/src/control/health.rs
@@ -7,7 +7,6 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use crate::clock::boot_ms;
 use crate::event;
 
 /// Time without any answer after which rows may have expired, in milliseconds. Shorter failures
@@ -21,6 +20,7 @@
     failing_since_ms: Cell<Option<u64>>,
     outage_end_ms: Cell<Option<u64>>,
     recovered: Notify,
+    watches_doubted: Notify,
 }
 
 impl StoreHealth {
@@ -54,12 +54,19 @@
     }
 
     /// Waits until the store answers again after a failure.
-    ///
-    /// A watch that was open meanwhile may be on a connection that no longer receives anything.
     pub async fn recovered(&self) {
         self.recovered.notified().await;
     }
 
+    /// Waits until an open watch may be on a connection that no longer receives anything: the store
+    /// answers again after a failure, or a watch has missed a change.
+    pub async fn watches_doubted(&self) {
+        tokio::select! {
+            () = self.recovered() => {}
+            () = self.watches_doubted.notified() => {}
+        }
+    }
+
     /// Sleeps for `pause`, or until the store answers again after a failure.
     pub async fn pause(&self, pause: Duration) {
         tokio::select! {
@@ -73,11 +80,17 @@
         self.failing_since_ms.get().is_some()
     }
 
+    /// Returns `true` during an outage of the store.
+    pub fn is_out(&self, now_ms: u64) -> bool {
+        let since_ms = self.failing_since_ms.get();
+        since_ms.is_some_and(|since_ms| now_ms >= since_ms + OUTAGE_MS)
+    }
+
     /// Returns the end of the last outage of the store; `now_ms` during one.
     pub fn outage_end_ms(&self, now_ms: u64) -> Option<u64> {
-        match self.failing_since_ms.get() {
-            Some(since_ms) if now_ms >= since_ms + OUTAGE_MS => Some(now_ms),
-            _ => self.outage_end_ms.get(),
+        match self.is_out(now_ms) {
+            true => Some(now_ms),
+            false => self.outage_end_ms.get(),
         }
     }
 }
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -16,7 +16,7 @@
 /// Watches the configuration and applies new versions.
 pub async fn watch_configuration<D: Dialect>(node: Rc<Node<D>>) {
     watch_rows(&node, D::CONFIGURATION_KEY, |rows| {
-        apply_operator_rows(&node, rows)
+        apply_operator_rows(&node, rows, Source::Read)
     })
     .await;
 }
@@ -24,16 +24,17 @@
 /// Watches and applies all rows of the operator and of trainers; run by the leader only.
 pub async fn watch_operator_rows<D: Dialect>(node: Rc<Node<D>>) {
     watch_rows(&node, D::OPERATOR_PREFIX, |rows| {
-        apply_operator_rows(&node, rows)
+        apply_operator_rows(&node, rows, Source::Read)
     })
     .await;
 }
 
-fn apply_operator_rows<D: Dialect>(node: &Node<D>, rows: RowUpdate<'_>) {
+/// Applies rows; `read_source` is the source of a read of all rows.
+fn apply_operator_rows<D: Dialect>(node: &Node<D>, rows: RowUpdate<'_>, read_source: Source) {
     match rows {
         RowUpdate::All(rows, _) => {
             let rows = rows.iter();
-            rows.for_each(|row| apply_operator_row(node, row, Source::Read))
+            rows.for_each(|row| apply_operator_row(node, row, read_source))
         }
         RowUpdate::Changes(changes, _) => {
             for change in changes {
@@ -48,8 +49,11 @@
 /// How a node learned of a row.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
+    /// A read from which a watch continues.
     Read,
     Watch,
+    /// A read that checks whether a watch has delivered all changes.
+    Check,
 }
 
 /// The result of a read or a watch, and the revision up to which it is current.
@@ -107,7 +111,7 @@
 ///
 /// Fails if the store does not answer.
 pub async fn read_all<D: Dialect>(
-    node: &Rc<Node<D>>,
+    node: &Node<D>,
     prefix: &str,
     apply: &impl Fn(RowUpdate<'_>),
 ) -> Result<Index, Error> {
@@ -117,7 +121,8 @@
     let (rows, revision) = rows?;
     apply(RowUpdate::All(&rows, revision));
     let mut configurations = rows.iter().filter(|row| *row.key == *D::CONFIGURATION_KEY);
-    let is_parsed = |row: &Row| D::parse_operator_row(&row.key, &row.value).is_ok();
+    let is_parsed =
+        |row: &Row| is_in_force(node, row) || D::parse_operator_row(&row.key, &row.value).is_ok();
     // What a malformed configuration says of the keys is not known.
     if D::CONFIGURATION_KEY.starts_with(prefix) && configurations.all(is_parsed) {
         confirm_configuration(node, called_boot_ms);
@@ -155,7 +160,7 @@
 ) -> Result<Index, Error> {
     let changes = tokio::select! {
         changes = node.store.watch(prefix, after, wait) => changes,
-        () = node.store_health.recovered() => return Err(Error::HistoryGone),
+        () = node.store_health.watches_doubted() => return Err(Error::HistoryGone),
     };
     node.record_store_call("watch", &changes);
     let (changes, revision) = changes?;
@@ -165,13 +170,22 @@
     Ok(revision)
 }
 
-/// Reads the configuration from the store, and applies it if it is newer than the one in force.
+/// Reads the configuration from the store, at the leader with all rows of the operator and of trainers,
+/// and applies what the watches have not delivered.
 ///
 /// # Errors
 ///
 /// Fails if the store does not answer, or stores no configuration or a malformed one.
-pub async fn read_configuration<D: Dialect>(node: &Node<D>) -> Result<(), Error> {
+pub async fn check_configuration<D: Dialect>(node: &Node<D>) -> Result<(), Error> {
     let called_boot_ms = boot_ms();
+    if node.is_leader() {
+        let apply = |rows: RowUpdate<'_>| apply_operator_rows(node, rows, Source::Check);
+        read_all(node, D::OPERATOR_PREFIX, &apply).await?;
+        return match node.coordination.knowledge.age_ms(called_boot_ms) {
+            Some(0) => Ok(()),
+            _ => Err(Error::Malformed("no readable configuration".into())),
+        };
+    }
     let row = node
         .store
         .row(D::CONFIGURATION_KEY, Freshness::Linearizable)
@@ -180,13 +194,21 @@
     let Some(row) = row?.0 else {
         return Err(Error::Malformed("no configuration".into()));
     };
-    let parsed = D::parse_operator_row(&row.key, &row.value)
-        .map_err(|error| Error::Malformed(error.to_string().into()))?;
-    apply_parsed_row(node, parsed, row.revision, Source::Read);
+    if !is_in_force(node, &row) {
+        let parsed = D::parse_operator_row(&row.key, &row.value)
+            .map_err(|error| Error::Malformed(error.to_string().into()))?;
+        apply_parsed_row(node, parsed, row.revision, Source::Check);
+    }
     confirm_configuration(node, called_boot_ms);
     Ok(())
 }
 
+/// Returns `true` if a row is the one that holds the configuration in force.
+fn is_in_force<D: Dialect>(node: &Node<D>, row: &Row) -> bool {
+    *row.key == *D::CONFIGURATION_KEY
+        && node.directory.borrow().configuration_revision == Some(row.revision)
+}
+
 /// Records that the configuration in force was the newest one as of a time.
 fn confirm_configuration<D: Dialect>(node: &Node<D>, as_of_boot_ms: u64) {
     let knowledge = &node.coordination.knowledge;
@@ -197,6 +219,9 @@
 }
 
 fn apply_operator_row<D: Dialect>(node: &Node<D>, row: &Row, source: Source) {
+    if is_in_force(node, row) {
+        return;
+    }
     match D::parse_operator_row(&row.key, &row.value) {
         Ok(parsed) => apply_parsed_row(node, parsed, row.revision, source),
         Err(error) if node.malformed_rows.is_new(row) => event!(
@@ -216,13 +241,14 @@
     source: Source,
 ) {
     let mut directory = node.directory.borrow_mut();
-    match parsed {
+    let is_newer = match parsed {
         OperatorRow::Configuration(new) => {
             let current = directory
                 .configuration
                 .as_ref()
                 .map(|current| current.version);
-            if current.is_none_or(|current| current < new.version) {
+            let is_newer = current.is_none_or(|current| current < new.version);
+            if is_newer {
                 event!(
                     info,
                     "configuration in force",
@@ -235,14 +261,17 @@
                 node.metrics
                     .set_state("configuration_version", new.version as i64);
                 directory.configuration = Some(Rc::new(new));
+                directory.configuration_revision = Some(revision);
             }
+            is_newer
         }
         OperatorRow::PublishedVersion { model, version } => {
             let current = directory
                 .published_versions
                 .entry(model.clone())
                 .or_default();
-            if *current < version {
+            let is_newer = *current < version;
+            if is_newer {
                 *current = version;
                 event!(
                     info,
@@ -251,12 +280,19 @@
                     version = version
                 );
             }
+            is_newer
         }
-        OperatorRow::Retirement { vm } => {
-            directory.retiring_vms.insert(vm);
-        }
-    }
+        OperatorRow::Retirement { vm } => directory.retiring_vms.insert(vm),
+    };
     drop(directory);
+    if is_newer && source == Source::Check {
+        event!(
+            warn,
+            "a watch has missed a change; reading all rows again",
+            revision = revision.0
+        );
+        node.store_health.record_missed_change();
+    }
     node.update_readiness();
     node.directory_changed.notify_waiters();
 }
--- a/crates/node/src/coordination.rs
+++ b/crates/node/src/coordination.rs
@@ -51,22 +51,16 @@
         self.clock.unix_ms_with_suspension()
     }
 
-    fn has_workspaces(&self) -> bool {
-        let directory = self.directory.borrow();
-        let configuration = directory.configuration.as_ref();
-        configuration.is_some_and(|configuration| configuration.workspaces.is_some())
-    }
-
     fn configuration_version(&self) -> Option<u64> {
         Some(self.configuration()?.version)
     }
 
     async fn read_configuration(&self) -> Result<(), Error> {
-        watch::read_configuration(self).await
-    }
-
-    async fn changed(&self) {
-        self.directory_changed.notified().await;
+        // Once the store answers again, the watches read all rows.
+        match self.store_health.is_out(self.now_ms()) {
+            true => Err(Error::Unavailable("the store does not answer".into())),
+            false => watch::check_configuration(self).await,
+        }
     }
 
     async fn ask(
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -244,7 +244,7 @@
 ) -> Result<(u32, u64), Box<str>> {
     // At least as new as the configuration under which the batch job was accepted. The one in force may
     // be older, and then lack its route or have lower limits.
-    watch::read_configuration(node)
+    watch::check_configuration(node)
         .await
         .map_err(|error| error.to_string())?;
     let configuration = node.configuration().ok_or("no configuration")?;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,7 +17,7 @@
 use wisteriapoint_duties::{Coordination, ServiceDemand};
 use wisteriapoint_peer::Client;
 use wisteriapoint_route::Durations;
-use wisteriapoint_store::Error as StoreError;
+use wisteriapoint_store::{Error as StoreError, Index};
 use wisteriapoint_types::{
     EndpointName, FailureDomain, ServiceName, SoftwareVersion, StreamOrigin, WeightVersion,
 };
@@ -121,6 +121,8 @@
 pub struct Directory {
     /// The newest configuration; `None` until one has been read.
     pub configuration: Option<Rc<Configuration>>,
+    /// Revision of its row.
+    pub configuration_revision: Option<Index>,
     /// Whether all endpoints have been read at least once.
     pub endpoints_loaded: bool,
     /// Age of the endpoints.
@@ -317,7 +319,6 @@
 
     /// Returns the time until this node has to read the endpoints from the store, in milliseconds.
     pub fn view_left_ms(&self) -> u64 {
-        let answered_ms = self.store_health.answered_boot_ms();
         let view = self.directory.borrow().view;
         view.left_ms(boot_ms(), self.settings.bounds.drain_ms)
     }
@@ -469,7 +470,7 @@
         spawn_local(watch_links::<D>(node.pool.clone()));
         spawn_local(export_cut_off(node.clone()));
         control::start(&node);
-        let bound_ms = node.settings.bounds.revoke_ms;
+        let bound_ms = node.settings.bounds.max_configuration_age_ms();
         spawn_local(wisteriapoint_duties::run(node.clone(), bound_ms));
         Ok(node)
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -14,6 +14,9 @@
 
 /// Time of a draining endpoint on deployments whose settings do not state it, in milliseconds.
 pub const DEFAULT_DRAIN_MS: u64 = 2_000;
+/// Time after which a configuration is in force on deployments whose settings do not state it, in
+/// milliseconds.
+pub const DEFAULT_CONFIG_APPLY_MS: u64 = 2_000;
 
 /// Settings of a node, read at its start; a reload only reports whether they changed.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -78,6 +81,9 @@
     /// Time for which an endpoint still serves after it has said that it drains, in milliseconds.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
+    /// Time after which a configuration must be in force at all nodes, in milliseconds.
+    #[serde(default = "default_config_apply_ms")]
+    pub config_apply_ms: u64,
     /// Time after which a key that the configuration no longer has must have no effect, in
     /// milliseconds; without it, a node goes on with the keys that it knows.
     pub revoke_ms: Option<u64>,
@@ -87,6 +93,18 @@
     DEFAULT_DRAIN_MS
 }
 
+fn default_config_apply_ms() -> u64 {
+    DEFAULT_CONFIG_APPLY_MS
+}
+
+impl Bounds {
+    /// Returns the greatest age of the knowledge that the configuration in force is the newest one, in
+    /// milliseconds.
+    pub fn max_configuration_age_ms(&self) -> u64 {
+        self.revoke_ms.unwrap_or(u64::MAX).min(self.config_apply_ms)
+    }
+}
+
 impl NodeSettings {
     /// Parses settings.
     ///
@@ -108,13 +126,15 @@
     }
 }
 
-/// File with the settings of a node, and a value that precedes that of the file.
+/// File with the settings of a node, and values that precede those of the file.
 #[derive(Debug)]
 pub struct SettingsFile {
     /// Path of the file.
     pub path: PathBuf,
     /// Precedes [`Bounds::drain_ms`].
     pub drain_ms: Option<u64>,
+    /// Precedes [`Bounds::config_apply_ms`].
+    pub config_apply_ms: Option<u64>,
 }
 
 impl SettingsFile {
@@ -129,6 +149,7 @@
         let mut settings = NodeSettings::from_text(&text)?;
         let bounds = &mut settings.bounds;
         bounds.drain_ms = self.drain_ms.unwrap_or(bounds.drain_ms);
+        bounds.config_apply_ms = self.config_apply_ms.unwrap_or(bounds.config_apply_ms);
         Ok(settings)
     }
 }
--- a/crates/wisteriapoint/src/cli/node.rs
+++ b/crates/wisteriapoint/src/cli/node.rs
@@ -20,6 +20,10 @@
     /// precedes the file.
     #[arg(long)]
     drain_ms: Option<u64>,
+    /// Time after which a configuration must be in force at all nodes, in milliseconds; precedes the
+    /// file.
+    #[arg(long)]
+    config_apply_ms: Option<u64>,
     /// Least severe log lines that are written.
     #[arg(long, default_value = "info")]
     log_level: log::LevelFilter,
@@ -31,6 +35,7 @@
         let file = SettingsFile {
             path: self.settings,
             drain_ms: self.drain_ms,
+            config_apply_ms: self.config_apply_ms,
         };
         let tasks = LocalSet::new();
         Ok(tasks.run_until(Node::<Platform>::run(file)).await?)
