Bound the waits of watches on members, the leader row and ends of batch jobs

Items of batch jobs ran that had been ended more than 3 s before, and batch jobs of a dead node were taken over after 29 s: these watches waited 30 s on connections that had fallen silent, and no other call tells what they miss.

Their wait is now at most 2 s: with the time limit of the call and the read that follows, that is within the 3 s after which a node has to keep all bounds again. Only the leader watches the members, only owners of open batch jobs watch ends, and the leader row is watched only while there is no leader or it does not answer; the end of a wait without a change costs no further read of the row. The leader as nodes know it changes only if it is another one: before, each look at the row cancelled the requests to the leader that were waiting.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -33,6 +33,10 @@
 /// lease.
 const MEMBER_RETURN_PAUSE: Duration = Duration::from_millis(700);
 
+/// Longest wait of a watch of the members, or of the leader row while there is no leader or it does not
+/// answer. Its connection may deliver nothing any more, while rows of dead nodes are removed.
+const ROWS_WATCH_WAIT: Duration = Duration::from_millis(2_000);
+
 /// Claims leadership whenever there is no leader, and leads until it is lost.
 pub async fn run_election<D: Dialect>(node: Rc<Node<D>>) {
     let pause_ms = rand::random_range(0..MAX_FIRST_PAUSE_MS);
@@ -58,7 +62,7 @@
                 node.metrics.set_state("keeper", 1);
                 event!(info, "became leader", fence = fence.0);
                 node.lease.record_leadership(fence, lease);
-                node.leader.send_replace(Some(node.owner.clone()));
+                set_leader(&node, Some(node.owner.clone()));
                 node.directory_changed.notify_waiters();
                 tokio::select! {
                     () = lead(&node, fence, lease, as_of) => {}
@@ -68,7 +72,7 @@
                 if node.stage.get() == Stage::Stopping || node.pool.is_cut_off() {
                     release_leadership(&node, fence).await;
                 }
-                node.leader.send_replace(None);
+                set_leader(&node, None);
                 node.metrics.set_state("keeper", 0);
                 event!(info, "no longer leader", fence = fence.0);
                 Ok(())
@@ -81,16 +85,11 @@
                     }
                 }
                 let is_known = leader.is_some();
-                node.leader.send_replace(leader);
-                if is_known {
-                    // A leader that answers is still the leader or knows the same endpoints.
-                    tokio::select! {
-                        () = node.leader_doubted.notified() => {}
-                        () = node.lease.changed() => {}
-                        () = node.shutdown.begun() => {}
-                    }
+                set_leader(&node, leader);
+                match is_known {
+                    true => wait_for_successor(&node, revision).await,
+                    false => wait_for_change(&node, LEADER_KEY, revision).await.map(drop),
                 }
-                wait_for_change(&node, LEADER_KEY, revision).await
             }
             Err(error) => Err(error),
         };
@@ -108,6 +107,15 @@
     }
 }
 
+/// Sets the leader; tasks that wait for a leader are woken only if it is another one.
+fn set_leader<D: Dialect>(node: &Node<D>, leader: Option<Owner>) {
+    node.leader.send_if_modified(|current| {
+        let is_other = *current != leader;
+        *current = leader;
+        is_other
+    });
+}
+
 enum ClaimOutcome {
     /// This node is the leader.
     Leader {
@@ -176,17 +184,40 @@
     }
 }
 
+/// Waits until the leader row changes, which is watched only while the leader does not answer, or until
+/// this node has another lease or stops.
+async fn wait_for_successor<D: Dialect>(
+    node: &Rc<Node<D>>,
+    mut revision: Index,
+) -> Result<(), Error> {
+    loop {
+        // A leader that answers is still the leader or knows the same endpoints.
+        tokio::select! {
+            () = node.leader_doubted.notified() => {}
+            () = node.lease.changed() => return Ok(()),
+            () = node.shutdown.begun() => return Ok(()),
+        }
+        match wait_for_change(node, LEADER_KEY, revision).await? {
+            Some(unchanged) => revision = unchanged,
+            None => return Ok(()),
+        }
+    }
+}
+
 /// Waits for a change under a prefix, or until the store no longer keeps the history after `after`.
+///
+/// Returns the revision up to which nothing has changed, or `None` after a change.
 async fn wait_for_change<D: Dialect>(
     node: &Rc<Node<D>>,
     prefix: &str,
     after: Index,
-) -> Result<(), Error> {
-    let changes = node.store.watch(prefix, after, MAX_WATCH_WAIT).await;
+) -> Result<Option<Index>, Error> {
+    let changes = node.store.watch(prefix, after, ROWS_WATCH_WAIT).await;
     node.record_store_call("watch", &changes);
     match changes {
-        Err(error) if error.is_history_gone() => Ok(()),
-        other => other.map(|_| ()),
+        Err(error) if error.is_history_gone() => Ok(None),
+        Err(error) => Err(error),
+        Ok((changes, revision)) => Ok(changes.is_empty().then_some(revision)),
     }
 }
 
@@ -328,5 +359,9 @@
     }
     // Updated only after success, so that a failed check is repeated.
     *previous = members;
-    wait_for_change(node, MEMBERS_PREFIX, revision).await
+    let mut unchanged = Some(revision);
+    while let Some(revision) = unchanged {
+        unchanged = wait_for_change(node, MEMBERS_PREFIX, revision).await?;
+    }
+    Ok(())
 }
--- a/crates/node/src/jobs/end.rs
+++ b/crates/node/src/jobs/end.rs
@@ -11,7 +11,7 @@
 use super::read::{Lookup, OwnerResponse, query_owner};
 use super::takeover::read_state;
 use super::{commit, keys};
-use crate::control::watch::{RowUpdate, read_all, read_changes};
+use crate::control::watch::{RowUpdate, read_all, read_changes_within};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::Node;
@@ -21,6 +21,9 @@
 const END_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum number of attempts to write the end of a batch job while other writes change its row.
 const MAX_END_ATTEMPTS: u32 = 6;
+/// Longest wait of a watch of ends. Its connection may deliver nothing any more; the time limit of the call
+/// and a read of all rows follow, before an item of an ended batch job may no longer start.
+const ENDS_WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause between these attempts.
 const END_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Maximum number of rows that one transaction of the store removes.
@@ -121,7 +124,9 @@
             after = node.jobs.first_open_revision();
         }
         let result = match after {
-            Some(revision) => read_changes(&node, &prefix, revision, &apply).await,
+            Some(revision) => {
+                read_changes_within(&node, &prefix, revision, ENDS_WATCH_WAIT, &apply).await
+            }
             None => read_all(&node, &prefix, &apply).await,
         };
         after = match result {
