--- a/review/stand-in-2/world.py
+++ b/review/stand-in-2/world.py
@@ -72,13 +72,20 @@
     def __init__(self, handle):
         self.handle = handle
         self.address = None
+        self.is_listening = False
         self.writers = set()
 
     async def start(self, ip="127.0.0.1", port=0):
         self.server = await asyncio.start_server(self.serve, ip, port, limit=1 << 20, backlog=512)
         self.address = self.server.sockets[0].getsockname()[:2]
+        self.is_listening = True
         return self
 
+    async def stop(self):
+        self.is_listening = False
+        self.server.close()
+        self.reset_all()
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -360,7 +367,20 @@
     async def keep_registered(self):
         while True:
             await asyncio.sleep(1.2)
-            await self.register()
+            if self.server.is_listening:
+                await self.register()
+
+    async def stop(self):
+        """Closes all connections and the listener, as the end of the process does."""
+        await self.server.stop()
+
+    async def crash(self, down_s):
+        """Ends, and listens at the same address again after a time."""
+        self.world.record("crash of the process", id=self.name)
+        await self.stop()
+        await asyncio.sleep(down_s)
+        self.active = 0
+        await self.server.start(*self.server.address)
 
     async def handle(self, request):
         if request.path == "/report":
@@ -672,6 +692,24 @@
     return answer, page
 
 
+async def enforce_memory(world, limits_mb, kills):
+    """The platform: a process that uses more than memory-mb is killed, and started again after a short delay."""
+    peaks = {}
+    while True:
+        for node, limit_mb in list(limits_mb.items()):
+            used_mb = node.rss_mb()
+            if used_mb > peaks.get(node, 0) + 10:
+                peaks[node] = used_mb
+                world.record("memory", node=node.name, mb=round(used_mb, 1))
+            if used_mb > limit_mb:
+                world.record("over the limit", node=node.name, mb=round(used_mb, 1), limit_mb=limit_mb)
+                node.kill()
+                kills[node.name] += 1
+                peaks[node] = 0
+                asyncio.get_running_loop().call_later(0.5, node.start)
+        await asyncio.sleep(0.004)
+
+
 def main(case, folder):
     async def play():
         world = World(folder)
