--- a/review/stand-in-2/world.py
+++ b/review/stand-in-2/world.py
@@ -73,6 +73,7 @@
         self.handle = handle
         self.address = None
         self.is_listening = False
+        self.is_dark = False
         self.writers = set()
 
     async def start(self, ip="127.0.0.1", port=0):
@@ -86,6 +87,27 @@
         self.server.close()
         self.reset_all()
 
+    async def go_dark(self, down_s):
+        """Answers nothing for a time, also no new connections, and then starts again at the same address."""
+        self.is_dark, self.is_listening = True, False
+        listener = self.server.sockets[0].fileno()
+        asyncio.get_running_loop().remove_reader(listener)
+        with socket.socket(fileno=os.dup(listener)) as duplicate:
+            duplicate.listen(0)
+        # A queue that is full drops what comes, so that connections hang.
+        fillers = []
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            fillers.append(filler)
+        await asyncio.sleep(down_s)
+        for filler in fillers:
+            filler.close()
+        await self.stop()
+        self.is_dark = False
+        await self.start(*self.address)
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -99,6 +121,8 @@
                 request.body = await read_body(reader, headers)
                 request.reader, request.writer = reader, writer
                 answer = await self.handle(request)
+                if self.is_dark:
+                    await asyncio.sleep(3600)
                 if answer is None:
                     return
                 if answer is True:
@@ -382,6 +406,15 @@
         self.active = 0
         await self.server.start(*self.server.address)
 
+    async def crash_in_silence(self, down_s):
+        """Falls silent, and starts again at the same address after a time, under its id."""
+        self.world.record("crash in silence", id=self.name)
+        await self.server.go_dark(down_s)
+        self.active = 0
+        self.beat = 0
+        self.born = int(time.time() * 1000)
+        await self.register()
+
     async def handle(self, request):
         if request.path == "/report":
             return json_answer(200, {
