--- a/review/stand-in-2/world.py
+++ b/review/stand-in-2/world.py
@@ -17,6 +17,8 @@
 import sys
 import tempfile
 import time
+import tomllib
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HOST = "shop.example"
@@ -553,7 +555,6 @@
         with open(settings, "w") as file:
             file.write(text)
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            import tomllib
             run = tomllib.load(file)["roles"]["edge"]["run"]
         words = shlex.split(render_template(run, self.fields))
         words = [settings if w == "/etc/wisteriapoint/boot.conf" else w for w in words]
@@ -745,17 +746,22 @@
 
 def main(case, folder):
     async def play():
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         world = World(folder)
+        verdict = 2
         try:
             verdict = await asyncio.wait_for(case(world), 110)
-        except CannotRun as error:
-            world.record("cannot run", reason=str(error))
-            verdict = 2
         except TimeoutError:
             world.record("cannot run", reason="out of time")
-            verdict = 2
+        except asyncio.CancelledError:
+            world.record("cannot run", reason="ended by a signal")
+        except Exception as error:
+            world.record("cannot run", reason=repr(error))
+            if not isinstance(error, CannotRun):
+                traceback.print_exc()
         finally:
-            world.record("verdict", verdict=locals().get("verdict"), trouble=TROUBLE)
+            world.record("verdict", verdict=verdict, trouble=TROUBLE)
             world.close()
         return verdict
 
