Scripts of the review start no process after their end

A node that the platform's stand-in was to start again could be started after the script had ended the others, and was left running.

--- a/review/stand-in-2/world.py
+++ b/review/stand-in-2/world.py
@@ -549,6 +549,8 @@
         self.log = open(os.path.join(world.folder, f"{name}.log"), "ab")
 
     def start(self):
+        if self.world.is_closed:
+            return self
         settings = os.path.join(self.world.folder, f"{self.name}.json")
         with open(os.path.join(ROOT, "deploy", "edge.json")) as template:
             text = render_template(template.read(), self.fields)
@@ -601,6 +603,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.out = open(os.path.join(folder, "record.txt"), "w")
         self.records = []
+        self.is_closed = False
         self.nodes, self.engines = [], []
         self.net = free_loopback_net()
         self.bounds = dict(BOUNDS)
@@ -660,6 +663,7 @@
         return None if row is None else next((n for n in self.nodes if n.name == row["vm"]), None)
 
     def close(self):
+        self.is_closed = True
         for node in self.nodes:
             if node.process is not None and node.process.poll() is None:
                 node.process.send_signal(signal.SIGCONT)
