Take over open batch jobs by the state of their owner, and condition member rows

Cause: the member row was written without a condition, so a copy of its first write that took effect late moved it back to a lease that nobody renewed. The node never looked at its row again and served without one. The leader looks for batch jobs without an owner only when a member goes missing, which did not happen.

Change: writes of the member row are conditional on the revision that the node last wrote; it is read anew after a write without an answer and after a conflict. A node that reads the members without itself checks its row, and writes it again under its lease. The leader looks for open batch jobs without a live owner each 2 s by a stale read. This also finds a batch job whose submission took effect after its owner had gone.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use wisteriapoint_batch::Owner;
 use wisteriapoint_store::{
     Backoff, CommitOutcome, Error, Freshness, Index, LeaseId, Transaction, TransactionalStore,
@@ -36,6 +36,10 @@
 /// Longest wait of a watch of the members, or of the leader row while there is no leader or it does not
 /// answer. Its connection may deliver nothing any more, while rows of dead nodes are removed.
 const ROWS_WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Interval between searches of the leader for open batch jobs without a live owner. An owner may be gone
+/// without a change of the members: it had no row, or its write of a batch job took effect after its end. The
+/// read may be seconds old, and an item must not wait for an endpoint longer than some seconds.
+const OWNERS_CHECK_INTERVAL: Duration = Duration::from_millis(2_000);
 
 /// Claims leadership whenever there is no leader, and leads until it is lost.
 pub async fn run_election<D: Dialect>(node: Rc<Node<D>>) {
@@ -360,8 +364,24 @@
     // Updated only after success, so that a failed check is repeated.
     *previous = members;
     let mut unchanged = Some(revision);
+    let mut owners_due = Instant::now() + OWNERS_CHECK_INTERVAL;
     while let Some(revision) = unchanged {
         unchanged = wait_for_change(node, MEMBERS_PREFIX, revision).await?;
+        if Instant::now() < owners_due {
+            continue;
+        }
+        owners_due = Instant::now() + OWNERS_CHECK_INTERVAL;
+        let ownerless = jobs::count_ownerless_jobs(node, previous).await?;
+        if ownerless > 0 {
+            event!(
+                info,
+                "open batch jobs seem to have no live owner; reading again",
+                jobs = ownerless
+            );
+            // The next check is made as by a new leader.
+            previous.clear();
+            return Ok(());
+        }
     }
     Ok(())
 }
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -36,8 +36,13 @@
 /// again, and a new configuration must be in force two seconds after that.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// Time between reads of the member rows; a stale read costs a tenth of a linearizable one.
+/// Time between reads of the member rows; a stale read costs a tenth of a linearizable one. A node whose
+/// own row is missing notices it within this time and [`MAX_STALENESS`].
 const MEMBERS_READ_INTERVAL: Duration = Duration::from_secs(6);
+/// Time for which a stale read may lack a row that was written.
+const MAX_STALENESS: Duration = Duration::from_secs(3);
+/// Number of writes of the member row, each after a read of its revision, before the attempt fails.
+const MAX_MEMBER_WRITES: u32 = 3;
 
 /// The lease that a node holds, if any, and the time until which it is valid.
 #[derive(Debug, Default)]
@@ -45,6 +50,13 @@
     id: Cell<Option<LeaseId>>,
     valid_until_boot_ms: Cell<u64>,
     ttl_ms: Cell<u64>,
+    /// Revision at which the member row was last written, and [`Index`] 0 before that; `None` while the
+    /// outcome of a write is not known.
+    member_revision: Cell<Option<Index>>,
+    /// Time of that write in milliseconds since the VM was started.
+    member_written_boot_ms: Cell<u64>,
+    /// Whether a read of the members lacked the row of this node.
+    is_member_doubted: Cell<bool>,
     /// Fencing token of the last leadership, and the lease under which it was claimed.
     leadership: Cell<Option<(Index, LeaseId)>>,
     is_urgent: Cell<bool>,
@@ -55,7 +67,10 @@
 impl Lease {
     /// Creates a state without a lease.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            member_revision: Cell::new(Some(Index(0))),
+            ..Self::default()
+        }
     }
 
     /// Returns the lease that was obtained last; it may have expired in the store.
@@ -126,6 +141,18 @@
         }
     }
 
+    /// Records that a read of the members lacked the row of this node, which is then checked.
+    ///
+    /// A stale read may be older than the row.
+    pub fn doubt_member_row(&self, freshness: Freshness) {
+        let age_ms = boot_ms().saturating_sub(self.member_written_boot_ms.get());
+        let may_be_older =
+            freshness == Freshness::Stale && age_ms < MAX_STALENESS.as_millis() as u64;
+        if self.id.get().is_some() && !may_be_older && !self.is_member_doubted.replace(true) {
+            self.requested.notify_one();
+        }
+    }
+
     /// Waits until a lease is obtained or lost.
     pub async fn changed(&self) {
         self.changed.notified().await;
@@ -184,6 +211,7 @@
                     members_due = Instant::now() + MEMBERS_READ_INTERVAL;
                     update_peer_addresses(&node).await;
                 }
+                check_member_row(&node).await;
                 tokio::select! {
                     () = sleep(Duration::from_millis(ttl_ms / RENEWALS_PER_TTL)) => {}
                     () = node.lease.requested.notified() => {}
@@ -213,10 +241,15 @@
 
 async fn obtain<D: Dialect>(node: &Rc<Node<D>>, ttl_ms: u64) -> Result<(), Error> {
     replace(node, ttl_ms).await?;
-    // While this node had no lease, other nodes may have taken over its batch jobs.
+    rejoin(node);
+    Ok(())
+}
+
+/// Reads what may have changed while other nodes took this one for lost.
+fn rejoin<D: Dialect>(node: &Rc<Node<D>>) {
+    // They may have taken over its batch jobs.
     tokio::task::spawn_local(jobs::verify_ownership(node.clone()));
     tokio::task::spawn_local(suspects::exchange::load_history(node.clone()));
-    Ok(())
 }
 
 /// Obtains a lease and moves the member row to it; a lease that the node had expires by itself.
@@ -225,16 +258,87 @@
     let lease = node.store.grant_lease(Duration::from_millis(ttl_ms)).await;
     node.record_store_call("grant", &lease);
     let lease = lease?;
+    let revision = write_member_row(node, lease).await?;
+    node.lease.record_renewal(lease, call_boot_ms, ttl_ms);
+    event!(
+        info,
+        "lease obtained",
+        lease = lease.0,
+        ttl_ms = ttl_ms,
+        member_revision = revision.0
+    );
+    Ok(())
+}
+
+/// Writes the member row under a lease, and returns its revision.
+///
+/// Each write is conditional on the revision of the row. An earlier write without an answer may take effect
+/// late, and would move the row back to a lease that nobody renews.
+async fn write_member_row<D: Dialect>(node: &Rc<Node<D>>, lease: LeaseId) -> Result<Index, Error> {
     let (key, value) = members::member_row(&node.owner, node.settings.cpu_share)?;
-    let transaction = Transaction::new().with_leased_put(key, value, lease);
-    let committed = node.store.commit(&transaction).await;
-    node.record_store_call("member", &committed);
-    match committed? {
-        CommitOutcome::Done(_) => {}
-        CommitOutcome::LeaseEnded | CommitOutcome::Conflict => return Err(Error::LeaseExpired),
+    let mut known = node.lease.member_revision.take();
+    for _ in 0..MAX_MEMBER_WRITES {
+        let expected = match known {
+            Some(revision) => revision,
+            None => member_revision(node).await?,
+        };
+        let transaction = Transaction::new()
+            .with_expected(&*key, expected)
+            .with_leased_put(&*key, value.clone(), lease);
+        let committed = node.store.commit(&transaction).await;
+        node.record_store_call("member", &committed);
+        match committed? {
+            CommitOutcome::Done(revision) => {
+                node.lease.member_revision.set(Some(revision));
+                node.lease.member_written_boot_ms.set(boot_ms());
+                return Ok(revision);
+            }
+            CommitOutcome::Conflict => known = None,
+            CommitOutcome::LeaseEnded => break,
+        }
     }
-    node.lease.record_renewal(lease, call_boot_ms, ttl_ms);
-    event!(info, "lease obtained", lease = lease.0, ttl_ms = ttl_ms);
+    Err(Error::LeaseExpired)
+}
+
+/// Returns the revision of the member row in the store, or [`Index`] 0 if there is none.
+async fn member_revision<D: Dialect>(node: &Rc<Node<D>>) -> Result<Index, Error> {
+    let key = members::member_key(&node.owner);
+    let row = node.store.row(&key, Freshness::Linearizable).await;
+    node.record_store_call("read-member", &row);
+    Ok(row?.0.map_or(Index(0), |row| row.revision))
+}
+
+/// Writes the member row again if it is missing, or is not the one that this node wrote last.
+async fn check_member_row<D: Dialect>(node: &Rc<Node<D>>) {
+    let Some(lease) = node
+        .lease
+        .id()
+        .filter(|_| node.lease.is_member_doubted.take())
+    else {
+        return;
+    };
+    if let Err(error) = try_check_member_row(node, lease).await {
+        event!(info, "member row not checked; retrying", error = error);
+        node.lease.is_member_doubted.set(true);
+    }
+}
+
+async fn try_check_member_row<D: Dialect>(node: &Rc<Node<D>>, lease: LeaseId) -> Result<(), Error> {
+    let stored = member_revision(node).await?;
+    let written = node.lease.member_revision.replace(Some(stored));
+    if written == Some(stored) && stored != Index(0) {
+        return Ok(());
+    }
+    event!(
+        warn,
+        "member row is not the one that was written; writing it again",
+        stored_revision = stored.0,
+        written_revision = written.map_or(0, |revision| revision.0),
+        lease = lease.0
+    );
+    node.jobs.set_verified(false);
+    write_member_row(node, lease).await?;
+    rejoin(node);
     Ok(())
 }
 
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -39,7 +39,12 @@
     };
     let value = serde_json::to_vec(&row);
     let value = value.map_err(|error| Error::Malformed(error.to_string().into()))?;
-    Ok((format!("{MEMBERS_PREFIX}{}", member.vm), value))
+    Ok((member_key(member), value))
+}
+
+/// Returns the key of the row of a member.
+pub fn member_key(member: &Owner) -> String {
+    format!("{MEMBERS_PREFIX}{}", member.vm)
 }
 
 /// Parses a member row; returns `None` if it is malformed, which is logged once.
@@ -78,6 +83,8 @@
 
 /// Reads all members from the store, and the revision from which a watch continues.
 ///
+/// If this node is not among them, its own row is checked.
+///
 /// # Errors
 ///
 /// Fails if the store does not answer.
@@ -100,7 +107,11 @@
             .collect(),
     );
     let members = rows.into_iter().flatten().map(|row| row.member);
-    Ok((members.collect(), revision))
+    let members: Vec<_> = members.collect();
+    if !members.contains(&node.owner) {
+        node.lease.doubt_member_row(freshness);
+    }
+    Ok((members, revision))
 }
 
 /// Sets the nodes through which the store may be reached, and which get crash reports: the other
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -288,16 +288,41 @@
     }
 }
 
+/// Returns the number of open batch jobs whose owner is not live, according to a read that may be seconds
+/// old.
+///
+/// # Errors
+///
+/// Fails if the store does not answer.
+pub async fn count_ownerless_jobs<D: Dialect>(
+    node: &Node<D>,
+    live: &BTreeSet<Owner>,
+) -> Result<usize, Error> {
+    let is_absent_owner = |owner: &Owner| !live.contains(owner);
+    let jobs = read_matching(node, Freshness::Stale, is_absent_owner).await?;
+    Ok(jobs.len())
+}
+
 async fn take_over_matching<D: Dialect>(
     node: &Rc<Node<D>>,
     is_absent_owner: impl Fn(&Owner) -> bool,
 ) -> Result<bool, Error> {
-    let rows = node
-        .store
-        .range(keys::STATE_PREFIX, Freshness::Linearizable)
-        .await;
-    node.record_store_call("states", &rows);
     let mut is_none_left = true;
+    for job in read_matching(node, Freshness::Linearizable, is_absent_owner).await? {
+        is_none_left &= take_over(node, &job, Vec::new()).await;
+    }
+    Ok(is_none_left)
+}
+
+/// Returns the ids of the open batch jobs whose owner is absent.
+async fn read_matching<D: Dialect>(
+    node: &Node<D>,
+    freshness: Freshness,
+    is_absent_owner: impl Fn(&Owner) -> bool,
+) -> Result<Vec<Box<str>>, Error> {
+    let rows = node.store.range(keys::STATE_PREFIX, freshness).await;
+    node.record_store_call("states", &rows);
+    let mut jobs = Vec::new();
     for row in rows?.0 {
         let Ok(state) = serde_json::from_slice::<JobState>(&row.value) else {
             if node.malformed_rows.is_new(&row) {
@@ -312,13 +337,11 @@
         let is_ownerless =
             state.open && state.listed < state.total && is_absent_owner(&state.owner);
         match keys::job_of_state(&row.key) {
-            Some(job) if is_ownerless => {
-                is_none_left &= take_over(node, job, Vec::new()).await;
-            }
+            Some(job) if is_ownerless => jobs.push(job.into()),
             _ => {}
         }
     }
-    Ok(is_none_left)
+    Ok(jobs)
 }
 
 /// Starts a task that acquires a batch job if this run owns it according to the store.
