Leave the lead to other nodes after runs that ended soon

Cause: the next run of a node claims the leader row of the previous run on its VM at once, within its lease, so a node that is ended by what it does as the leader keeps the lead from all others.

Change: the leader row states when the term began and how often the VM came back after a term of less than 30 s. After a second such end in succession the run waits until the row is gone and lets others claim first; if nobody does, it leads. A single kill and a planned stop still lead to a quick return. Rows of an earlier build have no term and count as long ago.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -12,6 +12,7 @@
 
 use super::members::{self, MEMBERS_PREFIX};
 use super::orders;
+use super::term::Term;
 use super::watch::{self, MAX_WATCH_WAIT};
 use crate::dialect::Dialect;
 use crate::event;
@@ -24,9 +25,9 @@
 /// Longest random pause before the first claim, in milliseconds. Nodes start together; once one
 /// has claimed leadership, the others need no write.
 const MAX_FIRST_PAUSE_MS: u64 = 400;
-/// Pause before a claim of a node that is cut off from the endpoints: others claim first, if any is
-/// not.
-const CUT_OFF_CLAIM_PAUSE: Duration = Duration::from_millis(1_500);
+/// Pause before a claim of a node that is cut off from the endpoints, or whose runs end soon after they
+/// lead: others claim first, if there are any.
+const LATE_CLAIM_PAUSE: Duration = Duration::from_millis(1_500);
 /// Longest wait for a lease under which leadership may be claimed.
 const MAX_LEASE_WAIT: Duration = Duration::from_secs(1);
 /// Time for a member whose row was removed to write it again: it may be alive and have lost its
@@ -46,6 +47,7 @@
     let pause_ms = rand::random_range(0..MAX_FIRST_PAUSE_MS);
     sleep(Duration::from_millis(pause_ms)).await;
     let mut backoff = Backoff::new();
+    let mut yields = false;
     while node.stage.get() != Stage::Stopping {
         if node.lease.id().is_none() {
             tokio::select! {
@@ -54,8 +56,8 @@
             }
             continue;
         }
-        if node.pool.is_cut_off() {
-            sleep(CUT_OFF_CLAIM_PAUSE).await;
+        if node.pool.is_cut_off() || std::mem::take(&mut yields) {
+            sleep(LATE_CLAIM_PAUSE).await;
         }
         let result = match claim_leadership(&node).await {
             Ok(ClaimOutcome::Leader {
@@ -95,6 +97,16 @@
                     false => wait_for_change(&node, LEADER_KEY, revision).await.map(drop),
                 }
             }
+            Ok(ClaimOutcome::Yielded(revision)) => {
+                yields = true;
+                event!(
+                    warn,
+                    "lead left to other nodes; runs on this VM ended soon after they took it"
+                );
+                set_leader(&node, None);
+                let changed = wait_for_change(&node, LEADER_KEY, revision).await;
+                changed.map(drop)
+            }
             Err(error) => Err(error),
         };
         match result {
@@ -133,6 +145,9 @@
     /// This node is not the leader. Contains the leader, if it is known, and the revision of the
     /// store after which to watch the row.
     Follower(Option<Owner>, Index),
+    /// The row is of a previous run on this VM, and this run leaves the lead to other nodes. Contains the
+    /// revision of the store after which to watch the row.
+    Yielded(Index),
 }
 
 async fn claim_leadership<D: Dialect>(node: &Rc<Node<D>>) -> Result<ClaimOutcome, Error> {
@@ -141,25 +156,31 @@
     let row = node.store.row(LEADER_KEY, Freshness::Linearizable).await;
     node.record_store_call("keeper", &row);
     let (row, revision) = row?;
-    let (key, value) = (
-        LEADER_KEY,
-        members::member_row(&node.owner, node.settings.cpu_share)?.1,
-    );
-    let expected = match row {
-        Some(row) if row.value == value => {
-            return Ok(ClaimOutcome::Leader {
-                fence: row.revision,
-                lease: lease_before_read,
-                as_of: revision,
-            });
-        }
-        Some(row) => match members::parse_member(node, &row) {
+    let now_unix_ms = node.clock.unix_ms();
+    let (expected, term) = match row {
+        Some(row) => match members::parse_leader(node, &row) {
+            Some((leader, _)) if leader == node.owner => {
+                return Ok(ClaimOutcome::Leader {
+                    fence: row.revision,
+                    lease: lease_before_read,
+                    as_of: revision,
+                });
+            }
             // A previous run of the node on this VM has definitely ended.
-            Some(previous) if previous.vm == node.owner.vm => row.revision,
-            leader => return Ok(ClaimOutcome::Follower(leader, revision)),
+            Some((previous, term)) if previous.vm == node.owner.vm => {
+                match term.next(now_unix_ms) {
+                    Some(term) => (row.revision, term),
+                    None => return Ok(ClaimOutcome::Yielded(revision)),
+                }
+            }
+            leader => {
+                let leader = leader.map(|(leader, _)| leader);
+                return Ok(ClaimOutcome::Follower(leader, revision));
+            }
         },
-        None => Index(0),
+        None => (Index(0), Term::new(now_unix_ms)),
     };
+    let value = members::leader_row(&node.owner, term)?;
     node.lease.request_short();
     let min_ms = node.settings.store.min_lease_ms;
     while node.lease.id().is_some() && !node.lease.is_short(min_ms) {
@@ -172,8 +193,8 @@
         return Err(Error::LeaseExpired);
     };
     let transaction = Transaction::new()
-        .with_expected(key, expected)
-        .with_leased_put(key, value, lease);
+        .with_expected(LEADER_KEY, expected)
+        .with_leased_put(LEADER_KEY, value, lease);
     let committed = node.store.commit(&transaction).await;
     node.record_store_call("claim", &committed);
     match committed? {
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeSet;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wisteriapoint_batch::Owner;
 use wisteriapoint_store::{Error, Freshness, Index, Row, TransactionalStore};
 
+use super::term::Term;
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::Node;
@@ -26,6 +28,35 @@
     cpu_share: Option<f64>,
 }
 
+/// The row of the leader; one of an earlier build states only the member.
+#[derive(Debug, Serialize, Deserialize)]
+struct LeaderRow<T> {
+    #[serde(flatten)]
+    member: T,
+    #[serde(default)]
+    term: Term,
+}
+
+/// Returns the value of the leader row.
+///
+/// # Errors
+///
+/// Fails only if the leader can't be encoded.
+pub fn leader_row(leader: &Owner, term: Term) -> Result<Vec<u8>, Error> {
+    let row = LeaderRow {
+        member: leader,
+        term,
+    };
+    let value = serde_json::to_vec(&row);
+    value.map_err(|error| Error::Malformed(error.to_string().into()))
+}
+
+/// Parses the leader row; returns `None` if it is malformed, which is logged once.
+pub fn parse_leader<D: Dialect>(node: &Node<D>, row: &Row) -> Option<(Owner, Term)> {
+    let parsed: LeaderRow<Owner> = parse_row(node, row)?;
+    Some((parsed.member, parsed.term))
+}
+
 /// Returns key and value of the row of a member.
 ///
 /// # Errors
@@ -47,19 +78,15 @@
     format!("{MEMBERS_PREFIX}{}", member.vm)
 }
 
-/// Parses a member row; returns `None` if it is malformed, which is logged once.
-pub fn parse_member<D: Dialect>(node: &Node<D>, row: &Row) -> Option<Owner> {
-    Some(parse_row(node, row)?.member)
-}
-
-fn parse_row<D: Dialect>(node: &Node<D>, row: &Row) -> Option<MemberRow<Owner>> {
+/// Parses a row; returns `None` if it is malformed, which is logged once.
+fn parse_row<D: Dialect, T: DeserializeOwned>(node: &Node<D>, row: &Row) -> Option<T> {
     match serde_json::from_slice(&row.value) {
         Ok(parsed) => Some(parsed),
         Err(error) => {
             if node.malformed_rows.is_new(row) {
                 event!(
                     error,
-                    "member row could not be parsed; ignored",
+                    "row of a member or of the leader could not be parsed; ignored",
                     key = row.key,
                     error = error
                 );
@@ -95,7 +122,7 @@
     let rows = node.store.range(MEMBERS_PREFIX, freshness).await;
     node.record_store_call("members", &rows);
     let (rows, revision) = rows?;
-    let rows: Vec<_> = rows.iter().map(|row| parse_row(node, row)).collect();
+    let rows: Vec<Option<MemberRow<Owner>>> = rows.iter().map(|row| parse_row(node, row)).collect();
     // A row that can't be parsed may be of any build.
     let records = |row: &Option<MemberRow<_>>| row.as_ref().is_some_and(|row| row.records_software);
     let all_record = rows.iter().all(records);
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -9,6 +9,7 @@
 pub mod malformed;
 pub mod members;
 pub mod orders;
+pub mod term;
 pub mod watch;
 
 pub use feed::Feed;
@@ -16,6 +17,7 @@
 pub use lease::Lease;
 pub use malformed::MalformedRows;
 pub use members::members;
+pub use term::Term;
 
 use std::rc::Rc;
 
