--- a/crates/batch/src/item.rs
+++ b/crates/batch/src/item.rs
@@ -9,7 +9,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ItemKey(pub u32);
 
-/// A batch job as the caller submitted it.
+/// Where the encoded body of a request stands in the submission of its batch job, in bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct BodyRange {
+    /// Position of the first byte.
+    pub start: usize,
+    /// Position after the last byte.
+    pub end: usize,
+}
+
+/// A batch job as the caller submitted it, without the bodies of its requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Submission {
     /// Training step that the batch job belongs to, if a trainer submitted it.
@@ -23,6 +32,11 @@
     pub fn new(items: Vec<Item>) -> Self {
         Self { step: None, items }
     }
+
+    /// Returns the approximate memory of the items, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.items.iter().map(Item::memory_bytes).sum()
+    }
 }
 
 /// Parameters of a training step, as given by the trainer.
@@ -47,8 +61,8 @@
     pub path: Box<str>,
     /// Names and values of the headers to send with it.
     pub headers: Vec<(Box<str>, Box<str>)>,
-    /// Body of the request.
-    pub body: Vec<u8>,
+    /// Place of its body.
+    pub body: BodyRange,
     /// Expected length of the output, in tokens.
     pub expected_tokens: u32,
     /// Length of the output that the caller estimates, in tokens; `None` if `expected_tokens` is only
@@ -62,7 +76,7 @@
 
 impl Item {
     /// Creates an item without headers, group and scorer.
-    pub fn new(id: &str, path: &str, body: Vec<u8>) -> Self {
+    pub fn new(id: &str, path: &str, body: BodyRange) -> Self {
         Self {
             id: id.into(),
             path: path.into(),
@@ -74,6 +88,30 @@
             scorer: None,
         }
     }
+
+    /// Returns the approximate memory of the item and its state in a batch job, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        /// Memory of an allocation beside its content.
+        const ALLOCATION_BYTES: usize = 16;
+        const STATE_BYTES: usize = 128;
+        let text_bytes = |text: &str| text.len() + ALLOCATION_BYTES;
+        let header_bytes = |(name, value): &(Box<str>, Box<str>)| {
+            size_of::<(Box<str>, Box<str>)>() + text_bytes(name) + text_bytes(value)
+        };
+        let scorer = self.scorer.iter();
+        let scorer_bytes: usize = scorer
+            .map(|scorer| {
+                text_bytes(&scorer.id) + text_bytes(&scorer.host) + text_bytes(&scorer.path)
+            })
+            .sum();
+        size_of::<Self>()
+            + STATE_BYTES
+            + text_bytes(&self.id)
+            + text_bytes(&self.path)
+            + self.group.as_deref().map_or(0, text_bytes)
+            + self.headers.iter().map(header_bytes).sum::<usize>()
+            + scorer_bytes
+    }
 }
 
 /// The request that scores a finished text.
@@ -85,8 +123,8 @@
     pub host: Box<str>,
     /// Path with query.
     pub path: Box<str>,
-    /// Body of the request.
-    pub body: Vec<u8>,
+    /// Place of its body.
+    pub body: BodyRange,
 }
 
 /// Final state of an item.
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -339,6 +339,13 @@
         self.listed.len() as u32
     }
 
+    /// Returns the approximate memory of the items and their results, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let pending = self.pending.iter().map(|(_, _, result)| result);
+        let results = self.listed.iter().chain(pending);
+        self.submission.memory_bytes() + results.map(ItemResult::size_bytes).sum::<usize>()
+    }
+
     /// Returns the listed results from position `after` on, up to `max_bytes` but at least one if
     /// there is any.
     pub fn page(&self, after: u32, max_bytes: usize) -> Page {
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -1,9 +1,9 @@
 //! Batch jobs as state without I/O: items, their scheduling, and results at fixed positions.
 //!
 //! ```
-//! use wisteriapoint_batch::{Item, Job, Outcome, Submission};
+//! use wisteriapoint_batch::{BodyRange, Item, Job, Outcome, Submission};
 //!
-//! let submission = Submission::new(vec![Item::new("a", "/draft/1", b"{}".to_vec())]);
+//! let submission = Submission::new(vec![Item::new("a", "/draft/1", BodyRange::default())]);
 //! let mut job = Job::new(submission, 3, 60_000);
 //! let key = job.start_next(0).expect("the item is waiting");
 //! job.finish(5, key, Outcome::Completed { output: "text".into(), versions: vec![], score: None });
@@ -27,10 +27,10 @@
 pub use commit::CommitBatch;
 pub use groups::Pace;
 pub use item::{
-    Item, ItemFailures, ItemKey, ItemResult, Outcome, PartialOutput, Progress, Scorer, Step,
-    Submission,
+    BodyRange, Item, ItemFailures, ItemKey, ItemResult, Outcome, PartialOutput, Progress, Scorer,
+    Step, Submission,
 };
 pub use job::{Job, Page};
 pub use precedence::Precedence;
-pub use record::{JobRecord, JobState, Owner};
+pub use record::{JobRecord, JobState, Owner, RecordHeader};
 pub use work::{RequestedWork, Work};
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -28,3 +28,18 @@
     ranked.sort_by_key(|&(rank, _)| std::cmp::Reverse(rank));
     ranked.into_iter().map(|(_, node)| node).collect()
 }
+
+/// Assigns batch jobs to nodes by the bytes that these have free, each to the node with the most, of
+/// equal ones to the first.
+///
+/// A batch job that no node has room for is assigned to none, and takes no room from those after it.
+pub fn assign_by_room<N: Copy>(sizes_bytes: &[usize], nodes: &[(N, usize)]) -> Vec<Option<N>> {
+    let mut nodes = nodes.to_vec();
+    let assigned = sizes_bytes.iter().map(|&size_bytes| {
+        let most = nodes.iter_mut().rev();
+        let (node, free_bytes) = most.max_by_key(|(_, free_bytes)| *free_bytes)?;
+        *free_bytes = free_bytes.checked_sub(size_bytes)?;
+        Some(*node)
+    });
+    assigned.collect()
+}
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -17,6 +17,19 @@
     pub body: Vec<u8>,
 }
 
+/// The encoded beginning of a [`JobRecord`], after which the bytes of its body follow.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordHeader {
+    /// Host that selects its route.
+    pub host: Box<str>,
+    /// Path under which it was submitted.
+    pub path: Box<str>,
+    /// Time at which it was accepted, in Unix milliseconds on the clock of the VM that accepted it.
+    pub submitted_unix_ms: u64,
+    /// Size of the request body.
+    pub body_bytes: usize,
+}
+
 /// One run of a node's daemon, from start to exit, that may own batch jobs.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Owner {
@@ -47,4 +60,7 @@
     /// Workspace that submitted the batch job; `None` if it has none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<Box<str>>,
+    /// Size of the record, of which an owner holds most in memory; `None` in a row of an earlier build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub record_bytes: Option<usize>,
 }
--- a/crates/batch/tests/job.rs
+++ b/crates/batch/tests/job.rs
@@ -1,7 +1,7 @@
 //! Scheduling of items, and results at fixed positions.
 
 use proptest::prelude::*;
-use wisteriapoint_batch::{Item, ItemKey, Job, Outcome, Submission};
+use wisteriapoint_batch::{BodyRange, Item, ItemKey, Job, Outcome, Submission};
 
 const EXPIRES_AT_MS: u64 = 60_000;
 
@@ -12,7 +12,7 @@
         .map(|(number, &(group, expected_tokens))| Item {
             group: Some(group.into()),
             expected_tokens,
-            ..Item::new(&format!("item-{number}"), "/x", Vec::new())
+            ..Item::new(&format!("item-{number}"), "/x", BodyRange::default())
         });
     Submission::new(items.collect())
 }
--- a/crates/batch/tests/placement.rs
+++ b/crates/batch/tests/placement.rs
@@ -1,6 +1,6 @@
 //! The owners of batch jobs: nodes agree, and the loss of one moves only its own routes.
 
-use wisteriapoint_batch::placement::ranked_owners;
+use wisteriapoint_batch::placement::{assign_by_room, ranked_owners};
 
 fn nodes(count: u32) -> Vec<(u32, Option<f64>)> {
     (0..count).map(|node| (node, Some(0.5))).collect()
@@ -68,3 +68,15 @@
         "{counts:?}"
     );
 }
+
+/// Guards against a node that gets all batch jobs of a lost one, and against a large batch job that holds
+/// up smaller ones.
+#[test]
+fn batch_jobs_go_to_the_nodes_with_room() {
+    let nodes = [('a', 30), ('b', 20), ('c', 0)];
+    let assigned = assign_by_room(&[10, 10, 10, 15, 15], &nodes);
+    let expected = [Some('a'), Some('a'), Some('b'), None, None];
+    assert_eq!(assigned, expected);
+    assert_eq!(assign_by_room(&[40, 20], &nodes), [None, Some('a')]);
+    assert_eq!(assign_by_room(&[0], &[] as &[(char, usize)]), [None]);
+}
--- a/crates/batch/tests/precedence.rs
+++ b/crates/batch/tests/precedence.rs
@@ -1,6 +1,6 @@
 //! Order of items by groups, and of batch jobs by precedence.
 
-use wisteriapoint_batch::{Item, ItemKey, Job, Pace, Precedence, Submission};
+use wisteriapoint_batch::{BodyRange, Item, ItemKey, Job, Pace, Precedence, Submission};
 
 /// One token in a millisecond in each of two slots.
 const PACE: Pace = Pace {
@@ -16,7 +16,7 @@
             group: Some(group.into()),
             expected_tokens: tokens,
             length_hint: Some(tokens),
-            ..Item::new(&format!("item-{number}"), "/x", Vec::new())
+            ..Item::new(&format!("item-{number}"), "/x", BodyRange::default())
         });
     Job::new(Submission::new(items.collect()), 3, 60_000)
 }
@@ -58,7 +58,7 @@
     assert_eq!(start_all(&mut late), [0, 2, 1]);
     let item = |tokens| Item {
         expected_tokens: tokens,
-        ..Item::new(&format!("item-{tokens}"), "/x", Vec::new())
+        ..Item::new(&format!("item-{tokens}"), "/x", BodyRange::default())
     };
     let items = vec![item(100), item(9_000), item(200)];
     let mut unknown = Job::new(Submission::new(items), 3, 60_000);
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod progress;
 mod storage;
 
-pub use budget::{Budget, Refused, Reservation};
+pub use budget::{Budget, Cached, Refused, Reservation, Reserved};
 pub use connections::{Connection, Connections, Stage};
 pub use limits::Limits;
 pub use progress::Progress;
--- a/crates/intake/tests/budget.rs
+++ b/crates/intake/tests/budget.rs
@@ -204,3 +204,59 @@
     assert_eq!(budget.held_bytes(), 0);
     assert!(budget.keep(Bytes::from(vec![7; 20_000])).is_ok());
 }
+
+fn data(bytes: usize) -> Bytes {
+    Bytes::from(vec![b'a'; bytes])
+}
+
+/// Guards against data that could be read again and keeps others from being received.
+#[test]
+fn cached_data_gives_way_to_bodies_and_answers() {
+    let budget = Budget::new(LIMITS);
+    let cached: Vec<_> = (0..3)
+        .map(|_| budget.cache(budget.keep(data(50_000)).unwrap()))
+        .collect();
+    assert_eq!(budget.held_bytes(), 150_000);
+    assert!(cached[0].get().is_some(), "it was used last now");
+    let body = budget.open(None, 0);
+    body.append(&data(80_000), 0).unwrap();
+    let held = [0, 1, 2].map(|index| cached[index].get().is_some());
+    assert_eq!(held, [true, false, true]);
+    let answer = budget.keep(data(60_000)).unwrap();
+    assert_eq!(budget.held_bytes(), 190_000);
+    drop((body, answer, cached));
+    assert_eq!(budget.held_bytes(), 0);
+}
+
+/// Guards against bodies that push each other out of the cache while they are sent at the same time, and
+/// against one that is larger than the account and never sent.
+#[test]
+fn data_is_sent_in_turn_whatever_its_size() {
+    let budget = Budget::new(LIMITS);
+    let cached = budget.cache(budget.keep(data(150_000)).unwrap());
+    let first = budget.keep_for_send(data(20_000)).unwrap();
+    assert_eq!(budget.keep_for_send(data(20_000)), Err(Refused));
+    assert!(!budget.can_send(20_000) && budget.can_send(10_000));
+    assert!(cached.get().is_some());
+    drop(first);
+    let large = budget.keep_for_send(data(500_000)).unwrap();
+    assert!(cached.get().is_none());
+    drop(large);
+    assert_eq!(budget.held_bytes(), 0);
+}
+
+/// Guards against an account that counts on one path and does not give back on another.
+#[test]
+fn reserved_bytes_end_with_their_holder() {
+    let budget = Budget::new(LIMITS);
+    let reserved = budget.reserve(30_000).unwrap();
+    assert!(budget.reserve(30_000).is_err(), "over the share");
+    reserved.set(190_000);
+    assert_eq!(budget.free_bytes(), 0);
+    let other = budget.keep(data(1_000)).unwrap();
+    assert_eq!(budget.keep(data(20_000)), Err(Refused));
+    reserved.set(10_000);
+    assert_eq!(budget.held_bytes(), 11_000);
+    drop((reserved, other));
+    assert_eq!(budget.held_bytes(), 0);
+}
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -232,11 +232,12 @@
     path: &str,
 ) -> super::CallerResponse {
     match node.stage.get() {
-        _ if path == METRICS_PATH => body_response(
-            StatusCode::OK,
-            "text/plain; version=0.0.4",
-            node.metrics.encode(),
-        ),
+        _ if path == METRICS_PATH => {
+            let held_bytes = node.intake.budget.held_bytes();
+            node.metrics.set_state("held_bytes", held_bytes as i64);
+            let text = node.metrics.encode();
+            body_response(StatusCode::OK, "text/plain; version=0.0.4", text)
+        }
         _ if !D::is_readiness_probe(method, path) => {
             text_response(StatusCode::NOT_FOUND, "no such page")
         }
--- a/crates/node/src/callers/intake.rs
+++ b/crates/node/src/callers/intake.rs
@@ -2,10 +2,14 @@
 
 use std::cell::Cell;
 
+use tokio::sync::Semaphore;
 use wisteriapoint_intake::{Budget, Connections, Limits};
 
 /// Interval between two log lines about refusals, of which a crowd causes thousands a second.
 const LOG_INTERVAL_MS: u64 = 1_000;
+/// Number of parts of submissions that are read from the store or written to it at the same time. Each takes
+/// several times its size, for its base64 text, the text of the call and its buffers.
+const MAX_PART_TRANSFERS: usize = 2;
 
 /// Bytes and connections held for callers.
 #[derive(Debug)]
@@ -14,6 +18,8 @@
     pub budget: Budget,
     /// Open connections of callers.
     pub connections: Connections,
+    /// Permits for calls to the store with a part of a submission.
+    pub part_transfers: Semaphore,
     next_log_ms: Cell<u64>,
     unlogged: Cell<u64>,
 }
@@ -24,6 +30,7 @@
         Self {
             budget: Budget::new(limits),
             connections: Connections::new(limits.connections),
+            part_transfers: Semaphore::new(MAX_PART_TRANSFERS),
             next_log_ms: Cell::new(0),
             unlogged: Cell::new(0),
         }
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -377,8 +377,14 @@
         let live = members::members(node, Freshness::Linearizable).await?;
         members::set_peers(node, &live);
         let live: BTreeSet<_> = live.into_iter().collect();
-        if !jobs::take_over_ownerless_jobs(node, &live).await? {
-            event!(info, "ownerless batch jobs not all taken over; retrying");
+        let left = jobs::take_over_ownerless_jobs(node, &live).await?;
+        node.metrics.set_state("ownerless_jobs", left as i64);
+        if left > 0 {
+            event!(
+                info,
+                "ownerless batch jobs not all taken over; retrying",
+                left = left
+            );
             return Ok(());
         }
     }
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -77,13 +77,20 @@
     /// Parses the metadata in the headers of a caller's request.
     fn parse_inbound_metadata(headers: &HeaderMap) -> InboundMetadata;
 
-    /// Parses the submission of a batch job.
+    /// Parses the submission of a batch job, and checks that the bodies in it can be decoded.
     ///
     /// # Errors
     ///
     /// Fails if it is malformed; the error says where.
     fn parse_submission(body: &[u8]) -> Result<Submission, Error>;
 
+    /// Decodes a body from its text in a submission.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is malformed, as no body is in a submission that was parsed.
+    fn decode_body(text: &[u8]) -> Result<Vec<u8>, Error>;
+
     /// Encodes a page of results of a batch job.
     fn encode_page(page: &Page) -> Vec<u8>;
 
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -6,11 +6,13 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
-use wisteriapoint_batch::{Job, JobRecord, JobState, Submission};
+use wisteriapoint_batch::{Job, JobState, RecordHeader, Submission};
 use wisteriapoint_directory::{Route, RouteKind};
 use wisteriapoint_store::{CommitOutcome, Index, Transaction};
 
+use super::body::JobBody;
 use super::owned::{OwnedJob, StateRow};
+use super::record::{self, RecordLayout};
 use super::{keys, read, run, takeover};
 use crate::dialect::Dialect;
 use crate::event;
@@ -20,8 +22,9 @@
 /// Time for the owner of a route to store a batch job: some network hops and a write; after that, the
 /// node that received it stores it itself within the usual objective of a submission.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(200);
-/// Largest submission that is passed on to another node; a message is limited to 8 MiB.
-const MAX_FORWARDED_BYTES: usize = 4 << 20;
+/// Largest submission that is passed on to another node, which takes several times its size in memory at
+/// both.
+const MAX_FORWARDED_BYTES: usize = 1 << 20;
 /// Longest wait for a lease that expires soon after this node has died; a store that is slower than that
 /// delays the acknowledgement no further.
 const MAX_LEASE_WAIT: Duration = Duration::from_millis(100);
@@ -108,6 +111,9 @@
     if node.stage.get() != Stage::Serving {
         return not_stored("not serving");
     }
+    let Ok(body) = node.intake.budget.keep(body) else {
+        return not_stored("no memory for its body");
+    };
     match D::parse_submission(&body) {
         Ok(submission) => submit(node, route, id, (host, path), workspace, body, submission).await,
         Err(error) => not_stored(&error.to_string()),
@@ -134,12 +140,20 @@
     let acquisition = node.jobs.begin_acquiring(id);
     let min_ms = node.settings.store.min_lease_ms;
     node.lease.wait_for_short(min_ms, MAX_LEASE_WAIT).await;
-    let record = JobRecord {
+    let Ok(memory) = node.intake.budget.reserve(submission.memory_bytes()) else {
+        return SubmitOutcome::NotStored("no memory for its items".into());
+    };
+    let header = RecordHeader {
         host: host.into(),
         path: path.into(),
         submitted_unix_ms: node.clock.unix_ms(),
-        body: body.to_vec(),
+        body_bytes: body.len(),
+    };
+    let encoded_header = match record::encode_header(&header) {
+        Ok(encoded) => encoded,
+        Err(error) => return SubmitOutcome::NotStored(error.to_string().into()),
     };
+    let layout = RecordLayout::new(encoded_header.len(), body.len());
     let state = JobState {
         owner: node.owner.clone(),
         open: true,
@@ -148,8 +162,9 @@
         commits: 0,
         nonce: rand::random(),
         workspace: workspace.map(Into::into),
+        record_bytes: Some(layout.record_bytes()),
     };
-    let transaction = match submission_transaction(id, &record, &state) {
+    let transaction = match submission_transaction(id, (encoded_header, layout, &body), &state) {
         Ok(transaction) => transaction,
         Err(error) => return SubmitOutcome::NotStored(error),
     };
@@ -191,7 +206,9 @@
     node.jobs.record_work(node.now_ms(), &submission);
     let expires_at_ms = node.now_ms() + route.retention_ms;
     let job = Job::new(submission, route.max_attempts, expires_at_ms);
-    let owned = OwnedJob::new(id, &record, job, StateRow { revision, state });
+    let body = JobBody::new(layout, node.intake.budget.cache(body));
+    let row = StateRow { revision, state };
+    let owned = OwnedJob::new(id, &header, (body, memory), job, row);
     node.jobs.insert(owned.clone());
     run::start_tasks(node, owned);
     SubmitOutcome::Stored
@@ -199,14 +216,15 @@
 
 fn submission_transaction(
     id: &str,
-    record: &JobRecord,
+    (header, layout, body): (Vec<u8>, RecordLayout, &[u8]),
     state: &JobState,
 ) -> Result<Transaction, Box<str>> {
     let state = serde_json::to_vec(state).map_err(|error| error.to_string())?;
-    let record = postcard::to_stdvec(record).map_err(|error| error.to_string())?;
     let mut transaction = Transaction::new().with_expected(keys::state(id), Index(0));
-    for (part, bytes) in record.chunks(keys::MAX_PART_BYTES).enumerate() {
-        transaction = transaction.with_put(keys::record_part(id, part), bytes.to_vec());
+    let mut data = header;
+    for part in 0..layout.parts() {
+        data.extend_from_slice(&body[layout.body_of_part(part)]);
+        transaction = transaction.with_put(keys::record_part(id, part), std::mem::take(&mut data));
     }
     Ok(transaction.with_put(keys::state(id), state))
 }
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -13,7 +13,7 @@
 use wisteriapoint_types::{EndpointName, SoftwareVersion, WeightVersion};
 
 use super::abandon::AbandonReason;
-use super::{OwnedJob, score};
+use super::{OwnedJob, read, score};
 use crate::callers::batch::MAX_PAGE_BYTES;
 use crate::dialect::{Dialect, OutboundMetadata};
 use crate::forward::{InFlightGuard, post_request, record_send_failure};
@@ -106,7 +106,19 @@
     /// Generates and scores the output, and returns how that ended.
     pub async fn run(mut self, node: Rc<Node<D>>, route: Route) -> AttemptResult {
         let started_ms = node.now_ms();
-        let generated = self.generate(&node, &route).await;
+        let generated = match read::body_to_send(&node, &self.owned, self.item.body).await {
+            Ok(body) => self.generate(&node, &route, body).await,
+            Err(error) => {
+                event!(
+                    info,
+                    "item body not read; requeueing the item",
+                    id = self.owned.id,
+                    item = self.item.id,
+                    error = error,
+                );
+                Err(AttemptOutcome::Unfinished)
+            }
+        };
         let events = self.last_event().unwrap_or(0);
         let outcome = match generated {
             Ok(()) => {
@@ -157,8 +169,13 @@
         }
     }
 
-    async fn generate(&mut self, node: &Rc<Node<D>>, route: &Route) -> Result<(), AttemptOutcome> {
-        let upstream_request = self.build_request(route)?;
+    async fn generate(
+        &mut self,
+        node: &Rc<Node<D>>,
+        route: &Route,
+        body: Bytes,
+    ) -> Result<(), AttemptOutcome> {
+        let upstream_request = self.build_request(route, body)?;
         let endpoint = self.endpoint.clone();
         let _in_flight = self.in_flight.take();
         let software = self.software.as_ref();
@@ -182,7 +199,11 @@
         };
         let pending = limits::send(node, self.address, &upstream_request, outbound);
         let result = match timeout(RESPONSE_HEAD_TIMEOUT, pending).await {
-            Ok(Ok(response)) => self.read_output(node, route, response).await,
+            Ok(Ok(response)) => {
+                // Releases the body, of which the endpoint has read what it wants.
+                drop(upstream_request);
+                self.read_output(node, route, response).await
+            }
             Ok(Err(failure)) => Err(failure),
             Err(_) => Err(SendFailure::ambiguous(
                 "no response head within the timeout",
@@ -213,7 +234,7 @@
         }
     }
 
-    fn build_request(&self, route: &Route) -> Result<UpstreamRequest, AttemptOutcome> {
+    fn build_request(&self, route: &Route, body: Bytes) -> Result<UpstreamRequest, AttemptOutcome> {
         const MALFORMED: AttemptOutcome = AttemptOutcome::Abandoned(AbandonReason::Malformed);
         let mut headers = HeaderMap::new();
         let has_workspace = self.owned.workspace.is_some();
@@ -230,11 +251,7 @@
             headers.insert(name, value);
         }
         let uri = self.item.path.parse().map_err(|_| MALFORMED)?;
-        Ok(post_request(
-            uri,
-            headers,
-            Bytes::from(self.item.body.clone()),
-        ))
+        Ok(post_request(uri, headers, body))
     }
 
     /// Reads the output; the inner error is the outcome if the endpoint rejected or failed
--- a/crates/node/src/jobs/commit.rs
+++ b/crates/node/src/jobs/commit.rs
@@ -74,6 +74,11 @@
     .await;
     if outcome == WriteOutcome::Written {
         owned.job.borrow_mut().finish_commit();
+        owned.count_memory();
+        if owned.job.borrow().is_all_listed() {
+            // Bodies are read of unlisted items only.
+            owned.body.release();
+        }
         owned.results_listed.notify_waiters();
         event!(
             info,
--- a/crates/node/src/jobs/mod.rs
+++ b/crates/node/src/jobs/mod.rs
@@ -4,12 +4,14 @@
 pub mod abandon;
 pub mod accept;
 pub mod attempt;
+pub mod body;
 pub mod commit;
 pub mod end;
 pub mod keys;
 pub mod owned;
 pub mod partial_outputs;
 pub mod read;
+pub mod record;
 pub mod run;
 pub mod score;
 pub mod takeover;
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -6,13 +6,16 @@
 
 use tokio::sync::{Mutex, Notify};
 use wisteriapoint_batch::{
-    ItemFailures, ItemKey, Job, JobRecord, JobState, Owner, PartialOutput, Progress, RequestedWork,
-    Submission, Work,
+    BodyRange, ItemFailures, ItemKey, Job, JobState, Owner, PartialOutput, Progress, RecordHeader,
+    RequestedWork, Submission, Work,
 };
 use wisteriapoint_directory::Configuration;
+use wisteriapoint_intake::Reserved;
 use wisteriapoint_store::Index;
 use wisteriapoint_types::{EndpointName, ServiceName, SoftwareVersion, StreamOrigin};
 
+use super::body::JobBody;
+
 /// Number of batch jobs of other nodes whose workspaces are remembered; one that is forgotten costs a
 /// read.
 const MAX_KNOWN_WORKSPACES: usize = 4_096;
@@ -64,6 +67,8 @@
     pub workspace: Option<Box<str>>,
     /// Store revision at which this node became its owner.
     pub acquired_revision: Index,
+    /// Bodies of its items.
+    pub body: JobBody,
     /// State of its items and results.
     pub job: RefCell<Job>,
     /// Partial outputs of items that run or wait to resume.
@@ -82,6 +87,8 @@
     pub empty_resumes: RefCell<BTreeSet<ItemKey>>,
     /// State row as this node last wrote or read it; locked during writes.
     pub row: Mutex<StateRow>,
+    /// Memory of its items, outputs and results.
+    memory: Reserved,
     /// `true` while more items may run.
     pub is_open: Cell<bool>,
     /// Wakes readers when results are listed or the batch job is closed.
@@ -260,12 +267,20 @@
 }
 
 impl OwnedJob {
-    /// Creates the state of a batch job from its submission and its state row.
-    pub fn new(id: &str, record: &JobRecord, job: Job, row: StateRow) -> Rc<Self> {
+    /// Creates the state of a batch job from its submission and its state row; `memory` counts its items.
+    pub fn new(
+        id: &str,
+        header: &RecordHeader,
+        (body, memory): (JobBody, Reserved),
+        job: Job,
+        row: StateRow,
+    ) -> Rc<Self> {
         Rc::new(Self {
             id: id.into(),
-            host: record.host.clone(),
-            path: record.path.clone(),
+            host: header.host.clone(),
+            path: header.path.clone(),
+            body,
+            memory,
             workspace: row.state.workspace.clone(),
             acquired_revision: row.revision,
             is_open: Cell::new(row.state.open),
@@ -283,9 +298,18 @@
         })
     }
 
+    /// Counts the memory of the items, outputs and results anew.
+    pub fn count_memory(&self) {
+        let progress = self.progress.borrow();
+        let outputs = progress.values().map(|progress| progress.text.len());
+        let job = self.job.borrow();
+        self.memory.set(job.memory_bytes() + outputs.sum::<usize>());
+    }
+
     /// Stops all items, and wakes all tasks and readers of the batch job.
     pub fn close(&self) {
         self.is_open.set(false);
+        self.body.release();
         self.closed.notify_one();
         self.item_finished.notify_one();
         self.results_listed.notify_waiters();
@@ -404,10 +428,10 @@
         }
     }
 
-    /// Returns the request body of an item, or `None` if there is no such item.
-    pub fn item_body(&self, item: &str) -> Option<Vec<u8>> {
+    /// Returns the place of the body of an item, or `None` if there is no such item.
+    pub fn body_range(&self, item: &str) -> Option<BodyRange> {
         let job = self.job.borrow();
         let key = job.key_of(item)?;
-        job.item(key).map(|item| item.body.clone())
+        job.item(key).map(|item| item.body)
     }
 }
--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -5,13 +5,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::time::{sleep, timeout};
 use wisteriapoint_batch::placement::ranked_owners;
-use wisteriapoint_batch::{ItemResult, JobState, Owner, Page};
+use wisteriapoint_batch::{BodyRange, ItemResult, JobState, Owner, Page};
 use wisteriapoint_directory::{Route, RouteKind};
 use wisteriapoint_store::{Error, Freshness, TransactionalStore};
 
-use super::takeover::{read_record, read_state, read_state_as};
+use super::body::{BodyError, ReadParts, ReadRecord, read_record};
+use super::takeover::{read_state, read_state_as};
 use super::{OwnedJob, keys, takeover};
 use crate::callers::batch::MAX_PAGE_BYTES;
 use crate::dialect::Dialect;
@@ -117,19 +119,18 @@
     node: &Rc<Node<D>>,
     (host, job): (&str, &str),
     item: &str,
-) -> Lookup<Vec<u8>> {
+) -> Lookup<Bytes> {
     if let Some(owned) = node.jobs.get(job) {
-        return match owned.item_body(item) {
-            Some(body) => Lookup::Found(body),
-            None => Lookup::NotFound,
-        };
+        return own_body(node, &owned, item).await;
     }
     let query = PeerRequest::Body {
         job: job.into(),
         item: item.into(),
     };
     match query_owner(node, (host, job), &query).await {
-        Lookup::Found(OwnerResponse::Answered(PeerResponse::Body(body))) => Lookup::Found(body),
+        Lookup::Found(OwnerResponse::Answered(PeerResponse::Body(body))) => {
+            Lookup::Found(body.into())
+        }
         Lookup::Found(OwnerResponse::Answered(PeerResponse::NotFound)) => Lookup::NotFound,
         Lookup::Found(OwnerResponse::Answered(_)) => Lookup::Unavailable("the owner failed".into()),
         Lookup::Found(OwnerResponse::NoResponse(_)) => stored_body::<D>(node, job, item).await,
@@ -340,22 +341,84 @@
     Ok(results)
 }
 
-async fn stored_body<D: Dialect>(node: &Node<D>, job: &str, item: &str) -> Lookup<Vec<u8>> {
+async fn stored_body<D: Dialect>(node: &Node<D>, job: &str, item: &str) -> Lookup<Bytes> {
     const READ_TIMEOUT: Duration = Duration::from_secs(2);
-    let record = match timeout(READ_TIMEOUT, read_record(node, job)).await {
-        Ok(Ok(Some(record))) => record,
+    let account = (&node.intake.budget, node.now_ms());
+    let read = timeout(READ_TIMEOUT, read_record(node, account, job)).await;
+    let body = match read {
+        Ok(Ok(Some(ReadRecord { body, .. }))) => body,
         Ok(Ok(None)) => return Lookup::NotFound,
         Ok(Err(error)) => return Lookup::Unavailable(error.to_string().into()),
         Err(_) => return Lookup::Unavailable("the store is slow".into()),
     };
-    match D::parse_submission(&record.body) {
-        Ok(submission) => {
-            let mut items = submission.items.into_iter();
-            match items.find(|other| &*other.id == item) {
-                Some(item) => Lookup::Found(item.body),
-                None => Lookup::NotFound,
+    let decoded = D::parse_submission(&body).and_then(|submission| {
+        let mut items = submission.items.iter();
+        let item = items.find(|other| &*other.id == item);
+        item.map(|item| D::decode_body(&body[item.body.start..item.body.end]))
+            .transpose()
+    });
+    match decoded {
+        Ok(Some(decoded)) => Lookup::Found(decoded.into()),
+        Ok(None) => Lookup::NotFound,
+        Err(error) => Lookup::Unavailable(error.to_string().into()),
+    }
+}
+
+impl<D: Dialect> ReadParts for Node<D> {
+    async fn read_part(&self, job: &str, part: usize) -> Result<Option<Vec<u8>>, Error> {
+        // Fails only once the semaphore is closed, which it never is.
+        let _permit = self.intake.part_transfers.acquire().await.ok();
+        // A part never changes once the batch job is stored, but a stale read may miss a new one.
+        for freshness in [Freshness::Stale, Freshness::Linearizable] {
+            let row = self
+                .store
+                .row(&keys::record_part(job, part), freshness)
+                .await;
+            self.record_store_call("record", &row);
+            if let Some(row) = row?.0 {
+                return Ok(Some(row.value));
             }
         }
+        Ok(None)
+    }
+}
+
+/// Returns the request body of an item of a batch job that this node owns.
+pub async fn own_body<D: Dialect>(node: &Node<D>, owned: &OwnedJob, item: &str) -> Lookup<Bytes> {
+    let Some(range) = owned.body_range(item) else {
+        return Lookup::NotFound;
+    };
+    match decoded_body(node, owned, range).await {
+        Ok(body) => Lookup::Found(body.into()),
         Err(error) => Lookup::Unavailable(error.to_string().into()),
     }
 }
+
+/// Returns the body of a request of a batch job, which counts until it is dropped.
+///
+/// # Errors
+///
+/// Fails if it can't be read from the store, or if other bodies being sent take up the room.
+pub async fn body_to_send<D: Dialect>(
+    node: &Node<D>,
+    owned: &OwnedJob,
+    range: BodyRange,
+) -> Result<Bytes, BodyError> {
+    // The decoded body is no longer than its text.
+    if !node.intake.budget.can_send(range.end - range.start) {
+        return Err(BodyError::NoRoom);
+    }
+    let body = decoded_body(node, owned, range).await?;
+    Ok(node.intake.budget.keep_for_send(body.into())?)
+}
+
+async fn decoded_body<D: Dialect>(
+    node: &Node<D>,
+    owned: &OwnedJob,
+    range: BodyRange,
+) -> Result<Vec<u8>, BodyError> {
+    let account = (&node.intake.budget, node.now_ms());
+    let text = owned.body.text(node, account, &owned.id, range).await?;
+    let body = D::decode_body(&text);
+    Ok(body.map_err(|error| Error::Malformed(error.to_string().into()))?)
+}
--- a/crates/node/src/jobs/run.rs
+++ b/crates/node/src/jobs/run.rs
@@ -59,6 +59,7 @@
         let is_check_due = node.now_ms() >= checked_at_ms + CHECK_INTERVAL_MS;
         if is_check_due {
             checked_at_ms = node.now_ms();
+            owned.count_memory();
             order_items(&node, &owned);
         }
         start_items(&node, &owned, &mut attempts, &mut handles);
--- a/crates/node/src/jobs/score.rs
+++ b/crates/node/src/jobs/score.rs
@@ -10,7 +10,7 @@
 use wisteriapoint_batch::{ItemKey, Scorer};
 use wisteriapoint_directory::Route;
 
-use super::OwnedJob;
+use super::{OwnedJob, read};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::forward::{ForwardOutcome, ForwardRequest, forward, post_request};
@@ -47,7 +47,10 @@
             configuration.route(&scorer.host, path).cloned()
         });
         let outcome = match &route {
-            Some(route) => call_scorer(node, owned, scorer, route).await,
+            Some(route) => match read::body_to_send(node, owned, scorer.body).await {
+                Ok(body) => call_scorer(node, owned, (scorer, body), route).await,
+                Err(error) => ForwardOutcome::not_sent(&error.to_string()),
+            },
             None => ForwardOutcome::not_sent("no route to the scorer"),
         };
         let max_failures = route.map_or(u32::MAX, |route| route.max_attempts.max(1));
@@ -95,7 +98,7 @@
 async fn call_scorer<D: Dialect>(
     node: &Rc<Node<D>>,
     owned: &OwnedJob,
-    scorer: &Scorer,
+    (scorer, body): (&Scorer, Bytes),
     route: &Route,
 ) -> ForwardOutcome {
     let mut headers = HeaderMap::new();
@@ -116,7 +119,7 @@
         digest: None,
         workspace: owned.workspace.as_deref().map(Into::into),
         credential: None,
-        upstream_request: post_request(uri, headers, Bytes::from(scorer.body.clone())),
+        upstream_request: post_request(uri, headers, body),
         deadline_at_ms: now_ms + route.objective_ms * CALL_TIMEOUT_OBJECTIVES,
         arrived_at_ms: now_ms,
         route: &route,
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -1,22 +1,29 @@
 //! Changes of the owner of a batch job.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use rand::seq::IndexedRandom as _;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
-use wisteriapoint_batch::{Job, JobRecord, JobState, Owner, PartialOutput, Submission};
+use wisteriapoint_batch::placement::assign_by_room;
+use wisteriapoint_batch::{Job, JobState, Owner, PartialOutput, RecordHeader, Submission};
 use wisteriapoint_store::{
     CommitOutcome, Error, Freshness, Index, Transaction, TransactionalStore,
 };
 
+use super::body::{self, BodyError, JobBody, ReadRecord};
 use super::owned::{OwnedJob, StateRow};
+use super::record::RecordLayout;
 use super::{keys, partial_outputs, read, run};
 use crate::control::{members, watch};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::{Node, Stage};
-use crate::peers::{PeerRequest, call_peer};
+use crate::peers::{PeerRequest, PeerResponse, call_peer_within};
 
 /// Time without a response after which the row is read to determine whether a write took effect.
 /// Most writes to a slow store finish sooner.
@@ -27,6 +34,18 @@
 /// Pause between these attempts; a late write takes effect within some seconds.
 const ACQUIRE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time for another node to take over a batch job, which it reads from the store.
+const TAKE_OVER_TIMEOUT: Duration = Duration::from_secs(3);
+/// The same for a batch job that its owner hands over; the leader finds it if no node answers.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Maximum number of nodes to which a batch job is handed over in turn.
+const MAX_SUCCESSORS: usize = 3;
+/// Time for the answer of a node that is asked for its free memory: some network hops.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(150);
+/// Maximum number of nodes that are asked for it, so that the loss of a node costs no message to each
+/// other one of a large fleet.
+const MAX_ASKED_NODES: usize = 16;
+
 /// Interval between checks whether the node is ready.
 const READY_POLL: Duration = Duration::from_millis(20);
 /// Pause after a failed read of the state row of a batch job.
@@ -95,45 +114,13 @@
     }
 }
 
-/// Reads the submission of a batch job; returns `None` if there is none.
-///
-/// # Errors
-///
-/// Fails if the store does not answer or the submission is malformed.
-pub async fn read_record<D: Dialect>(
-    node: &Node<D>,
-    job: &str,
-) -> Result<Option<JobRecord>, Error> {
-    let rows = node
-        .store
-        .range(&keys::record_prefix(job), Freshness::Linearizable)
-        .await;
-    node.record_store_call("record", &rows);
-    let (rows, _) = rows?;
-    if rows.is_empty() {
-        return Ok(None);
-    }
-    let bytes: Vec<u8> = rows.into_iter().flat_map(|row| row.value).collect();
-    let record = postcard::from_bytes(&bytes);
-    let record = record.map_err(|error| Error::Malformed(error.to_string().into()))?;
-    Ok(Some(record))
-}
-
-/// Reads and parses the submission of a batch job.
-///
-/// # Errors
-///
-/// Fails if the store does not answer, or the submission is missing or malformed.
-async fn read_submission<D: Dialect>(
-    node: &Node<D>,
-    job: &str,
-) -> Result<(JobRecord, Submission), Error> {
-    let malformed = |reason: &str| Error::Malformed(reason.into());
-    let record = read_record(node, job).await?;
-    let record = record.ok_or_else(|| malformed("it is missing"))?;
-    let submission = D::parse_submission(&record.body);
-    let submission = submission.map_err(|error| malformed(&error.to_string()))?;
-    Ok((record, submission))
+/// Whether a node takes over a batch job that it has no free memory for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    /// It does not.
+    Required,
+    /// It does: it drops what it can read again, and then reads the bodies of items one by one.
+    Optional,
 }
 
 /// Takes over a batch job; returns `true` if this node owns it now or nothing is left to run.
@@ -143,8 +130,9 @@
     node: &Rc<Node<D>>,
     job: &str,
     outputs: Vec<PartialOutput>,
+    room: Room,
 ) -> bool {
-    match try_take_over(node, job, outputs).await {
+    match try_take_over(node, job, outputs, room).await {
         Ok(is_settled) => is_settled,
         Err(error) => {
             event!(warn, "batch job not taken over", id = job, error = error);
@@ -157,6 +145,7 @@
     node: &Rc<Node<D>>,
     job: &str,
     outputs: Vec<PartialOutput>,
+    room: Room,
 ) -> Result<bool, Box<str>> {
     if node.jobs.is_being_acquired(job) {
         return Ok(false);
@@ -172,10 +161,21 @@
     if !state.open || state.listed >= state.total || (is_own && node.jobs.get(job).is_some()) {
         return Ok(true);
     }
-    let (record, submission) = match read_submission(node, job).await {
+    let budget = &node.intake.budget;
+    let record_bytes = state.record_bytes.unwrap_or(0);
+    if room == Room::Required && record_bytes > budget.free_bytes() {
+        return Err("no free memory for it".into());
+    }
+    let record = match body::read_record(&**node, (budget, node.now_ms()), job).await {
+        Ok(Some(record)) => parse_record::<D>(record),
+        Ok(None) => Err("it is missing".into()),
+        Err(BodyError::Store(Error::Malformed(reason))) => Err(reason),
+        Err(error) => return Err(error.to_string().into()),
+    };
+    let (header, layout, body, submission) = match record {
         Ok(read) => read,
         // It stays so, and another attempt would read the same rows again.
-        Err(Error::Malformed(reason)) => {
+        Err(reason) => {
             event!(
                 error,
                 "submission malformed; batch job not taken over",
@@ -184,10 +184,12 @@
             );
             return Ok(true);
         }
-        Err(error) => return Err(error.to_string().into()),
     };
+    let memory = budget.reserve(submission.memory_bytes());
+    let memory = memory.map_err(|_| "no memory for its items")?;
+    let body = JobBody::new(layout, budget.cache(body));
     let listed = read::listed_results(node, job).await?;
-    let (max_failures, retention_ms) = read_limits(node, &record).await?;
+    let (max_failures, retention_ms) = read_limits(node, &header).await?;
     let from = state.owner.vm.clone();
     let new_state = JobState {
         owner: node.owner.clone(),
@@ -220,10 +222,12 @@
     );
     let state = new_state;
     let resumed_job = Job::new(submission, max_failures, expires_at_ms).with_listed(listed);
-    let owned = OwnedJob::new(job, &record, resumed_job, StateRow { revision, state });
+    let row = StateRow { revision, state };
+    let owned = OwnedJob::new(job, &header, (body, memory), resumed_job, row);
     owned.merge_partial_outputs(outputs);
     owned.merge_partial_outputs(partial_outputs::read_stored(node, job).await);
     owned.restore_failures(partial_outputs::read_failures(node, job).await);
+    owned.count_memory();
     if acquisition.is_ended() {
         return Ok(true);
     }
@@ -232,6 +236,20 @@
     Ok(true)
 }
 
+type ParsedRecord = (RecordHeader, RecordLayout, Bytes, Submission);
+
+fn parse_record<D: Dialect>(record: ReadRecord) -> Result<ParsedRecord, Box<str>> {
+    let ReadRecord {
+        header,
+        layout,
+        body,
+    } = record;
+    match D::parse_submission(&body) {
+        Ok(submission) => Ok((header, layout, body, submission)),
+        Err(error) => Err(error.to_string().into()),
+    }
+}
+
 /// Returns the number of failures and the time in milliseconds after which the items of a batch job
 /// may be abandoned.
 ///
@@ -240,7 +258,7 @@
 /// Fails if the configuration can't be read from the store.
 async fn read_limits<D: Dialect>(
     node: &Node<D>,
-    record: &JobRecord,
+    header: &RecordHeader,
 ) -> Result<(u32, u64), Box<str>> {
     // At least as new as the configuration under which the batch job was accepted. The one in force may
     // be older, and then lack its route or have lower limits.
@@ -248,13 +266,16 @@
         .await
         .map_err(|error| error.to_string())?;
     let configuration = node.configuration().ok_or("no configuration")?;
-    Ok(match configuration.route(&record.host, &record.path) {
+    Ok(match configuration.route(&header.host, &header.path) {
         Some(route) => (route.max_attempts, route.retention_ms),
         None => (1, 0),
     })
 }
 
-/// Takes over the open batch jobs whose owner is not live; returns `true` if none of them is left.
+/// Has the open batch jobs whose owner is not live taken over; returns the number of those that are left.
+///
+/// This node takes over all of them if it has the memory, and else those that it and the others have the
+/// memory for are spread. It also takes over what nobody has free memory for.
 ///
 /// # Errors
 ///
@@ -262,8 +283,83 @@
 pub async fn take_over_ownerless_jobs<D: Dialect>(
     node: &Rc<Node<D>>,
     live: &BTreeSet<Owner>,
-) -> Result<bool, Error> {
-    take_over_matching(node, |owner| !live.contains(owner)).await
+) -> Result<usize, Error> {
+    let jobs = read_matching(node, Freshness::Linearizable, |owner| !live.contains(owner)).await?;
+    let sizes_bytes: Vec<_> = jobs.iter().map(|job| job.record_bytes).collect();
+    let own_free_bytes = node.intake.budget.free_bytes();
+    let mut rooms = vec![(node.owner.address, own_free_bytes)];
+    if sizes_bytes.iter().sum::<usize>() > own_free_bytes {
+        rooms.extend(ask_rooms(node, live).await);
+        event!(
+            info,
+            "batch jobs without an owner exceed the free memory; spreading them",
+            jobs = jobs.len(),
+            bytes = sizes_bytes.iter().sum::<usize>(),
+            free_bytes = format!("{rooms:?}")
+        );
+    }
+    let assigned = assign_by_room(&sizes_bytes, &rooms);
+    let mut jobs_of: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for (job, assigned) in jobs.into_iter().zip(assigned) {
+        let taker = assigned.unwrap_or(node.owner.address);
+        jobs_of.entry(taker).or_default().push(job.id);
+    }
+    let mut takers = JoinSet::new();
+    for (taker, jobs) in jobs_of {
+        takers.spawn_local(assign(node.clone(), taker, jobs));
+    }
+    let mut left = 0;
+    while let Some(taken) = takers.join_next().await {
+        // The batch jobs of a task that panics are found again.
+        left += taken.unwrap_or(1);
+    }
+    Ok(left)
+}
+
+/// Has batch jobs taken over by a node one after the other; returns the number of those that are left.
+async fn assign<D: Dialect>(node: Rc<Node<D>>, taker: SocketAddr, jobs: Vec<Box<str>>) -> usize {
+    let mut left = 0;
+    for job in jobs {
+        let is_taken = match taker == node.owner.address {
+            true => take_over(&node, &job, Vec::new(), Room::Optional).await,
+            false => {
+                let request = PeerRequest::TakeOver {
+                    job,
+                    parts: Vec::new(),
+                };
+                let response = call_peer_within(&node, taker, &request, TAKE_OVER_TIMEOUT).await;
+                matches!(response, Some(PeerResponse::Done))
+            }
+        };
+        left += usize::from(!is_taken);
+    }
+    left
+}
+
+/// Returns the free memory of other nodes that answer, in bytes.
+async fn ask_rooms<D: Dialect>(
+    node: &Rc<Node<D>>,
+    live: &BTreeSet<Owner>,
+) -> Vec<(SocketAddr, usize)> {
+    let others = live.iter().filter(|owner| **owner != node.owner);
+    let others: Vec<_> = others.map(|owner| owner.address).collect();
+    let mut asked = JoinSet::new();
+    for address in others.sample(&mut rand::rng(), MAX_ASKED_NODES).copied() {
+        let node = node.clone();
+        asked.spawn_local(async move {
+            let request = PeerRequest::FreeMemory;
+            let response = call_peer_within(&node, address, &request, ROOM_TIMEOUT).await;
+            match response {
+                Some(PeerResponse::FreeMemory { bytes }) => Some((address, bytes)),
+                _ => None,
+            }
+        });
+    }
+    let mut rooms = Vec::new();
+    while let Some(answer) = asked.join_next().await {
+        rooms.extend(answer.ok().flatten());
+    }
+    rooms
 }
 
 /// Takes over the open batch jobs of previous runs of the node on this VM, once this node is ready.
@@ -309,17 +405,23 @@
 ) -> Result<bool, Error> {
     let mut is_none_left = true;
     for job in read_matching(node, Freshness::Linearizable, is_absent_owner).await? {
-        is_none_left &= take_over(node, &job, Vec::new()).await;
+        is_none_left &= take_over(node, &job.id, Vec::new(), Room::Optional).await;
     }
     Ok(is_none_left)
 }
 
-/// Returns the ids of the open batch jobs whose owner is absent.
+/// An open batch job according to its state row.
+struct OpenJob {
+    id: Box<str>,
+    record_bytes: usize,
+}
+
+/// Returns the open batch jobs whose owner is absent, the smallest first.
 async fn read_matching<D: Dialect>(
     node: &Node<D>,
     freshness: Freshness,
     is_absent_owner: impl Fn(&Owner) -> bool,
-) -> Result<Vec<Box<str>>, Error> {
+) -> Result<Vec<OpenJob>, Error> {
     let rows = node.store.range(keys::STATE_PREFIX, freshness).await;
     node.record_store_call("states", &rows);
     let mut jobs = Vec::new();
@@ -337,10 +439,14 @@
         let is_ownerless =
             state.open && state.listed < state.total && is_absent_owner(&state.owner);
         match keys::job_of_state(&row.key) {
-            Some(job) if is_ownerless => jobs.push(job.into()),
+            Some(id) if is_ownerless => jobs.push(OpenJob {
+                id: id.into(),
+                record_bytes: state.record_bytes.unwrap_or(0),
+            }),
             _ => {}
         }
     }
+    jobs.sort_by_key(|job| job.record_bytes);
     Ok(jobs)
 }
 
@@ -358,7 +464,7 @@
     for _ in 0..MAX_ACQUIRE_ATTEMPTS {
         match read_state(node, job).await {
             Ok(Some((_, state))) if state.owner == node.owner => {
-                if take_over(node, job, Vec::new()).await {
+                if take_over(node, job, Vec::new(), Room::Optional).await {
                     return;
                 }
             }
@@ -417,20 +523,22 @@
         .iter()
         .filter(|member| **member != node.owner)
         .collect();
-    for (index, owned) in open.iter().enumerate() {
-        let start = rand::random_range(0..others.len().max(1));
-        let Some(successor) = others.get((start + index) % others.len().max(1)) else {
-            continue;
-        };
-        // The row stays locked during the handover, so that no commit of this node conflicts with
-        // the write of the new owner.
-        let _row = owned.row.lock().await;
-        partial_outputs::store_failures(node, owned).await;
-        let query = PeerRequest::TakeOver {
-            job: owned.id.clone(),
-            parts: owned.partial_outputs(),
-        };
-        let response = call_peer(node, successor.address, &query).await;
+    for owned in &open {
+        hand_over_job(node, owned, &others).await;
+    }
+}
+
+async fn hand_over_job<D: Dialect>(node: &Rc<Node<D>>, owned: &OwnedJob, others: &[&Owner]) {
+    // The row stays locked during the handover, so that no commit of this node conflicts with the write
+    // of the new owner.
+    let _row = owned.row.lock().await;
+    partial_outputs::store_failures(node, owned).await;
+    let request = PeerRequest::TakeOver {
+        job: owned.id.clone(),
+        parts: owned.partial_outputs(),
+    };
+    for successor in others.sample(&mut rand::rng(), MAX_SUCCESSORS) {
+        let response = call_peer_within(node, successor.address, &request, HAND_OVER_TIMEOUT).await;
         event!(
             info,
             "batch job handed over",
@@ -438,8 +546,12 @@
             to = successor.vm,
             response = format!("{response:?}")
         );
-        node.jobs.remove(&owned.id);
-        node.jobs
-            .set_cached_owner(&owned.id, Some((*successor).clone()));
+        // A node without an answer may have taken it over.
+        if !matches!(response, Some(PeerResponse::Failed)) {
+            node.jobs
+                .set_cached_owner(&owned.id, Some((*successor).clone()));
+            break;
+        }
     }
+    node.jobs.remove(&owned.id);
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -154,6 +154,8 @@
         /// Id of the batch job.
         job: Box<str>,
     },
+    /// Asks how much memory the node has free for batch jobs.
+    FreeMemory,
 }
 
 /// The response to a [`PeerRequest`].
@@ -213,6 +215,11 @@
         /// The workspace.
         workspace: Option<Box<str>>,
     },
+    /// Memory that the node has free for batch jobs.
+    FreeMemory {
+        /// Size in bytes; 0 if it takes none.
+        bytes: usize,
+    },
 }
 
 type PendingRequest = (PeerRequest, oneshot::Sender<Answer<PeerResponse>>);
@@ -298,9 +305,10 @@
             }
         },
         PeerRequest::Body { job, item } => match node.jobs.get(&job) {
-            Some(owned) => match owned.item_body(&item) {
-                Some(body) => PeerResponse::Body(body),
-                None => PeerResponse::NotFound,
+            Some(owned) => match read::own_body(node, &owned, &item).await {
+                Lookup::Found(body) => PeerResponse::Body(body.into()),
+                Lookup::NotFound => PeerResponse::NotFound,
+                Lookup::Unavailable(_) => PeerResponse::Failed,
             },
             None => PeerResponse::NotOwner,
         },
@@ -391,9 +399,17 @@
         },
         // Handled before, as it also needs the connection of the request.
         PeerRequest::Connect { .. } => PeerResponse::Failed,
-        PeerRequest::TakeOver { job, parts } => match jobs::take_over(node, &job, parts).await {
-            true => PeerResponse::Done,
-            false => PeerResponse::Failed,
+        PeerRequest::TakeOver { job, parts } => {
+            match jobs::take_over(node, &job, parts, jobs::takeover::Room::Required).await {
+                true => PeerResponse::Done,
+                false => PeerResponse::Failed,
+            }
+        }
+        PeerRequest::FreeMemory => PeerResponse::FreeMemory {
+            bytes: match node.stage.get() {
+                Stage::Serving => node.intake.budget.free_bytes(),
+                Stage::Starting | Stage::Stopping => 0,
+            },
         },
     }
 }
