Store submissions part by part

Cause: between the account, which counted the body once, and the socket of the store the submission was copied as a whole at each step: record, encoded record, parts, two clones for a relayed call, base64 and JSON. A submission of more than 22 MB also had more rows than a transaction takes, and could not be accepted at all.

Change: a submission larger than one row is stored part by part, each part in a transaction that is void once the state row exists; the state row comes last, with the first part. A call is copied for a relay only if the direct one failed.

--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -5,10 +5,13 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use tokio::sync::SemaphorePermit;
 use tokio::time::sleep;
 use wisteriapoint_batch::{Job, JobState, RecordHeader, Submission};
 use wisteriapoint_directory::{Route, RouteKind};
-use wisteriapoint_store::{CommitOutcome, Index, Transaction};
+use wisteriapoint_store::{
+    Backoff, CommitOutcome, Error as StoreError, Index, Transaction, TransactionalStore,
+};
 
 use super::body::JobBody;
 use super::owned::{OwnedJob, StateRow};
@@ -35,6 +38,10 @@
 const MAX_STATE_READS: u32 = 3;
 /// Pause between these reads.
 const STATE_READ_PAUSE: Duration = Duration::from_millis(150);
+/// Maximum number of writes of one part of a submission.
+const MAX_PART_WRITES: u32 = 4;
+/// Size up to which a record is stored without a permit, as its copies are small.
+const MAX_SMALL_RECORD_BYTES: usize = 128 << 10;
 
 /// Outcome of a submission.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -164,13 +171,24 @@
         workspace: workspace.map(Into::into),
         record_bytes: Some(layout.record_bytes()),
     };
-    let transaction = match submission_transaction(id, (encoded_header, layout, &body), &state) {
-        Ok(transaction) => transaction,
-        Err(error) => return SubmitOutcome::NotStored(error),
-    };
     let items = submission.items.len();
-    let committed = takeover::commit_state(node, id, &transaction, &state).await;
-    node.record_store_call("accept", &committed);
+    let committed = match store_later_parts(node, id, layout, &body).await {
+        Ok(CommitOutcome::Done(_)) => {
+            let mut first_part = encoded_header;
+            first_part.extend_from_slice(&body[layout.body_of_part(0)]);
+            let transaction = match submission_transaction(id, first_part, &state) {
+                Ok(transaction) => transaction,
+                Err(error) => return SubmitOutcome::NotStored(error),
+            };
+            let _permit = part_permit(node, layout).await;
+            let committed = takeover::commit_state(node, id, &transaction, &state).await;
+            node.record_store_call("accept", &committed);
+            committed
+        }
+        // Parts without a state row are no batch job.
+        Err(error) => return SubmitOutcome::NotStored(error.to_string().into()),
+        conflict => conflict,
+    };
     let revision = match committed {
         Ok(CommitOutcome::Done(revision)) => revision,
         Ok(CommitOutcome::Conflict | CommitOutcome::LeaseEnded) => {
@@ -214,18 +232,72 @@
     SubmitOutcome::Stored
 }
 
+/// Stores the parts of a submission after the first, one after the other: a transaction takes several times
+/// its size in memory, and has at most 32 rows.
+///
+/// Their writes are void once the state row exists, so that no late one changes a batch job that is stored.
+/// Until then another copy of the submission writes the same parts.
+async fn store_later_parts<D: Dialect>(
+    node: &Rc<Node<D>>,
+    id: &str,
+    layout: RecordLayout,
+    body: &[u8],
+) -> Result<CommitOutcome, StoreError> {
+    for part in 1..layout.parts() {
+        let data = body[layout.body_of_part(part)].to_vec();
+        let transaction = Transaction::new()
+            .with_expected(keys::state(id), Index(0))
+            .with_put(keys::record_part(id, part), data);
+        match store_part(node, layout, &transaction).await? {
+            CommitOutcome::Done(_) => {}
+            outcome => return Ok(outcome),
+        }
+    }
+    Ok(CommitOutcome::Done(Index(0)))
+}
+
+/// Commits a write of a part, which may be repeated.
+async fn store_part<D: Dialect>(
+    node: &Rc<Node<D>>,
+    layout: RecordLayout,
+    transaction: &Transaction,
+) -> Result<CommitOutcome, StoreError> {
+    let mut backoff = Backoff::new();
+    let mut attempts = 0;
+    loop {
+        let permit = part_permit(node, layout).await;
+        let committed = node.store.commit(transaction).await;
+        drop(permit);
+        node.record_store_call("accept-part", &committed);
+        attempts += 1;
+        match committed {
+            Err(_) if attempts < MAX_PART_WRITES => sleep(backoff.next_pause()).await,
+            committed => return committed,
+        }
+    }
+}
+
+/// Returns a permit for a call to the store with a part, or `None` for a small record.
+async fn part_permit<D: Dialect>(
+    node: &Node<D>,
+    layout: RecordLayout,
+) -> Option<SemaphorePermit<'_>> {
+    match layout.record_bytes() <= MAX_SMALL_RECORD_BYTES {
+        true => None,
+        // Fails only once the semaphore is closed, which it never is.
+        false => node.intake.part_transfers.acquire().await.ok(),
+    }
+}
+
 fn submission_transaction(
     id: &str,
-    (header, layout, body): (Vec<u8>, RecordLayout, &[u8]),
+    first_part: Vec<u8>,
     state: &JobState,
 ) -> Result<Transaction, Box<str>> {
     let state = serde_json::to_vec(state).map_err(|error| error.to_string())?;
-    let mut transaction = Transaction::new().with_expected(keys::state(id), Index(0));
-    let mut data = header;
-    for part in 0..layout.parts() {
-        data.extend_from_slice(&body[layout.body_of_part(part)]);
-        transaction = transaction.with_put(keys::record_part(id, part), std::mem::take(&mut data));
-    }
+    let transaction = Transaction::new()
+        .with_expected(keys::state(id), Index(0))
+        .with_put(keys::record_part(id, 0), first_part);
     Ok(transaction.with_put(keys::state(id), state))
 }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -119,7 +119,7 @@
     ///
     /// Fails as the call itself does.
     pub async fn execute_for_peer(&self, call: StoreCall) -> Result<StoreResponse, Error> {
-        execute(&self.direct, call).await
+        execute(&self.direct, &call).await
     }
 
     async fn call(&self, call: StoreCall) -> Result<StoreResponse, Error> {
@@ -128,7 +128,7 @@
         {
             return response;
         }
-        let direct_error = match self.call_directly(call.clone()).await {
+        let direct_error = match self.call_directly(&call).await {
             Err(error) if !error.is_healthy_response() => error,
             response => return response,
         };
@@ -149,7 +149,7 @@
     ///
     /// The connection of the watch may have failed as well and would deliver nothing for seconds,
     /// while other calls succeed through a peer.
-    async fn call_directly(&self, call: StoreCall) -> Result<StoreResponse, Error> {
+    async fn call_directly(&self, call: &StoreCall) -> Result<StoreResponse, Error> {
         let is_watch = matches!(call, StoreCall::Watch(..));
         tokio::select! {
             response = execute(&self.direct, call) => response,
@@ -261,32 +261,35 @@
 
 async fn execute<S: TransactionalStore>(
     store: &S,
-    call: StoreCall,
+    call: &StoreCall,
 ) -> Result<StoreResponse, Error> {
     match call {
         StoreCall::Row(key, freshness) => {
-            let (row, revision) = store.row(&key, freshness).await?;
+            let (row, revision) = store.row(key, *freshness).await?;
             Ok(StoreResponse::Row(row, revision))
         }
         StoreCall::Range(prefix, freshness) => {
-            let (rows, revision) = store.range(&prefix, freshness).await?;
+            let (rows, revision) = store.range(prefix, *freshness).await?;
             Ok(StoreResponse::Rows(rows, revision))
         }
         StoreCall::Watch(prefix, after, wait_ms) => {
-            let wait = Duration::from_millis(wait_ms);
-            let (changes, revision) = store.watch(&prefix, after, wait).await?;
+            let wait = Duration::from_millis(*wait_ms);
+            let (changes, revision) = store.watch(prefix, *after, wait).await?;
             Ok(StoreResponse::Changes(changes, revision))
         }
         StoreCall::Commit(transaction) => {
-            let committed = store.commit(&transaction).await?;
+            let committed = store.commit(transaction).await?;
             Ok(StoreResponse::Committed(committed))
         }
         StoreCall::Grant(ttl_ms) => {
-            let lease = store.grant_lease(Duration::from_millis(ttl_ms)).await?;
+            let lease = store.grant_lease(Duration::from_millis(*ttl_ms)).await?;
             Ok(StoreResponse::Lease(lease))
         }
-        StoreCall::Renew(lease) => store.renew_lease(lease).await.map(|()| StoreResponse::Done),
-        StoreCall::End(lease) => store.end_lease(lease).await.map(|()| StoreResponse::Done),
+        StoreCall::Renew(lease) => store
+            .renew_lease(*lease)
+            .await
+            .map(|()| StoreResponse::Done),
+        StoreCall::End(lease) => store.end_lease(*lease).await.map(|()| StoreResponse::Done),
     }
 }
 
--- a/crates/wisteriapoint/tests/excess/process.rs
+++ b/crates/wisteriapoint/tests/excess/process.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use serde_json::json;
@@ -75,6 +76,11 @@
                         "timeout-ms": 60_000, "target-latency-ms": 500, "service": "engines",
                         "max-attempts": 3,
                     },
+                    {
+                        "name": "batch", "host": HOST, "prefix": "/batch/", "kind": "rollout",
+                        "timeout-ms": 10_000, "target-latency-ms": 500, "service": "engines",
+                        "max-attempts": 3, "due-ms": 7_500, "retention-s": 120.0,
+                    },
                 ],
                 "services": [
                     { "name": "plain", "max-conns": 100 },
@@ -86,7 +92,9 @@
             }),
         );
         let [.., high, low] = (std::process::id() % 50_000 + 256).to_be_bytes();
-        let ip = Ipv4Addr::new(127, high, low, 230);
+        static NEXT_NODE: AtomicU8 = AtomicU8::new(230);
+        let node = NEXT_NODE.fetch_add(1, Ordering::Relaxed);
+        let ip = Ipv4Addr::new(127, high, low, node);
         let settings = json!({
             "vm": "edge-0", "failure_domain": "dk-east-a",
             "callers": { "requests": format!("{ip}:7001"), "ready": format!("{ip}:7002") },
@@ -170,14 +178,53 @@
         stream
     }
 
+    /// Submits a batch job whose items have bodies of the given size; returns the status of the answer.
+    pub(crate) async fn submit(&self, id: &str, items: usize, body_bytes: usize) -> Option<u16> {
+        let entries: Vec<_> = (0..items)
+            .map(|item| {
+                json!({
+                    "id": format!("{id}-{item}"), "path": "/batch/text",
+                    "headers": { "Model": "m", "Test-Events": "1" },
+                    "body": "YWFh".repeat(body_bytes / 3), "tokens": 100,
+                })
+            })
+            .collect();
+        let body = json!({ "step": 1, "model": "m", "min-version": 1, "entries": entries });
+        let body = body.to_string();
+        let head = format!(
+            "POST /batch/{id} HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: {id}\r\n\
+             content-length: {}\r\n\r\n",
+            body.len()
+        );
+        self.exchange(head, body.into_bytes()).await
+    }
+
+    /// Returns the number of listed results of a batch job.
+    pub(crate) async fn listed_results(&self, id: &str) -> usize {
+        let url = format!("http://{}/lots/{id}?after=0", self.address);
+        let request = reqwest::Client::builder().no_proxy().build().unwrap();
+        let request = request.get(url).header("host", HOST);
+        let Ok(response) = request.header("wait-ms", "100").send().await else {
+            return 0;
+        };
+        let page = response.bytes().await.unwrap_or_default();
+        let page: serde_json::Value = serde_json::from_slice(&page).unwrap_or_default();
+        page["next"].as_u64().unwrap_or(0) as usize
+    }
+
     /// Sends a request with a body of the given size; returns the status of its answer.
     async fn status_of(&self, body_bytes: usize) -> Option<u16> {
+        let head = request_head("ordinary", &format!("content-length: {body_bytes}"));
+        self.exchange(head, vec![b'a'; body_bytes]).await
+    }
+
+    /// Sends a request on a connection of its own; returns the status of its answer.
+    async fn exchange(&self, head: String, body: Vec<u8>) -> Option<u16> {
         let exchange = async {
             let mut stream = TcpStream::connect(self.address).await.ok()?;
-            let head = request_head("ordinary", &format!("content-length: {body_bytes}"));
             stream.write_all(head.as_bytes()).await.ok()?;
             // Fails if the node answers before it has read the body.
-            let _sent = stream.write_all(&vec![b'a'; body_bytes]).await;
+            let _sent = stream.write_all(&body).await;
             let mut line = [0; 12];
             stream.read_exact(&mut line).await.ok()?;
             std::str::from_utf8(&line[9..]).ok()?.parse().ok()
