Give back batch jobs that have ended

Cause: nothing removed a batch job, its results or the cached owners of others.

Change: an owner forgets a batch job bounds.status_s after it has ended or all results are listed; reads then come from the store. At most 4,096 owners of others are cached.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod precedence;
 pub mod record;
 pub mod relocation;
+pub mod retention;
 pub mod work;
 
 pub use commit::CommitBatch;
@@ -33,4 +34,5 @@
 pub use job::{Job, Page};
 pub use precedence::Precedence;
 pub use record::{JobRecord, JobState, Owner, RecordHeader};
+pub use retention::Retention;
 pub use work::{RequestedWork, Work};
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
-use wisteriapoint_batch::Owner;
+use wisteriapoint_batch::{Owner, Retention};
 use wisteriapoint_store::{
     Backoff, CommitOutcome, Error, Freshness, Index, LeaseId, Transaction, TransactionalStore,
 };
@@ -41,6 +41,8 @@
 /// without a change of the members: it had no row, or its write of a batch job took effect after its end. The
 /// read may be seconds old, and an item must not wait for an endpoint longer than some seconds.
 const OWNERS_CHECK_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Number of batch jobs whose rows are removed at each of these searches.
+const MAX_REMOVED_JOBS: usize = 8;
 
 /// Claims leadership whenever there is no leader, and leads until it is lost.
 pub async fn run_election<D: Dialect>(node: Rc<Node<D>>) {
@@ -348,8 +350,9 @@
 async fn watch_members<D: Dialect>(node: &Rc<Node<D>>) {
     let mut backoff = Backoff::new();
     let mut previous = BTreeSet::new();
+    let mut retention = Retention::new(node.settings.bounds.ended_retention_ms());
     loop {
-        match check_members(node, &mut previous).await {
+        match check_members(node, &mut previous, &mut retention).await {
             Ok(()) => backoff = Backoff::new(),
             Err(error) => {
                 event!(
@@ -363,9 +366,33 @@
     }
 }
 
+/// Returns the number of open batch jobs whose owner is not live, according to a read that may be seconds
+/// old, and removes some of those that are no longer needed.
+async fn check_jobs<D: Dialect>(
+    node: &Rc<Node<D>>,
+    live: &BTreeSet<Owner>,
+    retention: &mut Retention,
+) -> Result<usize, Error> {
+    let jobs = jobs::takeover::read_states(node, Freshness::Stale).await?;
+    let revisions: Vec<_> = jobs
+        .iter()
+        .map(|(id, revision, state)| (id.clone(), revision.0, state.clone()))
+        .collect();
+    let expired = retention.expired(node.now_ms(), &revisions);
+    for &index in expired.iter().take(MAX_REMOVED_JOBS) {
+        jobs::end::remove_job(node, &jobs[index]).await?;
+    }
+    let is_absent = |owner: &Owner| !live.contains(owner);
+    let ownerless = jobs
+        .iter()
+        .filter(|(_, _, state)| jobs::takeover::is_ownerless(state, is_absent));
+    Ok(ownerless.count())
+}
+
 async fn check_members<D: Dialect>(
     node: &Rc<Node<D>>,
     previous: &mut BTreeSet<Owner>,
+    retention: &mut Retention,
 ) -> Result<(), Error> {
     let (members, revision) = members::members_with_revision(node, Freshness::Linearizable).await?;
     members::set_peers(node, &members);
@@ -398,7 +425,7 @@
             continue;
         }
         owners_due = Instant::now() + OWNERS_CHECK_INTERVAL;
-        let ownerless = jobs::count_ownerless_jobs(node, previous).await?;
+        let ownerless = check_jobs(node, previous, retention).await?;
         if ownerless > 0 {
             event!(
                 info,
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -37,6 +37,7 @@
     spawn_local(lease::maintain_lease(node.clone()));
     spawn_local(leader::run_election(node.clone()));
     spawn_local(jobs::end::watch_ends(node.clone()));
+    spawn_local(jobs::end::forget_ended(node.clone()));
     spawn_local(jobs::take_over_previous_run(node.clone()));
     spawn_local(streams::check_rows(node.clone()));
 }
--- a/crates/node/src/jobs/end.rs
+++ b/crates/node/src/jobs/end.rs
@@ -6,7 +6,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use wisteriapoint_batch::JobState;
-use wisteriapoint_store::{Backoff, Change, CommitOutcome, Transaction, TransactionalStore};
+use wisteriapoint_store::{
+    Backoff, Change, CommitOutcome, Error, Index, Transaction, TransactionalStore,
+};
 
 use super::read::{Lookup, OwnerResponse, query_owner};
 use super::takeover::read_state;
@@ -24,6 +26,8 @@
 /// Longest wait of a watch of ends. Its connection may deliver nothing any more; the time limit of the call
 /// and a read of all rows follow, before an item of an ended batch job may no longer start.
 const ENDS_WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Interval between searches for ended batch jobs in memory.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause between these attempts.
 const END_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Maximum number of rows that one transaction of the store removes.
@@ -112,6 +116,70 @@
     Lookup::Unavailable("the store does not answer".into())
 }
 
+/// Forgets the batch jobs of this node that were ended or done long enough ago; their results are read from
+/// the store until its rows are removed.
+pub async fn forget_ended<D: Dialect>(node: Rc<Node<D>>) {
+    let retention_ms = node.settings.bounds.ended_retention_ms();
+    loop {
+        sleep(FORGET_INTERVAL).await;
+        let now_ms = node.now_ms();
+        for owned in node.jobs.all() {
+            let is_done = !owned.is_open.get() || owned.job.borrow().is_all_listed();
+            let since_ms = match owned.done_at_ms.get() {
+                Some(since_ms) => since_ms,
+                None if is_done => {
+                    owned.done_at_ms.set(Some(now_ms));
+                    now_ms
+                }
+                None => continue,
+            };
+            if now_ms >= since_ms.saturating_add(retention_ms) {
+                event!(debug, "ended batch job forgotten", id = owned.id);
+                node.jobs.remove(&owned.id);
+            }
+        }
+    }
+}
+
+/// Removes the rows of a batch job whose state row has a revision.
+///
+/// # Errors
+///
+/// Fails if the store does not answer.
+pub async fn remove_job<D: Dialect>(
+    node: &Node<D>,
+    (job, revision, state): &(Box<str>, Index, JobState),
+) -> Result<(), Error> {
+    let parts = match state.record_bytes {
+        Some(record_bytes) => record_bytes.div_ceil(keys::MAX_PART_BYTES),
+        // A row of an earlier build, which stored all parts in one transaction.
+        None => MAX_REMOVED_ROWS,
+    };
+    let parts = (0..parts).map(|part| keys::record_part(job, part));
+    let results = (1..=state.commits).map(|commit| keys::results_of_commit(job, commit));
+    let others = [
+        keys::partial_outputs(job),
+        keys::failures(job),
+        keys::end(state.owner.run, job),
+        // Last, so that the other rows are found again until they are removed.
+        keys::state(job),
+    ];
+    let rows: Vec<Box<str>> = parts.chain(results).chain(others).map(Into::into).collect();
+    for rows in rows.chunks(MAX_REMOVED_ROWS - 1) {
+        let transaction = Transaction {
+            removes: rows.to_vec(),
+            ..Transaction::new().with_expected(keys::state(job), *revision)
+        };
+        let committed = node.store.commit(&transaction).await;
+        node.record_store_call("remove", &committed);
+        if let CommitOutcome::Conflict | CommitOutcome::LeaseEnded = committed? {
+            return Ok(());
+        }
+    }
+    event!(info, "rows of an ended batch job removed", id = job);
+    Ok(())
+}
+
 /// Watches for batch jobs of this node that other nodes have ended, while any is open.
 pub async fn watch_ends<D: Dialect>(node: Rc<Node<D>>) {
     let prefix = keys::ends_prefix(node.owner.run);
--- a/crates/node/src/jobs/mod.rs
+++ b/crates/node/src/jobs/mod.rs
@@ -20,6 +20,5 @@
 pub use owned::{Jobs, OwnedJob};
 pub use read::Lookup;
 pub use takeover::{
-    count_ownerless_jobs, hand_over, take_over, take_over_ownerless_jobs, take_over_previous_run,
-    verify_ownership,
+    hand_over, take_over, take_over_ownerless_jobs, take_over_previous_run, verify_ownership,
 };
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -16,9 +16,9 @@
 
 use super::body::JobBody;
 
-/// Number of batch jobs of other nodes whose workspaces are remembered; one that is forgotten costs a
-/// read.
-const MAX_KNOWN_WORKSPACES: usize = 4_096;
+/// Number of batch jobs of other nodes whose owners and workspaces are remembered; one that is forgotten
+/// costs a read.
+const MAX_KNOWN_JOBS: usize = 4_096;
 
 /// All batch jobs that this node owns, and a cache of the owners of others.
 #[derive(Debug, Default)]
@@ -89,6 +89,8 @@
     pub row: Mutex<StateRow>,
     /// Memory of its items, outputs and results.
     memory: Reserved,
+    /// Time at which this node noticed that it is ended or done, in milliseconds.
+    pub done_at_ms: Cell<Option<u64>>,
     /// `true` while more items may run.
     pub is_open: Cell<bool>,
     /// Wakes readers when results are listed or the batch job is closed.
@@ -204,6 +206,9 @@
         match owner {
             Some(owner) => {
                 cached_owners.insert(id.into(), owner);
+                if cached_owners.len() > MAX_KNOWN_JOBS {
+                    cached_owners.pop_first();
+                }
             }
             None => {
                 cached_owners.remove(id);
@@ -254,7 +259,7 @@
     pub fn record_workspace(&self, id: &str, workspace: Option<Box<str>>) {
         let mut workspaces = self.workspaces.borrow_mut();
         workspaces.insert(id.into(), workspace);
-        if workspaces.len() > MAX_KNOWN_WORKSPACES {
+        if workspaces.len() > MAX_KNOWN_JOBS {
             workspaces.pop_first();
         }
     }
@@ -283,6 +288,7 @@
             memory,
             workspace: row.state.workspace.clone(),
             acquired_revision: row.revision,
+            done_at_ms: Cell::new(None),
             is_open: Cell::new(row.state.open),
             job: RefCell::new(job),
             progress: RefCell::default(),
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -284,7 +284,7 @@
     node: &Rc<Node<D>>,
     live: &BTreeSet<Owner>,
 ) -> Result<usize, Error> {
-    let jobs = read_matching(node, Freshness::Linearizable, |owner| !live.contains(owner)).await?;
+    let jobs = read_ownerless(node, |owner| !live.contains(owner)).await?;
     let sizes_bytes: Vec<_> = jobs.iter().map(|job| job.record_bytes).collect();
     let own_free_bytes = node.intake.budget.free_bytes();
     let mut rooms = vec![(node.owner.address, own_free_bytes)];
@@ -384,19 +384,39 @@
     }
 }
 
-/// Returns the number of open batch jobs whose owner is not live, according to a read that may be seconds
-/// old.
+/// Reads the states of all batch jobs, with the id of each and the revision of its row.
 ///
 /// # Errors
 ///
 /// Fails if the store does not answer.
-pub async fn count_ownerless_jobs<D: Dialect>(
+pub async fn read_states<D: Dialect>(
     node: &Node<D>,
-    live: &BTreeSet<Owner>,
-) -> Result<usize, Error> {
-    let is_absent_owner = |owner: &Owner| !live.contains(owner);
-    let jobs = read_matching(node, Freshness::Stale, is_absent_owner).await?;
-    Ok(jobs.len())
+    freshness: Freshness,
+) -> Result<Vec<(Box<str>, Index, JobState)>, Error> {
+    let rows = node.store.range(keys::STATE_PREFIX, freshness).await;
+    node.record_store_call("states", &rows);
+    let mut jobs = Vec::new();
+    for row in rows?.0 {
+        match serde_json::from_slice(&row.value) {
+            Ok(state) => {
+                let id = keys::job_of_state(&row.key);
+                jobs.extend(id.map(|id| (id.into(), row.revision, state)));
+            }
+            Err(_) if !node.malformed_rows.is_new(&row) => {}
+            Err(error) => event!(
+                error,
+                "batch job state malformed; skipping the batch job",
+                key = row.key,
+                error = error
+            ),
+        }
+    }
+    Ok(jobs)
+}
+
+/// Returns `true` if items of a batch job may run and its owner is absent.
+pub fn is_ownerless(state: &JobState, is_absent_owner: impl Fn(&Owner) -> bool) -> bool {
+    state.open && state.listed < state.total && is_absent_owner(&state.owner)
 }
 
 async fn take_over_matching<D: Dialect>(
@@ -404,7 +424,7 @@
     is_absent_owner: impl Fn(&Owner) -> bool,
 ) -> Result<bool, Error> {
     let mut is_none_left = true;
-    for job in read_matching(node, Freshness::Linearizable, is_absent_owner).await? {
+    for job in read_ownerless(node, is_absent_owner).await? {
         is_none_left &= take_over(node, &job.id, Vec::new(), Room::Optional).await;
     }
     Ok(is_none_left)
@@ -417,35 +437,20 @@
 }
 
 /// Returns the open batch jobs whose owner is absent, the smallest first.
-async fn read_matching<D: Dialect>(
+async fn read_ownerless<D: Dialect>(
     node: &Node<D>,
-    freshness: Freshness,
     is_absent_owner: impl Fn(&Owner) -> bool,
 ) -> Result<Vec<OpenJob>, Error> {
-    let rows = node.store.range(keys::STATE_PREFIX, freshness).await;
-    node.record_store_call("states", &rows);
-    let mut jobs = Vec::new();
-    for row in rows?.0 {
-        let Ok(state) = serde_json::from_slice::<JobState>(&row.value) else {
-            if node.malformed_rows.is_new(&row) {
-                event!(
-                    error,
-                    "batch job state malformed; skipping the batch job",
-                    key = row.key
-                );
-            }
-            continue;
-        };
-        let is_ownerless =
-            state.open && state.listed < state.total && is_absent_owner(&state.owner);
-        match keys::job_of_state(&row.key) {
-            Some(id) if is_ownerless => jobs.push(OpenJob {
-                id: id.into(),
-                record_bytes: state.record_bytes.unwrap_or(0),
-            }),
-            _ => {}
-        }
-    }
+    let states = read_states(node, Freshness::Linearizable).await?;
+    let ownerless = states
+        .into_iter()
+        .filter(|(_, _, state)| is_ownerless(state, &is_absent_owner));
+    let mut jobs: Vec<_> = ownerless
+        .map(|(id, _, state)| OpenJob {
+            id,
+            record_bytes: state.record_bytes.unwrap_or(0),
+        })
+        .collect();
     jobs.sort_by_key(|job| job.record_bytes);
     Ok(jobs)
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -87,6 +87,8 @@
     /// Time after which a key that the configuration no longer has must have no effect, in
     /// milliseconds; without it, a node goes on with the keys that it knows.
     pub revoke_ms: Option<u64>,
+    /// Time for which a batch job may be read after its end, in seconds; without it, for good.
+    pub status_s: Option<u64>,
 }
 
 fn default_drain_ms() -> u64 {
@@ -98,6 +100,11 @@
 }
 
 impl Bounds {
+    /// Returns the time for which a batch job may be read after its end, in milliseconds.
+    pub fn ended_retention_ms(&self) -> u64 {
+        self.status_s.map_or(u64::MAX, |status_s| status_s * 1_000)
+    }
+
     /// Returns the greatest age of the knowledge that the configuration in force is the newest one, in
     /// milliseconds.
     pub fn max_configuration_age_ms(&self) -> u64 {
