Accept only final answers of HTTP from endpoints

Here 000 is refused by the HTTP library, but 101 and 600 to 999 were forwarded, and with Not-Executed they became a promise that the request had not run: one that must not run twice was sent up to 5 times.

Cause: only the library checked the status of a response, and it takes any number up to 999 for one.

Change: a response whose status is not from 200 to 599 is no answer; the request may have run, and the connection is closed. In both bodies of the product.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -35,7 +35,8 @@
             StatusCode::SERVICE_UNAVAILABLE if has_draining_header(&response) => {
                 Err(draining_failure(target))
             }
-            status if status.is_informational() => Err(invalid_response(status)),
+            // Not a final answer of HTTP.
+            status if !(200..600).contains(&status.as_u16()) => Err(invalid_response(status)),
             StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => {
                 Err(invalid_response(response.status()))
             }
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -169,6 +169,7 @@
     };
     connection.end_head();
     let (parts, body) = response.into_parts();
+    check_status(parts.status)?;
     let head = D::parse_response_head(parts.status, &parts.headers);
     check_id(&head, parts.status, outbound, &connection)?;
     if let Err(mut failure) = check_response(&head, parts.status) {
@@ -205,7 +206,7 @@
 ///
 /// # Errors
 ///
-/// Same as [`send`], except that of the response only the id is checked. Also fails if `may_send`
+/// Same as [`send`], except that of the response only the status and the id are checked. Also fails if `may_send`
 /// returns `false`; the request has not run then.
 pub async fn exchange<D: Dialect>(
     pool: &Pool,
@@ -235,6 +236,7 @@
     let response = response.map_err(SendFailure::no_response)?;
     connection.end_head();
     let status = response.status();
+    check_status(status)?;
     let head = D::parse_response_head(status, response.headers());
     check_id(&head, status, outbound, &connection)?;
     let body = read_to_end(response.into_body(), connection.buffer(MAX_EXCHANGE_BYTES)).await?;
@@ -319,6 +321,16 @@
     Err(SendFailure::new(Verdict::MayHaveRun, reason))
 }
 
+/// Checks that a response is a final answer of HTTP. Whatever else it states can't be relied on.
+fn check_status(status: StatusCode) -> Result<(), SendFailure> {
+    match status.as_u16() {
+        200..=599 => Ok(()),
+        number => Err(SendFailure::ambiguous(format_args!(
+            "status {number} is no final answer"
+        ))),
+    }
+}
+
 fn check_response(head: &ResponseHead, status: StatusCode) -> Result<(), SendFailure> {
     match head {
         _ if head.is_misdirected => Err(SendFailure::new(
--- a/crates/wisteriapoint/tests/verdicts.rs
+++ b/crates/wisteriapoint/tests/verdicts.rs
@@ -171,6 +171,28 @@
     join_all(checks).await;
 }
 
+/// Guards against a status that is no final answer of HTTP, such as 000, that a caller gets as an answer or
+/// that is recorded for a retry.
+#[tokio::test]
+async fn a_status_that_is_no_final_answer_is_never_forwarded() {
+    let cases: [(&str, Script); 6] = [
+        ("000", |request| odd_status(request, "000 Trouble")),
+        ("001", |request| odd_status(request, "001 Trouble")),
+        ("101", |request| odd_status(request, "101 Trouble")),
+        ("600", |request| odd_status(request, "600 Trouble")),
+        ("999", |request| odd_status(request, "999 Trouble")),
+        ("1000", |request| odd_status(request, "1000 Trouble")),
+    ];
+    let checks = cases.map(|(name, script)| async move {
+        assert_dispatched_once(name, script, &["a", "a"]).await;
+    });
+    join_all(checks).await;
+}
+
+fn odd_status(request: &ReceivedRequest, status: &str) -> Reply {
+    Reply::KeepAlive(request.response(status, "wrong"))
+}
+
 /// Sends a hold for each key to endpoints with faulty responses; an empty key sends no key.
 async fn assert_dispatched_once(name: &str, script: Script, keys: &[&str]) {
     // With a second endpoint available, only the verdict prevents a repeated dispatch.
