Bound the memory of the items of a batch job by the node's account

What callers could see: a batch job of many small items, within max-body-bytes, that ends the process while it is parsed.

Cause: items take many times their text in memory, and all were parsed before anything was counted.

Change: items are parsed one by one, up to the share of the account that they may take; beyond it the batch job is refused as not run, with a delay, and an ownerless one waits for a node with more memory. A node that has small records to take over needs no free memory for them, a leader stops asking a node that does not answer, and rows that could not be removed are tried again after another retention.

--- a/crates/batch/src/retention.rs
+++ b/crates/batch/src/retention.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Begins the age of a batch job anew, whose rows could not be removed.
+    pub fn postpone(&mut self, id: &str) {
+        self.known.remove(id);
+    }
+
     /// Returns those of all stored batch jobs that are no longer needed, by their index in `jobs`.
     ///
     /// Each job comes with the revision of its state row. An age begins anew when its row changes.
--- a/crates/batch/tests/retention.rs
+++ b/crates/batch/tests/retention.rs
@@ -38,6 +38,8 @@
     assert_eq!(retention.expired(RETENTION_MS, &jobs), [1]);
     assert_eq!(retention.expired(2 * RETENTION_MS - 1, &jobs), [1]);
     assert_eq!(retention.expired(2 * RETENTION_MS, &jobs), [1, 2]);
+    retention.postpone("ended");
+    assert_eq!(retention.expired(2 * RETENTION_MS, &jobs), [2]);
 }
 
 /// Guards against the rows of batch jobs that nobody ends.
--- a/crates/intake/src/account.rs
+++ b/crates/intake/src/account.rs
@@ -104,14 +104,18 @@
     ///
     /// Within it they may exceed the total, and bodies are refused until they no longer do.
     pub(crate) fn reserve(&mut self, more_bytes: usize) -> bool {
-        let share_bytes = self.limits.total_bytes / RESERVED_SHARE;
-        let has_room = self.reserved_bytes + more_bytes <= share_bytes;
+        let has_room = self.reserved_bytes + more_bytes <= self.max_reserved_bytes();
         if has_room {
             self.reserved_bytes += more_bytes;
         }
         has_room
     }
 
+    /// Returns the most bytes that their holders may count when more are reserved.
+    pub(crate) fn max_reserved_bytes(&self) -> usize {
+        self.limits.total_bytes / RESERVED_SHARE
+    }
+
     /// Adds data to the cache and returns its number.
     pub(crate) fn cache(&mut self, data: Bytes) -> u64 {
         let id = self.next_id;
--- a/crates/intake/src/budget.rs
+++ b/crates/intake/src/budget.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Returns the most bytes that their holders may count when more are reserved.
+    pub fn max_reserved_bytes(&self) -> usize {
+        self.account().max_reserved_bytes()
+    }
+
     /// Returns the bytes of everything that is held.
     pub fn held_bytes(&self) -> usize {
         self.account().held_bytes()
--- a/crates/node/src/callers/batch.rs
+++ b/crates/node/src/callers/batch.rs
@@ -7,7 +7,8 @@
 use wisteriapoint_directory::Route;
 
 use super::response::{
-    CallerResponse, body_response, stopping_response, store_unavailable, text_response,
+    CallerResponse, account_full_response, body_response, stopping_response, store_unavailable,
+    text_response,
 };
 use crate::dialect::Dialect;
 use crate::event;
@@ -29,8 +30,13 @@
     if node.stage.get() == Stage::Stopping && !node.jobs.has_owner(id) {
         return stopping_response::<D>();
     }
-    let submission = match D::parse_submission(&body) {
+    let max_items_bytes = node.intake.budget.max_reserved_bytes();
+    let submission = match D::parse_submission(&body, max_items_bytes) {
         Ok(submission) => submission,
+        Err(error) if error.is_too_large() => {
+            node.record_refusal(id, "account-full");
+            return account_full_response::<D>();
+        }
         Err(error) => {
             event!(
                 info,
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -380,7 +380,9 @@
         .collect();
     let expired = retention.expired(node.now_ms(), &revisions);
     for &index in expired.iter().take(MAX_REMOVED_JOBS) {
-        jobs::end::remove_job(node, &jobs[index]).await?;
+        if !jobs::end::remove_job(node, &jobs[index]).await {
+            retention.postpone(&jobs[index].0);
+        }
     }
     let is_absent = |owner: &Owner| !live.contains(owner);
     let ownerless = jobs
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -81,8 +81,9 @@
     ///
     /// # Errors
     ///
-    /// Fails if it is malformed; the error says where.
-    fn parse_submission(body: &[u8]) -> Result<Submission, Error>;
+    /// Fails if it is malformed; the error says where. Also fails if its items take more than
+    /// `max_items_bytes` in memory.
+    fn parse_submission(body: &[u8], max_items_bytes: usize) -> Result<Submission, Error>;
 
     /// Decodes a body from its text in a submission.
     ///
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -18,9 +18,22 @@
     Metrics(prometheus::Error),
     #[error("{context}: {reason}")]
     Malformed { context: Box<str>, reason: Box<str> },
+    #[error("{context}: over {max_bytes} bytes in memory")]
+    TooLarge { context: Box<str>, max_bytes: usize },
 }
 
 impl Error {
+    /// Creates an error for input that takes more memory than a node allows; `context` names the input.
+    pub fn too_large(context: impl Into<Box<str>>, max_bytes: usize) -> Self {
+        let context = context.into();
+        Self(Kind::TooLarge { context, max_bytes })
+    }
+
+    /// Returns `true` if input takes more memory than a node allows; another node may have it.
+    pub fn is_too_large(&self) -> bool {
+        matches!(self.0, Kind::TooLarge { .. })
+    }
+
     /// Creates an error for input that can't be parsed; `context` names the input.
     pub fn malformed(context: impl Into<Box<str>>, reason: impl ToString) -> Self {
         let reason = reason.to_string().into();
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -15,7 +15,7 @@
 
 use super::body::JobBody;
 use super::owned::{OwnedJob, StateRow};
-use super::record::{self, RecordLayout};
+use super::record::{self, RecordLayout, SMALL_RECORD_BYTES};
 use super::{keys, read, run, takeover};
 use crate::dialect::Dialect;
 use crate::event;
@@ -40,8 +40,6 @@
 const STATE_READ_PAUSE: Duration = Duration::from_millis(150);
 /// Maximum number of writes of one part of a submission.
 const MAX_PART_WRITES: u32 = 4;
-/// Size up to which a record is stored without a permit, as its copies are small.
-const MAX_SMALL_RECORD_BYTES: usize = 128 << 10;
 
 /// Outcome of a submission.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -121,7 +119,7 @@
     let Ok(body) = node.intake.budget.keep(body) else {
         return not_stored("no memory for its body");
     };
-    match D::parse_submission(&body) {
+    match D::parse_submission(&body, node.intake.budget.max_reserved_bytes()) {
         Ok(submission) => submit(node, route, id, (host, path), workspace, body, submission).await,
         Err(error) => not_stored(&error.to_string()),
     }
@@ -282,7 +280,7 @@
     node: &Node<D>,
     layout: RecordLayout,
 ) -> Option<SemaphorePermit<'_>> {
-    match layout.record_bytes() <= MAX_SMALL_RECORD_BYTES {
+    match layout.record_bytes() <= SMALL_RECORD_BYTES {
         true => None,
         // Fails only once the semaphore is closed, which it never is.
         false => node.intake.part_transfers.acquire().await.ok(),
--- a/crates/node/src/jobs/end.rs
+++ b/crates/node/src/jobs/end.rs
@@ -6,9 +6,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use wisteriapoint_batch::JobState;
-use wisteriapoint_store::{
-    Backoff, Change, CommitOutcome, Error, Index, Transaction, TransactionalStore,
-};
+use wisteriapoint_store::{Backoff, Change, CommitOutcome, Index, Transaction, TransactionalStore};
 
 use super::read::{Lookup, OwnerResponse, query_owner};
 use super::takeover::read_state;
@@ -141,15 +139,11 @@
     }
 }
 
-/// Removes the rows of a batch job whose state row has a revision.
-///
-/// # Errors
-///
-/// Fails if the store does not answer.
+/// Removes the rows of a batch job whose state row has a revision; returns `true` if all are removed.
 pub async fn remove_job<D: Dialect>(
     node: &Node<D>,
     (job, revision, state): &(Box<str>, Index, JobState),
-) -> Result<(), Error> {
+) -> bool {
     let parts = match state.record_bytes {
         Some(record_bytes) => record_bytes.div_ceil(keys::MAX_PART_BYTES),
         // A row of an earlier build, which stored all parts in one transaction.
@@ -172,12 +166,18 @@
         };
         let committed = node.store.commit(&transaction).await;
         node.record_store_call("remove", &committed);
-        if let CommitOutcome::Conflict | CommitOutcome::LeaseEnded = committed? {
-            return Ok(());
+        if !matches!(committed, Ok(CommitOutcome::Done(_))) {
+            event!(
+                info,
+                "rows of an ended batch job not removed",
+                id = job,
+                result = format!("{committed:?}")
+            );
+            return false;
         }
     }
     event!(info, "rows of an ended batch job removed", id = job);
-    Ok(())
+    true
 }
 
 /// Watches for batch jobs of this node that other nodes have ended, while any is open.
--- a/crates/node/src/jobs/read.rs
+++ b/crates/node/src/jobs/read.rs
@@ -351,7 +351,8 @@
         Ok(Err(error)) => return Lookup::Unavailable(error.to_string().into()),
         Err(_) => return Lookup::Unavailable("the store is slow".into()),
     };
-    let decoded = D::parse_submission(&body).and_then(|submission| {
+    let max_items_bytes = node.intake.budget.max_reserved_bytes();
+    let decoded = D::parse_submission(&body, max_items_bytes).and_then(|submission| {
         let mut items = submission.items.iter();
         let item = items.find(|other| &*other.id == item);
         item.map(|item| D::decode_body(&body[item.body.start..item.body.end]))
--- a/crates/node/src/jobs/record.rs
+++ b/crates/node/src/jobs/record.rs
@@ -7,6 +7,9 @@
 
 use super::keys::MAX_PART_BYTES;
 
+/// Size up to which a record counts as small: its copies, and a few of them, need no room of their own.
+pub const SMALL_RECORD_BYTES: usize = 128 << 10;
+
 /// Sizes of the header and the body of a stored submission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RecordLayout {
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -5,19 +5,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use rand::seq::IndexedRandom as _;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use wisteriapoint_batch::placement::assign_by_room;
-use wisteriapoint_batch::{Job, JobState, Owner, PartialOutput, RecordHeader, Submission};
+use wisteriapoint_batch::{Job, JobState, Owner, PartialOutput, RecordHeader};
 use wisteriapoint_store::{
     CommitOutcome, Error, Freshness, Index, Transaction, TransactionalStore,
 };
 
 use super::body::{self, BodyError, JobBody, ReadRecord};
 use super::owned::{OwnedJob, StateRow};
-use super::record::RecordLayout;
+use super::record::SMALL_RECORD_BYTES;
 use super::{keys, partial_outputs, read, run};
 use crate::control::{members, watch};
 use crate::dialect::Dialect;
@@ -163,27 +162,35 @@
     }
     let budget = &node.intake.budget;
     let record_bytes = state.record_bytes.unwrap_or(0);
-    if room == Room::Required && record_bytes > budget.free_bytes() {
+    let has_room = record_bytes <= SMALL_RECORD_BYTES.max(budget.free_bytes());
+    if room == Room::Required && !has_room {
         return Err("no free memory for it".into());
     }
+    // It stays so, and another attempt would read the same rows again.
+    let give_up = |reason: &dyn std::fmt::Display| {
+        event!(
+            error,
+            "submission malformed; batch job not taken over",
+            id = job,
+            reason = reason
+        );
+        Ok(true)
+    };
     let record = match body::read_record(&**node, (budget, node.now_ms()), job).await {
-        Ok(Some(record)) => parse_record::<D>(record),
-        Ok(None) => Err("it is missing".into()),
-        Err(BodyError::Store(Error::Malformed(reason))) => Err(reason),
+        Ok(Some(record)) => record,
+        Ok(None) => return give_up(&"it is missing"),
+        Err(BodyError::Store(Error::Malformed(reason))) => return give_up(&reason),
         Err(error) => return Err(error.to_string().into()),
     };
-    let (header, layout, body, submission) = match record {
-        Ok(read) => read,
-        // It stays so, and another attempt would read the same rows again.
-        Err(reason) => {
-            event!(
-                error,
-                "submission malformed; batch job not taken over",
-                id = job,
-                reason = reason
-            );
-            return Ok(true);
-        }
+    let ReadRecord {
+        header,
+        layout,
+        body,
+    } = record;
+    let submission = match D::parse_submission(&body, budget.max_reserved_bytes()) {
+        Ok(submission) => submission,
+        Err(error) if error.is_too_large() => return Err(error.to_string().into()),
+        Err(error) => return give_up(&error),
     };
     let memory = budget.reserve(submission.memory_bytes());
     let memory = memory.map_err(|_| "no memory for its items")?;
@@ -236,20 +243,6 @@
     Ok(true)
 }
 
-type ParsedRecord = (RecordHeader, RecordLayout, Bytes, Submission);
-
-fn parse_record<D: Dialect>(record: ReadRecord) -> Result<ParsedRecord, Box<str>> {
-    let ReadRecord {
-        header,
-        layout,
-        body,
-    } = record;
-    match D::parse_submission(&body) {
-        Ok(submission) => Ok((header, layout, body, submission)),
-        Err(error) => Err(error.to_string().into()),
-    }
-}
-
 /// Returns the number of failures and the time in milliseconds after which the items of a batch job
 /// may be abandoned.
 ///
@@ -319,7 +312,9 @@
 /// Has batch jobs taken over by a node one after the other; returns the number of those that are left.
 async fn assign<D: Dialect>(node: Rc<Node<D>>, taker: SocketAddr, jobs: Vec<Box<str>>) -> usize {
     let mut left = 0;
-    for job in jobs {
+    let count = jobs.len();
+    for (number, job) in jobs.into_iter().enumerate() {
+        let rest = count - number;
         let is_taken = match taker == node.owner.address {
             true => take_over(&node, &job, Vec::new(), Room::Optional).await,
             false => {
@@ -327,8 +322,11 @@
                     job,
                     parts: Vec::new(),
                 };
-                let response = call_peer_within(&node, taker, &request, TAKE_OVER_TIMEOUT).await;
-                matches!(response, Some(PeerResponse::Done))
+                match call_peer_within(&node, taker, &request, TAKE_OVER_TIMEOUT).await {
+                    Some(response) => matches!(response, PeerResponse::Done),
+                    // It may be gone as well, and each further one would wait as long.
+                    None => return left + rest,
+                }
             }
         };
         left += usize::from(!is_taken);
--- a/crates/wisteriapoint/tests/intake_jobs.rs
+++ b/crates/wisteriapoint/tests/intake_jobs.rs
@@ -52,6 +52,16 @@
     }
 }
 
+/// Guards against a batch job of many small items, each of which takes many times its text in memory.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_batch_job_of_more_items_than_the_memory_holds_is_refused() {
+    let node = NodeProcess::start(MEMORY_MB, MAX_DESCRIPTORS, MAX_BODY_BYTES).await;
+    assert_eq!(node.submit("many", 250_000, 0).await, Some(503));
+    assert_within_memory(&node);
+    assert_eq!(node.submit("few", 100, 0).await, Some(202));
+    wait_for_results(&node, "few", 100).await;
+}
+
 /// Guards against batch jobs of which each is small enough, and all that arrive together are not.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn batch_jobs_that_arrive_together_are_accepted_within_the_memory() {
