Order incarnations of an endpoint by the store and not by their clocks

Cause: a row with an earlier start counted as that of an earlier incarnation and was ignored, for as long as the row of that name stayed.

Change: each record is known as of a revision of the store, that of its row, of the read or of the leader's answer. Of two incarnations the one as of the later revision is newer; the start decides only without a revision. A silent run counts as crashed when any other incarnation is registered.

--- a/crates/directory/src/endpoint.rs
+++ b/crates/directory/src/endpoint.rs
@@ -80,6 +80,8 @@
 pub struct Endpoint {
     /// Latest record, with the highest weight versions recorded in this incarnation.
     pub record: EndpointRecord,
+    /// Revision of the store as of which the record holds, as far as it is known.
+    pub(crate) revision: u64,
     /// Number of requests from this process that it has not completed.
     pub in_flight: u32,
     /// Mean time per event of a generated text, in milliseconds; 0 until the first measurement.
@@ -104,6 +106,7 @@
     pub fn new(record: EndpointRecord) -> Self {
         Self {
             record,
+            revision: 0,
             in_flight: 0,
             ms_per_event: 0.0,
             measured_at_ms: None,
--- a/crates/directory/src/registry.rs
+++ b/crates/directory/src/registry.rs
@@ -1,5 +1,6 @@
 //! The registered endpoints and the selection of one for a request.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use wisteriapoint_types::{EndpointName, FailureDomain, ServiceName, StreamOrigin, WeightVersion};
@@ -83,22 +84,44 @@
     ///
     /// Within one incarnation a draining endpoint stays draining, also if only its responses said so,
     /// its weight versions never decrease, and records with different software versions make its
-    /// version unknown. A record of an earlier incarnation is ignored.
-    pub fn apply_record(&mut self, name: &EndpointName, mut record: EndpointRecord) -> bool {
+    /// version unknown.
+    ///
+    /// `revision` is that of the store as of which the record holds, or 0 if it is not known. Of two
+    /// incarnations the one as of the later revision is newer: the clock of the endpoint's machine may have
+    /// been set back between two starts. Only without that the later start decides. A record of the earlier
+    /// incarnation is ignored.
+    pub fn apply_record(
+        &mut self,
+        name: &EndpointName,
+        mut record: EndpointRecord,
+        revision: u64,
+    ) -> bool {
         if self.is_leaving(name, record.born_unix_ms) {
             record.stage = EndpointStage::Draining;
         }
         let Some(current) = self.endpoints.get_mut(name) else {
-            let endpoint = self.new_endpoint(name, record);
+            let mut endpoint = self.new_endpoint(name, record);
+            endpoint.revision = revision;
             self.absent.remove(name);
             self.endpoints.insert(name.clone(), endpoint);
             return true;
         };
         let born_unix_ms = current.record.born_unix_ms;
+        let known_revision = current.revision;
         match record.born_unix_ms {
-            born if born < born_unix_ms => return false,
-            born if born > born_unix_ms => *current = Endpoint::new(record),
+            born if born != born_unix_ms => {
+                let is_newer = match revision.cmp(&known_revision) {
+                    Ordering::Greater => true,
+                    Ordering::Less if revision > 0 => false,
+                    Ordering::Less | Ordering::Equal => born > born_unix_ms,
+                };
+                if !is_newer {
+                    return false;
+                }
+                *current = Endpoint::new(record);
+            }
             _ if current.record == record => {
+                current.revision = revision.max(known_revision);
                 self.absent.remove(name);
                 return false;
             }
@@ -114,6 +137,7 @@
                 current.raise_versions(&previous.models);
             }
         }
+        current.revision = revision.max(known_revision);
         self.absent.remove(name);
         true
     }
@@ -194,12 +218,14 @@
         }
     }
 
-    /// Applies a complete read of the rows: endpoints that it lacks are handled as removed rows.
+    /// Applies a complete read of the rows at a revision, 0 if it is not known: endpoints that it lacks are
+    /// handled as removed rows.
     pub fn replace(
         &mut self,
         now_ms: u64,
         records: Vec<(EndpointName, EndpointRecord)>,
         outage_end_ms: Option<u64>,
+        revision: u64,
     ) {
         let present: BTreeSet<_> = records.iter().map(|(name, _)| name).collect();
         let names = self.endpoints.keys();
@@ -211,7 +237,7 @@
             self.handle_row_removal(now_ms, &name, outage_end_ms);
         }
         for (name, record) in records {
-            self.apply_record(&name, record);
+            self.apply_record(&name, record, revision);
         }
     }
 
--- a/crates/directory/tests/overload.rs
+++ b/crates/directory/tests/overload.rs
@@ -53,7 +53,7 @@
     let mut servers: BTreeMap<EndpointName, Server> = BTreeMap::new();
     for number in 0..3 {
         let name = EndpointName::new(format!("shop-{number}"));
-        registry.apply_record(&name, record());
+        registry.apply_record(&name, record(), 0);
         servers.insert(name, Server::default());
     }
     let requirements = Requirements {
--- a/crates/directory/tests/rate_limit.rs
+++ b/crates/directory/tests/rate_limit.rs
@@ -176,7 +176,7 @@
 fn registry(count: usize) -> Registry {
     let mut registry = Registry::new();
     for number in 1..=count {
-        registry.apply_record(&EndpointName::new(format!("shop-{number}")), record(1));
+        registry.apply_record(&EndpointName::new(format!("shop-{number}")), record(1), 0);
     }
     registry
 }
@@ -265,6 +265,6 @@
     assert_eq!(choose(&registry, 0, Priority::Caller), Some(endpoint()));
     let limited = registry.get_mut(&endpoint()).unwrap();
     limited.record_limit(stated);
-    registry.apply_record(&endpoint(), record(2));
+    registry.apply_record(&endpoint(), record(2), 0);
     assert_eq!(registry.get(&endpoint()).unwrap().limit(), None);
 }
--- a/crates/directory/tests/registry.rs
+++ b/crates/directory/tests/registry.rs
@@ -32,7 +32,7 @@
 fn registry(count: u32) -> Registry {
     let mut registry = Registry::new();
     for number in 1..=count {
-        registry.apply_record(&name(number), record(1));
+        registry.apply_record(&name(number), record(1), 0);
     }
     registry
 }
@@ -128,14 +128,14 @@
 #[test]
 fn a_draining_endpoint_is_used_again_only_after_a_restart() {
     let mut registry = registry(1);
-    assert!(registry.apply_record(&name(1), draining(1)));
-    registry.apply_record(&name(1), record(1));
+    assert!(registry.apply_record(&name(1), draining(1), 0));
+    registry.apply_record(&name(1), record(1), 0);
     assert_eq!(choose(&registry, 0, &[]), None);
     assert!(
-        !registry.apply_record(&name(1), record(0)),
+        !registry.apply_record(&name(1), record(0), 0),
         "a record of an earlier incarnation"
     );
-    assert!(registry.apply_record(&name(1), record(2)));
+    assert!(registry.apply_record(&name(1), record(2), 0));
     assert_eq!(choose(&registry, 0, &[]), Some(name(1)));
 }
 
@@ -161,7 +161,7 @@
     assert!(registry.expire(60_000).is_empty());
     registry.handle_row_removal(60_000, &name(1), Some(60_000));
     registry.handle_row_removal(60_000, &name(2), Some(60_000));
-    registry.apply_record(&name(1), record(1));
+    registry.apply_record(&name(1), record(1), 0);
     assert!(registry.expire(62_000).is_empty());
     assert_eq!(registry.expire(62_300), vec![name(2)]);
     assert!(registry.get(&name(1)).is_some());
@@ -170,7 +170,7 @@
 #[test]
 fn a_read_of_all_rows_removes_absent_endpoints() {
     let mut registry = registry(3);
-    registry.replace(0, vec![(name(2), record(1))], None);
+    registry.replace(0, vec![(name(2), record(1))], None, 0);
     let left: Vec<_> = registry.iter().map(|(name, _)| name.clone()).collect();
     assert_eq!(left, vec![name(2)]);
 }
@@ -179,7 +179,7 @@
 fn a_removed_endpoint_is_not_used_again_because_of_a_stale_row() {
     let mut registry = registry(1);
     registry.handle_row_removal(10_000, &name(1), None);
-    registry.replace(11_000, vec![(name(1), record(1))], None);
+    registry.replace(11_000, vec![(name(1), record(1))], None, 0);
     assert_eq!(choose(&registry, 11_000, &[]), None);
     assert_eq!(choose(&registry, 15_900, &[]), None);
     assert_eq!(
@@ -188,7 +188,7 @@
         "a row that is still there is not stale"
     );
     registry.handle_row_removal(20_000, &name(1), None);
-    registry.apply_record(&name(1), record(2));
+    registry.apply_record(&name(1), record(2), 0);
     assert_eq!(
         choose(&registry, 20_001, &[]),
         Some(name(1)),
@@ -216,9 +216,28 @@
         slots: 3,
         ..record(1)
     };
-    registry.apply_record(&name(1), stale);
+    registry.apply_record(&name(1), stale, 0);
     let version = |registry: &Registry| registry.get(&name(1)).unwrap().version_of("m");
     assert_eq!(version(&registry), Some(WeightVersion(5)));
-    registry.apply_record(&name(1), record(2));
+    registry.apply_record(&name(1), record(2), 0);
     assert_eq!(version(&registry), Some(WeightVersion(3)));
 }
+
+/// Guards against an endpoint that started again with an earlier time, after its machine's clock had been set
+/// back, and of which nothing is heard any more, not even that it drains.
+#[test]
+fn a_record_with_an_earlier_start_holds_if_its_row_is_newer() {
+    let mut registry = Registry::new();
+    registry.apply_record(&name(1), record(10), 50);
+    assert!(!registry.apply_record(&name(1), draining(7), 49));
+    assert!(!registry.apply_record(&name(1), draining(7), 50));
+    assert_eq!(choose(&registry, 0, &[]), Some(name(1)));
+    // An unchanged record holds as of a later revision, too.
+    assert!(!registry.apply_record(&name(1), record(10), 60));
+    assert!(!registry.apply_record(&name(1), draining(7), 55));
+    assert!(registry.apply_record(&name(1), record(7), 61));
+    assert!(registry.apply_record(&name(1), draining(7), 62));
+    assert_eq!(choose(&registry, 0, &[]), None);
+    // A stale record of the incarnation before it, which a leader with an older view sends.
+    assert!(!registry.apply_record(&name(1), record(10), 60));
+}
--- a/crates/directory/tests/streams.rs
+++ b/crates/directory/tests/streams.rs
@@ -35,7 +35,7 @@
 fn registry(software: &[&str]) -> Registry {
     let mut registry = Registry::new();
     for (number, software) in software.iter().enumerate() {
-        registry.apply_record(&name(number), record(software, 1));
+        registry.apply_record(&name(number), record(software, 1), 0);
     }
     registry
 }
@@ -94,13 +94,13 @@
 #[test]
 fn an_endpoint_whose_version_changes_without_a_restart_goes_on_with_no_stream() {
     let mut registry = registry(&["old"]);
-    registry.apply_record(&name(0), record("new", 1));
+    registry.apply_record(&name(0), record("new", 1), 0);
     assert_eq!(choose(&registry, 0, &begun_by("old")), None);
     assert_eq!(choose(&registry, 0, &begun_by("new")), None);
     assert_eq!(choose(&registry, 0, &StreamOrigin::None), Some(name(0)));
-    registry.apply_record(&name(0), record("new", 1));
+    registry.apply_record(&name(0), record("new", 1), 0);
     assert_eq!(choose(&registry, 0, &begun_by("new")), None);
-    registry.apply_record(&name(0), record("new", 2));
+    registry.apply_record(&name(0), record("new", 2), 0);
     assert_eq!(choose(&registry, 0, &begun_by("new")), Some(name(0)));
     assert_eq!(choose(&registry, 0, &begun_by("old")), None);
 }
@@ -116,7 +116,7 @@
     assert_eq!(choose(&registry, 6_999, &begun_by("old")), None);
     assert_eq!(choose(&registry, 7_000, &begun_by("old")), Some(name(0)));
     registry.get_mut(&name(0)).unwrap().record_down(8_000);
-    registry.apply_record(&name(0), record("old", 2));
+    registry.apply_record(&name(0), record("old", 2), 0);
     assert_eq!(choose(&registry, 8_100, &begun_by("old")), Some(name(0)));
 }
 
--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -274,7 +274,9 @@
     node.feed.reset(revision);
     let now_ms = node.now_ms();
     let outage_end_ms = node.store_health.outage_end_ms(now_ms);
-    directory.registry.replace(now_ms, records, outage_end_ms);
+    directory
+        .registry
+        .replace(now_ms, records, outage_end_ms, revision.0);
     directory.spot_endpoints = spot_endpoints;
     directory.endpoints_loaded = true;
 }
@@ -312,7 +314,7 @@
             Ok(record) => {
                 let is_spot = D::is_spot_row(&row.value);
                 node.directory.borrow_mut().set_spot(&name, is_spot);
-                update_endpoint(node, &name, record, "store");
+                update_endpoint(node, &name, record, ("store", row.revision));
             }
             Err(error) => {
                 event!(
@@ -333,20 +335,32 @@
 
 /// Applies a record to the registry if this node uses the endpoint.
 ///
-/// `source` is written to the log.
+/// `source` is written to the log, and `revision` is that of the store as of which the record holds.
 pub fn update_endpoint<D: Dialect>(
     node: &Node<D>,
     name: &EndpointName,
     record: EndpointRecord,
-    source: &str,
+    (source, revision): (&str, Index),
 ) {
     let mut directory = node.directory.borrow_mut();
     if !node.uses(&directory.sizes, &record.service, name) {
         return;
     }
-    let stage = record.stage;
-    let before = directory.registry.get(name).map(|entry| entry.record.stage);
-    let is_changed = directory.registry.apply_record(name, record);
+    let (stage, born_unix_ms) = (record.stage, record.born_unix_ms);
+    let current = directory.registry.get(name).map(|entry| &entry.record);
+    let before = current.map(|record| record.stage);
+    let is_set_back = current.is_some_and(|record| born_unix_ms < record.born_unix_ms);
+    let is_changed = directory.registry.apply_record(name, record, revision.0);
+    if is_set_back {
+        event!(
+            info,
+            "endpoint record with an earlier start",
+            endpoint = name,
+            born_unix_ms = born_unix_ms,
+            revision = revision.0,
+            is_applied = is_changed
+        );
+    }
     // Other changes are of weight versions, of which there may be hundreds a second.
     match is_changed && before != Some(stage) {
         true => event!(
--- a/crates/node/src/control/feed.rs
+++ b/crates/node/src/control/feed.rs
@@ -407,7 +407,8 @@
 
 fn apply_response<D: Dialect>(node: &Rc<Node<D>>, response: FeedResponse) {
     node.directory.borrow_mut().sizes = response.sizes;
-    apply_endpoints(node, response.is_all, response.endpoints);
+    let revision = response.position.revision.unwrap_or_default();
+    apply_endpoints(node, response.is_all, response.endpoints, revision);
     let now_ms = node.now_ms();
     let mut directory = node.directory.borrow_mut();
     for (name, ms_per_event) in response.speeds {
@@ -421,16 +422,17 @@
     node: &Rc<Node<D>>,
     is_all: bool,
     endpoints: Vec<(EndpointName, Option<EndpointRecord>)>,
+    revision: Index,
 ) {
     if endpoints.is_empty() && !is_all {
         return;
     }
     match is_all {
-        true => replace_endpoints(node, endpoints),
+        true => replace_endpoints(node, endpoints, revision),
         false => {
             for (name, record) in endpoints {
                 match record {
-                    Some(record) => update_endpoint(node, &name, record, "leader"),
+                    Some(record) => update_endpoint(node, &name, record, ("leader", revision)),
                     None => remove_endpoint(node, &name, None, "leader"),
                 }
             }
@@ -443,6 +445,7 @@
 fn replace_endpoints<D: Dialect>(
     node: &Node<D>,
     endpoints: Vec<(EndpointName, Option<EndpointRecord>)>,
+    revision: Index,
 ) {
     let now_ms = node.now_ms();
     let records = endpoints.into_iter();
@@ -455,6 +458,8 @@
         count = records.len()
     );
     let mut directory = node.directory.borrow_mut();
-    directory.registry.replace(now_ms, records, None);
+    directory
+        .registry
+        .replace(now_ms, records, None, revision.0);
     directory.endpoints_loaded = true;
 }
--- a/crates/route/src/silence.rs
+++ b/crates/route/src/silence.rs
@@ -138,7 +138,7 @@
         for (endpoint, runs) in &mut self.runs {
             let born_unix_ms = born_unix_ms(endpoint);
             let has_crashed = |(_, run): &mut (u64, SilentRun)| {
-                born_unix_ms.is_none_or(|born_unix_ms| run.born_unix_ms < born_unix_ms)
+                born_unix_ms.is_none_or(|born_unix_ms| run.born_unix_ms != born_unix_ms)
             };
             let ended: Vec<_> = runs.extract_if(.., has_crashed).collect();
             let Some((_, first)) = ended.first() else {
