Let other nodes watch endpoints that fell silent under a request

Cause: an endpoint shows only seconds after its crash that it has crashed, and until then only the node that sent the request knows of the run.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -34,7 +34,7 @@
     pub abandoned_items: IntCounterVec,
     /// Decisions about requests suspected of crashing endpoints: `recorded`, `received`,
     /// `lost-answer`, `isolated`, `deferred`, `cleared`, `refused`, `stored`,
-    /// `sent-again`, `evicted`.
+    /// `sent-again`, `evicted`, `untold` for a run without an answer of which no other node was told.
     pub suspects: IntCounterVec,
     /// Requests for permits at endpoints with a limit: `granted`, `denied`, and `unreachable` for a
     /// grantor that did not answer.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -13,7 +13,7 @@
 use wisteriapoint_directory::{Permit, Priority, RateLimit, StreamRecord};
 use wisteriapoint_duties::{CoordinationRequest, CoordinationResponse};
 use wisteriapoint_peer::{Answer, serve_with_tunnels};
-use wisteriapoint_route::CrashReport;
+use wisteriapoint_route::{CrashReport, SilentRun};
 use wisteriapoint_store::Error as StoreError;
 use wisteriapoint_types::{Digest, EndpointName, hash64};
 
@@ -156,6 +156,13 @@
     },
     /// Asks how much memory the node has free for batch jobs.
     FreeMemory,
+    /// Asks to watch whether an endpoint has crashed that did not answer a request, in case the sender ends.
+    WatchSilent {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// The run of the request.
+        run: SilentRun,
+    },
 }
 
 /// The response to a [`PeerRequest`].
@@ -405,6 +412,12 @@
                 false => PeerResponse::Failed,
             }
         }
+        PeerRequest::WatchSilent { endpoint, run } => {
+            match suspects::silent::watch_for_peer(node, &endpoint, run) {
+                true => PeerResponse::Done,
+                false => PeerResponse::Failed,
+            }
+        }
         PeerRequest::FreeMemory => PeerResponse::FreeMemory {
             bytes: match node.stage.get() {
                 Stage::Serving => node.intake.budget.free_bytes(),
@@ -449,7 +462,9 @@
 ) -> Option<PeerResponse> {
     let timeout = match request {
         PeerRequest::Results { wait_ms, .. } => RESPONSE_TIMEOUT + Duration::from_millis(*wait_ms),
-        PeerRequest::Crashes { .. } | PeerRequest::RunIsolated { .. } => SUSPECT_TIMEOUT,
+        PeerRequest::Crashes { .. }
+        | PeerRequest::RunIsolated { .. }
+        | PeerRequest::WatchSilent { .. } => SUSPECT_TIMEOUT,
         PeerRequest::Permit { .. } => limits::PERMIT_TIMEOUT,
         PeerRequest::StreamBegan { .. } | PeerRequest::StreamRecord(_) => streams::STREAM_TIMEOUT,
         _ => RESPONSE_TIMEOUT,
--- a/crates/node/src/suspects/mod.rs
+++ b/crates/node/src/suspects/mod.rs
@@ -49,6 +49,8 @@
     /// Runs that ended without an answer of the endpoint.
     silent_runs: RefCell<SilentRuns>,
     silent_run_added: Notify,
+    /// Number of these of which other nodes are being told.
+    silent_runs_being_told: Cell<usize>,
     /// The nodes that get crash reports, and are asked for connections to endpoints.
     pub peers: Rc<KnownPeers>,
     is_history_loaded: Cell<bool>,
@@ -65,6 +67,7 @@
             undelivered_added: Notify::new(),
             silent_runs: RefCell::default(),
             silent_run_added: Notify::new(),
+            silent_runs_being_told: Cell::default(),
             peers: Rc::default(),
             is_history_loaded: Cell::default(),
         }
--- a/crates/node/src/suspects/run.rs
+++ b/crates/node/src/suspects/run.rs
@@ -13,7 +13,7 @@
 
 use super::crash::{ObservedCrash, record_crash};
 use super::exchange::Kept;
-use super::{count, exchange, record_down};
+use super::{count, exchange, record_down, silent};
 use crate::dialect::Dialect;
 use crate::node::{ChosenEndpoint, Node};
 use crate::{event, limits};
@@ -114,6 +114,7 @@
                 isolated: self.is_isolated && self.is_confirmed,
                 shared: self.node.suspects.running(&self.endpoint) > 1,
             };
+            silent::tell_others(&self.node, &self.endpoint, &run);
             let suspects = &self.node.suspects;
             suspects.add_silent_run(self.node.now_ms(), &self.endpoint, run);
         }
--- a/crates/route/src/silence.rs
+++ b/crates/route/src/silence.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::{Deserialize, Serialize};
 use wisteriapoint_types::{Digest, EndpointName, FailureDomain};
 
 /// Time for which a run waits for evidence, in milliseconds: an endpoint that crashes is back after some
@@ -19,7 +20,7 @@
 const BURST_ENDPOINTS: usize = 2;
 
 /// A run of a request that its sender has given up without an answer of the endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SilentRun {
     /// Digest of the request.
     pub digest: Digest,
