Count on no lease that may no longer hold the member row

What callers could see: an empty page of results from a node that no longer owns the batch job.

Cause: a node that gets work moves its member row to a shorter lease. If the write gets no answer, the row may have moved and end with that lease, while the node counts on the one it had before for up to two seconds more, and may renew it.

Change: while the row is being moved, the lease is valid no longer than the new one. After a write without an answer the node moves the row again instead of renewing.

--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -175,6 +175,20 @@
         }
     }
 
+    /// Limits the validity of the lease to the end of another one, to which the member row is being moved.
+    ///
+    /// The row may be there already while the outcome of the write is not known, and the store removes it
+    /// with that lease. Other nodes then take over the work of this one.
+    pub fn limit_validity(&self, end_boot_ms: u64) {
+        let valid_until_boot_ms = self.valid_until_boot_ms.get().min(end_boot_ms);
+        self.valid_until_boot_ms.set(valid_until_boot_ms);
+    }
+
+    /// Returns `true` if the outcome of a write of the member row is not known.
+    fn is_member_row_unknown(&self) -> bool {
+        self.member_revision.get().is_none()
+    }
+
     /// Records that the lease has expired.
     pub fn record_expiry(&self) {
         self.id.set(None);
@@ -200,7 +214,10 @@
         };
         let result = match node.lease.id() {
             None => obtain(&node, ttl_ms).await,
-            Some(_) if node.lease.ttl_ms.get() != ttl_ms => replace(&node, ttl_ms).await,
+            // A renewal would keep a lease that may no longer hold the member row.
+            Some(_) if node.lease.ttl_ms.get() != ttl_ms || node.lease.is_member_row_unknown() => {
+                replace(&node, ttl_ms).await
+            }
             Some(lease) => renew(&node, lease, ttl_ms).await,
         };
         match result {
@@ -258,6 +275,7 @@
     let lease = node.store.grant_lease(Duration::from_millis(ttl_ms)).await;
     node.record_store_call("grant", &lease);
     let lease = lease?;
+    node.lease.limit_validity(call_boot_ms + ttl_ms);
     let revision = write_member_row(node, lease).await?;
     node.lease.record_renewal(lease, call_boot_ms, ttl_ms);
     event!(
--- a/crates/node/tests/lease.rs
+++ b/crates/node/tests/lease.rs
@@ -38,3 +38,17 @@
     lease.record_leadership(Index(50), new);
     assert!(lease.holds_leadership(Index(50)));
 }
+
+/// Guards against a node that counts as the definite owner of its batch jobs by a longer lease, while its
+/// member row has moved to a shorter one by a write without an answer, and has ended with it.
+#[test]
+fn a_lease_is_valid_no_longer_than_one_that_may_hold_the_member_row() {
+    let lease = Lease::new();
+    lease.record_renewal(LeaseId(7), boot_ms(), TTL_MS);
+    lease.limit_validity(boot_ms() + 2 * TTL_MS);
+    assert!(lease.is_valid());
+    lease.limit_validity(boot_ms());
+    assert!(!lease.is_valid());
+    lease.record_renewal(LeaseId(8), boot_ms(), TTL_MS);
+    assert!(lease.holds(LeaseId(8)));
+}
