Case 12 waits until the machines know each other

A machine that started first may not know the others for 6 s and then keeps all batch jobs that it receives. The script waits 8 s instead of 2 s before it looks which machine keeps what.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -25,7 +25,8 @@
     await fleet.start(nodes=4, engines=4, plain=0, routes=routes, event_s=0.1)
     while fleet.leader() is None:
         await asyncio.sleep(0.1)
-    await asyncio.sleep(2)
+    # Each machine reads every 6 s who the others are; one that started first may not know them before.
+    await asyncio.sleep(8)
     leader = fleet.node(fleet.leader()["vm"])
     # A machine that keeps the batch jobs of a trainer of each kind, and isn't the leader.
     kept = {}
