Case 13 waits until the machines know each other

A machine that started first may not know the others for 6 s and then keeps all batch jobs that it receives. The script waits 8 s instead of 2 s before it looks which machine keeps what.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -22,7 +22,8 @@
     await fleet.start(nodes=3, engines=4, plain=0, routes=[rollout_route(name) for name in TRAINERS], event_s=0.1)
     while fleet.leader() is None:
         await asyncio.sleep(0.1)
-    await asyncio.sleep(2)
+    # Each machine reads every 6 s who the others are; one that started first may not know them before.
+    await asyncio.sleep(8)
     leader = fleet.node(fleet.leader()["vm"])
     # The machine that stops keeps the batch jobs of a trainer, and is not the leader, which keeps those of another one.
     kept_by = {}
