Reset the connection of a call to the platform that is given up

Cause: a call that a partition held back was given up after a second, which closed its socket in the orderly way, so the kernel went on to send it and the order arrived with a retransmission after the heal. The deadline of the call and the time for which may_act needs the lease were two constants, and may_act was asked before the connection was opened.

Change: while a call is on a connection, its socket is set to be reset on close, from before the first byte until the response was read in full, so also if the process is killed; TCP_USER_TIMEOUT bounds what the kernel sends for one that stands still. may_act is asked once the connection is open, and one constant, MAX_CALL_MS, is the deadline and the required lease. A reset is what makes the kernel drop bytes; a longer wait of the successor would not, as a retransmission may come at any time. The model of the duties gets the rule ResetAfterCall in place of an assumed bound.

--- a/crates/duties/src/client.rs
+++ b/crates/duties/src/client.rs
@@ -89,13 +89,25 @@
     Unanswered,
 }
 
+/// Longest time from the check that a call may be sent to the end of the call, in milliseconds.
+///
+/// A holder sends a call only if no other node can become the holder before that.
+pub const MAX_CALL_MS: u64 = 1_000;
+
 /// Client of the platform's API.
+///
+/// Nothing of a call is sent more than [`MAX_CALL_MS`] after `may_send` was called, even if the process of
+/// the client ends or stands still meanwhile.
 pub trait DutyClient: 'static {
     /// Makes a call in the name of a holder with its fencing token.
+    ///
+    /// `may_send` is called once the connection is open, which may be after a long pause of this VM. If it
+    /// returns `false`, nothing is sent and the call has failed.
     fn call(
         &self,
         holder: &str,
         fence: u64,
         call: DutyCall<'_>,
+        may_send: impl Fn() -> bool,
     ) -> impl Future<Output = DutyOutcome>;
 }
--- a/crates/duties/src/environment.rs
+++ b/crates/duties/src/environment.rs
@@ -69,7 +69,7 @@
     fn duty_settings(&self) -> Option<&DutySettings>;
     /// Returns the client of the platform's API; `None` if there are no duties.
     fn duty_client(&self) -> Option<&Self::Client>;
-    /// Returns `true` if no other node can have become the holder until a call that begins now ends.
+    /// Returns `true` if no other node can become the holder within [`MAX_CALL_MS`](crate::MAX_CALL_MS).
     fn may_act(&self, fence: u64) -> bool;
     /// Counts a call to the platform's API.
     fn record_duty_call(&self, duty: &str, outcome: &str);
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod scale_duty;
 pub mod usage_duty;
 
-pub use client::{Duty, DutyCall, DutyClient, DutyOutcome, DutySettings};
+pub use client::{Duty, DutyCall, DutyClient, DutyOutcome, DutySettings, MAX_CALL_MS};
 pub use environment::{Environment, ScaledServices};
 pub use exchange::{Coordination, CoordinationRequest, CoordinationResponse, ServiceDemand, run};
 pub use holder::hold;
--- a/crates/duties/src/scale_duty.rs
+++ b/crates/duties/src/scale_duty.rs
@@ -204,7 +204,9 @@
         count: order.count,
         is_spot: order.kind == Kind::Spot,
     };
-    let outcome = client.call(&env.owner().vm, fence, call).await;
+    let outcome = client
+        .call(&env.owner().vm, fence, call, || env.may_act(fence))
+        .await;
     env.record_duty_call("scaling", outcome_name(outcome));
     event!(
         info,
--- a/crates/duties/src/usage_duty.rs
+++ b/crates/duties/src/usage_duty.rs
@@ -207,8 +207,9 @@
     let Some(window) = record.pending.front() else {
         return record;
     };
+    let call = DutyCall::Usage(window);
     let outcome = client
-        .call(&env.owner().vm, fence, DutyCall::Usage(window))
+        .call(&env.owner().vm, fence, call, || env.may_act(fence))
         .await;
     let ended_ms = Windows::new(settings.window_ms()).end_ms(window.window);
     let late_ms = env.unix_ms().saturating_sub(ended_ms + settings.due_ms());
--- a/crates/duties/tests/common/mod.rs
+++ b/crates/duties/tests/common/mod.rs
@@ -90,7 +90,16 @@
 pub(crate) struct Client(Rc<Platform>);
 
 impl DutyClient for Client {
-    async fn call(&self, _: &str, fence: u64, call: DutyCall<'_>) -> DutyOutcome {
+    async fn call(
+        &self,
+        _: &str,
+        fence: u64,
+        call: DutyCall<'_>,
+        may_send: impl Fn() -> bool,
+    ) -> DutyOutcome {
+        if !may_send() {
+            return DutyOutcome::Failed;
+        }
         let DutyCall::Scale {
             service,
             failure_domain,
--- a/crates/node/src/coordination.rs
+++ b/crates/node/src/coordination.rs
@@ -8,7 +8,7 @@
 use wisteriapoint_directory::{EndpointStage, Scaling};
 use wisteriapoint_duties::{
     Coordination, CoordinationRequest, CoordinationResponse, DutySettings, Environment,
-    ScaledServices, ServiceDemand,
+    MAX_CALL_MS, ScaledServices, ServiceDemand,
 };
 use wisteriapoint_scaling::{DomainEndpoints, Kind, Service, Terms};
 use wisteriapoint_store::{Error, Index};
@@ -21,8 +21,6 @@
 use crate::peers::{PeerRequest, PeerResponse, call_peer_within};
 use crate::relay::RelayedStore;
 
-/// Longest duration of a call to the platform's API, in milliseconds, for which the lease has to be valid.
-const DUTY_CALL_MS: u64 = 1_000;
 /// Time for the answer of the holder, which answers from memory: some network hops, and a process that
 /// waits for CPU time.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -116,7 +114,7 @@
     }
 
     fn may_act(&self, fence: u64) -> bool {
-        self.is_leader() && self.lease.holds_leadership_for(Index(fence), DUTY_CALL_MS)
+        self.is_leader() && self.lease.holds_leadership_for(Index(fence), MAX_CALL_MS)
     }
 
     fn record_duty_call(&self, duty: &str, outcome: &str) {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 pub mod client;
+pub mod close;
 pub mod datagram;
 pub mod error;
 pub mod frame;
@@ -25,6 +26,7 @@
 pub mod tunnel;
 
 pub use client::{Client, Reply};
+pub use close::{ExchangeMark, ResetOnClose, SharedStream};
 pub use datagram::DatagramSocket;
 pub use error::Error;
 pub use frame::{MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION};
--- a/crates/spec/src/duties/lease.rs
+++ b/crates/spec/src/duties/lease.rs
@@ -7,7 +7,7 @@
     /// Lets a unit of time pass.
     ///
     /// Returns `true`, as it always can.
-    pub fn tick(&mut self, bounds: Bounds) -> bool {
+    pub fn tick(&mut self, bounds: Bounds, without: Option<Rule>) -> bool {
         for node in &mut self.nodes {
             node.lease_left = node.lease_left.saturating_sub(1);
             node.store_lease_left = node.store_lease_left.saturating_sub(1);
@@ -22,9 +22,11 @@
             .leader
             .filter(|&(_, node, _)| self.nodes[node].store_lease_left > 0);
         for call in &mut self.calls {
-            call.age += 1;
+            call.age = (call.age + 1).min(bounds.call_delay + 1);
+        }
+        if without != Some(Rule::ResetAfterCall) {
+            self.calls.retain(|call| call.age <= bounds.call_delay);
         }
-        self.calls.retain(|call| call.age <= bounds.call_delay);
         self.platform.tick();
         true
     }
--- a/crates/spec/src/duties/mod.rs
+++ b/crates/spec/src/duties/mod.rs
@@ -44,4 +44,6 @@
     LeaseOfClaim,
     /// After a write with an unknown result, the row is read again before anything is decided.
     ReadAfterAmbiguity,
+    /// The connection of a call without an answer is reset, so that the call isn't executed later.
+    ResetAfterCall,
 }
--- a/crates/spec/src/duties/recovery.rs
+++ b/crates/spec/src/duties/recovery.rs
@@ -43,7 +43,7 @@
     state.renew(node);
     let Some(term) = &state.nodes[node].term else {
         if !state.confirm(node, without) && !state.claim(node, true, without) {
-            state.tick(bounds);
+            state.tick(bounds, without);
         }
         return;
     };
@@ -60,6 +60,6 @@
         Phase::Refused => false,
     };
     if !made {
-        state.tick(bounds);
+        state.tick(bounds, without);
     }
 }
--- a/crates/spec/src/duties/state.rs
+++ b/crates/spec/src/duties/state.rs
@@ -30,8 +30,9 @@
     pub claims: u8,
     /// Largest number of nodes that are killed; each starts again.
     pub kills: u8,
-    /// Time after which a call is executed at the latest. A holder that releases the row makes way at
-    /// once, so nothing but the successor's wait of [`LEASE`] covers its last call.
+    /// Time after which a call is over: its connection has been reset, and what a partition holds back of it
+    /// is lost. A holder that releases the row makes way at once, so nothing but the successor's wait of
+    /// [`LEASE`] covers its last call.
     pub call_delay: u8,
     /// Whether time passes. Otherwise leases expire and calls are executed at any time, and the order
     /// of calls is not judged.
@@ -261,7 +262,7 @@
             }
         };
         match bounds.is_timed {
-            true => add(Step::Tick, &|state| state.tick(bounds)),
+            true => add(Step::Tick, &|state| state.tick(bounds, without)),
             false => add(Step::Expire, &State::expire),
         }
         for node in 0..NODES {
--- a/crates/spec/tests/duties.rs
+++ b/crates/spec/tests/duties.rs
@@ -79,6 +79,7 @@
             Bounds::CONTENT,
             Fault::ChangedCounts,
         ),
+        (Rule::ResetAfterCall, Bounds::ORDER, Fault::LowerFence),
     ];
     for (rule, bounds, fault) in cases {
         let violation = explore(bounds, Some(rule)).violation;
