Reset connections to endpoints whose request was given up

A connection that is dropped during an exchange was closed in the orderly way, so its kernel went on to send the request when the link was whole again.

Change: the pool marks the begin and the end of each exchange, as the client of the API does, so a connection that is dropped in between, or whose process is killed, is reset; one whose response was read in full, or that is idle, closes in the orderly way. Orders to engines go by the same pool. A node that forwards bytes for another one resets its connection to the endpoint if the other resets its own.

Calls between nodes are not reset: reports of crashes and of limits are wanted also when they are late.

--- a/crates/node/src/callers/stream/forward.rs
+++ b/crates/node/src/callers/stream/forward.rs
@@ -227,9 +227,7 @@
         if is_empty && !std::mem::replace(&mut self.was_empty, true) {
             return Err(SendFailure::ambiguous("no event after the last one"));
         }
-        if !head.closes {
-            connection.return_to_pool(head.keep_alive_ms);
-        }
+        connection.release(&head);
         if let Some(entry) = node.directory.borrow_mut().registry.get_mut(endpoint) {
             entry.record_success();
         }
--- a/crates/node/src/jobs/attempt.rs
+++ b/crates/node/src/jobs/attempt.rs
@@ -320,9 +320,7 @@
         }
         empty_resumes.remove(&self.key);
         drop(empty_resumes);
-        if !head.closes {
-            connection.return_to_pool(head.keep_alive_ms);
-        }
+        connection.release(&head);
         if let Some(endpoint) = node.directory.borrow_mut().registry.get_mut(&self.endpoint) {
             endpoint.record_success();
         }
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -16,13 +16,14 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep};
 use wisteriapoint_directory::Paths;
-use wisteriapoint_peer::Client;
+use wisteriapoint_peer::{Client, ExchangeMark, SharedStream};
 use wisteriapoint_types::EndpointName;
 
 use super::stream::{Activity, EndpointStream, HeadAllowance, Link};
 use super::{ResponseBuffer, ResponseMemory};
 use crate::clock::Clock;
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, ResponseHead};
+use crate::event;
 use crate::suspects::KnownPeers;
 
 /// Time without a byte of a response after which the link is checked when the request is given up: more
@@ -129,6 +130,7 @@
     /// `true` while no response is expected.
     is_idle: bool,
     head_allowance: HeadAllowance,
+    exchange: ExchangeMark<Link>,
     /// Number of requests that were sent on the connection.
     sent_requests: u32,
     last_request: RequestKey,
@@ -350,6 +352,8 @@
     ) -> io::Result<PooledConnection> {
         let head_allowance = HeadAllowance::default();
         let activity = Activity::new();
+        let link = SharedStream::new(link);
+        let exchange = link.mark();
         let stream = EndpointStream::new(link, head_allowance.clone(), activity.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
@@ -378,6 +382,7 @@
             address,
             is_idle: true,
             head_allowance,
+            exchange,
             sent_requests: 0,
             last_request: RequestKey::default(),
         };
@@ -436,6 +441,8 @@
         self.connection.open.activity.restart();
         self.connection.last_request.clone_from(key);
         self.connection.head_allowance.begin();
+        let marked = self.connection.exchange.begin();
+        self.log_unmarked(marked);
         &mut self.connection.sender
     }
 
@@ -454,12 +461,39 @@
         self.connection.sent_requests
     }
 
+    fn log_unmarked(&self, marked: io::Result<()>) {
+        if let Err(error) = marked {
+            event!(
+                warn,
+                "close of a connection to an endpoint not set",
+                endpoint = self.endpoint,
+                error = error
+            );
+        }
+    }
+
+    /// Ends the exchange after the response was read in full, and returns the connection to the pool
+    /// unless the endpoint closes it.
+    pub fn release(self, head: &ResponseHead) {
+        match head.closes {
+            true => drop(self.into_idle()),
+            false => self.return_to_pool(head.keep_alive_ms),
+        }
+    }
+
+    fn into_idle(mut self) -> Self {
+        self.connection.is_idle = true;
+        let marked = self.connection.exchange.end();
+        self.log_unmarked(marked);
+        self
+    }
+
     /// Returns the connection to the pool.
     ///
     /// Closes it if its keep-alive time is too short or the pool holds enough for its endpoint.
     /// `keep_alive_ms` is the time that the endpoint stated.
-    pub fn return_to_pool(mut self, keep_alive_ms: Option<u64>) {
-        self.connection.is_idle = true;
+    pub fn return_to_pool(self, keep_alive_ms: Option<u64>) {
+        let this = self.into_idle();
         let keep_alive = match keep_alive_ms {
             Some(keep_alive_ms) => Duration::from_millis(keep_alive_ms),
             None => DEFAULT_KEEP_ALIVE,
@@ -467,11 +501,11 @@
         let Some(keep_alive) = keep_alive.checked_sub(KEEP_ALIVE_MARGIN) else {
             return;
         };
-        let mut idle = self.pool.idle.borrow_mut();
-        let connections = idle.entry(self.endpoint).or_default();
+        let mut idle = this.pool.idle.borrow_mut();
+        let connections = idle.entry(this.endpoint).or_default();
         if connections.len() < MAX_IDLE_PER_ENDPOINT {
             connections.push(IdleConnection {
-                connection: self.connection,
+                connection: this.connection,
                 expires_at: Instant::now() + keep_alive,
             });
         }
--- a/crates/node/src/upstream/send.rs
+++ b/crates/node/src/upstream/send.rs
@@ -240,9 +240,7 @@
     let head = D::parse_response_head(status, response.headers());
     check_id(&head, status, outbound, &connection)?;
     let body = read_to_end(response.into_body(), connection.buffer(MAX_EXCHANGE_BYTES)).await?;
-    if !head.closes {
-        connection.return_to_pool(head.keep_alive_ms);
-    }
+    connection.release(&head);
     Ok(ExchangeResponse {
         status,
         body,
@@ -267,10 +265,8 @@
 /// Reads the body of a refusal so that its connection can be reused.
 async fn drain_refusal(head: ResponseHead, body: Incoming, connection: PooledConnection) {
     let collected = Limited::new(body, MAX_REFUSAL_BYTES).collect();
-    if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, collected).await
-        && !head.closes
-    {
-        connection.return_to_pool(head.keep_alive_ms);
+    if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, collected).await {
+        connection.release(&head);
     }
 }
 
@@ -364,9 +360,7 @@
             ..
         } = self;
         let body = read_to_end(body, connection.buffer(MAX_RESPONSE_BYTES)).await?;
-        if !head.closes {
-            connection.return_to_pool(head.keep_alive_ms);
-        }
+        connection.release(&head);
         Ok(body)
     }
 }
--- a/crates/node/src/upstream/stream.rs
+++ b/crates/node/src/upstream/stream.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
-use wisteriapoint_peer::TunnelStream;
+use wisteriapoint_peer::{ResetOnClose, SharedStream, TunnelStream};
 
 /// Most bytes from the begin of a request to the head of its response: interim responses, the head,
 /// and what arrives of the body together with it.
@@ -54,6 +54,15 @@
     Relayed(TunnelStream),
 }
 
+impl ResetOnClose for Link {
+    fn set_reset_on_close(&self, is_reset: bool) -> io::Result<()> {
+        match self {
+            Self::Direct(stream) => stream.set_reset_on_close(is_reset),
+            Self::Relayed(stream) => stream.set_reset_on_close(is_reset),
+        }
+    }
+}
+
 /// Time at which a connection last received bytes.
 #[derive(Debug, Clone)]
 pub(super) struct Activity(Rc<Cell<Instant>>);
@@ -77,13 +86,17 @@
 /// Connection that fails when the endpoint exceeds the allowance.
 #[derive(Debug)]
 pub(super) struct EndpointStream {
-    link: Link,
+    link: SharedStream<Link>,
     allowance: HeadAllowance,
     activity: Activity,
 }
 
 impl EndpointStream {
-    pub(super) fn new(link: Link, allowance: HeadAllowance, activity: Activity) -> Self {
+    pub(super) fn new(
+        link: SharedStream<Link>,
+        allowance: HeadAllowance,
+        activity: Activity,
+    ) -> Self {
         Self {
             link,
             allowance,
--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -13,6 +13,8 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
 
+use crate::close::ResetOnClose;
+
 /// Largest chunk, and size of the buffer in each direction.
 const MAX_CHUNK_BYTES: usize = 8 << 10;
 const HEADER_BYTES: usize = 2;
@@ -20,12 +22,21 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Forwards bytes between a daemon and a third party until either closes its connection.
+///
+/// If the daemon resets its connection, that to the third party is reset as well.
 pub(crate) async fn forward(daemon: TcpStream, target: TcpStream) -> io::Result<()> {
     let (daemon_reader, mut daemon_writer) = daemon.into_split();
     let (target_reader, mut target_writer) = target.into_split();
     let mut daemon_reader = tokio::io::BufReader::with_capacity(MAX_CHUNK_BYTES, daemon_reader);
     tokio::select! {
-        sent = copy_buf(&mut daemon_reader, &mut target_writer) => return sent.map(drop),
+        sent = copy_buf(&mut daemon_reader, &mut target_writer) => {
+            if sent.is_err() {
+                target_writer.as_ref().set_reset_on_close(true)?;
+                // Dropped, it would end its direction in the orderly way first.
+                target_writer.forget();
+            }
+            return sent.map(drop);
+        }
         received = forward_chunks(target_reader, &mut daemon_writer) => received?,
     }
     // Closing with unread bytes would reset the connection, and discard what is on its way.
@@ -87,6 +98,12 @@
     }
 }
 
+impl ResetOnClose for TunnelStream {
+    fn set_reset_on_close(&self, is_reset: bool) -> io::Result<()> {
+        self.stream.set_reset_on_close(is_reset)
+    }
+}
+
 /// Reads into a slice; fails at the end of the stream.
 fn poll_read_some(
     stream: &mut TcpStream,
--- a/crates/peer/tests/tunnel.rs
+++ b/crates/peer/tests/tunnel.rs
@@ -9,7 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
-use wisteriapoint_peer::{Answer, Client, TunnelStream, serve_with_tunnels};
+use wisteriapoint_peer::{Answer, Client, ResetOnClose, TunnelStream, serve_with_tunnels};
 
 const TIME_LIMIT: Duration = Duration::from_secs(5);
 
@@ -126,3 +126,25 @@
     let (is_open, _) = open(daemon, address).await;
     assert!(!is_open);
 }
+
+/// Guards against a request that was given up and that the daemon in between sends on after a partition, as
+/// it closes its connection to the third party in the orderly way.
+#[tokio::test]
+async fn a_reset_by_the_requester_resets_the_connection_to_the_third_party() {
+    for is_reset in [false, true] {
+        let (daemon, _task) = start_daemon().await;
+        let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (_, mut stream) = open(daemon, target.local_addr().unwrap()).await;
+        let (mut accepted, _) = target.accept().await.unwrap();
+        stream.write_all(b"question").await.unwrap();
+        let mut question = [0; 8];
+        accepted.read_exact(&mut question).await.unwrap();
+        stream.set_reset_on_close(is_reset).unwrap();
+        drop(stream);
+        let end = accepted.read(&mut question).await;
+        match is_reset {
+            true => assert_eq!(end.unwrap_err().kind(), io::ErrorKind::ConnectionReset),
+            false => assert_eq!(end.unwrap(), 0),
+        }
+    }
+}
