Take a batch job only while the member row of its owner is as it was read

Cause: the leader decides from one reading of the members and then takes the batch jobs of each lost owner one after the other, by writes whose only condition was the state row. An owner that woke meanwhile had a new lease and member row, read that it still owned the rest, and counted as their definite owner; the leader took them all the same, and nobody told it.

Change: a take-over has a reason, and the reason a condition. That an owner is gone names the owner and the revision of the member row of its VM, 0 if there is none, which the transaction depends on. As a node writes its member row before it reads what it still owns, each take-over comes before that row, and the node reads the new owner, or conflicts with it. No further read is made unless there is a conflict. The reason goes along when another node is asked; an earlier build, which closes the connection of that message, gets the one it knows.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod item;
 pub mod job;
 pub mod migration;
+pub mod ownership;
 pub mod placement;
 pub mod precedence;
 pub mod record;
@@ -32,6 +33,7 @@
     Step, Submission,
 };
 pub use job::{Job, Page};
+pub use ownership::{Members, TakeOverReason};
 pub use precedence::Precedence;
 pub use record::{JobRecord, JobState, Owner, RecordHeader};
 pub use retention::Retention;
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -397,15 +397,14 @@
     retention: &mut Retention,
 ) -> Result<(), Error> {
     let (members, revision) = members::members_with_revision(node, Freshness::Linearizable).await?;
-    members::set_peers(node, &members);
-    let members: BTreeSet<_> = members.into_iter().collect();
+    members::set_peers(node, members.runs());
+    let members: BTreeSet<_> = members.runs().cloned().collect();
     let is_first = previous.is_empty();
     let is_member_missing = !previous.is_subset(&members);
     if is_first || is_member_missing {
         sleep(MEMBER_RETURN_PAUSE).await;
-        let live = members::members(node, Freshness::Linearizable).await?;
-        members::set_peers(node, &live);
-        let live: BTreeSet<_> = live.into_iter().collect();
+        let (live, _) = members::members_with_revision(node, Freshness::Linearizable).await?;
+        members::set_peers(node, live.runs());
         let left = jobs::take_over_ownerless_jobs(node, &live).await?;
         node.metrics.set_state("ownerless_jobs", left as i64);
         if left > 0 {
--- a/crates/node/src/control/lease.rs
+++ b/crates/node/src/control/lease.rs
@@ -251,7 +251,7 @@
     match members::members(node, Freshness::Stale).await {
         // A node that became the leader during the read has newer rows.
         Ok(_) if node.is_leader() => {}
-        Ok(members) => members::set_peers(node, &members),
+        Ok(members) => members::set_peers(node, members.iter()),
         Err(error) => event!(debug, "members could not be read", error = error),
     }
 }
@@ -320,7 +320,7 @@
 
 /// Returns the revision of the member row in the store, or [`Index`] 0 if there is none.
 async fn member_revision<D: Dialect>(node: &Rc<Node<D>>) -> Result<Index, Error> {
-    let key = members::member_key(&node.owner);
+    let key = members::member_key(&node.owner.vm);
     let row = node.store.row(&key, Freshness::Linearizable).await;
     node.record_store_call("read-member", &row);
     Ok(row?.0.map_or(Index(0), |row| row.revision))
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -1,10 +1,10 @@
 //! Rows of the live nodes, each under the lease of its node.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use wisteriapoint_batch::Owner;
+use wisteriapoint_batch::{Members, Owner};
 use wisteriapoint_store::{Error, Freshness, Index, Row, TransactionalStore};
 
 use super::term::Term;
@@ -70,12 +70,12 @@
     };
     let value = serde_json::to_vec(&row);
     let value = value.map_err(|error| Error::Malformed(error.to_string().into()))?;
-    Ok((member_key(member), value))
+    Ok((member_key(&member.vm), value))
 }
 
-/// Returns the key of the row of a member.
-pub fn member_key(member: &Owner) -> String {
-    format!("{MEMBERS_PREFIX}{}", member.vm)
+/// Returns the key of the member row of a VM.
+pub fn member_key(vm: &str) -> String {
+    format!("{MEMBERS_PREFIX}{vm}")
 }
 
 /// Parses a row; returns `None` if it is malformed, which is logged once.
@@ -105,12 +105,13 @@
     node: &Node<D>,
     freshness: Freshness,
 ) -> Result<Vec<Owner>, Error> {
-    Ok(members_with_revision(node, freshness).await?.0)
+    let (members, _) = members_with_revision(node, freshness).await?;
+    Ok(members.runs().cloned().collect())
 }
 
-/// Reads all members from the store, and the revision from which a watch continues.
+/// Reads all member rows from the store, and the revision from which a watch continues.
 ///
-/// If this node is not among them, its own row is checked.
+/// If this node is not among the members, its own row is checked.
 ///
 /// # Errors
 ///
@@ -118,23 +119,28 @@
 pub async fn members_with_revision<D: Dialect>(
     node: &Node<D>,
     freshness: Freshness,
-) -> Result<(Vec<Owner>, Index), Error> {
+) -> Result<(Members, Index), Error> {
     let rows = node.store.range(MEMBERS_PREFIX, freshness).await;
     node.record_store_call("members", &rows);
     let (rows, revision) = rows?;
-    let rows: Vec<Option<MemberRow<Owner>>> = rows.iter().map(|row| parse_row(node, row)).collect();
-    // A row that can't be parsed may be of any build.
-    let records = |row: &Option<MemberRow<_>>| row.as_ref().is_some_and(|row| row.records_software);
-    let all_record = rows.iter().all(records);
+    let mut all_record = true;
+    let mut capacities = BTreeMap::new();
+    let mut members = Members::new();
+    for row in &rows {
+        let member: Option<MemberRow<Owner>> = parse_row(node, row);
+        // A row that can't be parsed may be of any build.
+        all_record &= member.as_ref().is_some_and(|row| row.records_software);
+        capacities.extend(
+            member
+                .as_ref()
+                .map(|row| (row.member.address, row.cpu_share)),
+        );
+        let vm = row.key.strip_prefix(MEMBERS_PREFIX).unwrap_or(&row.key);
+        let run = member.map(|row| row.member);
+        members = members.with_row(vm, row.revision.0, run);
+    }
     node.streams.software.set_all_nodes_record(all_record);
-    let known = rows.iter().flatten();
-    node.capacities.replace(
-        known
-            .map(|row| (row.member.address, row.cpu_share))
-            .collect(),
-    );
-    let members = rows.into_iter().flatten().map(|row| row.member);
-    let members: Vec<_> = members.collect();
+    node.capacities.replace(capacities);
     if !members.contains(&node.owner) {
         node.lease.doubt_member_row(freshness);
     }
@@ -143,14 +149,12 @@
 
 /// Sets the nodes through which the store may be reached, and which get crash reports: the other
 /// members and the leader.
-pub fn set_peers<D: Dialect>(node: &Node<D>, members: &[Owner]) {
-    let leader = node.leader.borrow();
+pub fn set_peers<'a, D: Dialect>(node: &Node<D>, members: impl IntoIterator<Item = &'a Owner>) {
+    let other_address = |member: &Owner| (*member != node.owner).then_some(member.address);
     // A stale read may not have the leader's row yet.
-    let known = members.iter().chain(leader.as_ref());
-    let peers: BTreeSet<_> = known
-        .filter(|member| **member != node.owner)
-        .map(|member| member.address)
-        .collect();
+    let leader = node.leader.borrow().as_ref().and_then(other_address);
+    let others = members.into_iter().filter_map(other_address);
+    let peers: BTreeSet<_> = others.chain(leader).collect();
     node.suspects.peers.set(node.now_ms(), &peers);
     node.store.set_peers(peers.into_iter().collect());
 }
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -1,6 +1,6 @@
 //! Changes of the owner of a batch job.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +9,9 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use wisteriapoint_batch::placement::assign_by_room;
-use wisteriapoint_batch::{Job, JobState, Owner, PartialOutput, RecordHeader};
+use wisteriapoint_batch::{
+    Job, JobState, Members, Owner, PartialOutput, RecordHeader, TakeOverReason,
+};
 use wisteriapoint_store::{
     CommitOutcome, Error, Freshness, Index, Transaction, TransactionalStore,
 };
@@ -122,20 +124,33 @@
     Optional,
 }
 
-/// Takes over a batch job; returns `true` if this node owns it now or nothing is left to run.
+/// Outcome of an attempt to take a batch job over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TakeOver {
+    /// This node owns it now, or nothing is left to run.
+    Settled,
+    /// This node does not own it; another attempt may succeed.
+    Failed,
+    /// Its owner may be back, so the reason has to be established anew.
+    ReasonLost,
+}
+
+/// Takes over a batch job for a reason.
 ///
-/// `outputs` are partial outputs that the previous owner sent.
+/// `outputs` are partial outputs that the previous owner sent. A reason of `None` is that of a request of
+/// an earlier build, which states none.
 pub async fn take_over<D: Dialect>(
     node: &Rc<Node<D>>,
     job: &str,
     outputs: Vec<PartialOutput>,
     room: Room,
-) -> bool {
-    match try_take_over(node, job, outputs, room).await {
-        Ok(is_settled) => is_settled,
+    reason: Option<&TakeOverReason>,
+) -> TakeOver {
+    match try_take_over(node, job, outputs, room, reason).await {
+        Ok(outcome) => outcome,
         Err(error) => {
             event!(warn, "batch job not taken over", id = job, error = error);
-            false
+            TakeOver::Failed
         }
     }
 }
@@ -145,20 +160,31 @@
     job: &str,
     outputs: Vec<PartialOutput>,
     room: Room,
-) -> Result<bool, Box<str>> {
+    reason: Option<&TakeOverReason>,
+) -> Result<TakeOver, Box<str>> {
     if node.jobs.is_being_acquired(job) {
-        return Ok(false);
+        return Ok(TakeOver::Failed);
     }
     let acquisition = node.jobs.begin_acquiring(job);
     let state = read_state(node, job)
         .await
         .map_err(|error| error.to_string())?;
     let Some((revision, state)) = state else {
-        return Ok(false);
+        return Ok(TakeOver::Failed);
     };
     let is_own = state.owner == node.owner;
     if !state.open || state.listed >= state.total || (is_own && node.jobs.get(job).is_some()) {
-        return Ok(true);
+        return Ok(TakeOver::Settled);
+    }
+    if reason.is_some_and(|reason| !reason.is_against(&state.owner, &node.owner)) {
+        event!(
+            info,
+            "batch job not taken over; it has another owner by now",
+            id = job,
+            owner = state.owner.vm,
+            reason = format!("{reason:?}")
+        );
+        return Ok(TakeOver::Failed);
     }
     let budget = &node.intake.budget;
     let record_bytes = state.record_bytes.unwrap_or(0);
@@ -175,7 +201,7 @@
             id = job,
             reason = reason
         );
-        Ok(true)
+        Ok(TakeOver::Settled)
     };
     let record = match body::read_record(&**node, (budget, node.now_ms()), job).await {
         Ok(Some(record)) => record,
@@ -205,14 +231,20 @@
         ..state
     };
     let value = serde_json::to_vec(&new_state).map_err(|error| error.to_string())?;
-    let transaction = Transaction::new()
+    let member = reason.and_then(TakeOverReason::member_condition);
+    let mut transaction = Transaction::new()
         .with_expected(keys::state(job), revision)
         .with_put(keys::state(job), value);
+    if let Some((vm, member_revision)) = member {
+        transaction = transaction.with_expected(members::member_key(vm), Index(member_revision));
+    }
     let committed = node.store.commit(&transaction).await;
     node.record_store_call("take-over", &committed);
     let revision = match committed.map_err(|error| error.to_string())? {
         CommitOutcome::Done(revision) => revision,
-        CommitOutcome::Conflict | CommitOutcome::LeaseEnded => return Ok(false),
+        CommitOutcome::Conflict | CommitOutcome::LeaseEnded => {
+            return Ok(after_conflict(node, job, member).await);
+        }
     };
     if listed.len() != new_state.listed as usize {
         return Err("number of stored results differs from the state".into());
@@ -237,11 +269,43 @@
     owned.restore_failures(partial_outputs::read_failures(node, job).await);
     owned.count_memory();
     if acquisition.is_ended() {
-        return Ok(true);
+        return Ok(TakeOver::Settled);
     }
     node.jobs.insert(owned.clone());
     run::start_tasks(node, owned);
-    Ok(true)
+    Ok(TakeOver::Settled)
+}
+
+/// Returns whether a take-over conflicted with the member row on which its reason depends.
+async fn after_conflict<D: Dialect>(
+    node: &Node<D>,
+    job: &str,
+    member: Option<(&str, u64)>,
+) -> TakeOver {
+    let Some((vm, expected)) = member else {
+        return TakeOver::Failed;
+    };
+    let row = node
+        .store
+        .row(&members::member_key(vm), Freshness::Linearizable)
+        .await;
+    node.record_store_call("read-member", &row);
+    let stored = match row {
+        Ok((row, _)) => row.map_or(0, |row| row.revision.0),
+        Err(_) => return TakeOver::Failed,
+    };
+    event!(
+        info,
+        "take-over of a batch job conflicts",
+        id = job,
+        vm = vm,
+        member_revision = stored,
+        expected_member_revision = expected
+    );
+    match stored == expected {
+        true => TakeOver::Failed,
+        false => TakeOver::ReasonLost,
+    }
 }
 
 /// Returns the number of failures and the time in milliseconds after which the items of a batch job
@@ -276,7 +340,7 @@
 /// Fails if the store does not answer.
 pub async fn take_over_ownerless_jobs<D: Dialect>(
     node: &Rc<Node<D>>,
-    live: &BTreeSet<Owner>,
+    live: &Members,
 ) -> Result<usize, Error> {
     let jobs = read_ownerless(node, |owner| !live.contains(owner)).await?;
     let sizes_bytes: Vec<_> = jobs.iter().map(|job| job.record_bytes).collect();
@@ -296,7 +360,9 @@
     let mut jobs_of: BTreeMap<_, Vec<_>> = BTreeMap::new();
     for (job, assigned) in jobs.into_iter().zip(assigned) {
         let taker = assigned.unwrap_or(node.owner.address);
-        jobs_of.entry(taker).or_default().push(job.id);
+        if let Some(reason) = live.reason_against(&job.owner) {
+            jobs_of.entry(taker).or_default().push((job.id, reason));
+        }
     }
     let mut takers = JoinSet::new();
     for (taker, jobs) in jobs_of {
@@ -311,36 +377,71 @@
 }
 
 /// Has batch jobs taken over by a node one after the other; returns the number of those that are left.
-async fn assign<D: Dialect>(node: Rc<Node<D>>, taker: SocketAddr, jobs: Vec<Box<str>>) -> usize {
+async fn assign<D: Dialect>(
+    node: Rc<Node<D>>,
+    taker: SocketAddr,
+    jobs: Vec<(Box<str>, TakeOverReason)>,
+) -> usize {
     let mut left = 0;
     let count = jobs.len();
-    for (number, job) in jobs.into_iter().enumerate() {
+    let mut lost: Vec<TakeOverReason> = Vec::new();
+    for (number, (job, reason)) in jobs.into_iter().enumerate() {
         let rest = count - number;
-        let is_taken = match taker == node.owner.address {
-            true => take_over(&node, &job, Vec::new(), Room::Optional).await,
+        if lost.contains(&reason) {
+            left += 1;
+            continue;
+        }
+        let outcome = match taker == node.owner.address {
+            true => take_over(&node, &job, Vec::new(), Room::Optional, Some(&reason)).await,
             false => {
-                let request = PeerRequest::TakeOver {
+                let request = PeerRequest::TakeOverFrom {
                     job,
                     parts: Vec::new(),
+                    reason: reason.clone(),
                 };
-                match call_peer_within(&node, taker, &request, TAKE_OVER_TIMEOUT).await {
-                    Some(response) => matches!(response, PeerResponse::Done),
+                match request_take_over(&node, taker, request, TAKE_OVER_TIMEOUT).await {
+                    Some(PeerResponse::Done) => TakeOver::Settled,
+                    Some(PeerResponse::ReasonLost) => TakeOver::ReasonLost,
+                    Some(_) => TakeOver::Failed,
                     // It may be gone as well, and each further one would wait as long.
                     None => return left + rest,
                 }
             }
         };
-        left += usize::from(!is_taken);
+        left += usize::from(outcome != TakeOver::Settled);
+        if outcome == TakeOver::ReasonLost {
+            lost.push(reason);
+        }
     }
     left
 }
 
+/// Asks another node to take a batch job over; returns `None` if there is no response in time.
+///
+/// A node of an earlier build closes the connection of a request that it does not know.
+async fn request_take_over<D: Dialect>(
+    node: &Node<D>,
+    taker: SocketAddr,
+    request: PeerRequest,
+    timeout: Duration,
+) -> Option<PeerResponse> {
+    let error = match node.peers.call(taker, &request, timeout).await {
+        Ok(response) => return Some(response),
+        Err(error) => error,
+    };
+    event!(info, "request to peer failed", peer = taker, error = error);
+    match request {
+        PeerRequest::TakeOverFrom { job, parts, .. } if error.is_closed() => {
+            let request = PeerRequest::TakeOver { job, parts };
+            call_peer_within(node, taker, &request, timeout).await
+        }
+        _ => None,
+    }
+}
+
 /// Returns the free memory of other nodes that answer, in bytes.
-async fn ask_rooms<D: Dialect>(
-    node: &Rc<Node<D>>,
-    live: &BTreeSet<Owner>,
-) -> Vec<(SocketAddr, usize)> {
-    let others = live.iter().filter(|owner| **owner != node.owner);
+async fn ask_rooms<D: Dialect>(node: &Rc<Node<D>>, live: &Members) -> Vec<(SocketAddr, usize)> {
+    let others = live.runs().filter(|owner| **owner != node.owner);
     let others: Vec<_> = others.map(|owner| owner.address).collect();
     let mut asked = JoinSet::new();
     for address in others.sample(&mut rand::rng(), MAX_ASKED_NODES).copied() {
@@ -435,7 +536,9 @@
 ) -> Result<bool, Error> {
     let mut is_none_left = true;
     for job in read_ownerless(node, is_absent_owner).await? {
-        is_none_left &= take_over(node, &job.id, Vec::new(), Room::Optional).await;
+        let reason = Some(&TakeOverReason::EarlierRun);
+        let outcome = take_over(node, &job.id, Vec::new(), Room::Optional, reason).await;
+        is_none_left &= outcome == TakeOver::Settled;
     }
     Ok(is_none_left)
 }
@@ -443,6 +546,7 @@
 /// An open batch job according to its state row.
 struct OpenJob {
     id: Box<str>,
+    owner: Owner,
     record_bytes: usize,
 }
 
@@ -459,6 +563,7 @@
         .map(|(id, _, state)| OpenJob {
             id,
             record_bytes: state.record_bytes.unwrap_or(0),
+            owner: state.owner,
         })
         .collect();
     jobs.sort_by_key(|job| job.record_bytes);
@@ -479,7 +584,9 @@
     for _ in 0..MAX_ACQUIRE_ATTEMPTS {
         match read_state(node, job).await {
             Ok(Some((_, state))) if state.owner == node.owner => {
-                if take_over(node, job, Vec::new(), Room::Optional).await {
+                let reason = Some(&TakeOverReason::OwnRow);
+                let outcome = take_over(node, job, Vec::new(), Room::Optional, reason).await;
+                if outcome == TakeOver::Settled {
                     return;
                 }
             }
@@ -527,7 +634,7 @@
     if open.is_empty() {
         return;
     }
-    let members = match members(node, Freshness::Linearizable).await {
+    let members = match members::members(node, Freshness::Linearizable).await {
         Ok(members) => members,
         Err(error) => {
             event!(warn, "batch jobs not handed over", error = error);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use wisteriapoint_batch::{Owner, Page, PartialOutput};
+use wisteriapoint_batch::{Owner, Page, PartialOutput, TakeOverReason};
 use wisteriapoint_directory::{Permit, Priority, RateLimit, StreamRecord};
 use wisteriapoint_duties::{CoordinationRequest, CoordinationResponse};
 use wisteriapoint_peer::{Answer, serve_with_tunnels};
@@ -21,6 +21,7 @@
 use crate::control::leaving;
 use crate::dialect::Dialect;
 use crate::event;
+use crate::jobs::takeover::{Room, TakeOver};
 use crate::jobs::{self, Lookup, SubmitOutcome, read};
 use crate::node::{Node, Stage};
 use crate::relay::{StoreCall, StoreResponse};
@@ -163,6 +164,15 @@
         /// The run of the request.
         run: SilentRun,
     },
+    /// Asks the node to take a batch job over for a reason, which an earlier build does not know.
+    TakeOverFrom {
+        /// Id of the batch job.
+        job: Box<str>,
+        /// Partial outputs of its unfinished items.
+        parts: Vec<PartialOutput>,
+        /// Why it may be taken from its owner.
+        reason: TakeOverReason,
+    },
 }
 
 /// The response to a [`PeerRequest`].
@@ -227,6 +237,8 @@
         /// Size in bytes; 0 if it takes none.
         bytes: usize,
     },
+    /// The batch job was not taken over, as its owner may be back.
+    ReasonLost,
 }
 
 type PendingRequest = (PeerRequest, oneshot::Sender<Answer<PeerResponse>>);
@@ -406,11 +418,9 @@
         },
         // Handled before, as it also needs the connection of the request.
         PeerRequest::Connect { .. } => PeerResponse::Failed,
-        PeerRequest::TakeOver { job, parts } => {
-            match jobs::take_over(node, &job, parts, jobs::takeover::Room::Required).await {
-                true => PeerResponse::Done,
-                false => PeerResponse::Failed,
-            }
+        PeerRequest::TakeOver { job, parts } => take_over(node, &job, parts, None).await,
+        PeerRequest::TakeOverFrom { job, parts, reason } => {
+            take_over(node, &job, parts, Some(&reason)).await
         }
         PeerRequest::WatchSilent { endpoint, run } => {
             match suspects::silent::watch_for_peer(node, &endpoint, run) {
@@ -427,6 +437,19 @@
     }
 }
 
+async fn take_over<D: Dialect>(
+    node: &Rc<Node<D>>,
+    job: &str,
+    parts: Vec<PartialOutput>,
+    reason: Option<&TakeOverReason>,
+) -> PeerResponse {
+    match jobs::take_over(node, job, parts, Room::Required, reason).await {
+        TakeOver::Settled => PeerResponse::Done,
+        TakeOver::Failed => PeerResponse::Failed,
+        TakeOver::ReasonLost => PeerResponse::ReasonLost,
+    }
+}
+
 /// Returns this node and those that answer, in the order in which they are responsible for a key.
 ///
 /// Nodes with different views of the members have different orders for a moment, and a node that is
--- a/crates/node/src/suspects/exchange.rs
+++ b/crates/node/src/suspects/exchange.rs
@@ -121,7 +121,7 @@
 /// off, has missed reports.
 pub async fn load_history<D: Dialect>(node: Rc<Node<D>>) {
     match members::members(&node, Freshness::Linearizable).await {
-        Ok(members) => members::set_peers(&node, &members),
+        Ok(members) => members::set_peers(&node, members.iter()),
         Err(error) => event!(info, "members could not be read", error = error),
     }
     let peers = node.suspects.peers.addresses(node.now_ms());
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -52,6 +52,12 @@
         matches!(self.0, Kind::Timeout)
     }
 
+    /// Returns `true` if the peer closed the connection without a response, as it does after a message that
+    /// it can't decode.
+    pub fn is_closed(&self) -> bool {
+        matches!(&self.0, Kind::Io(error) if error.kind() == io::ErrorKind::UnexpectedEof)
+    }
+
     /// Returns `true` if a message violates the protocol or exceeds its size limit.
     pub fn is_malformed(&self) -> bool {
         matches!(
