Take a batch job that is handed over only from the owner that asked

Cause: a stopping node asks another one to take each batch job over. The request named no owner. One that waited at a frozen node was carried out after the leader had taken the batch job over, and took it from the leader, which was alive and not told.

Change: the request states the owner that gives the batch job away, and is void once the state row names another run. From before it asks, that owner counts as no definite owner. A request of an earlier build states no reason and takes a batch job only from an owner without a member row. A node that stops takes none over, so none goes back to the one that gave it away.

--- a/crates/batch/src/ownership.rs
+++ b/crates/batch/src/ownership.rs
@@ -21,6 +21,11 @@
         /// Revision of the member row of its VM; 0 if there is none.
         member_revision: u64,
     },
+    /// The owner hands it over, and counts as no definite owner from before it asks.
+    HandedOver {
+        /// The owner.
+        owner: Owner,
+    },
     /// The owner is an earlier run on the VM of the node that takes the batch job.
     EarlierRun,
     /// The state row names the node that takes the batch job, after a write without an answer.
@@ -33,7 +38,9 @@
     /// `taker` is the node that takes the batch job.
     pub fn is_against(&self, owner: &Owner, taker: &Owner) -> bool {
         match self {
-            Self::OwnerGone { owner: gone, .. } => gone == owner,
+            Self::OwnerGone { owner: named, .. } | Self::HandedOver { owner: named } => {
+                named == owner
+            }
             Self::EarlierRun => owner.vm == taker.vm && owner.run != taker.run,
             Self::OwnRow => owner == taker,
         }
@@ -46,7 +53,7 @@
                 owner,
                 member_revision,
             } => Some((&owner.vm, *member_revision)),
-            Self::EarlierRun | Self::OwnRow => None,
+            Self::HandedOver { .. } | Self::EarlierRun | Self::OwnRow => None,
         }
     }
 }
--- a/crates/batch/tests/ownership.rs
+++ b/crates/batch/tests/ownership.rs
@@ -36,8 +36,12 @@
     let taker = run("a", 2);
     let gone = Members::new().reason_against(&run("b", 1));
     let gone = gone.expect("it is gone");
-    for owner in [run("b", 2), run("c", 1), taker.clone()] {
-        assert!(!gone.is_against(&owner, &taker), "{owner:?}");
+    let handed_over = TakeOverReason::HandedOver { owner: run("b", 1) };
+    for reason in [gone, handed_over] {
+        assert!(reason.is_against(&run("b", 1), &taker));
+        for owner in [run("b", 2), run("c", 1), taker.clone()] {
+            assert!(!reason.is_against(&owner, &taker), "{owner:?}");
+        }
     }
     assert!(TakeOverReason::EarlierRun.is_against(&run("a", 1), &taker));
     assert!(!TakeOverReason::EarlierRun.is_against(&taker, &taker));
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -95,6 +95,8 @@
     pub done_at_ms: Cell<Option<u64>>,
     /// `true` while more items may run.
     pub is_open: Cell<bool>,
+    /// `true` from the time at which this node asks another one to take the batch job over.
+    pub is_handed_over: Cell<bool>,
     /// Wakes readers when results are listed or the batch job is closed.
     pub results_listed: Notify,
     /// Wakes the task that commits results when an attempt at an item has ended or the batch job is
@@ -307,6 +309,7 @@
             acquired_revision: row.revision,
             done_at_ms: Cell::new(None),
             is_open: Cell::new(row.state.open),
+            is_handed_over: Cell::new(false),
             job: RefCell::new(job),
             progress: RefCell::default(),
             scorer_failures: RefCell::default(),
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -137,8 +137,8 @@
 
 /// Takes over a batch job for a reason.
 ///
-/// `outputs` are partial outputs that the previous owner sent. A reason of `None` is that of a request of
-/// an earlier build, which states none.
+/// `outputs` are partial outputs that the previous owner sent. A request of an earlier build states no
+/// reason; the batch job is then taken only from an owner that is gone. A node that stops takes none.
 pub async fn take_over<D: Dialect>(
     node: &Rc<Node<D>>,
     job: &str,
@@ -162,7 +162,7 @@
     room: Room,
     reason: Option<&TakeOverReason>,
 ) -> Result<TakeOver, Box<str>> {
-    if node.jobs.is_being_acquired(job) {
+    if node.stage.get() == Stage::Stopping || node.jobs.is_being_acquired(job) {
         return Ok(TakeOver::Failed);
     }
     let acquisition = node.jobs.begin_acquiring(job);
@@ -176,7 +176,15 @@
     if !state.open || state.listed >= state.total || (is_own && node.jobs.get(job).is_some()) {
         return Ok(TakeOver::Settled);
     }
-    if reason.is_some_and(|reason| !reason.is_against(&state.owner, &node.owner)) {
+    let found;
+    let reason = match reason {
+        Some(reason) => reason,
+        None => {
+            found = find_reason(node, &state.owner).await?;
+            &found
+        }
+    };
+    if !reason.is_against(&state.owner, &node.owner) {
         event!(
             info,
             "batch job not taken over; it has another owner by now",
@@ -231,7 +239,7 @@
         ..state
     };
     let value = serde_json::to_vec(&new_state).map_err(|error| error.to_string())?;
-    let member = reason.and_then(TakeOverReason::member_condition);
+    let member = reason.member_condition();
     let mut transaction = Transaction::new()
         .with_expected(keys::state(job), revision)
         .with_put(keys::state(job), value);
@@ -276,6 +284,22 @@
     Ok(TakeOver::Settled)
 }
 
+/// Returns the reason to take batch jobs from an owner that is gone.
+///
+/// # Errors
+///
+/// Fails if the owner is a member, or the store does not answer.
+async fn find_reason<D: Dialect>(
+    node: &Node<D>,
+    owner: &Owner,
+) -> Result<TakeOverReason, Box<str>> {
+    let (members, _) = members::members_with_revision(node, Freshness::Linearizable)
+        .await
+        .map_err(|error| error.to_string())?;
+    let reason = members.reason_against(owner);
+    Ok(reason.ok_or("its owner is a member, and the request states no reason")?)
+}
+
 /// Returns whether a take-over conflicted with the member row on which its reason depends.
 async fn after_conflict<D: Dialect>(
     node: &Node<D>,
@@ -655,12 +679,17 @@
     // of the new owner.
     let _row = owned.row.lock().await;
     partial_outputs::store_failures(node, owned).await;
-    let request = PeerRequest::TakeOver {
-        job: owned.id.clone(),
-        parts: owned.partial_outputs(),
-    };
+    owned.is_handed_over.set(true);
     for successor in others.sample(&mut rand::rng(), MAX_SUCCESSORS) {
-        let response = call_peer_within(node, successor.address, &request, HAND_OVER_TIMEOUT).await;
+        let request = PeerRequest::TakeOverFrom {
+            job: owned.id.clone(),
+            parts: owned.partial_outputs(),
+            reason: TakeOverReason::HandedOver {
+                owner: node.owner.clone(),
+            },
+        };
+        let address = successor.address;
+        let response = request_take_over(node, address, request, HAND_OVER_TIMEOUT).await;
         event!(
             info,
             "batch job handed over",
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -276,9 +276,12 @@
 
     /// Returns `true` if this node owns a batch job and no other node can have taken it over
     /// unnoticed.
+    ///
+    /// Another one takes it over only if it is handed over, or if this node has no member row, which it
+    /// writes under each lease before it verifies what it owns.
     pub fn is_definite_owner(&self, job: &str) -> bool {
-        let is_owned = self.jobs.get(job).is_some();
-        is_owned
+        let owned = self.jobs.get(job);
+        owned.is_some_and(|owned| !owned.is_handed_over.get())
             && self.jobs.is_verified()
             && self.lease.is_valid()
             && !self.store_health.is_failing()
