Begin a batch job only if it is owned since the last verification

Cause: a node that returns reads the state rows of the batch jobs that it has. One whose write was executed before, and that is inserted after, was in no such read: another node may have taken it over in between, and the first counts as its definite owner. A second verification that began later was ended by the first one.

Change: verifications are numbered. A batch job is begun if none has begun since before its write, else its state row is read first. Only the last verification ends with the ownership verified. A node without a lease takes no batch job over.

No test of whole nodes reaches the gap, which is a few calls long.

--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -16,7 +16,7 @@
 use super::body::JobBody;
 use super::owned::{OwnedJob, StateRow};
 use super::record::{self, RecordLayout, SMALL_RECORD_BYTES};
-use super::{keys, read, run, takeover};
+use super::{keys, read, takeover};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::node::{Node, Stage};
@@ -143,6 +143,7 @@
         return SubmitOutcome::Stored;
     }
     let acquisition = node.jobs.begin_acquiring(id);
+    let verification = node.jobs.verification();
     let min_ms = node.settings.store.min_lease_ms;
     node.lease.wait_for_short(min_ms, MAX_LEASE_WAIT).await;
     let Ok(memory) = node.intake.budget.reserve(submission.memory_bytes()) else {
@@ -225,8 +226,7 @@
     let body = JobBody::new(layout, node.intake.budget.cache(body));
     let row = StateRow { revision, state };
     let owned = OwnedJob::new(id, &header, (body, memory), job, row);
-    node.jobs.insert(owned.clone());
-    run::start_tasks(node, owned);
+    takeover::insert(node, owned, verification).await;
     SubmitOutcome::Stored
 }
 
--- a/crates/node/src/jobs/owned.rs
+++ b/crates/node/src/jobs/owned.rs
@@ -30,6 +30,8 @@
     /// Batch jobs whose submissions can't be read, with the revisions of their state rows.
     unreadable: RefCell<BTreeMap<Box<str>, Index>>,
     is_unverified: Cell<bool>,
+    /// Number of verifications of the ownership that have begun.
+    verification: Cell<u64>,
     /// Batch jobs that this node is acquiring, and whether another node has ended them meanwhile.
     acquiring: Rc<RefCell<BTreeMap<Box<str>, bool>>>,
     demand: RefCell<RequestedWork>,
@@ -137,6 +139,17 @@
         !self.is_unverified.get()
     }
 
+    /// Returns the number of the last verification of the ownership that has begun.
+    pub fn verification(&self) -> u64 {
+        self.verification.get()
+    }
+
+    /// Begins a verification of the ownership and returns its number.
+    pub fn begin_verification(&self) -> u64 {
+        self.verification.set(self.verification.get() + 1);
+        self.verification.get()
+    }
+
     /// Sets the value that [`is_verified`](Self::is_verified) returns.
     pub fn set_verified(&self, is_verified: bool) {
         self.is_unverified.set(!is_verified);
--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -138,7 +138,8 @@
 /// Takes over a batch job for a reason.
 ///
 /// `outputs` are partial outputs that the previous owner sent. A request of an earlier build states no
-/// reason; the batch job is then taken only from an owner that is gone. A node that stops takes none.
+/// reason; the batch job is then taken only from an owner that is gone. A node that stops or has no lease
+/// takes none.
 pub async fn take_over<D: Dialect>(
     node: &Rc<Node<D>>,
     job: &str,
@@ -162,9 +163,11 @@
     room: Room,
     reason: Option<&TakeOverReason>,
 ) -> Result<TakeOver, Box<str>> {
-    if node.stage.get() == Stage::Stopping || node.jobs.is_being_acquired(job) {
+    let may_take = node.stage.get() != Stage::Stopping && node.lease.is_valid();
+    if !may_take || node.jobs.is_being_acquired(job) {
         return Ok(TakeOver::Failed);
     }
+    let verification = node.jobs.verification();
     let acquisition = node.jobs.begin_acquiring(job);
     let state = read_state(node, job)
         .await
@@ -279,11 +282,49 @@
     if acquisition.is_ended() {
         return Ok(TakeOver::Settled);
     }
-    node.jobs.insert(owned.clone());
-    run::start_tasks(node, owned);
+    insert(node, owned, verification).await;
     Ok(TakeOver::Settled)
 }
 
+/// Begins to run a batch job that this node owns according to a write, unless another one owns it by now.
+///
+/// `verification` is the number of the last verification before the write. A later one may have missed the
+/// batch job, which was not inserted yet.
+pub async fn insert<D: Dialect>(
+    node: &Rc<Node<D>>,
+    owned: Rc<OwnedJob>,
+    mut verification: u64,
+) -> bool {
+    loop {
+        let last = node.jobs.verification();
+        if last == verification {
+            node.jobs.insert(owned.clone());
+            run::start_tasks(node, owned);
+            return true;
+        }
+        match read_state(node, &owned.id).await {
+            Ok(Some((_, state))) if state.owner == node.owner && state.open => verification = last,
+            Ok(_) => {
+                event!(
+                    warn,
+                    "batch job taken over or ended by another node before it was begun",
+                    id = owned.id
+                );
+                return false;
+            }
+            Err(error) => {
+                event!(
+                    info,
+                    "batch job ownership not verified; retrying",
+                    id = owned.id,
+                    error = error
+                );
+                node.store_health.pause(VERIFY_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Returns the reason to take batch jobs from an owner that is gone.
 ///
 /// # Errors
@@ -625,6 +666,7 @@
 
 /// Removes the batch jobs that another node has taken over or ended.
 pub async fn verify_ownership<D: Dialect>(node: Rc<Node<D>>) {
+    let verification = node.jobs.begin_verification();
     for owned in node.jobs.all() {
         while owned.is_open.get() && !owned.job.borrow().is_all_listed() {
             match read_state(&node, &owned.id).await {
@@ -644,7 +686,10 @@
             }
         }
     }
-    node.jobs.set_verified(true);
+    // A later one reads everything again.
+    if node.jobs.verification() == verification {
+        node.jobs.set_verified(true);
+    }
 }
 
 /// Hands over the open batch jobs to other nodes.
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod rule;
 pub mod state;
 pub mod step;
+pub mod takeover;
 pub mod views;
 
 pub use explore::{Exploration, Violation, explore};
