Begin a batch job whose take-over got no answer of the store

Cause: the write of a take-over may take effect although its call failed. The state row then names a live node that has not begun the batch job. The search for ownerless batch jobs passes over it, so it waits until somebody reads it.

Change: after such a failure, and after a conflict that may be with the same write by another path, the node reads the row until it names the node, names another one, or has another revision than the write expected. That the stored results agree with the state is checked before the write, no longer after it.

--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -249,17 +249,25 @@
     if let Some((vm, member_revision)) = member {
         transaction = transaction.with_expected(members::member_key(vm), Index(member_revision));
     }
+    if listed.len() != new_state.listed as usize {
+        return Err("number of stored results differs from the state".into());
+    }
     let committed = node.store.commit(&transaction).await;
     node.record_store_call("take-over", &committed);
-    let revision = match committed.map_err(|error| error.to_string())? {
-        CommitOutcome::Done(revision) => revision,
-        CommitOutcome::Conflict | CommitOutcome::LeaseEnded => {
+    let revision = match committed {
+        Ok(CommitOutcome::Done(revision)) => revision,
+        Ok(CommitOutcome::Conflict | CommitOutcome::LeaseEnded) => {
+            // It may be this write that the second of two paths to the store conflicts with.
+            spawn_acquire(node, job, None);
             return Ok(after_conflict(node, job, member).await);
         }
+        Err(error) => {
+            if error.may_have_taken_effect() {
+                spawn_acquire(node, job, Some(revision));
+            }
+            return Err(error.to_string().into());
+        }
     };
-    if listed.len() != new_state.listed as usize {
-        return Err("number of stored results differs from the state".into());
-    }
     // Counted anew, since the clocks of two VMs don't give the age of a batch job: an item may expire
     // late, but never early.
     let expires_at_ms = node.now_ms() + retention_ms;
@@ -637,15 +645,21 @@
 
 /// Starts a task that acquires a batch job if this run owns it according to the store.
 pub fn spawn_acquire_own<D: Dialect>(node: &Rc<Node<D>>, job: &str) {
+    spawn_acquire(node, job, None);
+}
+
+/// As [`spawn_acquire_own`]; `replaced` is the revision of the state row that a write without an answer
+/// replaces, if it takes effect.
+fn spawn_acquire<D: Dialect>(node: &Rc<Node<D>>, job: &str, replaced: Option<Index>) {
     let (node, job) = (node.clone(), Box::<str>::from(job));
-    tokio::task::spawn_local(async move { acquire_own(&node, &job).await });
+    tokio::task::spawn_local(async move { acquire_own(&node, &job, replaced).await });
 }
 
 /// Acquires a batch job that this run owns according to the store.
 ///
-/// This is the case if the write of a submission took effect after its caller received an ambiguous
-/// outcome. The row is read repeatedly, since the write may not have taken effect yet.
-pub async fn acquire_own<D: Dialect>(node: &Rc<Node<D>>, job: &str) {
+/// This is the case if the write of a submission or a take-over took effect after its caller received an
+/// ambiguous outcome. The row is read repeatedly, since the write may not have taken effect yet.
+async fn acquire_own<D: Dialect>(node: &Rc<Node<D>>, job: &str, replaced: Option<Index>) {
     for _ in 0..MAX_ACQUIRE_ATTEMPTS {
         match read_state(node, job).await {
             Ok(Some((_, state))) if state.owner == node.owner => {
@@ -655,6 +669,7 @@
                     return;
                 }
             }
+            Ok(Some((revision, _))) if replaced == Some(revision) => {}
             Ok(Some(_)) => return,
             Ok(None) => {}
             Err(error) => event!(info, "batch job state not read", id = job, error = error),
