Answer an earlier build only with what it can decode

Cause: a request to take a batch job over that states no reason could be answered with the new response ReasonLost, which the earlier build that sent it can't decode; it would take the node for silent.

Change: that request is answered with Failed in this case.

No node of an earlier build was run beside this one.

--- a/crates/node/src/jobs/takeover.rs
+++ b/crates/node/src/jobs/takeover.rs
@@ -179,13 +179,9 @@
     if !state.open || state.listed >= state.total || (is_own && node.jobs.get(job).is_some()) {
         return Ok(TakeOver::Settled);
     }
-    let found;
     let reason = match reason {
-        Some(reason) => reason,
-        None => {
-            found = find_reason(node, &state.owner).await?;
-            &found
-        }
+        Some(reason) => reason.clone(),
+        None => find_reason(node, &state.owner).await?,
     };
     if !reason.is_against(&state.owner, &node.owner) {
         event!(
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -61,7 +61,7 @@
         /// Id of the batch job.
         job: Box<str>,
     },
-    /// Asks the node to take a batch job over.
+    /// Asks the node to take a batch job over; sent by an earlier build, and to one.
     #[serde(rename = "Adopt")]
     TakeOver {
         /// Id of the batch job.
@@ -164,7 +164,7 @@
         /// The run of the request.
         run: SilentRun,
     },
-    /// Asks the node to take a batch job over for a reason, which an earlier build does not know.
+    /// Asks the node to take a batch job over for a reason; an earlier build does not know this request.
     TakeOverFrom {
         /// Id of the batch job.
         job: Box<str>,
@@ -418,9 +418,19 @@
         },
         // Handled before, as it also needs the connection of the request.
         PeerRequest::Connect { .. } => PeerResponse::Failed,
-        PeerRequest::TakeOver { job, parts } => take_over(node, &job, parts, None).await,
+        PeerRequest::TakeOver { job, parts } => {
+            match jobs::take_over(node, &job, parts, Room::Required, None).await {
+                TakeOver::Settled => PeerResponse::Done,
+                // An earlier build knows no other response.
+                TakeOver::Failed | TakeOver::ReasonLost => PeerResponse::Failed,
+            }
+        }
         PeerRequest::TakeOverFrom { job, parts, reason } => {
-            take_over(node, &job, parts, Some(&reason)).await
+            match jobs::take_over(node, &job, parts, Room::Required, Some(&reason)).await {
+                TakeOver::Settled => PeerResponse::Done,
+                TakeOver::Failed => PeerResponse::Failed,
+                TakeOver::ReasonLost => PeerResponse::ReasonLost,
+            }
         }
         PeerRequest::WatchSilent { endpoint, run } => {
             match suspects::silent::watch_for_peer(node, &endpoint, run) {
@@ -437,19 +447,6 @@
     }
 }
 
-async fn take_over<D: Dialect>(
-    node: &Rc<Node<D>>,
-    job: &str,
-    parts: Vec<PartialOutput>,
-    reason: Option<&TakeOverReason>,
-) -> PeerResponse {
-    match jobs::take_over(node, job, parts, Room::Required, reason).await {
-        TakeOver::Settled => PeerResponse::Done,
-        TakeOver::Failed => PeerResponse::Failed,
-        TakeOver::ReasonLost => PeerResponse::ReasonLost,
-    }
-}
-
 /// Returns this node and those that answer, in the order in which they are responsible for a key.
 ///
 /// Nodes with different views of the members have different orders for a moment, and a node that is
